--- /dev/null
+++ b/internal/eventlog/clock.go
@@ -0,0 +1,63 @@
+package eventlog
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Timestamp is a hybrid logical clock reading: wall time in microseconds and
+// a counter that orders events within it. Readings that travel between
+// daemons keep causes before their effects whatever the clocks say.
+type Timestamp struct {
+	Micros  int64  `json:"micros" msgpack:"m"`
+	Counter uint32 `json:"counter" msgpack:"c"`
+}
+
+// Before reports whether t is ordered before o.
+func (t Timestamp) Before(o Timestamp) bool {
+	return t.Micros < o.Micros || (t.Micros == o.Micros && t.Counter < o.Counter)
+}
+
+// Time returns the wall time part.
+func (t Timestamp) Time() time.Time { return time.UnixMicro(t.Micros).UTC() }
+
+// String implements fmt.Stringer.
+func (t Timestamp) String() string {
+	return fmt.Sprintf("%s+%d", t.Time().Format("2006-01-02T15:04:05.000000Z"), t.Counter)
+}
+
+// maxClockLead bounds how far a peer's reading may run ahead of the local clock.
+const maxClockLead = time.Minute
+
+// Clock is a hybrid logical clock, safe for concurrent use.
+type Clock struct {
+	mu   sync.Mutex
+	last Timestamp
+}
+
+// Now returns a reading after all that were returned or observed before.
+func (c *Clock) Now() Timestamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wall := time.Now().UnixMicro()
+	if wall > c.last.Micros {
+		c.last = Timestamp{Micros: wall}
+	} else {
+		c.last.Counter++
+	}
+	return c.last
+}
+
+// Observe advances the clock past a reading received from a peer. Readings
+// too far in the future are ignored, so that one bad clock can't spoil all.
+func (c *Clock) Observe(t Timestamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.Micros > time.Now().Add(maxClockLead).UnixMicro() {
+		return
+	}
+	if c.last.Before(t) {
+		c.last = t
+	}
+}
--- /dev/null
+++ b/internal/eventlog/event.go
@@ -0,0 +1,122 @@
+// Package eventlog records numbered events: each goes to the structured log
+// and into a bounded ring from which the time line over all daemons is merged.
+// docs/EVENTS.md is the catalogue.
+package eventlog
+
+import "github.com/hashicorp/go-hclog"
+
+// ID numbers a kind of event. Numbers are never reused.
+type ID int
+
+// Events by area: 1xx process, 2xx requests, 3xx upstreams, 4xx documents,
+// 5xx platform, 6xx peers, 7xx at-most-once calls, 8xx quarantine,
+// 9xx leases and orders.
+const (
+	DaemonStarted   ID = 101
+	DaemonReady     ID = 102
+	DaemonNotReady  ID = 103
+	DaemonDraining  ID = 104
+	DaemonStopped   ID = 105
+	DaemonIsolated  ID = 106
+	RequestReceived ID = 201
+	AttemptStarted  ID = 202
+	FirstToken      ID = 203
+	RequestFinished ID = 204
+	RequestRefused  ID = 205
+	RequestFailed   ID = 206
+	AttemptFailed   ID = 207
+	StreamResumed   ID = 208
+	CallerGone      ID = 209
+	HedgeStarted    ID = 210
+	UpstreamServing ID = 301
+	UpstreamLeaving ID = 302
+	UpstreamDown    ID = 303
+	UpstreamNew     ID = 304
+	DocumentAdopted ID = 401
+	DocumentAccept  ID = 402
+	DocumentReject  ID = 403
+	DocumentUnknown ID = 404
+	PlatformDown    ID = 501
+	PlatformUp      ID = 502
+	PeerConnected   ID = 601
+	PeerLost        ID = 602
+	PeerRejected    ID = 603
+	OnceClaimed     ID = 701
+	OnceReplayed    ID = 702
+	OnceUnknown     ID = 703
+	SuspectRecorded ID = 801
+	RequestIsolated ID = 802
+	LeaseAcquired   ID = 901
+	LeaseLost       ID = 902
+	OrderSent       ID = 903
+	OrderRefused    ID = 904
+)
+
+// Kind describes a kind of event.
+type Kind struct {
+	ID    ID
+	Level hclog.Level
+	// Text is the constant message of the log line.
+	Text string
+}
+
+// Kinds is the catalogue, ordered by number.
+var Kinds = []Kind{
+	{DaemonStarted, hclog.Info, "daemon started"},
+	{DaemonReady, hclog.Info, "daemon ready"},
+	{DaemonNotReady, hclog.Warn, "daemon not ready"},
+	{DaemonDraining, hclog.Info, "daemon draining"},
+	{DaemonStopped, hclog.Info, "daemon stopped"},
+	{DaemonIsolated, hclog.Warn, "daemon isolated from platform and peers"},
+	{RequestReceived, hclog.Debug, "request received"},
+	{AttemptStarted, hclog.Debug, "attempt started"},
+	{FirstToken, hclog.Debug, "first token"},
+	{RequestFinished, hclog.Debug, "request finished"},
+	{RequestRefused, hclog.Info, "request refused"},
+	{RequestFailed, hclog.Warn, "request failed"},
+	{AttemptFailed, hclog.Info, "attempt failed"},
+	{StreamResumed, hclog.Info, "stream resumed"},
+	{CallerGone, hclog.Debug, "caller gone"},
+	{HedgeStarted, hclog.Debug, "hedge started"},
+	{UpstreamServing, hclog.Info, "upstream serving"},
+	{UpstreamLeaving, hclog.Info, "upstream leaving"},
+	{UpstreamDown, hclog.Warn, "upstream down"},
+	{UpstreamNew, hclog.Info, "upstream incarnation changed"},
+	{DocumentAdopted, hclog.Info, "document adopted"},
+	{DocumentAccept, hclog.Info, "document accepted"},
+	{DocumentReject, hclog.Info, "document rejected"},
+	{DocumentUnknown, hclog.Warn, "document submission unresolved"},
+	{PlatformDown, hclog.Warn, "platform unreachable"},
+	{PlatformUp, hclog.Info, "platform reachable"},
+	{PeerConnected, hclog.Info, "peer connected"},
+	{PeerLost, hclog.Info, "peer lost"},
+	{PeerRejected, hclog.Warn, "peer rejected"},
+	{OnceClaimed, hclog.Debug, "at-most-once record claimed"},
+	{OnceReplayed, hclog.Info, "recorded outcome replayed"},
+	{OnceUnknown, hclog.Warn, "at-most-once outcome unknown"},
+	{SuspectRecorded, hclog.Warn, "request suspected of crashing an upstream"},
+	{RequestIsolated, hclog.Warn, "request quarantined"},
+	{LeaseAcquired, hclog.Info, "lease acquired"},
+	{LeaseLost, hclog.Warn, "lease lost"},
+	{OrderSent, hclog.Info, "order sent"},
+	{OrderRefused, hclog.Warn, "order refused"},
+}
+
+// Fields are the attributes of an event that the time line filters by; the
+// rest goes into Detail.
+type Fields struct {
+	Service   string `json:"service,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	Upstream  string `json:"upstream,omitempty"`
+	// Detail is a short text for people.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Entry is one recorded event.
+type Entry struct {
+	At     Timestamp `json:"at"`
+	Daemon string    `json:"daemon"`
+	ID     ID        `json:"event"`
+	Text   string    `json:"text"`
+	Fields
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+// Fleet holds the current snapshot.
+type Fleet struct {
+	current atomic.Pointer[Snapshot]
+	mu      sync.Mutex // serialises writers
+	changed func(*Snapshot)
+}
+
+// New returns an empty fleet. changed, if not nil, is called after each
+// change, one call at a time.
+func New(changed func(*Snapshot)) *Fleet {
+	f := &Fleet{changed: changed}
+	f.current.Store(&Snapshot{ByService: map[string][]*Upstream{}, ByAddress: map[string]*Upstream{}})
+	return f
+}
+
+// Snapshot returns the current view; it never blocks.
+func (f *Fleet) Snapshot() *Snapshot { return f.current.Load() }
+
+// ApplyList merges the platform's list: upstreams no longer listed are
+// removed, leaving ones are marked. The list lags, so it never turns a
+// leaving or down upstream back into a serving one; a state report does.
+func (f *Fleet) ApplyList(list []platform.Instance) {
+	f.update(func(byAddress map[string]*Upstream) bool {
+		changed := false
+		listed := map[string]bool{}
+		for _, in := range list {
+			if in.Service == platform.EntryService {
+				continue
+			}
+			listed[in.Address] = true
+			changed = applyInstance(byAddress, in) || changed
+		}
+		for address := range byAddress {
+			if !listed[address] {
+				delete(byAddress, address)
+				changed = true
+			}
+		}
+		return changed
+	})
+}
+
+func applyInstance(byAddress map[string]*Upstream, in platform.Instance) bool {
+	old, known := byAddress[in.Address]
+	next := newUpstream(in.Address, in.Service, in.DataCentre, in.Labels)
+	if known {
+		if old.Service == in.Service && old.DataCentre == in.DataCentre && maps.Equal(old.Labels, in.Labels) &&
+			(in.State != platform.InstanceLeaving || old.State == Leaving) {
+			return false
+		}
+		next.State, next.Engine, next.ReportedAt = old.State, old.Engine, old.ReportedAt
+	}
+	if in.State == platform.InstanceLeaving {
+		next.State = Leaving
+	}
+	byAddress[in.Address] = next
+	return true
+}
+
+// ApplyEngineState records an engine's own report of itself.
+func (f *Fleet) ApplyEngineState(address string, s upstream.EngineState, at time.Time) {
+	f.modify(address, func(u *Upstream) bool {
+		if at.Before(u.ReportedAt) {
+			return false
+		}
+		u.Engine, u.ReportedAt = s, at
+		if s.Leaving {
+			u.State = Leaving
+		} else if u.State != Leaving || s.Incarnation != u.Engine.Incarnation {
+			u.State = Serving
+		}
+		return true
+	})
+}
+
+// SetState records that an upstream serves, is leaving or is down.
+func (f *Fleet) SetState(address string, s State) {
+	f.modify(address, func(u *Upstream) bool {
+		if u.State == s || (u.State == Leaving && s != Down) {
+			return false
+		}
+		u.State = s
+		return true
+	})
+}
+
+func (f *Fleet) modify(address string, change func(*Upstream) bool) {
+	f.update(func(byAddress map[string]*Upstream) bool {
+		old, ok := byAddress[address]
+		if !ok {
+			return false
+		}
+		next := *old
+		if !change(&next) {
+			return false
+		}
+		byAddress[address] = &next
+		return true
+	})
+}
+
+func (f *Fleet) update(change func(map[string]*Upstream) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.current.Load()
+	byAddress := maps.Clone(old.ByAddress)
+	if !change(byAddress) {
+		return
+	}
+	next := &Snapshot{Generation: old.Generation + 1, ByAddress: byAddress, ByService: map[string][]*Upstream{}}
+	for _, u := range byAddress {
+		next.ByService[u.Service] = append(next.ByService[u.Service], u)
+	}
+	for _, list := range next.ByService {
+		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.Address, b.Address) })
+	}
+	f.current.Store(next)
+	if f.changed != nil {
+		f.changed(next)
+	}
+}
--- /dev/null
+++ b/internal/prefix/chain_test.go
@@ -0,0 +1,46 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// Equal text in an equal scope has equal pieces however it is cut into levels;
+// another organisation or other weights share none.
+func TestChainScope(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		levels := rapid.SliceOfN(rapid.StringN(0, 40, -1), 1, 5).Draw(t, "levels")
+		piece := rapid.IntRange(1, 16).Draw(t, "piece")
+		scope := Scope{Organisation: "hollow", Weights: "opal@1"}
+		a := New(scope, levels, piece)
+		b := New(scope, []string{strings.Join(levels, "")}, piece)
+		assert.DeepEqual(t, a.Pieces, b.Pieces)
+		for _, other := range []Scope{{"quindio", "opal@1"}, {"hollow", "opal@2"}, {"hollowo", "pal@1"}} {
+			for i, h := range New(other, levels, piece).Pieces {
+				assert.Assert(t, h != a.Pieces[i])
+			}
+		}
+	})
+}
+
+// Removing a node that is not a home of a key leaves the key's homes alone.
+func TestTopScoresStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.Uint64(), 3, 20, rapid.ID).Draw(t, "nodes")
+		key := rapid.Uint64().Draw(t, "key")
+		homes := TopScores(nil, key, nodes, 2)
+		last := nodes[len(nodes)-1]
+		if nodes[homes[0]] == last || nodes[homes[1]] == last {
+			return
+		}
+		after := TopScores(nil, key, nodes[:len(nodes)-1], 2)
+		assert.DeepEqual(t, homes, after)
+	})
+}
--- /dev/null
+++ b/internal/routing/scheduler.go
@@ -0,0 +1,162 @@
+// Package routing decides, for one service, where each request goes, what
+// waits and what is refused. A Scheduler is a state machine without I/O and
+// without a clock of its own: the caller passes the time in and carries out
+// the actions that come back, so that daemons, tests in virtual time and the
+// measuring tool all run the same decisions.
+package routing
+
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/prefix"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+// Endpoint is an engine that may get new work.
+type Endpoint struct {
+	// ID is the engine's address.
+	ID          string
+	Incarnation string
+	// Weights lists what the engine has loaded.
+	Weights []string
+	// Slots is how many requests the engine runs at once.
+	Slots int
+	// Delay is the one-way network delay to the engine.
+	Delay time.Duration
+	// Hash is the hash of ID for rendezvous hashing.
+	Hash uint64
+}
+
+// Class is the class of a request.
+type Class struct {
+	Name       string
+	Priority   int
+	Deferrable bool
+	MaxWait    time.Duration
+}
+
+// Request is what the scheduler needs to know of a request.
+type Request struct {
+	ID           string
+	Organisation string
+	// Share is the organisation's weight.
+	Share int
+	Class Class
+	// Weights is what the engine must have loaded.
+	Weights string
+	Chain   prefix.Chain
+	// PromptTokens is estimated from the prompt's length.
+	PromptTokens int
+	// MaxOutputTokens is what the caller allows; answers are usually shorter.
+	MaxOutputTokens int
+	// Deadline is the time by which the first token must come; zero means none.
+	Deadline time.Time
+	// Repeatable requests may be hedged and tried again.
+	Repeatable bool
+	// Alone requires that no other request with Alone runs at the same engine.
+	Alone bool
+	// Attempt counts the tries of this request, from 0. A retry is a new Submit.
+	Attempt int
+	// Avoid lists engines that failed this request before.
+	Avoid []string
+}
+
+// ActionKind says what the caller of a Scheduler must do.
+type ActionKind int8
+
+const (
+	// Start sends the request to Endpoint.
+	Start ActionKind = iota
+	// Hedge sends a second copy to Endpoint; the first to answer is kept.
+	Hedge
+	// Refuse ends the request: it was not run.
+	Refuse
+)
+
+// Action is one thing to do.
+type Action struct {
+	Kind    ActionKind
+	Request *Request
+	// Endpoint and Incarnation are set for Start and Hedge.
+	Endpoint    string
+	Incarnation string
+	// Code and RetryAfter are set for Refuse.
+	Code       verdict.Code
+	RetryAfter time.Duration
+}
+
+// Outcome says how an attempt at an engine ended.
+type Outcome int8
+
+const (
+	// Completed means that the answer came whole.
+	Completed Outcome = iota
+	// Rejected means that the engine refused the attempt before any work.
+	Rejected
+	// Failed means that the engine or the connection to it failed.
+	Failed
+	// Canceled means that the caller left or the other copy of a hedge won.
+	Canceled
+)
+
+// LoadReport is an engine's own report, which lags.
+type LoadReport struct {
+	Endpoint string
+	// At is when the engine took the report.
+	At      time.Time
+	Running int
+	Queued  int
+}
+
+// PeerLoad is what one daemon tells the others of an engine.
+type PeerLoad struct {
+	Endpoint    string
+	Incarnation string
+	// Outstanding is the work in tokens that the daemon has at the engine.
+	Outstanding int
+	// Requests is the number of its requests there.
+	Requests int
+	// Slowdown is the engine's observed time over its expected time; 1 is normal.
+	Slowdown float64
+}
+
+// Scheduler decides for one service. It is not safe for concurrent use.
+type Scheduler interface {
+	// SetEndpoints replaces the engines that may get work. What runs at an
+	// engine that is gone stays accounted for until Finished.
+	SetEndpoints(now time.Time, endpoints []Endpoint)
+	// SetPeers tells how many daemons share the engines, this one included.
+	SetPeers(now time.Time, daemons int)
+	// Submit hands in a request; Advance gives the decision, at once or later.
+	Submit(now time.Time, r *Request)
+	// Withdraw takes back a request that has not started.
+	Withdraw(now time.Time, id string)
+	// FirstToken reports the first token of an attempt and the prompt tokens
+	// that the engine took from its cache.
+	FirstToken(now time.Time, id, endpoint string, cachedTokens int)
+	// Finished reports the end of an attempt.
+	Finished(now time.Time, id, endpoint string, outcome Outcome, outputTokens int)
+	// Report records an engine's own load report.
+	Report(now time.Time, r LoadReport)
+	// Share returns what peers should learn, at most one entry an engine.
+	Share(now time.Time) []PeerLoad
+	// Learn records what a peer shared; it replaces what that peer shared before.
+	Learn(now time.Time, peer string, loads []PeerLoad)
+	// Advance returns the actions that are due. The slice is valid until the next call.
+	Advance(now time.Time) []Action
+	// NextWake returns when Advance should be called even if nothing happens
+	// before; zero means never.
+	NextWake(now time.Time) time.Time
+}
+
+// Settings tunes a Scheduler.
+type Settings struct {
+	// HedgePercent bounds hedges, in percent of requests.
+	HedgePercent int
+	// RetryPercent bounds retries, in percent of requests.
+	RetryPercent int
+	// Seed fixes the tie-breaking of a Scheduler.
+	Seed uint64
+	// Without turns single rules off, by name, to measure what they earn.
+	Without []string
+}
--- /dev/null
+++ b/internal/servicedoc/validate.go
@@ -0,0 +1,195 @@
+package servicedoc
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/verbenabend/verbenabend/internal/strictjson"
+)
+
+// Bounds on a document.
+const (
+	maxOrganisations = 10_000
+	maxModels        = 256
+	maxPriority      = 9
+	maxPieceBytes    = 1 << 20
+	maxPercent       = 100
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// ValidName reports whether s may name a service, an organisation or a data centre.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
+// Parse decodes and validates a document. The error is a strictjson.Faults
+// that names every fault.
+func Parse(body []byte) (*Document, error) {
+	var d Document
+	faults := strictjson.Decode(body, &d)
+	d.validate(&faults)
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func (d *Document) validate(f *strictjson.Faults) {
+	// A value that failed to decode was reported already; report a missing one only once.
+	reported := func(path string) bool {
+		return slices.ContainsFunc(*f, func(x strictjson.Fault) bool { return strings.HasPrefix(x.Path, path) || x.Path == "$" })
+	}
+	if !reported("$.service") && !ValidName(d.Service) {
+		f.Add("$.service", "%q is not a service name: 1 to 63 lower-case letters, digits and inner dashes", d.Service)
+	}
+	if !reported("$.kind") && d.Kind != KindModel && d.Kind != KindPlain {
+		f.Add("$.kind", `%q is not a kind: want "model" or "plain"`, d.Kind)
+	}
+	if !reported("$.organisations") {
+		d.validateOrganisations(f)
+	}
+	if !reported("$.models") {
+		d.validateModels(f)
+	}
+	if !reported("$.classes") {
+		d.validateClasses(f)
+	}
+	if !reported("$.calls") {
+		d.validateCalls(f)
+	}
+	if !reported("$.data_centres") {
+		d.validateDataCentres(f)
+	}
+	d.validateNumbers(f)
+}
+
+func (d *Document) validateOrganisations(f *strictjson.Faults) {
+	if len(d.Organisations) == 0 || len(d.Organisations) > maxOrganisations {
+		f.Add("$.organisations", "want 1 to %d organisations, got %d", maxOrganisations, len(d.Organisations))
+	}
+	names := map[string]int{}
+	keys := map[string]int{}
+	for i, o := range d.Organisations {
+		path := fmt.Sprintf("$.organisations[%d]", i)
+		if !ValidName(o.Name) {
+			f.Add(path+".name", "%q is not a name: 1 to 63 lower-case letters, digits and inner dashes", o.Name)
+		}
+		if first, twice := names[o.Name]; twice {
+			f.Add(path+".name", "%q was named already at $.organisations[%d]", o.Name, first)
+		}
+		names[o.Name] = i
+		if o.Share < 0 {
+			f.Add(path+".share", "want a positive share, got %d", o.Share)
+		}
+		if len(o.KeySHA256) == 0 {
+			f.Add(path+".key_sha256", "want at least one key digest")
+		}
+		for j, h := range o.KeySHA256 {
+			at := fmt.Sprintf("%s.key_sha256[%d]", path, j)
+			if b, err := hex.DecodeString(h); err != nil || len(b) != 32 {
+				f.Add(at, "want the SHA-256 of a key in 64 hexadecimal digits")
+				continue
+			}
+			if first, twice := keys[strings.ToLower(h)]; twice && first != i {
+				f.Add(at, "the same key opens $.organisations[%d]", first)
+			}
+			keys[strings.ToLower(h)] = i
+		}
+	}
+}
+
+func (d *Document) validateModels(f *strictjson.Faults) {
+	switch {
+	case d.Kind == KindModel && len(d.Models) == 0:
+		f.Add("$.models", "a model service needs at least one model")
+	case d.Kind == KindPlain && len(d.Models) > 0:
+		f.Add("$.models", "a plain service has no models")
+	case len(d.Models) > maxModels:
+		f.Add("$.models", "want at most %d models, got %d", maxModels, len(d.Models))
+	}
+	names := map[string]int{}
+	for i, m := range d.Models {
+		path := fmt.Sprintf("$.models[%d]", i)
+		if m.Name == "" || strings.ContainsAny(m.Name, "@+ \t\n") {
+			f.Add(path+".name", "%q is not a model name: it must not be empty or hold '@', '+' or spaces", m.Name)
+		}
+		if m.Version == "" || strings.ContainsAny(m.Version, "@+ \t\n") {
+			f.Add(path+".version", "%q is not a version: it must not be empty or hold '@', '+' or spaces", m.Version)
+		}
+		if first, twice := names[m.Name]; twice {
+			f.Add(path+".name", "%q was named already at $.models[%d]", m.Name, first)
+		}
+		names[m.Name] = i
+	}
+}
+
+func (d *Document) validateClasses(f *strictjson.Faults) {
+	names := map[string]int{}
+	for i, c := range d.Classes {
+		path := fmt.Sprintf("$.classes[%d]", i)
+		if !ValidName(c.Name) {
+			f.Add(path+".name", "%q is not a name: 1 to 63 lower-case letters, digits and inner dashes", c.Name)
+		}
+		if first, twice := names[c.Name]; twice {
+			f.Add(path+".name", "%q was named already at $.classes[%d]", c.Name, first)
+		}
+		names[c.Name] = i
+		if c.Priority < 0 || c.Priority > maxPriority {
+			f.Add(path+".priority", "want 0 to %d, got %d", maxPriority, c.Priority)
+		}
+		if c.MaxWait <= 0 {
+			f.Add(path+".max_wait", `want a positive duration, such as "2s"`)
+		}
+	}
+}
+
+func (d *Document) validateCalls(f *strictjson.Faults) {
+	if d.Kind == KindModel && len(d.Calls) > 0 {
+		f.Add("$.calls", "only a plain service lists calls")
+	}
+	for i, c := range d.Calls {
+		path := fmt.Sprintf("$.calls[%d]", i)
+		if c.Method == "" || c.Method != strings.ToUpper(c.Method) {
+			f.Add(path+".method", "%q is not a method: write it in capitals, such as POST", c.Method)
+		}
+		if !strings.HasPrefix(c.PathPrefix, "/") {
+			f.Add(path+".path_prefix", "%q must begin with /", c.PathPrefix)
+		}
+		if c.Timeout < 0 {
+			f.Add(path+".timeout", "must not be negative")
+		}
+	}
+}
+
+func (d *Document) validateDataCentres(f *strictjson.Faults) {
+	for i, dc := range d.DataCentres {
+		if !ValidName(dc) {
+			f.Add(fmt.Sprintf("$.data_centres[%d]", i), "%q is not a data centre's name", dc)
+		}
+	}
+}
+
+func (d *Document) validateNumbers(f *strictjson.Faults) {
+	if d.Limits.MaxBodyBytes < 0 {
+		f.Add("$.limits.max_body_bytes", "must not be negative")
+	}
+	if d.Limits.MaxOutputTokens < 0 {
+		f.Add("$.limits.max_output_tokens", "must not be negative")
+	}
+	if d.Limits.MaxLevels < 0 {
+		f.Add("$.limits.max_levels", "must not be negative")
+	}
+	if d.Piece.Bytes < 0 || d.Piece.Bytes > maxPieceBytes {
+		f.Add("$.piece.bytes", "want 1 to %d bytes, got %d", maxPieceBytes, d.Piece.Bytes)
+	}
+	for _, b := range []struct {
+		path  string
+		value *int
+	}{{"$.budgets.retry_percent", d.Budgets.RetryPercent}, {"$.budgets.hedge_percent", d.Budgets.HedgePercent}} {
+		if b.value != nil && (*b.value < 0 || *b.value > maxPercent) {
+			f.Add(b.path, "want 0 to %d percent, got %d", maxPercent, *b.value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,202 @@
+// Package settings reads a daemon's settings: one JSON file, decoded strictly,
+// with every fault reported at once.
+package settings
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/servicedoc"
+	"github.com/verbenabend/verbenabend/internal/strictjson"
+)
+
+// Settings configures one daemon. Durations are text with a unit ("2s").
+type Settings struct {
+	// Name identifies the daemon among its peers; required.
+	Name string `json:"name"`
+	// DataCentre is the data centre of the instance; required.
+	DataCentre string `json:"data_centre"`
+	// CallerListen is host:port for callers; required.
+	CallerListen string `json:"caller_listen"`
+	// CallerAddress is what callers are told to connect to; default CallerListen.
+	CallerAddress string `json:"caller_address,omitempty"`
+	// OperatorListen is host:port for operators; required.
+	OperatorListen string `json:"operator_listen"`
+	// OperatorKey is the bearer key that operators present; required, at least 16 bytes.
+	OperatorKey string `json:"operator_key"`
+	// PeerListen is host:port for other daemons; required.
+	PeerListen string `json:"peer_listen"`
+	// PeerAddress is what peers connect to; default PeerListen.
+	PeerAddress string `json:"peer_address,omitempty"`
+	// Seeds are peer addresses to try at the start, beside the platform's list.
+	Seeds []string `json:"seeds,omitempty"`
+	// FleetKey authenticates daemons to one another and resume tokens; required, at least 16 bytes.
+	FleetKey string `json:"fleet_key"`
+	// PreviousFleetKeys are still accepted, so that the fleet's key can be changed without a stop.
+	PreviousFleetKeys []string `json:"previous_fleet_keys,omitempty"`
+	// Platform locates the platform's services; required.
+	Platform Platform `json:"platform"`
+	// TLS serves callers and operators over TLS when set.
+	TLS *TLS `json:"tls,omitempty"`
+	// Log configures the log.
+	Log Log `json:"log,omitzero"`
+	// EntryMaxAge is how long callers may keep the answer of /v1/entries; default 10s.
+	EntryMaxAge servicedoc.Duration `json:"entry_max_age,omitempty"`
+	// MaxConnections bounds concurrent caller connections; default 4096.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// DataCentreDelays gives the one-way delay to each other data centre; default 0.
+	DataCentreDelays map[string]servicedoc.Duration `json:"data_centre_delays,omitempty"`
+}
+
+// Platform locates the platform's services.
+type Platform struct {
+	// URL is the base URL, such as "http://10.0.0.1:7000".
+	URL string `json:"url"`
+	// Timeout bounds one call; default 2s.
+	Timeout servicedoc.Duration `json:"timeout,omitempty"`
+	// PollInterval is the pause between reads of the instance list and the change counter; default 1s.
+	PollInterval servicedoc.Duration `json:"poll_interval,omitempty"`
+}
+
+// TLS names certificate files in PEM. They are read again when they change.
+type TLS struct {
+	CertificateFile string `json:"certificate_file"`
+	KeyFile         string `json:"key_file"`
+}
+
+// Log configures the log on standard error.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error"; default "info".
+	Level string `json:"level,omitempty"`
+	// Format is "text" or "json"; default "json".
+	Format string `json:"format,omitempty"`
+	// RingEvents is the number of events kept for the time line; default 8192.
+	RingEvents int `json:"ring_events,omitempty"`
+}
+
+// Defaults and bounds.
+const (
+	DefaultEntryMaxAge     = 10 * time.Second
+	DefaultMaxConnections  = 4096
+	DefaultPlatformTimeout = 2 * time.Second
+	DefaultPollInterval    = time.Second
+	DefaultRingEvents      = 8192
+	minKeyBytes            = 16
+)
+
+// Load reads, validates and completes the settings in file.
+func Load(file string) (*Settings, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(body)
+}
+
+// Parse validates and completes settings. The error lists every fault.
+func Parse(body []byte) (*Settings, error) {
+	var s Settings
+	faults := strictjson.Decode(body, &s)
+	if len(faults) == 0 || faults[0].Path != "$" {
+		s.validate(&faults)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	s.complete()
+	return &s, nil
+}
+
+// JSON returns the settings as they would be written in a file.
+func (s *Settings) JSON() []byte {
+	b, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		panic(err) // every field can be encoded
+	}
+	return b
+}
+
+func (s *Settings) validate(f *strictjson.Faults) {
+	for _, x := range []struct{ path, value string }{{"$.name", s.Name}, {"$.data_centre", s.DataCentre}} {
+		if !servicedoc.ValidName(x.value) {
+			f.Add(x.path, "%q is not a name: 1 to 63 lower-case letters, digits and inner dashes", x.value)
+		}
+	}
+	required := []struct{ path, value string }{
+		{"$.caller_listen", s.CallerListen}, {"$.operator_listen", s.OperatorListen}, {"$.peer_listen", s.PeerListen},
+	}
+	for _, x := range required {
+		checkAddress(f, x.path, x.value)
+	}
+	for i, seed := range s.Seeds {
+		checkAddress(f, "$.seeds["+strconv.Itoa(i)+"]", seed)
+	}
+	for _, x := range []struct{ path, value string }{{"$.operator_key", s.OperatorKey}, {"$.fleet_key", s.FleetKey}} {
+		if len(x.value) < minKeyBytes {
+			f.Add(x.path, "want a key of at least %d bytes, got %d", minKeyBytes, len(x.value))
+		}
+	}
+	if s.Platform.URL == "" {
+		f.Add("$.platform.url", "is required")
+	}
+	if s.TLS != nil && (s.TLS.CertificateFile == "" || s.TLS.KeyFile == "") {
+		f.Add("$.tls", "wants both certificate_file and key_file")
+	}
+	s.validateLog(f)
+}
+
+func (s *Settings) validateLog(f *strictjson.Faults) {
+	switch s.Log.Level {
+	case "", "debug", "info", "warn", "error":
+	default:
+		f.Add("$.log.level", `%q is not a level: want "debug", "info", "warn" or "error"`, s.Log.Level)
+	}
+	switch s.Log.Format {
+	case "", "text", "json":
+	default:
+		f.Add("$.log.format", `%q is not a format: want "text" or "json"`, s.Log.Format)
+	}
+	if s.Log.RingEvents < 0 {
+		f.Add("$.log.ring_events", "must not be negative")
+	}
+	if s.MaxConnections < 0 {
+		f.Add("$.max_connections", "must not be negative")
+	}
+	if s.EntryMaxAge < 0 {
+		f.Add("$.entry_max_age", "must not be negative")
+	}
+}
+
+func checkAddress(f *strictjson.Faults, path, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		f.Add(path, "%q is not an address: want host:port", value)
+	}
+}
+
+func (s *Settings) complete() {
+	if s.CallerAddress == "" {
+		s.CallerAddress = s.CallerListen
+	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerListen
+	}
+	setDefault(&s.EntryMaxAge, servicedoc.Duration(DefaultEntryMaxAge))
+	setDefault(&s.MaxConnections, DefaultMaxConnections)
+	setDefault(&s.Platform.Timeout, servicedoc.Duration(DefaultPlatformTimeout))
+	setDefault(&s.Platform.PollInterval, servicedoc.Duration(DefaultPollInterval))
+	setDefault(&s.Log.RingEvents, DefaultRingEvents)
+	setDefault(&s.Log.Level, "info")
+	setDefault(&s.Log.Format, "json")
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
