--- /dev/null
+++ b/internal/daemon/adapters.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/verbenabend/verbenabend/internal/dispatch"
+	"github.com/verbenabend/verbenabend/internal/docstore"
+	"github.com/verbenabend/verbenabend/internal/once"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+// documents implements entry.Documents.
+type documents struct {
+	*docstore.Catalogue
+	*docstore.Store
+}
+
+// atMostOnce adds at-most-once records to the calls that may not be repeated.
+type atMostOnce struct {
+	*dispatch.Dispatcher
+	records *once.Records
+}
+
+// Call implements entry.Dispatcher.
+func (a atMostOnce) Call(ctx context.Context, req *dispatch.CallRequest) (reply *upstream.Reply, address string, err error) {
+	if req.Repeatable {
+		return a.Dispatcher.Call(ctx, req)
+	}
+	key := once.Key{Organisation: req.Organisation.Name, Service: req.Service.Document.Service, Key: req.Call.IdempotencyKey}
+	// A caller that leaves does not stop the call: its outcome has to be recorded.
+	ctx = context.WithoutCancel(ctx)
+	reply, _, err = a.records.Do(ctx, key, once.FingerprintOf(&req.Call), func(ctx context.Context) (*upstream.Reply, error) {
+		reply, at, err := a.Dispatcher.Call(ctx, req)
+		address = at
+		return reply, err
+	})
+	return reply, address, err
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,216 @@
+// Package daemon wires one entry instance: listeners, the dispatcher, the
+// views of upstreams, documents and peers, and an orderly start and stop.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenabend/verbenabend/internal/dispatch"
+	"github.com/verbenabend/verbenabend/internal/docstore"
+	"github.com/verbenabend/verbenabend/internal/entry"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/membership"
+	"github.com/verbenabend/verbenabend/internal/once"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
+	"github.com/verbenabend/verbenabend/internal/resume"
+	"github.com/verbenabend/verbenabend/internal/servicedoc"
+	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
+	"github.com/verbenabend/verbenabend/internal/upstream/httpservice"
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings *settings.Settings
+	log      *eventlog.Log
+
+	client    *httpplatform.Client
+	table     platform.Table
+	instances platform.Instances
+	engines   upstream.Engines
+	services  upstream.Services
+
+	fleet      *fleet.Fleet
+	catalogue  *docstore.Catalogue
+	documents  *docstore.Store
+	poller     *docstore.Poller
+	once       *once.Records
+	members    *membership.Members
+	board      gossip.Board
+	dispatcher *dispatch.Dispatcher
+
+	callers   *server
+	operators *server
+
+	platformUp atomic.Bool
+	listed     atomic.Bool // an instance list was seen, from the platform or a peer
+	draining   atomic.Bool
+	inFlight   atomic.Int64
+}
+
+// New returns a daemon that listens but does not serve yet. Close it, or run it.
+func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents)}
+	d.provisionClients()
+	d.provisionState()
+	d.provisionDispatch()
+	if err := d.listen(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) provisionClients() {
+	d.client = httpplatform.New(d.settings.Platform.URL, time.Duration(d.settings.Platform.Timeout))
+	d.table = d.client
+	d.instances = d.client
+	d.engines = httpengine.New(nil)
+	d.services = httpservice.New(nil)
+}
+
+func (d *Daemon) provisionState() {
+	d.members = membership.New(membership.Member{
+		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
+		CallerAddress: d.settings.CallerAddress, PeerAddress: d.settings.PeerAddress,
+	})
+	d.board = &gossip.Solo{}
+	d.catalogue = docstore.NewCatalogue(d.log, func(*servicedoc.Accepted) {})
+	d.documents = docstore.NewStore(d.table, d.client.Objects(), d.catalogue, func(*servicedoc.Accepted) {}, d.log)
+	d.once = once.New(d.table, d.client.Objects(), d.log)
+}
+
+func (d *Daemon) provisionDispatch() {
+	d.fleet = fleet.New(func(s *fleet.Snapshot) {
+		if d.dispatcher != nil {
+			d.dispatcher.SetFleet(s)
+		}
+	})
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
+		Delay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
+		EngineDown: func(address string) { go d.probe(context.Background(), address) },
+	})
+}
+
+// delay returns the one-way delay between data centres as the settings give
+// it, which name the delays from this daemon's own.
+func (d *Daemon) delay(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	other := to
+	if to == d.settings.DataCentre {
+		other = from
+	}
+	return time.Duration(d.settings.DataCentreDelays[other])
+}
+
+func (d *Daemon) listen() error {
+	callers := &entry.Callers{
+		Documents: documents{d.catalogue, d.documents}, Dispatcher: atMostOnce{d.dispatcher, d.once}, Members: d.members,
+		Keys: resume.NewKeys(d.settings.FleetKey, d.settings.PreviousFleetKeys), Log: d.log,
+		Delay: d.delay, EntryMaxAge: time.Duration(d.settings.EntryMaxAge),
+	}
+	operators := &entry.Operators{
+		Documents: documents{d.catalogue, d.documents}, Log: d.log, Key: d.settings.OperatorKey,
+		Status: d.Status, WriteMetrics: d.writeMetrics,
+	}
+	var err error
+	if d.callers, err = newServer(d.settings.CallerListen, d.countInFlight(callers.Handler()), d.settings.TLS, d.settings.MaxConnections); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if d.operators, err = newServer(d.settings.OperatorListen, operators.Handler(), d.settings.TLS, maxOperatorConnections); err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	return nil
+}
+
+// maxOperatorConnections bounds concurrent connections of operators.
+const maxOperatorConnections = 128
+
+func (d *Daemon) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.inFlight.Add(1)
+		defer d.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run serves until ctx ends, then drains: the daemon leaves the entries'
+// answers at once, serves until every answer given has expired and every
+// request has ended, and only then returns. When hard ends, it returns at once.
+func (d *Daemon) Run(ctx, hard context.Context) error {
+	d.log.Emit(eventlog.DaemonStarted, eventlog.Fields{Detail: d.settings.CallerAddress})
+	work, stopWork := context.WithCancel(hard)
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	for _, loop := range d.loops() {
+		group.Go(func() error { return ignoreCanceled(loop(work)) })
+	}
+	group.Go(d.callers.serve)
+	group.Go(d.operators.serve)
+	select {
+	case <-ctx.Done():
+		d.drain(hard)
+	case <-work.Done():
+	}
+	stopWork()
+	d.callers.close()
+	d.operators.close()
+	err := group.Wait()
+	d.log.Emit(eventlog.DaemonStopped, eventlog.Fields{})
+	d.Close()
+	return err
+}
+
+// drainPoll is how often a draining daemon looks whether its requests have ended.
+const drainPoll = 50 * time.Millisecond
+
+// drain waits until no caller can still be sent here and no request runs.
+func (d *Daemon) drain(hard context.Context) {
+	d.draining.Store(true)
+	d.announce()
+	d.log.Emit(eventlog.DaemonDraining, eventlog.Fields{})
+	expired := time.Now().Add(time.Duration(d.settings.EntryMaxAge))
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for time.Now().Before(expired) || d.inFlight.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-hard.Done():
+			return
+		}
+	}
+}
+
+// Close releases what New provisioned.
+func (d *Daemon) Close() {
+	if d.callers != nil {
+		d.callers.close()
+	}
+	if d.operators != nil {
+		d.operators.close()
+	}
+	d.dispatcher.Close()
+	d.client.Close()
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+// Config holds what a Dispatcher needs.
+type Config struct {
+	Engines  upstream.Engines
+	Services upstream.Services
+	Fleet    *fleet.Fleet
+	Log      *eventlog.Log
+	// Delay gives the one-way delay to a data centre; nil means none.
+	Delay func(dataCentre string) time.Duration
+	// NewScheduler makes the scheduler of a service; nil selects routing.New.
+	NewScheduler func(routing.Settings) routing.Scheduler
+	// StreamIdle is how long a stream may be without a byte before it is
+	// resumed over a new connection; default 3 s.
+	StreamIdle time.Duration
+	// EngineDown is called when a connection to an engine failed, so that it
+	// is probed at once.
+	EngineDown func(address string)
+}
+
+const (
+	defaultStreamIdle = 3 * time.Second
+	// maxAttempts bounds the engines tried for one request.
+	maxAttempts = 4
+	// maxResumes bounds consecutive resumptions of a stream that brought no event.
+	maxResumes = 4
+	// cancelTimeout bounds the call that cancels a stream at an engine.
+	cancelTimeout = 2 * time.Second
+	bytesPerToken = 4
+)
+
+// Dispatcher carries out requests. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg Config
+
+	mu      sync.Mutex
+	runners map[string]*runner
+	peers   int
+}
+
+// New returns a Dispatcher.
+func New(cfg Config) *Dispatcher {
+	if cfg.StreamIdle == 0 {
+		cfg.StreamIdle = defaultStreamIdle
+	}
+	if cfg.Delay == nil {
+		cfg.Delay = func(string) time.Duration { return 0 }
+	}
+	if cfg.NewScheduler == nil {
+		cfg.NewScheduler = func(s routing.Settings) routing.Scheduler { return routing.New(s) }
+	}
+	if cfg.EngineDown == nil {
+		cfg.EngineDown = func(string) {}
+	}
+	return &Dispatcher{cfg: cfg, runners: map[string]*runner{}, peers: 1}
+}
+
+// Close stops the dispatcher's timers.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.runners {
+		r.close()
+	}
+}
+
+// SetFleet tells the schedulers of the upstreams that may get work.
+func (d *Dispatcher) SetFleet(s *fleet.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, r := range d.runners {
+		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, d.endpoints(s, service)) })
+	}
+}
+
+// SetPeers tells the schedulers how many daemons share the engines.
+func (d *Dispatcher) SetPeers(daemons int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers = daemons
+	for _, r := range d.runners {
+		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetPeers(now, daemons) })
+	}
+}
+
+// Report passes on an engine's load report.
+func (d *Dispatcher) Report(service string, report routing.LoadReport) {
+	d.withRunner(service, func(s routing.Scheduler, now time.Time) { s.Report(now, report) })
+}
+
+// Share returns, for each service, what peers should learn of its engines.
+func (d *Dispatcher) Share() map[string][]routing.PeerLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string][]routing.PeerLoad{}
+	for service, r := range d.runners {
+		r.do(func(s routing.Scheduler, now time.Time) {
+			if loads := s.Share(now); len(loads) > 0 {
+				out[service] = append([]routing.PeerLoad(nil), loads...)
+			}
+		})
+	}
+	return out
+}
+
+// Learn passes on what a peer shared of a service's engines.
+func (d *Dispatcher) Learn(service, peer string, loads []routing.PeerLoad) {
+	d.withRunner(service, func(s routing.Scheduler, now time.Time) { s.Learn(now, peer, loads) })
+}
+
+func (d *Dispatcher) withRunner(service string, fn func(routing.Scheduler, time.Time)) {
+	d.mu.Lock()
+	r := d.runners[service]
+	d.mu.Unlock()
+	if r != nil {
+		r.do(fn)
+	}
+}
+
+func (d *Dispatcher) runner(service string, settings routing.Settings) *runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r, ok := d.runners[service]; ok {
+		return r
+	}
+	r := newRunner(d.cfg.NewScheduler(settings))
+	r.do(func(s routing.Scheduler, now time.Time) {
+		s.SetPeers(now, d.peers)
+		s.SetEndpoints(now, d.endpoints(d.cfg.Fleet.Snapshot(), service))
+	})
+	d.runners[service] = r
+	return r
+}
+
+func (d *Dispatcher) endpoints(s *fleet.Snapshot, service string) []routing.Endpoint {
+	var out []routing.Endpoint
+	for _, u := range s.ByService[service] {
+		if u.State != fleet.Serving || u.Engine.Leaving || u.Engine.Slots == 0 {
+			continue
+		}
+		out = append(out, routing.Endpoint{
+			ID: u.Address, Incarnation: u.Engine.Incarnation, Weights: u.Engine.Weights,
+			Slots: u.Engine.Slots, Delay: d.cfg.Delay(u.DataCentre), Hash: u.Hash,
+		})
+	}
+	return out
+}
+
+// cancelStream tells an engine that nobody waits for a stream any more.
+func (d *Dispatcher) cancelStream(address string, ref upstream.StreamRef) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = d.cfg.Engines.Cancel(ctx, address, ref) // an engine that can't be reached ends the stream by itself
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/dispatch"
+	"github.com/verbenabend/verbenabend/internal/resume"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+// format is the shape of an answer: that of a chat or of a text completion.
+type format struct {
+	whole string // object name of a whole answer
+	chunk string // object name of a streamed piece
+	chat  bool
+}
+
+var (
+	chatFormat = format{whole: "chat.completion", chunk: "chat.completion.chunk", chat: true}
+	textFormat = format{whole: "text_completion", chunk: "text_completion"}
+)
+
+// answerBody is a whole answer or a streamed piece of one.
+type answerBody struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"` // seconds since 1970
+	Model   string       `json:"model"`
+	Choices [1]choice    `json:"choices"`
+	Usage   *usageDetail `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usageDetail struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+func usageOf(u upstream.Usage) *usageDetail {
+	return &usageDetail{
+		PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens, TotalTokens: u.PromptTokens + u.CompletionTokens,
+		PromptDetails: promptDetails{CachedTokens: u.CachedTokens},
+	}
+}
+
+// answerSink writes an answer to the caller.
+type answerSink interface {
+	dispatch.Sink
+	// finish ends a complete answer.
+	finish(w http.ResponseWriter)
+	// fail reports a failure within an answer that has begun, false if none has.
+	fail(err error) bool
+	// resumable reports whether the answer may begin in the middle.
+	resumable() bool
+}
+
+// wholeSink collects an answer and writes it at the end.
+type wholeSink struct {
+	format format
+	req    *dispatch.ModelRequest
+	text   strings.Builder
+	last   upstream.Event
+	source dispatch.Source
+}
+
+// Event implements dispatch.Sink.
+func (s *wholeSink) Event(src dispatch.Source, e upstream.Event) error {
+	s.text.WriteString(e.Text)
+	s.last, s.source = e, src
+	return nil
+}
+
+func (s *wholeSink) finish(w http.ResponseWriter) {
+	text := s.text.String()
+	c := choice{FinishReason: &s.last.Finish}
+	if s.format.chat {
+		c.Message = &message{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	w.Header().Set(HeaderUpstream, s.source.Engine)
+	writeJSON(w, http.StatusOK, answerBody{
+		ID: s.req.ID, Object: s.format.whole, Created: s.req.ReceivedAt.Unix(), Model: s.req.Model.Name,
+		Choices: [1]choice{c}, Usage: usageOf(s.last.Usage),
+	})
+}
+
+func (s *wholeSink) fail(error) bool { return false }
+func (s *wholeSink) resumable() bool { return false }
+
+// writeTimeout bounds how long a caller may take to accept one event.
+const writeTimeout = 30 * time.Second
+
+// streamSink writes each event as a server-sent event with a resume token.
+type streamSink struct {
+	w       http.ResponseWriter
+	out     *http.ResponseController
+	keys    *resume.Keys
+	req     *dispatch.ModelRequest
+	format  format
+	begun   bool
+	line    bytes.Buffer
+	encoder *json.Encoder
+}
+
+func newStreamSink(w http.ResponseWriter, keys *resume.Keys, req *dispatch.ModelRequest, f format) *streamSink {
+	s := &streamSink{w: w, out: http.NewResponseController(w), keys: keys, req: req, format: f}
+	s.encoder = json.NewEncoder(&s.line)
+	return s
+}
+
+// Event implements dispatch.Sink.
+func (s *streamSink) Event(src dispatch.Source, e upstream.Event) error {
+	if !s.begun {
+		s.begin(src.Engine)
+	}
+	s.line.Reset()
+	s.line.WriteString("id: ")
+	s.line.WriteString(s.keys.Encode(resume.Position{
+		Organisation: s.req.Organisation.Name, Service: s.req.Service.Document.Service, RequestID: src.Info.RequestID,
+		Engine: src.Engine, Incarnation: src.Info.Ref.Incarnation, StreamID: src.Info.Ref.StreamID,
+		Weights: src.Info.Weights, Next: e.Index + 1,
+	}))
+	s.line.WriteString("\ndata: ")
+	if err := s.encoder.Encode(s.chunk(e)); err != nil {
+		return err
+	}
+	s.line.WriteByte('\n') // the encoder has ended the line; this ends the event
+	return s.flush()
+}
+
+func (s *streamSink) begin(engine string) {
+	s.begun = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set(HeaderUpstream, engine)
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamSink) chunk(e upstream.Event) answerBody {
+	c := choice{}
+	if s.format.chat {
+		c.Delta = &message{Content: e.Text}
+		if e.Index == 0 {
+			c.Delta.Role = "assistant"
+		}
+	} else {
+		c.Text = &e.Text
+	}
+	body := answerBody{ID: s.req.ID, Object: s.format.chunk, Created: s.req.ReceivedAt.Unix(), Model: s.req.Model.Name}
+	if e.Finish != "" {
+		c.FinishReason = &e.Finish
+		body.Usage = usageOf(e.Usage)
+	}
+	body.Choices[0] = c
+	return body
+}
+
+func (s *streamSink) flush() error {
+	// Recorders in tests have no deadlines; real connections do.
+	_ = s.out.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := s.w.Write(s.line.Bytes()); err != nil {
+		return err
+	}
+	return s.out.Flush()
+}
+
+func (s *streamSink) finish(http.ResponseWriter) {
+	s.line.Reset()
+	s.line.WriteString("data: [DONE]\n\n")
+	_ = s.flush()
+}
+
+func (s *streamSink) fail(err error) bool {
+	if !s.begun {
+		return false
+	}
+	body, _ := errorBody(err)
+	s.line.Reset()
+	s.line.WriteString("event: error\ndata: ")
+	_ = s.encoder.Encode(body)
+	s.line.WriteByte('\n')
+	_ = s.flush()
+	return true
+}
+
+func (s *streamSink) resumable() bool { return true }
--- /dev/null
+++ b/internal/membership/members.go
@@ -0,0 +1,141 @@
+// Package membership is the aggregate of the system's own daemons: which of
+// them callers may be sent to, and which of them share the engines.
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Member is one daemon. It is also the value of a gossip.KindDaemon fact.
+type Member struct {
+	Name          string
+	DataCentre    string
+	CallerAddress string
+	PeerAddress   string
+	// Draining daemons finish what they have and are not named to callers.
+	Draining bool
+	// Isolated daemons reach neither the platform nor a peer.
+	Isolated bool
+}
+
+// Members holds what is known of all daemons. It is safe for concurrent use.
+type Members struct {
+	mu       sync.Mutex
+	self     Member
+	heard    map[string]heardMember // by name
+	listed   map[string]Member      // by caller address
+	rotation int
+}
+
+type heardMember struct {
+	Member
+	until time.Time
+}
+
+// New returns Members that know only self.
+func New(self Member) *Members {
+	return &Members{self: self, heard: map[string]heardMember{}, listed: map[string]Member{}}
+}
+
+// SetSelf replaces what is said of this daemon.
+func (m *Members) SetSelf(self Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self = self
+}
+
+// Self returns what is said of this daemon.
+func (m *Members) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// Hear records what a daemon says of itself; it is believed for ttl.
+func (m *Members) Hear(member Member, now time.Time, ttl time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if member.Name != m.self.Name {
+		m.heard[member.Name] = heardMember{member, now.Add(ttl)}
+	}
+}
+
+// SetListed replaces the daemons on the platform's list; Draining tells those
+// that the list says are leaving.
+func (m *Members) SetListed(list []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = map[string]Member{}
+	for _, x := range list {
+		m.listed[x.CallerAddress] = x
+	}
+}
+
+// Live returns the daemons heard from, this one included, ordered by name.
+func (m *Members) Live(now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live(now)
+}
+
+func (m *Members) live(now time.Time) []Member {
+	out := []Member{m.self}
+	for name, h := range m.heard {
+		if now.After(h.until) {
+			delete(m.heard, name)
+			continue
+		}
+		out = append(out, h.Member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Entries returns the daemons that a caller in dataCentre should use, nearest
+// first. Ties are rotated from call to call, so that callers spread. Daemons
+// that drain, that are leaving or that were not heard from are left out; when
+// none is left, this daemon is named if it serves at all.
+func (m *Members) Entries(dataCentre string, delay func(from, to string) time.Duration, now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rotation++
+	out := slices.DeleteFunc(m.live(now), func(x Member) bool {
+		return x.Draining || x.Isolated || m.listed[x.CallerAddress].Draining
+	})
+	if len(out) == 0 {
+		return nil
+	}
+	shift := m.rotation % len(out)
+	out = slices.Concat(out[shift:], out[:shift])
+	slices.SortStableFunc(out, func(a, b Member) int {
+		return cmp.Compare(distance(dataCentre, a.DataCentre, delay), distance(dataCentre, b.DataCentre, delay))
+	})
+	return out
+}
+
+// PeerAddresses returns the peer addresses of all daemons listed or heard from.
+func (m *Members) PeerAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	set := map[string]bool{}
+	for _, x := range m.listed {
+		set[x.PeerAddress] = true
+	}
+	for _, x := range m.heard {
+		set[x.PeerAddress] = true
+	}
+	delete(set, m.self.PeerAddress)
+	delete(set, "")
+	return slices.Sorted(maps.Keys(set))
+}
+
+func distance(from, to string, delay func(from, to string) time.Duration) time.Duration {
+	if from == "" || from == to {
+		return 0
+	}
+	return delay(from, to)
+}
--- /dev/null
+++ b/internal/platform/httpplatform/objects.go
@@ -0,0 +1,30 @@
+package httpplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+)
+
+// objects implements platform.Objects.
+type objects struct{ client *Client }
+
+// Put implements platform.Objects.
+func (o objects) Put(ctx context.Context, key string, body []byte) error {
+	return o.client.call(ctx, http.MethodPut, "/objects/"+url.PathEscape(key), body, nil)
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
+	var raw json.RawMessage // taken as it is, whatever it holds
+	err := o.client.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(key), nil, &raw)
+	return raw, err
+}
+
+// List implements platform.Objects.
+func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
+	var keys Keys
+	err := o.client.call(ctx, http.MethodGet, "/objects?"+url.Values{"prefix": {prefix}}.Encode(), nil, &keys)
+	return keys.Keys, err
+}
--- a/internal/servicedoc/document.go
+++ b/internal/servicedoc/document.go
@@ -8,6 +8,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -273,3 +274,17 @@
 	d.Organisations = orgs
 	return d
 }
+
+// Call returns the rule for a call of a plain service.
+func (a *Accepted) Call(method, path string) Call {
+	for _, c := range a.Document.Calls {
+		if c.Method == method && strings.HasPrefix(path, c.PathPrefix) {
+			if c.Timeout == 0 {
+				c.Timeout = Duration(DefaultCallTimeout)
+			}
+			return c
+		}
+	}
+	safe := method == "GET" || method == "HEAD" || method == "OPTIONS"
+	return Call{Method: method, PathPrefix: "/", Repeatable: safe, Timeout: Duration(DefaultCallTimeout)}
+}
--- /dev/null
+++ b/internal/upstream/httpengine/client.go
@@ -0,0 +1,185 @@
+// Package httpengine is the adapter to model engines that speak the common
+// chat completion call with server-sent events, and beside it a few headers
+// for scoping and calls for state, cache events, streams and orders.
+package httpengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/httpverdict"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+const (
+	dialTimeout        = 2 * time.Second
+	headerTimeout      = 5 * time.Second
+	controlTimeout     = 2 * time.Second
+	orderTimeout       = 10 * time.Second
+	idleTimeout        = 30 * time.Second
+	maxIdleConnections = 64
+	maxControlBytes    = 16 << 20
+)
+
+// Client implements upstream.Engines.
+type Client struct {
+	streams *http.Client
+	// fresh never reuses a connection, so that one which went silent can't
+	// hold up a probe or a resumption.
+	fresh *http.Client
+}
+
+var _ upstream.Engines = (*Client)(nil)
+
+// New returns a client. dial may be nil.
+func New(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	streams := &http.Transport{
+		DialContext:           dial,
+		MaxIdleConnsPerHost:   maxIdleConnections,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: headerTimeout,
+		DisableCompression:    true,
+	}
+	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout, DisableCompression: true}
+	return &Client{streams: &http.Client{Transport: streams}, fresh: &http.Client{Transport: fresh}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.streams.CloseIdleConnections() }
+
+// Generate implements upstream.Engines.
+func (c *Client) Generate(ctx context.Context, address string, g *upstream.Generation) (upstream.Stream, error) {
+	model := g.Weights
+	raw, err := json.Marshal(ChatRequest{Model: model, Messages: g.Messages, MaxTokens: g.MaxTokens, Stream: true})
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode request")
+	}
+	ctx, sent := httpverdict.Track(ctx)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(raw))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "engine request")
+	}
+	httpverdict.NeverReplay(req)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderRequestID, g.RequestID)
+	req.Header.Set(HeaderOrganisation, g.Organisation)
+	req.Header.Set(HeaderWeights, g.Weights)
+	req.Header.Set(HeaderIncarnation, g.Incarnation)
+	req.Header.Set(HeaderPriority, strconv.Itoa(g.Priority))
+	return open(c.streams, req, sent, 0)
+}
+
+// Resume implements upstream.Engines. It always opens a new connection.
+func (c *Client) Resume(ctx context.Context, address string, ref upstream.StreamRef, next int) (upstream.Stream, error) {
+	ctx, sent := httpverdict.Track(ctx)
+	u := "http://" + address + "/v1/streams/" + url.PathEscape(ref.StreamID) + "?from=" + strconv.Itoa(next)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "engine request")
+	}
+	req.Header.Set(HeaderIncarnation, ref.Incarnation)
+	return open(c.fresh, req, sent, next)
+}
+
+// Cancel implements upstream.Engines.
+func (c *Client) Cancel(ctx context.Context, address string, ref upstream.StreamRef) error {
+	header := http.Header{HeaderIncarnation: {ref.Incarnation}}
+	return c.control(ctx, controlTimeout, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(ref.StreamID), header, nil, nil)
+}
+
+// State implements upstream.Engines.
+func (c *Client) State(ctx context.Context, address string) (upstream.EngineState, error) {
+	var s State
+	err := c.control(ctx, controlTimeout, http.MethodGet, address, "/state", nil, nil, &s)
+	return upstream.EngineState(s), err
+}
+
+// Events implements upstream.Engines.
+func (c *Client) Events(ctx context.Context, address string, after uint64) ([]upstream.CacheEvent, error) {
+	var list CacheEvents
+	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
+	if err := c.control(ctx, controlTimeout, http.MethodGet, address, path, nil, nil, &list); err != nil {
+		return nil, err
+	}
+	out := make([]upstream.CacheEvent, len(list.Events))
+	for i, e := range list.Events {
+		out[i] = upstream.CacheEvent(e)
+	}
+	return out, nil
+}
+
+// Order implements upstream.Engines.
+func (c *Client) Order(ctx context.Context, address string, o upstream.Order) error {
+	return c.control(ctx, orderTimeout, http.MethodPost, address, "/orders", nil, o, nil)
+}
+
+func (c *Client) control(ctx context.Context, timeout time.Duration, method, address, path string, header http.Header, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ctx, sent := httpverdict.Track(ctx)
+	var reader io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode request")
+		}
+		reader = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "engine request")
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return verdict.Wrap(err, sent.Verdict(), verdict.CodeUpstreamFailed, "engine unreachable")
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "engine answer cut off")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refusal(resp.StatusCode, raw)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, answer); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "malformed engine answer")
+	}
+	return nil
+}
+
+// refusal turns an error answer into an error. An engine refuses with 409,
+// 410, 429 or 503 and a reason before any work; all else may have run.
+func refusal(status int, raw []byte) error {
+	var r Refusal
+	known := json.Unmarshal(raw, &r) == nil && r.Code != ""
+	refusals := []int{http.StatusConflict, http.StatusGone, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	if known && slices.Contains(refusals, status) {
+		cause := &upstream.RefusedError{Reason: upstream.RefusalReason(r.Code), Incarnation: r.Incarnation, Weights: r.Weights}
+		return verdict.Wrap(cause, verdict.NotRun, verdict.CodeUpstreamFailed, "engine refused the request")
+	}
+	if known && status == http.StatusBadRequest {
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "engine rejected the request: "+r.Message)
+	}
+	cause := errors.Newf("status %d", status)
+	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "engine failed")
+}
--- /dev/null
+++ b/internal/upstream/httpengine/stream.go
@@ -0,0 +1,149 @@
+package httpengine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/httpverdict"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+const (
+	maxEventBytes  = 1 << 20
+	readBufferSize = 4 << 10
+)
+
+var (
+	fieldID   = []byte("id:")
+	fieldData = []byte("data:")
+	doneMark  = []byte("[DONE]")
+)
+
+// stream implements upstream.Stream over server-sent events.
+type stream struct {
+	info   upstream.StreamInfo
+	body   io.ReadCloser
+	cancel context.CancelFunc
+	lines  *bufio.Reader
+	next   int
+	ended  bool
+}
+
+// open sends req and checks the answer's head. next is the index of the first
+// event that is due.
+func open(client *http.Client, req *http.Request, sent *httpverdict.Sent, next int) (upstream.Stream, error) {
+	ctx, cancel := context.WithCancel(req.Context())
+	resp, err := client.Do(req.WithContext(ctx))
+	if err != nil {
+		cancel()
+		return nil, verdict.Wrap(err, sent.Verdict(), verdict.CodeUpstreamFailed, "engine unreachable")
+	}
+	if resp.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+		resp.Body.Close()
+		cancel()
+		return nil, refusal(resp.StatusCode, raw)
+	}
+	info := upstream.StreamInfo{
+		Ref:          upstream.StreamRef{Incarnation: resp.Header.Get(HeaderIncarnation), StreamID: resp.Header.Get(HeaderStreamID)},
+		Organisation: resp.Header.Get(HeaderOrganisation),
+		Weights:      resp.Header.Get(HeaderWeights),
+		RequestID:    resp.Header.Get(HeaderRequestID),
+	}
+	return &stream{info: info, body: resp.Body, cancel: cancel, lines: bufio.NewReaderSize(resp.Body, readBufferSize), next: next}, nil
+}
+
+// Info implements upstream.Stream.
+func (s *stream) Info() upstream.StreamInfo { return s.info }
+
+// Close implements upstream.Stream.
+func (s *stream) Close() error {
+	s.cancel()
+	return s.body.Close()
+}
+
+// Next implements upstream.Stream.
+func (s *stream) Next() (upstream.Event, error) {
+	if s.ended {
+		return upstream.Event{}, io.EOF
+	}
+	index, data, err := s.readEvent()
+	if err != nil {
+		return upstream.Event{}, err
+	}
+	if bytes.Equal(data, doneMark) {
+		return upstream.Event{}, s.fail("stream ended without a finish reason")
+	}
+	if index != s.next {
+		return upstream.Event{}, s.fail("event " + strconv.Itoa(index) + " where " + strconv.Itoa(s.next) + " was due")
+	}
+	event, err := decodeChunk(index, data)
+	if err != nil {
+		return upstream.Event{}, err
+	}
+	s.next++
+	s.ended = event.Finish != ""
+	return event, nil
+}
+
+func (s *stream) fail(message string) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, message)
+}
+
+// readEvent reads one server-sent event; comments are skipped.
+func (s *stream) readEvent() (index int, data []byte, err error) {
+	index = -1
+	size := 0
+	for {
+		line, err := s.lines.ReadBytes('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return 0, nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeStreamLost, "stream cut off")
+		}
+		size += len(line)
+		if size > maxEventBytes {
+			return 0, nil, s.fail("event too large")
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0 && data != nil:
+			return index, data, nil
+		case bytes.HasPrefix(line, fieldID):
+			index, err = strconv.Atoi(string(bytes.TrimSpace(line[len(fieldID):])))
+			if err != nil {
+				return 0, nil, s.fail("malformed event id")
+			}
+		case bytes.HasPrefix(line, fieldData):
+			data = append(data, bytes.TrimSpace(line[len(fieldData):])...)
+		}
+	}
+}
+
+func decodeChunk(index int, data []byte) (upstream.Event, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) != 1 {
+		return upstream.Event{}, verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "malformed event")
+	}
+	e := upstream.Event{Index: index, Text: c.Choices[0].Delta.Content}
+	if reason := c.Choices[0].FinishReason; reason != nil {
+		e.Finish = *reason
+	}
+	if c.Usage != nil {
+		e.Usage = upstream.Usage{
+			PromptTokens:     c.Usage.PromptTokens,
+			CompletionTokens: c.Usage.CompletionTokens,
+			CachedTokens:     c.Usage.Details.CachedTokens,
+		}
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/upstream/httpservice/client.go
@@ -0,0 +1,103 @@
+// Package httpservice is the adapter to plain HTTP services.
+package httpservice
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/httpverdict"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+const (
+	dialTimeout   = 2 * time.Second
+	checkTimeout  = 2 * time.Second
+	maxReplyBytes = 32 << 20
+)
+
+// Headers that the system adds to a call.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderOrganisation   = "X-Organisation"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderNotRun is set by a service that refused a call before running it.
+	HeaderNotRun = "X-Not-Run"
+)
+
+// Client implements upstream.Services. Each call has a connection of its own:
+// net/http repeats a request by itself only on a reused one.
+type Client struct{ http *http.Client }
+
+var _ upstream.Services = (*Client)(nil)
+
+// New returns a client. dial may be nil.
+func New(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+}
+
+// Do implements upstream.Services.
+func (c *Client) Do(ctx context.Context, address string, call *upstream.Call) (*upstream.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	ctx, sent := httpverdict.Track(ctx)
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "call")
+	}
+	httpverdict.NeverReplay(req)
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
+	req.Header.Set(HeaderRequestID, call.RequestID)
+	req.Header.Set(HeaderOrganisation, call.Organisation)
+	if call.IdempotencyKey != "" {
+		req.Header.Set(HeaderIdempotencyKey, call.IdempotencyKey)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, verdict.Wrap(err, sent.Verdict(), verdict.CodeUpstreamFailed, "upstream unreachable")
+	}
+	defer resp.Body.Close()
+	return readReply(resp)
+}
+
+// Check implements upstream.Services: the upstream is alive if it accepts a connection.
+func (c *Client) Check(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	return resp.Body.Close()
+}
+
+func readReply(resp *http.Response) (*upstream.Reply, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "answer cut off")
+	}
+	if len(body) > maxReplyBytes {
+		return nil, verdict.New(verdict.Ran, verdict.CodeTooLarge, "answer exceeds the limit")
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) != "" {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "upstream refused the call")
+	}
+	return &upstream.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
--- /dev/null
+++ b/lab/platform/platform.go
@@ -0,0 +1,250 @@
+// Package platform is a stand-in for the deployment's platform: a table, an
+// object store and an instance list over HTTP, with faults on demand.
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	port "github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
+)
+
+const maxBodyBytes = 64 << 20
+
+// Faults is the body of POST /control: how the platform misbehaves from now on.
+type Faults struct {
+	// Down answers 503 to every call.
+	Down bool `json:"down"`
+	// Delay is added to every call, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers applies writes and then drops the connection.
+	LoseAnswers bool `json:"lose_answers"`
+}
+
+// Server is the stand-in. The zero value is not usable; see New.
+type Server struct {
+	mu        sync.Mutex
+	rows      map[string]httpplatform.Row
+	objects   map[string][]byte
+	instances map[string]port.Instance
+	faults    Faults
+	version   uint64
+	reads     uint64
+	writes    uint64
+	mux       *http.ServeMux
+}
+
+// New returns a platform that lists the given instances.
+func New(instances []port.Instance) *Server {
+	s := &Server{rows: map[string]httpplatform.Row{}, objects: map[string][]byte{}, instances: map[string]port.Instance{}, mux: http.NewServeMux()}
+	for _, in := range instances {
+		s.instances[in.Address] = in
+	}
+	s.mux.HandleFunc("GET /table/rows/{key}", s.getRow)
+	s.mux.HandleFunc("GET /table/rows", s.listRows)
+	s.mux.HandleFunc("POST /table/transactions", s.commit)
+	s.mux.HandleFunc("PUT /objects/{key}", s.putObject)
+	s.mux.HandleFunc("GET /objects/{key}", s.getObject)
+	s.mux.HandleFunc("GET /objects", s.listObjects)
+	s.mux.HandleFunc("GET /instances", s.listInstances)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/control") {
+		s.control(w, r)
+		return
+	}
+	s.mu.Lock()
+	faults := s.faults
+	if r.Method == http.MethodGet {
+		s.reads++
+	} else {
+		s.writes++
+	}
+	s.mu.Unlock()
+	if faults.DelayMS > 0 {
+		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	}
+	if faults.Down {
+		http.Error(w, "platform is down", http.StatusServiceUnavailable)
+		return
+	}
+	if faults.LoseAnswers && r.Method != http.MethodGet {
+		s.mux.ServeHTTP(discard{}, r)
+		panic(http.ErrAbortHandler)
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetInstance adds or changes an entry of the instance list.
+func (s *Server) SetInstance(in port.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances[in.Address] = in
+}
+
+// Calls returns how many reads and writes were served or refused.
+func (s *Server) Calls() (reads, writes uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+// control handles POST /control (Faults) and POST /control/instances (an
+// instance, or with DELETE an address).
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/control/instances" && r.Method == http.MethodDelete:
+		s.mu.Lock()
+		delete(s.instances, r.URL.Query().Get("address"))
+		s.mu.Unlock()
+	case r.URL.Path == "/control/instances":
+		var in port.Instance
+		if !decode(w, r, &in) {
+			return
+		}
+		s.SetInstance(in)
+	default:
+		var f Faults
+		if !decode(w, r, &f) {
+			return
+		}
+		s.SetFaults(f)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) getRow(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	row, ok := s.rows[r.PathValue("key")]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	reply(w, row)
+}
+
+func (s *Server) listRows(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit <= 0 {
+		http.Error(w, "limit must be a positive number", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := httpplatform.Rows{}
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") && len(out.Rows) < limit {
+			out.Rows = append(out.Rows, s.rows[key])
+		}
+	}
+	reply(w, out)
+}
+
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
+	var txn httpplatform.Transaction
+	if !decode(w, r, &txn) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			http.Error(w, "condition does not hold: "+c.Key, http.StatusConflict)
+			return
+		}
+	}
+	s.version++
+	for _, x := range txn.Writes {
+		if x.Delete {
+			delete(s.rows, x.Key)
+			continue
+		}
+		s.rows[x.Key] = httpplatform.Row{Key: x.Key, Value: x.Value, Version: s.version}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.objects[r.PathValue("key")] = body
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	body, ok := s.objects[r.PathValue("key")]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := httpplatform.Keys{}
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) {
+			out.Keys = append(out.Keys, key)
+		}
+	}
+	reply(w, out)
+}
+
+func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := httpplatform.InstanceList{}
+	for _, address := range slices.Sorted(maps.Keys(s.instances)) {
+		out.Instances = append(out.Instances, s.instances[address])
+	}
+	reply(w, out)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// discard is a ResponseWriter whose answer is lost.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
--- /dev/null
+++ b/lab/service/service.go
@@ -0,0 +1,99 @@
+// Package service is a stand-in for a plain service that takes orders. It
+// counts how often each idempotency key was run, so that a test can tell.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const maxBodyBytes = 32 << 20
+
+// Order is the answer to POST /orders.
+type Order struct {
+	Number int    `json:"number"`
+	Key    string `json:"key"`
+	Runs   int    `json:"runs"`
+}
+
+// Faults is the body of POST /control.
+type Faults struct {
+	// DropAfterRun runs an order and then drops the connection.
+	DropAfterRun bool `json:"drop_after_run"`
+	// DelayMS is how long an order takes, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	mux    *http.ServeMux
+	mu     sync.Mutex
+	runs   map[string]int
+	orders int
+	faults Faults
+}
+
+// New returns a service without orders.
+func New() *Server {
+	s := &Server{mux: http.NewServeMux(), runs: map[string]int{}}
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	s.mux.HandleFunc("POST /orders", s.placeOrder)
+	s.mux.HandleFunc("GET /orders", s.listOrders)
+	s.mux.HandleFunc("POST /control", s.control)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Runs returns how often each key was run.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range s.runs {
+		out[k] = n
+	}
+	return out
+}
+
+func (s *Server) placeOrder(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	s.orders++
+	s.runs[key]++
+	answer := Order{Number: s.orders, Key: key, Runs: s.runs[key]}
+	faults := s.faults
+	s.mu.Unlock()
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	if faults.DropAfterRun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Server) listOrders(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
