--- /dev/null
+++ b/internal/platform/platformtest/client.go
@@ -0,0 +1,203 @@
+package platformtest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+// Fault is what happens to one call of a Client.
+type Fault int8
+
+const (
+	// NoFault lets the call through.
+	NoFault Fault = iota
+	// Refuse fails the call without effect; the caller knows that.
+	Refuse
+	// LoseRequest fails the call without effect; the caller does not know that.
+	LoseRequest
+	// LoseAnswer carries the call out and fails it.
+	LoseAnswer
+	// LateEffect fails the call and carries it out after LateDelay.
+	LateEffect
+	// KillBefore kills the client before the call has its effect.
+	KillBefore
+	// KillAfter kills the client after the call had its effect.
+	KillAfter
+	// Faults is the number of values.
+	Faults
+)
+
+// LateDelay is how long after its failure a call with LateEffect takes effect.
+const LateDelay = 700 * time.Millisecond
+
+// Client is one daemon's view of a Platform. It implements platform.Table and
+// platform.Instances; Objects gives the object store.
+type Client struct {
+	platform *Platform
+
+	mu          sync.Mutex
+	plan        []Fault
+	tableDown   bool
+	objectsDown bool
+	silent      bool
+	killed      bool
+	delay       time.Duration
+}
+
+// Objects returns the client's view of the object store.
+func (c *Client) Objects() Objects { return Objects{client: c} }
+
+// Plan adds faults for the next calls, in order.
+func (c *Client) Plan(faults ...Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plan = append(c.plan, faults...)
+}
+
+// ClearPlan forgets the faults that were not used.
+func (c *Client) ClearPlan() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plan = nil
+}
+
+// SetDown makes the table and the object store refuse or accept connections.
+func (c *Client) SetDown(table, objects bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tableDown, c.objectsDown = table, objects
+}
+
+// SetSilent makes all calls wait until their context ends.
+func (c *Client) SetSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
+// SetDelay makes each call take d, half of it before its effect.
+func (c *Client) SetDelay(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay = d
+}
+
+// Kill makes all later calls fail without effect, as if the daemon had died.
+func (c *Client) Kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.killed = true
+}
+
+// Killed reports whether the client was killed.
+func (c *Client) Killed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.killed
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, key string) (row platform.Row, err error) {
+	err = c.read(ctx, &c.tableDown, func() (e error) { row, e = c.platform.get(key); return e })
+	return row, err
+}
+
+// List implements platform.Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, err error) {
+	err = c.read(ctx, &c.tableDown, func() error { rows = c.platform.list(prefix, after, limit); return nil })
+	return rows, err
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
+	return c.call(ctx, &c.tableDown, true, func() error { return c.platform.commit(txn) })
+}
+
+// ListInstances implements platform.Instances.
+func (c *Client) ListInstances(ctx context.Context) (list []platform.Instance, err error) {
+	err = c.read(ctx, &c.tableDown, func() error { list = c.platform.listInstances(); return nil })
+	return list, err
+}
+
+// read carries out a call that has no effect beside its answer.
+func (c *Client) read(ctx context.Context, down *bool, effect func() error) error {
+	return c.call(ctx, down, false, effect)
+}
+
+func (c *Client) write(ctx context.Context, effect func() error) error {
+	return c.call(ctx, &c.objectsDown, true, effect)
+}
+
+func (c *Client) call(ctx context.Context, down *bool, writes bool, effect func() error) error {
+	fault, delay, err := c.admit(ctx, down)
+	if err != nil {
+		return err
+	}
+	if fault == LateEffect && !writes {
+		fault = LoseRequest
+	}
+	if backoff.Sleep(ctx, delay/2) != nil {
+		return noAnswer()
+	}
+	return c.carryOut(ctx, fault, delay, effect)
+}
+
+func (c *Client) carryOut(ctx context.Context, fault Fault, delay time.Duration, effect func() error) error {
+	switch fault {
+	case Refuse:
+		return refused()
+	case LoseRequest:
+		return noAnswer()
+	case LateEffect:
+		time.AfterFunc(LateDelay, func() { _ = effect() })
+		return noAnswer()
+	case KillBefore:
+		c.Kill()
+		return noAnswer()
+	}
+	if c.Killed() {
+		return noAnswer()
+	}
+	err := effect()
+	if fault == KillAfter {
+		c.Kill()
+	}
+	if fault != NoFault || backoff.Sleep(ctx, delay-delay/2) != nil {
+		return noAnswer()
+	}
+	return err
+}
+
+// admit takes the next planned fault and applies the switches.
+func (c *Client) admit(ctx context.Context, down *bool) (Fault, time.Duration, error) {
+	c.mu.Lock()
+	silent, refuse, killed, delay := c.silent, *down, c.killed, c.delay
+	fault := NoFault
+	if len(c.plan) > 0 {
+		fault, c.plan = c.plan[0], c.plan[1:]
+	}
+	c.mu.Unlock()
+	switch {
+	case killed:
+		return 0, 0, noAnswer()
+	case silent:
+		<-ctx.Done()
+		return 0, 0, noAnswer()
+	case refuse || ctx.Err() != nil:
+		return 0, 0, refused()
+	}
+	return fault, delay, nil
+}
+
+func refused() error {
+	return verdict.New(verdict.NotRun, verdict.CodePlatformUnavailable, "connection refused")
+}
+
+func noAnswer() error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodePlatformUnavailable, "no answer")
+}
