--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,8 @@
 	"github.com/verbenabend/verbenabend/internal/upstream/httpservice"
 )
 
+type atomicCounter = atomic.Int64
+
 // Daemon is one entry instance.
 type Daemon struct {
 	settings *settings.Settings
@@ -56,6 +59,8 @@
 
 	platformUp atomic.Bool
 	listed     atomic.Bool // an instance list was seen, from the platform or a peer
+	synced     atomic.Bool // all documents were read once, from the platform or a peer
+	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
 	draining   atomic.Bool
 	inFlight   atomic.Int64
 }
@@ -87,8 +92,11 @@
 		CallerAddress: d.settings.CallerAddress, PeerAddress: d.settings.PeerAddress,
 	})
 	d.board = &gossip.Solo{}
+	objects := d.client.Objects()
 	d.catalogue = docstore.NewCatalogue(d.log, func(*servicedoc.Accepted) {})
-	d.documents = docstore.NewStore(d.table, d.client.Objects(), d.catalogue, func(*servicedoc.Accepted) {}, d.log)
+	announcer := docstore.NewAnnouncer(d.board)
+	d.documents = docstore.NewStore(d.table, objects, d.catalogue, announcer.Announce, d.log)
+	d.poller = docstore.NewPoller(d.table, objects, d.catalogue, announcer, time.Duration(d.settings.Platform.PollInterval), d.log)
 	d.once = once.New(d.table, d.client.Objects(), d.log)
 }
 
--- /dev/null
+++ b/internal/daemon/loops.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/membership"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+const (
+	// probeInterval is the pause between two state reports of an upstream.
+	probeInterval = 500 * time.Millisecond
+	// probeWorkers bounds concurrent probes.
+	probeWorkers = 32
+	// failedProbes is how many probes in a row must fail before an upstream
+	// counts as down; a refused connection is one.
+	failedProbes = 2
+)
+
+// loops returns the daemon's background work; each runs until its context ends.
+func (d *Daemon) loops() []func(context.Context) error {
+	return []func(context.Context) error{
+		d.followDocuments,
+		d.once.Run,
+		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
+		d.every(probeInterval, d.probeAll),
+	}
+}
+
+// followDocuments reads all documents once, from whoever answers first, and
+// then follows their changes.
+func (d *Daemon) followDocuments(ctx context.Context) error {
+	for len(d.catalogue.Snapshot()) == 0 && d.poller.Start(ctx) != nil {
+		if !pause(ctx, backoff.Around(time.Duration(d.settings.Platform.PollInterval))) {
+			return ctx.Err()
+		}
+	}
+	d.synced.Store(true)
+	return d.poller.Run(ctx)
+}
+
+// pause waits for interval and reports false when ctx ends before.
+func pause(ctx context.Context, interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// every returns a loop that calls fn at once and then after each interval,
+// with jitter, so that daemons started together spread.
+func (d *Daemon) every(interval time.Duration, fn func(context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			fn(ctx)
+			if !pause(ctx, backoff.Around(interval)) {
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// readInstances reads the platform's list of upstreams and daemons.
+func (d *Daemon) readInstances(ctx context.Context) {
+	list, err := d.instances.ListInstances(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	d.setPlatformUp(err == nil)
+	if err != nil {
+		return
+	}
+	d.fleet.ApplyList(list)
+	d.listed.Store(true)
+	var daemons []membership.Member
+	for _, in := range list {
+		if in.Service == platform.EntryService {
+			daemons = append(daemons, membership.Member{
+				Name: in.Address, DataCentre: in.DataCentre, CallerAddress: in.Address,
+				PeerAddress: in.PeerAddress, Draining: in.State == platform.InstanceLeaving,
+			})
+		}
+	}
+	d.members.SetListed(daemons)
+}
+
+func (d *Daemon) setPlatformUp(up bool) {
+	if d.platformUp.Swap(up) == up {
+		return
+	}
+	if up {
+		d.log.Emit(eventlog.PlatformUp, eventlog.Fields{})
+	} else {
+		d.log.Emit(eventlog.PlatformDown, eventlog.Fields{})
+	}
+}
+
+// probeAll asks every upstream that this daemon watches for its state.
+func (d *Daemon) probeAll(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(probeWorkers)
+	for address := range d.fleet.Snapshot().ByAddress {
+		group.Go(func() error {
+			d.probe(ctx, address)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// probe asks one upstream for its state, over a new connection.
+func (d *Daemon) probe(ctx context.Context, address string) {
+	u, ok := d.fleet.Snapshot().ByAddress[address]
+	if !ok {
+		return
+	}
+	asked := time.Now()
+	var state upstream.EngineState
+	var err error
+	if d.isEngine(u.Service) {
+		state, err = d.engines.State(ctx, address)
+	} else {
+		err = d.services.Check(ctx, address)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		d.probeFailed(u)
+		return
+	}
+	d.probes.Delete(address)
+	if !d.isEngine(u.Service) {
+		d.setState(u, fleet.Serving)
+		return
+	}
+	d.applyState(u, state, asked)
+}
+
+func (d *Daemon) probeFailed(u *fleet.Upstream) {
+	count, _ := d.probes.LoadOrStore(u.Address, new(atomicCounter))
+	if count.(*atomicCounter).Add(1) >= failedProbes {
+		d.setState(u, fleet.Down)
+	}
+}
+
+func (d *Daemon) setState(u *fleet.Upstream, s fleet.State) {
+	if u.State == s {
+		return
+	}
+	d.fleet.SetState(u.Address, s)
+	d.emitState(u, s)
+}
+
+func (d *Daemon) emitState(u *fleet.Upstream, s fleet.State) {
+	event := map[fleet.State]eventlog.ID{
+		fleet.Serving: eventlog.UpstreamServing, fleet.Leaving: eventlog.UpstreamLeaving, fleet.Down: eventlog.UpstreamDown,
+	}[s]
+	d.log.Emit(event, eventlog.Fields{Service: u.Service, Upstream: u.Address})
+}
+
+// applyState records an engine's report.
+func (d *Daemon) applyState(old *fleet.Upstream, s upstream.EngineState, at time.Time) {
+	d.fleet.ApplyEngineState(old.Address, s, at)
+	next, ok := d.fleet.Snapshot().ByAddress[old.Address]
+	if !ok {
+		return
+	}
+	if next.State != old.State {
+		d.emitState(next, next.State)
+	}
+	if old.Engine.Incarnation != "" && old.Engine.Incarnation != next.Engine.Incarnation {
+		d.log.Emit(eventlog.UpstreamNew, eventlog.Fields{Service: old.Service, Upstream: old.Address, Detail: next.Engine.Incarnation})
+	}
+	d.dispatcher.Report(old.Service, routing.LoadReport{Endpoint: old.Address, At: at, Running: s.Running, Queued: s.Queued})
+}
+
+// announce tells peers and the entries' answers what this daemon is doing.
+func (d *Daemon) announce() {
+	self := d.members.Self()
+	self.Draining = d.draining.Load()
+	d.members.SetSelf(self)
+}
--- /dev/null
+++ b/lab/demo/system.go
@@ -0,0 +1,153 @@
+// Package demo runs a whole small system in one process, over loopback TCP:
+// a stand-in platform, three stand-in engines, a plain service and three
+// daemons, and shows what it does.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenabend/verbenabend/internal/daemon"
+	port "github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/platform"
+	"github.com/verbenabend/verbenabend/lab/service"
+)
+
+// Names of the demonstration's system.
+const (
+	ModelService = "lamp-bench"
+	PlainService = "front-ledger"
+	weights      = "opal@1"
+	operatorKey  = "demo-operator-key"
+	fleetKey     = "demo-fleet-key-of-the-system"
+	callerKey    = "demo-caller-key"
+	entryMaxAge  = "200ms"
+)
+
+var dataCentres = []string{"merrimack", "housatonic", "kennebec"}
+
+// system is everything that runs.
+type system struct {
+	platformURL string
+	engines     []*engine.Server
+	orders      *service.Server
+	daemons     []*settings.Settings
+	group       *errgroup.Group
+	stop        context.CancelFunc
+}
+
+// start starts the system; stop it with close.
+func start() (*system, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &system{group: &errgroup.Group{}, stop: cancel, orders: service.New()}
+	if err := s.startAll(ctx); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *system) startAll(ctx context.Context) error {
+	p := platform.New(nil)
+	address, err := s.serve(ctx, p)
+	if err != nil {
+		return err
+	}
+	s.platformURL = "http://" + address
+	for _, dc := range dataCentres {
+		e := engine.New(engine.Config{Weights: []string{weights}})
+		if address, err = s.serve(ctx, e); err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+		p.SetInstance(port.Instance{Address: address, Service: ModelService, DataCentre: dc, State: port.InstanceLive})
+	}
+	if address, err = s.serve(ctx, s.orders); err != nil {
+		return err
+	}
+	p.SetInstance(port.Instance{Address: address, Service: PlainService, DataCentre: dataCentres[0], State: port.InstanceLive})
+	return s.startDaemons(ctx, p)
+}
+
+func (s *system) startDaemons(ctx context.Context, p *platform.Server) error {
+	for i, dc := range dataCentres {
+		set, err := s.daemonSettings(i, dc)
+		if err != nil {
+			return err
+		}
+		s.daemons = append(s.daemons, set)
+		p.SetInstance(port.Instance{
+			Address: set.CallerAddress, Service: port.EntryService, DataCentre: dc, State: port.InstanceLive, PeerAddress: set.PeerAddress,
+		})
+	}
+	for _, set := range s.daemons {
+		d, err := daemon.New(set, daemon.NewLogger(set))
+		if err != nil {
+			return err
+		}
+		s.group.Go(func() error { return d.Run(ctx, context.Background()) })
+	}
+	return nil
+}
+
+// daemonSettings makes the settings of a daemon on free ports.
+func (s *system) daemonSettings(i int, dc string) (*settings.Settings, error) {
+	ports := [3]string{}
+	for j := range ports {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		ports[j] = address
+	}
+	text := fmt.Sprintf(`{
+		"name": "entry-%d", "data_centre": %q, "caller_listen": %q, "operator_listen": %q, "peer_listen": %q,
+		"operator_key": %q, "fleet_key": %q, "platform": {"url": %q}, "log": {"level": "warn", "format": "text"}, "entry_max_age": %q}`,
+		i+1, dc, ports[0], ports[1], ports[2], operatorKey, fleetKey, s.platformURL, entryMaxAge)
+	set, err := settings.Parse([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range s.daemons {
+		set.Seeds = append(set.Seeds, p.PeerAddress)
+	}
+	return set, nil
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// serve runs a handler on a free loopback port.
+func (s *system) serve(ctx context.Context, h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h}
+	context.AfterFunc(ctx, func() { server.Close() })
+	s.group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return l.Addr().String(), nil
+}
+
+func (s *system) close() error {
+	s.stop()
+	return s.group.Wait()
+}
