--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,7 +51,7 @@
 	poller     *docstore.Poller
 	once       *once.Records
 	members    *membership.Members
-	board      gossip.Board
+	node       *gossip.Node
 	dispatcher *dispatch.Dispatcher
 
 	callers   *server
@@ -62,15 +62,22 @@
 	synced     atomic.Bool // all documents were read once, from the platform or a peer
 	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
 	draining   atomic.Bool
+	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
+	told       map[string]toldEngine
 	inFlight   atomic.Int64
 }
 
 // New returns a daemon that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents)}
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}}
 	d.provisionClients()
+	d.provisionMembers()
+	if err := d.provisionPeers(); err != nil {
+		return nil, err
+	}
 	d.provisionState()
 	d.provisionDispatch()
+	d.subscribe()
 	if err := d.listen(); err != nil {
 		d.Close()
 		return nil, err
@@ -86,15 +93,18 @@
 	d.services = httpservice.New(nil)
 }
 
-func (d *Daemon) provisionState() {
+func (d *Daemon) provisionMembers() {
+	d.contact.Store(time.Now().UnixNano())
 	d.members = membership.New(membership.Member{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		CallerAddress: d.settings.CallerAddress, PeerAddress: d.settings.PeerAddress,
 	})
-	d.board = &gossip.Solo{}
+}
+
+func (d *Daemon) provisionState() {
 	objects := d.client.Objects()
 	d.catalogue = docstore.NewCatalogue(d.log, func(*servicedoc.Accepted) {})
-	announcer := docstore.NewAnnouncer(d.board)
+	announcer := docstore.NewAnnouncer(d.node)
 	d.documents = docstore.NewStore(d.table, objects, d.catalogue, announcer.Announce, d.log)
 	d.poller = docstore.NewPoller(d.table, objects, d.catalogue, announcer, time.Duration(d.settings.Platform.PollInterval), d.log)
 	d.once = once.New(d.table, d.client.Objects(), d.log)
@@ -164,6 +174,7 @@
 	d.log.Emit(eventlog.DaemonStarted, eventlog.Fields{Detail: d.settings.CallerAddress})
 	work, stopWork := context.WithCancel(hard)
 	defer stopWork()
+	d.node.Start()
 	group, work := errgroup.WithContext(work)
 	for _, loop := range d.loops() {
 		group.Go(func() error { return ignoreCanceled(loop(work)) })
@@ -212,6 +223,7 @@
 	if d.operators != nil {
 		d.operators.close()
 	}
+	d.node.Close()
 	d.dispatcher.Close()
 	d.client.Close()
 }
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -18,6 +18,8 @@
 const (
 	// probeInterval is the pause between two state reports of an upstream.
 	probeInterval = 500 * time.Millisecond
+	// loadInterval is the pause between two looks at the daemon's own load.
+	loadInterval = 250 * time.Millisecond
 	// probeWorkers bounds concurrent probes.
 	probeWorkers = 32
 	// failedProbes is how many probes in a row must fail before an upstream
@@ -32,6 +34,9 @@
 		d.once.Run,
 		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
 		d.every(probeInterval, d.probeAll),
+		d.every(probeInterval, d.tellEngines),
+		d.every(loadInterval, d.tellLoad),
+		d.every(memberInterval, d.refreshMembers),
 	}
 }
 
@@ -111,7 +116,7 @@
 func (d *Daemon) probeAll(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(probeWorkers)
-	for address := range d.fleet.Snapshot().ByAddress {
+	for _, address := range d.watched() {
 		group.Go(func() error {
 			d.probe(ctx, address)
 			return nil
@@ -186,10 +191,3 @@
 	}
 	d.dispatcher.Report(old.Service, routing.LoadReport{Endpoint: old.Address, At: at, Running: s.Running, Queued: s.Queued})
 }
-
-// announce tells peers and the entries' answers what this daemon is doing.
-func (d *Daemon) announce() {
-	self := d.members.Self()
-	self.Draining = d.draining.Load()
-	d.members.SetSelf(self)
-}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,176 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/membership"
+	"github.com/verbenabend/verbenabend/internal/routing"
+)
+
+const (
+	// memberInterval is the pause between two looks at who is heard from.
+	memberInterval = 250 * time.Millisecond
+	// loadTTL is how long a peer's load figures are believed.
+	loadTTL = 3 * time.Second
+	// engineTTL is how long an upstream's state is kept by peers that do not
+	// watch it; watchers renew it at a third of that.
+	engineTTL = time.Minute
+	// isolatedAfter is how long a daemon may reach neither the platform nor a
+	// peer before it leaves the entries' answers.
+	isolatedAfter = 5 * time.Second
+)
+
+func (d *Daemon) provisionPeers() error {
+	listener, err := net.Listen("tcp", d.settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	keys := [][]byte{[]byte(d.settings.FleetKey)}
+	for _, k := range d.settings.PreviousFleetKeys {
+		keys = append(keys, []byte(k))
+	}
+	node, err := gossip.New(gossip.Config{
+		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
+		Address: d.settings.PeerAddress, CallerAddress: d.settings.CallerAddress,
+		Keys: keys, Seeds: d.settings.Seeds, Discover: d.members.PeerAddresses,
+		Listener: listener, Events: d.log,
+	})
+	if err != nil {
+		listener.Close()
+		return err
+	}
+	d.node = node
+	return nil
+}
+
+// subscribe takes in what peers tell; it needs all other parts provisioned.
+func (d *Daemon) subscribe() {
+	d.node.Subscribe(gossip.KindDaemon, func(gossip.Fact) { d.refreshMembers(context.Background()) })
+	d.node.Subscribe(gossip.KindEngine, d.hearEngine)
+	d.node.Subscribe(gossip.KindLoad, d.hearLoad)
+}
+
+// refreshMembers brings the view of the daemons up to date.
+func (d *Daemon) refreshMembers(context.Context) {
+	var heard []membership.Member
+	for _, f := range d.node.Facts(gossip.KindDaemon) {
+		info, err := gossip.DecodeDaemonInfo(f.Value)
+		if err != nil || info.Stopped {
+			continue
+		}
+		heard = append(heard, membership.Member{
+			Name: f.ID, DataCentre: info.DataCentre, CallerAddress: info.CallerAddress,
+			PeerAddress: info.PeerAddress, Draining: info.Draining,
+		})
+	}
+	d.members.SetHeard(heard)
+	d.dispatcher.SetPeers(len(d.members.Live()))
+	d.updateIsolation(len(d.node.Peers()) > 0)
+}
+
+// updateIsolation notices when neither the platform nor a peer was reached for long.
+func (d *Daemon) updateIsolation(peers bool) {
+	now := time.Now()
+	if peers || d.platformUp.Load() {
+		d.contact.Store(now.UnixNano())
+	}
+	self := d.members.Self()
+	isolated := now.Sub(time.Unix(0, d.contact.Load())) > isolatedAfter
+	if isolated == self.Isolated {
+		return
+	}
+	self.Isolated = isolated
+	d.members.SetSelf(self)
+	if isolated {
+		d.log.Emit(eventlog.DaemonIsolated, eventlog.Fields{})
+	}
+}
+
+// announce tells peers and the entries' answers that this daemon drains.
+func (d *Daemon) announce() {
+	self := d.members.Self()
+	self.Draining = d.draining.Load()
+	d.members.SetSelf(self)
+	d.node.SetDraining(self.Draining)
+}
+
+// watched returns the upstreams that this daemon probes.
+func (d *Daemon) watched() []string {
+	var addresses []string
+	for address := range d.fleet.Snapshot().ByAddress {
+		addresses = append(addresses, address)
+	}
+	return fleet.Watched(d.settings.Name, d.node.Peers(), addresses)
+}
+
+// tellEngines publishes the state of watched upstreams that changed or whose
+// fact is due for renewal.
+func (d *Daemon) tellEngines(context.Context) {
+	snapshot := d.fleet.Snapshot()
+	for _, address := range d.watched() {
+		u := snapshot.ByAddress[address]
+		if u == nil || u.State == fleet.Unknown {
+			continue
+		}
+		value, err := msgpack.Marshal(fleet.PeerStateOf(u))
+		if err != nil {
+			continue
+		}
+		told := d.told[address]
+		if string(value) == told.value && time.Since(told.at) < engineTTL/3 {
+			continue
+		}
+		d.told[address] = toldEngine{value: string(value), at: time.Now()}
+		d.node.Publish(gossip.Fact{Kind: gossip.KindEngine, ID: address, TTL: engineTTL, Value: value})
+	}
+}
+
+// toldEngine is what this daemon last published of an upstream.
+type toldEngine struct {
+	value string
+	at    time.Time
+}
+
+func (d *Daemon) hearEngine(f gossip.Fact) {
+	var s fleet.PeerState
+	if msgpack.Unmarshal(f.Value, &s) != nil {
+		return
+	}
+	own := slices.Contains(fleet.Watched(d.settings.Name, d.node.Peers(), []string{f.ID}), f.ID)
+	before := d.fleet.Snapshot().ByAddress[f.ID]
+	d.fleet.ApplyPeerState(f.ID, s, own, time.Now())
+	d.listed.Store(true)
+	if after := d.fleet.Snapshot().ByAddress[f.ID]; before != nil && after != nil && before.State != after.State {
+		d.emitState(after, after.State)
+	}
+}
+
+// tellLoad publishes the outstanding work of this daemon.
+func (d *Daemon) tellLoad(context.Context) {
+	for service, loads := range d.dispatcher.Share() {
+		value, err := msgpack.Marshal(loads)
+		if err != nil {
+			continue
+		}
+		d.node.Publish(gossip.Fact{Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadTTL, Value: value})
+	}
+}
+
+func (d *Daemon) hearLoad(f gossip.Fact) {
+	peer, service, ok := strings.Cut(f.ID, "/")
+	var loads []routing.PeerLoad
+	if !ok || msgpack.Unmarshal(f.Value, &loads) != nil {
+		return
+	}
+	d.dispatcher.Learn(service, peer, loads)
+}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -19,7 +18,7 @@
 	return entry.Status{
 		Daemon: self.Name, DataCentre: self.DataCentre, Ready: len(reasons) == 0, NotReady: reasons,
 		Draining: self.Draining, Isolated: self.Isolated, PlatformUp: d.platformUp.Load(),
-		Peers:     entry.PeerStatusOf(d.members.Live(time.Now()), self.Name),
+		Peers:     entry.PeerStatusOf(d.members.Live(), self.Name),
 		Documents: entry.DocumentStatusOf(d.catalogue.Snapshot()),
 		Upstreams: d.upstreamStatus(),
 		InFlight:  d.inFlight.Load(),
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -96,7 +96,7 @@
 
 func (c *Callers) entries(w http.ResponseWriter, r *http.Request) {
 	out := Entries{Entries: []Entry{}, MaxAgeMS: c.EntryMaxAge.Milliseconds()}
-	for _, m := range c.Members.Entries(r.URL.Query().Get("data_centre"), c.Delay, time.Now()) {
+	for _, m := range c.Members.Entries(r.URL.Query().Get("data_centre"), c.Delay) {
 		out.Entries = append(out.Entries, Entry{Address: m.CallerAddress, DataCentre: m.DataCentre})
 	}
 	writeJSON(w, http.StatusOK, out)
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Member is one daemon. It is also the value of a gossip.KindDaemon fact.
+// Member is one daemon.
 type Member struct {
 	Name          string
 	DataCentre    string
@@ -26,19 +26,14 @@
 type Members struct {
 	mu       sync.Mutex
 	self     Member
-	heard    map[string]heardMember // by name
-	listed   map[string]Member      // by caller address
+	heard    []Member          // without self, ordered by name
+	listed   map[string]Member // by caller address
 	rotation int
 }
 
-type heardMember struct {
-	Member
-	until time.Time
-}
-
 // New returns Members that know only self.
 func New(self Member) *Members {
-	return &Members{self: self, heard: map[string]heardMember{}, listed: map[string]Member{}}
+	return &Members{self: self, listed: map[string]Member{}}
 }
 
 // SetSelf replaces what is said of this daemon.
@@ -55,13 +50,12 @@
 	return m.self
 }
 
-// Hear records what a daemon says of itself; it is believed for ttl.
-func (m *Members) Hear(member Member, now time.Time, ttl time.Duration) {
+// SetHeard replaces the daemons heard from lately.
+func (m *Members) SetHeard(heard []Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if member.Name != m.self.Name {
-		m.heard[member.Name] = heardMember{member, now.Add(ttl)}
-	}
+	m.heard = slices.DeleteFunc(heard, func(x Member) bool { return x.Name == m.self.Name })
+	slices.SortFunc(m.heard, byName)
 }
 
 // SetListed replaces the daemons on the platform's list; Draining tells those
@@ -76,34 +70,29 @@
 }
 
 // Live returns the daemons heard from, this one included, ordered by name.
-func (m *Members) Live(now time.Time) []Member {
+func (m *Members) Live() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live(now)
+	return m.live()
 }
 
-func (m *Members) live(now time.Time) []Member {
-	out := []Member{m.self}
-	for name, h := range m.heard {
-		if now.After(h.until) {
-			delete(m.heard, name)
-			continue
-		}
-		out = append(out, h.Member)
-	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+func (m *Members) live() []Member {
+	out := append([]Member{m.self}, m.heard...)
+	slices.SortFunc(out, byName)
 	return out
 }
 
+func byName(a, b Member) int { return cmp.Compare(a.Name, b.Name) }
+
 // Entries returns the daemons that a caller in dataCentre should use, nearest
 // first. Ties are rotated from call to call, so that callers spread. Daemons
-// that drain, that are leaving or that were not heard from are left out; when
-// none is left, this daemon is named if it serves at all.
-func (m *Members) Entries(dataCentre string, delay func(from, to string) time.Duration, now time.Time) []Member {
+// that drain, that are leaving, that are isolated or that were not heard from
+// are left out.
+func (m *Members) Entries(dataCentre string, delay func(from, to string) time.Duration) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rotation++
-	out := slices.DeleteFunc(m.live(now), func(x Member) bool {
+	out := slices.DeleteFunc(m.live(), func(x Member) bool {
 		return x.Draining || x.Isolated || m.listed[x.CallerAddress].Draining
 	})
 	if len(out) == 0 {
