--- /dev/null
+++ b/internal/gossip/daemoninfo.go
@@ -0,0 +1,67 @@
+package gossip
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// DaemonInfo is the value of a KindDaemon fact.
+type DaemonInfo struct {
+	// Start is the start time of the process in microseconds; of two daemons
+	// with one name the later start counts.
+	Start         uint64
+	DataCentre    string
+	PeerAddress   string
+	CallerAddress string
+	// Draining daemons take no new callers.
+	Draining bool
+	// Stopped is the last word of a daemon that was stopped as planned.
+	Stopped bool
+}
+
+// Encode returns the value of a fact.
+func (d DaemonInfo) Encode() []byte {
+	var buf bytes.Buffer
+	e := msgpack.NewEncoder(&buf)
+	e.UseCompactInts(true)
+	// Writes to a bytes.Buffer do not fail.
+	_ = e.EncodeArrayLen(6)
+	_ = e.EncodeUint(d.Start)
+	_ = e.EncodeString(d.DataCentre)
+	_ = e.EncodeString(d.PeerAddress)
+	_ = e.EncodeString(d.CallerAddress)
+	_ = e.EncodeBool(d.Draining)
+	_ = e.EncodeBool(d.Stopped)
+	return buf.Bytes()
+}
+
+// DecodeDaemonInfo decodes the value of a KindDaemon fact. Further fields of
+// later versions are ignored.
+func DecodeDaemonInfo(value []byte) (DaemonInfo, error) {
+	d := newDecoder(value)
+	if d.arrayLen(16) < 6 {
+		d.fail()
+	}
+	info := DaemonInfo{Start: d.uint(1<<64 - 1)}
+	info.DataCentre = d.string(maxNameBytes)
+	info.PeerAddress = d.string(maxAddrBytes)
+	info.CallerAddress = d.string(maxAddrBytes)
+	info.Draining = d.bool()
+	info.Stopped = d.bool()
+	if d.err != nil {
+		return DaemonInfo{}, d.err
+	}
+	return info, nil
+}
+
+func (d *decoder) bool() bool {
+	if d.err != nil {
+		return false
+	}
+	v, err := d.d.DecodeBool()
+	if err != nil {
+		d.fail()
+	}
+	return v
+}
--- /dev/null
+++ b/internal/gossip/load.go
@@ -0,0 +1,36 @@
+package gossip
+
+import "time"
+
+const (
+	// minLoadInterval is the pause between load figures in a small fleet.
+	minLoadInterval = time.Second
+	// maxLoadInterval is the age past which load figures mislead; if the
+	// budget allows none that often, none are sent.
+	maxLoadInterval = 5 * time.Second
+	// loadBudgetShare is the part of the byte budget for load figures.
+	loadBudgetShare = 2
+)
+
+// LoadInterval returns the pause between a daemon's load figures of the given
+// size in a fleet of so many daemons, and false if they can't be sent often
+// enough to be of use. Each daemon passes each figure on about once, so the
+// cost is daemons*bytes/interval and the interval grows with both.
+func LoadInterval(daemons, bytes, bytesPerSecond int) (time.Duration, bool) {
+	need := time.Duration(daemons) * time.Duration(bytes) * time.Second / time.Duration(max(1, bytesPerSecond/loadBudgetShare))
+	return max(need, minLoadInterval), need <= maxLoadInterval
+}
+
+const (
+	// refreshPerDaemon makes daemons renew their own facts less often in a larger fleet.
+	refreshPerDaemon = 30 * time.Millisecond
+	minRefresh       = time.Second
+	maxRefresh       = 10 * time.Second
+	// refreshesPerTTL is how many renewals may be lost before a daemon counts as gone.
+	refreshesPerTTL = 4
+)
+
+// refreshInterval returns the pause between two renewals of a daemon's own fact.
+func refreshInterval(daemons int) time.Duration {
+	return min(max(time.Duration(daemons)*refreshPerDaemon, minRefresh), maxRefresh)
+}
