Decide placement, admission, hedges and retries in one policy

The first whole policy: homes narrowed level by level, a price on recomputation, slowdowns from own and shared observations, a queue fair by organisation, early refusal, hedges and retries on budgets. Every rule has a name that Settings.Without turns off. PeerLoad gets Long, and a Scheduler may implement ProgressObserver; both are additions.

--- /dev/null
+++ b/internal/admission/budget.go
@@ -0,0 +1,29 @@
+package admission
+
+// budgetBurst is how many extra attempts may be saved up.
+const budgetBurst = 10
+
+// Budget bounds extra attempts to a share of requests: each request earns a
+// fraction of an attempt, each attempt spends one. It starts empty, so that
+// the bound holds from the first request.
+type Budget struct {
+	perRequest float64
+	tokens     float64
+}
+
+// NewBudget returns a budget of percent of requests.
+func NewBudget(percent int) *Budget {
+	return &Budget{perRequest: float64(percent) / 100}
+}
+
+// Earn counts a request.
+func (b *Budget) Earn() { b.tokens = min(b.tokens+b.perRequest, budgetBurst) }
+
+// Take spends one attempt and reports whether the budget had it.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// oracle holds the waiting items in a plain list.
+type oracle struct{ items []*Item[int] }
+
+func (o *oracle) remove(id string) bool {
+	n := len(o.items)
+	o.items = slices.DeleteFunc(o.items, func(it *Item[int]) bool { return it.ID == id })
+	return len(o.items) < n
+}
+
+// The queue agrees with a plain list on what waits, and gives up items only
+// by starting, removing or expiring them, each once.
+func TestQueueAgreesWithList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 12
+		q, o, now, next := NewQueue[int](limit, true), &oracle{}, epoch, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				it := &Item[int]{
+					ID: fmt.Sprint(next), Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Share: rapid.IntRange(1, 3).Draw(t, "share"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+					Deferrable: rapid.Bool().Draw(t, "deferrable"), Work: rapid.Float64Range(0.1, 9).Draw(t, "work"),
+					Queued: now, Expires: now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "wait")) * time.Second),
+				}
+				next++
+				taken := q.Push(it)
+				assert.Equal(t, taken, len(o.items) < limit)
+				if taken {
+					o.items = append(o.items, it)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, next).Draw(t, "id"))
+				assert.Equal(t, q.Remove(id), o.remove(id))
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				for it := q.PopExpired(now); it != nil; it = q.PopExpired(now) {
+					assert.Assert(t, !it.Expires.After(now))
+					assert.Assert(t, o.remove(it.ID))
+				}
+				for _, it := range o.items {
+					assert.Assert(t, it.Expires.After(now))
+				}
+			},
+			"dispatch": func(t *rapid.T) {
+				room := rapid.IntRange(0, 4).Draw(t, "room")
+				q.Dispatch(func(it *Item[int]) bool {
+					if room == 0 {
+						return false
+					}
+					room--
+					for _, other := range o.items {
+						assert.Assert(t, !before(other.Deferrable, other.Priority, it.Deferrable, it.Priority))
+						if other.Organisation == it.Organisation && other.Priority == it.Priority && other.Deferrable == it.Deferrable {
+							assert.Assert(t, !other.Queued.Before(it.Queued))
+						}
+					}
+					return assert.Check(t, o.remove(it.ID))
+				})
+				assert.Assert(t, room == 0 || len(o.items) == 0)
+			},
+			"": func(t *rapid.T) { assert.Equal(t, q.Len(), len(o.items)) },
+		})
+	})
+}
+
+// Two organisations that always have work waiting start work in proportion
+// to their shares, up to one item each, however large their items are.
+func TestQueueFairness(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const largest = 5.0
+		shares := map[string]int{"a": rapid.IntRange(1, 4).Draw(t, "a"), "b": rapid.IntRange(1, 4).Draw(t, "b")}
+		q, started, next := NewQueue[int](1000, true), map[string]float64{}, 0
+		push := func(organisation string) {
+			next++
+			work := rapid.Float64Range(0.5, largest).Draw(t, "work")
+			q.Push(&Item[int]{ID: fmt.Sprint(next), Organisation: organisation, Share: shares[organisation], Work: work, Queued: epoch, Expires: epoch.Add(time.Hour)})
+		}
+		for range 4 {
+			push("a")
+			push("b")
+		}
+		for range 60 {
+			one := true
+			var from string
+			q.Dispatch(func(it *Item[int]) bool {
+				if !one {
+					return false
+				}
+				one, from = false, it.Organisation
+				started[from] += it.Work
+				return true
+			})
+			push(from)
+			gap := started["a"]/float64(shares["a"]) - started["b"]/float64(shares["b"])
+			assert.Assert(t, gap <= 2*largest && gap >= -2*largest, "gap %v", gap)
+		}
+	})
+}
+
+// A budget never lets more attempts through than its percentage of requests.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.IntRange(0, 30).Draw(t, "percent")
+		b, earned, taken := NewBudget(percent), 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"earn": func(*rapid.T) {
+				b.Earn()
+				earned++
+			},
+			"take": func(t *rapid.T) {
+				if b.Take() {
+					taken++
+				}
+				assert.Assert(t, float64(taken) <= float64(earned*percent)/100+1e-6)
+			},
+		})
+	})
+}
+
+// A limit is at least one, at most what others leave or the fair share, and
+// comes back after refusals.
+func TestLimit(t *testing.T) {
+	var l Limit
+	assert.Equal(t, l.Allowed(16, 4, -1), 4)
+	assert.Equal(t, l.Allowed(16, 4, 2), 14)
+	assert.Equal(t, l.Allowed(16, 4, 20), 4)
+	l.Refused(epoch)
+	l.Refused(epoch)
+	assert.Equal(t, l.Allowed(16, 4, 0), 11)
+	for i := range 100 {
+		l.Refused(epoch.Add(time.Duration(i) * time.Second))
+	}
+	assert.Equal(t, l.Allowed(16, 4, -1), 1)
+	for range 100 {
+		l.Completed()
+	}
+	assert.Equal(t, l.Allowed(16, 4, 0), 16)
+}
--- /dev/null
+++ b/internal/placement/homes.go
@@ -0,0 +1,99 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/verbenabend/verbenabend/internal/prefix"
+)
+
+const (
+	// MinHomes is the number of homes of a key that is rarely asked for.
+	MinHomes = 3
+	// homeUtilisation is the load of a home that the growth of homes aims at.
+	homeUtilisation = 0.5
+	// MaxHomes bounds the homes of one key.
+	MaxHomes = 64
+)
+
+// Pool is an immutable list of engines that hold the same weights.
+type Pool struct {
+	// Members are indexes into the caller's list of engines.
+	Members []int
+	// Hashes are the members' hashes for rendezvous hashing.
+	Hashes []uint64
+}
+
+// Width returns how many homes a key needs whose requests keep the given
+// number of engines busy.
+func Width(busyEngines float64) int {
+	return min(MaxHomes, max(MinHomes, int(math.Ceil(busyEngines/homeUtilisation))+1))
+}
+
+// Homes narrows a pool to the homes of one prompt. It keeps buffers between
+// calls and is not safe for concurrent use.
+type Homes struct {
+	scored []prefix.Scored // Index is a position in the pool
+	picked []int
+}
+
+// Pick returns the homes in order of preference, as members of the pool. At
+// each level but the last, from the first, it keeps those of the remaining
+// engines that score highest for the level's hash, as many as widths says for
+// the level; it ends after the second level as soon as no more than MinHomes
+// are left. Prompts that share their first levels thus share homes, and a
+// conversation that grows keeps its own. The slice is valid until the next call.
+func (h *Homes) Pick(c *prefix.Chain, pool *Pool, widths []int) []int {
+	h.reset(pool)
+	for level, width := range widths {
+		if width >= len(h.scored) && level < len(widths)-1 {
+			continue
+		}
+		h.narrow(SharedKey(c, level), pool, width)
+		if level > 0 && len(h.scored) <= MinHomes {
+			break
+		}
+	}
+	return h.members(pool)
+}
+
+// PickFlat returns the n engines that score highest for the prompt's home key.
+func (h *Homes) PickFlat(c *prefix.Chain, pool *Pool, n int) []int {
+	h.reset(pool)
+	h.narrow(c.HomeKey(), pool, n)
+	return h.members(pool)
+}
+
+// SharedLevels returns how many levels of a prompt others may share: all but
+// the last, and one for a prompt without levels.
+func SharedLevels(c *prefix.Chain) int { return max(1, len(c.Levels)-1) }
+
+// SharedKey returns the hash by which homes are chosen at a shared level.
+func SharedKey(c *prefix.Chain, level int) uint64 {
+	if len(c.Levels) < 2 {
+		return c.HomeKey()
+	}
+	return c.Levels[level]
+}
+
+func (h *Homes) reset(pool *Pool) {
+	h.scored = h.scored[:0]
+	for i := range pool.Members {
+		h.scored = append(h.scored, prefix.Scored{Index: i})
+	}
+}
+
+func (h *Homes) narrow(key uint64, pool *Pool, n int) {
+	for i := range h.scored {
+		s := &h.scored[i]
+		s.Score = prefix.Score(key, pool.Hashes[s.Index])
+	}
+	h.scored = prefix.Top(h.scored, n)
+}
+
+func (h *Homes) members(pool *Pool) []int {
+	h.picked = h.picked[:0]
+	for _, s := range h.scored {
+		h.picked = append(h.picked, pool.Members[s.Index])
+	}
+	return h.picked
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/prefix"
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// A hint is found for its prefix and incarnation alone, and never again once
+// the engine has another incarnation.
+func TestHintsDieWithIncarnation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHints(1<<10, epoch)
+		hash := rapid.Uint64().Draw(t, "hash")
+		old, restarted := EngineKey("10.0.0.1:1", "1"), EngineKey("10.0.0.1:1", "2")
+		h.Store(epoch, hash, old)
+		assert.Assert(t, h.Holds(epoch, hash, old))
+		assert.Assert(t, !h.Holds(epoch, hash, restarted))
+		assert.Assert(t, !h.Holds(epoch, hash+1, old))
+		assert.Assert(t, !h.Holds(epoch.Add(time.Hour), hash, old))
+	})
+}
+
+// Memory stays as made, and a full set gives up its oldest entry.
+func TestHintsBounded(t *testing.T) {
+	h := NewHints(hintWays, epoch)
+	bytes := h.Bytes()
+	for i := range uint64(hintWays + 1) {
+		h.Store(epoch.Add(time.Duration(i)*time.Millisecond), i, 7)
+	}
+	assert.Equal(t, h.Bytes(), bytes)
+	assert.Assert(t, !h.Holds(epoch, 0, 7))
+	assert.Assert(t, h.Holds(epoch, hintWays, 7))
+}
+
+func TestRetentionFollowsWhatWasSeen(t *testing.T) {
+	h := NewHints(hintWays, epoch)
+	h.Refute(time.Second)
+	assert.Assert(t, h.Retention() < retentionStart)
+	low := h.Retention()
+	h.Confirm(time.Minute)
+	assert.Assert(t, h.Retention() > low)
+}
+
+// A slow engine is known at once and forgiven slowly.
+func TestSlowdownRisesFasterThanItFalls(t *testing.T) {
+	var s Slowdown
+	assert.Equal(t, s.Value(epoch), 1.0)
+	s.Observe(epoch, 5)
+	risen := s.Value(epoch)
+	assert.Assert(t, risen > 3)
+	s.Observe(epoch, 1)
+	assert.Assert(t, s.Value(epoch) > 1+0.75*(risen-1))
+	assert.Assert(t, s.Value(epoch.Add(10*slowHalfLife)) < 1.01)
+}
+
+// The time to first token of normal engines is learnt as a line.
+func TestSpeedLearnsALine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := time.Duration(rapid.IntRange(1, 100).Draw(t, "base ms")) * time.Millisecond
+		perToken := time.Duration(rapid.IntRange(20, 500).Draw(t, "per token us")) * time.Microsecond
+		s := NewSpeed()
+		for i := range 40 {
+			tokens := 100 + 250*(i%7)
+			s.Observe(float64(tokens), base+time.Duration(tokens)*perToken)
+		}
+		want := base + 1000*perToken
+		assert.Assert(t, (s.FirstToken(1000)-want).Abs() < want/50, "%v, not %v", s.FirstToken(1000), want)
+	})
+}
+
+// Recomputation and queue count at the observed speed; a slow engine that
+// holds the prompt may still be the cheaper one.
+func TestCost(t *testing.T) {
+	holder := Candidate{Wait: 100 * time.Millisecond, Recompute: 10 * time.Millisecond, Slowdown: 1}
+	empty := Candidate{Recompute: time.Second, Slowdown: 1}
+	price := Price(0.5)
+	assert.Assert(t, holder.Cost(price) < empty.Cost(price))
+	holder.Slowdown = 5
+	assert.Assert(t, holder.Cost(price) < empty.Cost(price))
+	holder.Slowdown = 32
+	assert.Assert(t, holder.Cost(price) > empty.Cost(price))
+	assert.Assert(t, Price(1) > Price(0))
+}
+
+// The homes of a prompt do not depend on the order of the engines, and an
+// engine that is no home leaves them as they are.
+func TestHomesStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hashes := rapid.SliceOfNDistinct(rapid.Uint64(), 6, 40, rapid.ID).Draw(t, "engines")
+		c := prefix.New(prefix.Scope{}, rapid.SliceOfN(rapid.StringN(1, 9, -1), 1, 5).Draw(t, "levels"), 4)
+		widths := []int{5, 4, 3, 3}[:SharedLevels(&c)]
+		homes := homesOf(&c, hashes, widths)
+		gone := rapid.IntRange(0, len(hashes)-1).Draw(t, "gone")
+		left := slices.Delete(slices.Clone(hashes), gone, gone+1)
+		slices.Reverse(left)
+		after := homesOf(&c, left, widths)
+		if !slices.Contains(homesOf(&c, hashes, []int{widths[0]}), hashes[gone]) {
+			assert.DeepEqual(t, homes, after)
+		}
+	})
+}
+
+func homesOf(c *prefix.Chain, hashes []uint64, widths []int) []uint64 {
+	pool := Pool{Hashes: hashes}
+	for i := range hashes {
+		pool.Members = append(pool.Members, i)
+	}
+	var h Homes
+	var out []uint64
+	for _, i := range h.Pick(c, &pool, widths) {
+		out = append(out, hashes[i])
+	}
+	return out
+}
+
+// The number of homes of a key follows its rate up and down.
+func TestWidthFollowsRate(t *testing.T) {
+	r := NewRates(1<<8, epoch)
+	now := epoch
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		r.Observe(now, 7)
+	}
+	hot := r.Rate(now, 7)
+	assert.Assert(t, hot > 90 && hot < 110, "rate %v", hot)
+	assert.Assert(t, Width(hot/20) > MinHomes)
+	assert.Equal(t, Width(r.Rate(now.Add(time.Minute), 7)/20), MinHomes)
+}
--- /dev/null
+++ b/internal/routing/choose.go
@@ -0,0 +1,230 @@
+package routing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/placement"
+)
+
+const (
+	// firstHomePrior and otherHomePrior are the presumed shares of a prompt's
+	// shared levels that the first and the other homes hold.
+	firstHomePrior = 0.9
+	otherHomePrior = 0.1
+	// slowIgnored is the slowdown taken as chance.
+	slowIgnored = 1.5
+	// longPart is the part of an engine's slots that long work may hold.
+	longPart = 0.5
+	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
+	deferrablePart = 0.75
+	// maxMarks bounds the levels of a prompt that hints are kept of.
+	maxMarks = 8
+)
+
+// choice is the outcome of choosing among a request's homes.
+type choice struct {
+	engine    *engine // nil when no home has room
+	cost      float64
+	uncached  float64 // tokens
+	candidate placement.Candidate
+	// busyCost is the least cost of a home without room, infinite when there is none.
+	busyCost float64
+	// any reports whether some home may run the request at all.
+	any bool
+}
+
+// choose returns the best home for a request. exclude, if not nil, is left out.
+func (p *Policy) choose(now time.Time, r *Request, homes []int, long bool, exclude *engine) choice {
+	price := p.price()
+	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
+	for rank, i := range homes {
+		e := p.engines[i]
+		if e == exclude || p.barred(now, e, r) {
+			continue
+		}
+		best.any = true
+		uncached := p.uncached(now, e, r, rank, len(homes))
+		c := p.candidate(now, e, uncached)
+		room := p.room(e, r, long)
+		if !room {
+			c.Wait += time.Duration(p.learned.stay.or(stayStart.Seconds()) / float64(max(1, e.ep.Slots)) * float64(time.Second))
+		}
+		cost := c.Cost(price)
+		switch {
+		case !room:
+			best.busyCost = min(best.busyCost, cost)
+		case cost < best.cost:
+			best.engine, best.cost, best.uncached, best.candidate = e, cost, uncached, c
+		}
+	}
+	return best
+}
+
+func (p *Policy) price() float64 {
+	switch {
+	case !p.rules.price:
+		return 1
+	case !p.rules.loadPrice:
+		return placement.Price(0)
+	default:
+		return placement.Price(p.load())
+	}
+}
+
+// load returns the share of all slots that is taken, as far as is known.
+func (p *Policy) load() float64 {
+	slots, taken := 0, 0
+	for _, e := range p.engines {
+		slots += e.ep.Slots
+		taken += e.own + e.peers.requests
+	}
+	if slots == 0 {
+		return 0
+	}
+	return float64(taken) / float64(slots)
+}
+
+func (p *Policy) candidate(now time.Time, e *engine, uncached float64) placement.Candidate {
+	c := placement.Candidate{
+		Wait:      p.speed.Tokens(p.backlog(now, e)),
+		Recompute: p.speed.Tokens(uncached),
+		Slowdown:  p.slowdown(now, e),
+		Delay:     2 * e.ep.Delay,
+	}
+	return c
+}
+
+// backlog returns the prompt tokens that the engine must compute first.
+func (p *Policy) backlog(_ time.Time, e *engine) float64 {
+	tokens := e.ownTokens
+	if p.rules.peerLoad {
+		tokens += float64(e.peers.tokens)
+	}
+	return tokens
+}
+
+// slowdown returns the engine's slowdown as used in decisions.
+func (p *Policy) slowdown(now time.Time, e *engine) float64 {
+	if !p.rules.slowdown {
+		return 1
+	}
+	s := p.ownSlowdown(now, e)
+	if p.rules.peerSlow {
+		s = max(s, e.peers.slowdown)
+	}
+	if s < slowIgnored {
+		return 1
+	}
+	return s
+}
+
+func (p *Policy) ownSlowdown(now time.Time, e *engine) float64 {
+	s := e.slow.Value(now)
+	if p.rules.waiting {
+		s = max(s, e.waitingSlowdown(now))
+	}
+	return s
+}
+
+// uncached predicts the prompt tokens that the engine must compute for r.
+func (p *Policy) uncached(now time.Time, e *engine, r *Request, rank, homes int) float64 {
+	c := &r.Chain
+	if len(c.LevelPieces) == 0 || c.Bytes == 0 {
+		return float64(r.PromptTokens)
+	}
+	shared := c.LevelPieces[max(0, len(c.LevelPieces)-2)]
+	held := 0
+	if p.rules.hints {
+		held = p.held(now, e, r)
+	}
+	expected := float64(held)
+	if shared > held && p.rules.order {
+		expected += p.prior(rank, homes) * float64(shared-held)
+	}
+	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
+	return float64(r.PromptTokens) * max(0, 1-share)
+}
+
+// prior returns the presumed share of the shared levels that a home holds.
+func (p *Policy) prior(rank, _ int) float64 {
+	if rank == 0 {
+		return firstHomePrior
+	}
+	return otherHomePrior
+}
+
+// held returns the number of leading pieces that the engine was seen to hold.
+func (p *Policy) held(now time.Time, e *engine, r *Request) int {
+	c := &r.Chain
+	for level := len(c.Levels) - 1; level >= max(0, len(c.Levels)-maxMarks); level-- {
+		if p.hints.Holds(now, c.Levels[level], e.hintKey) {
+			return c.LevelPieces[level]
+		}
+	}
+	return 0
+}
+
+// remember records that the engine holds the whole prompt.
+func (p *Policy) remember(now time.Time, e *engine, r *Request) {
+	c := &r.Chain
+	for level := max(0, len(c.Levels)-maxMarks); level < len(c.Levels); level++ {
+		if c.LevelPieces[level] > 0 {
+			p.hints.Store(now, c.Levels[level], e.hintKey)
+		}
+	}
+}
+
+// barred reports whether the engine must not get the request.
+func (p *Policy) barred(now time.Time, e *engine, r *Request) bool {
+	if slices.Contains(r.Avoid, e.ep.ID) || r.Alone && e.ownAlone > 0 {
+		return true
+	}
+	return p.rules.ejection && p.ejected(now, e)
+}
+
+// ejected reports whether the engine rests after failures. When its pause is
+// over, one attempt probes it.
+func (p *Policy) ejected(now time.Time, e *engine) bool {
+	if e.failures == 0 || p.resting > len(p.engines)/ejectDivisor {
+		return false
+	}
+	return now.Before(e.ejected) || e.probing
+}
+
+// ejectDivisor bounds ejected engines to a part of all.
+const ejectDivisor = 2
+
+// room reports whether the engine may run one more request of this kind.
+func (p *Policy) room(e *engine, r *Request, long bool) bool {
+	peers := e.peers.requests
+	if !p.rules.peerLoad {
+		peers = 0
+	}
+	total := e.own + peers
+	if p.rules.limits && e.own >= e.limit.Allowed(e.ep.Slots, p.daemons, p.known(e)) {
+		return false
+	}
+	if !p.rules.limits && e.own >= e.ep.Slots {
+		return false
+	}
+	if long && p.rules.longShare && e.ownLong+e.peers.long >= max(1, int(longPart*float64(e.ep.Slots))) {
+		return false
+	}
+	if r.Class.Deferrable && p.rules.deferral {
+		return total < max(1, int(deferrablePart*float64(e.ep.Slots)))
+	}
+	return true
+}
+
+// known returns how many requests others run at the engine, -1 when unknown.
+func (p *Policy) known(e *engine) int {
+	if p.rules.peerLoad && (len(p.peers) > 0 || p.daemons == 1) {
+		return e.peers.requests
+	}
+	if p.rules.reports && !e.report.At.IsZero() && p.now.Sub(e.report.At) < reportLife {
+		return max(0, e.report.Running+e.report.Queued-e.own)
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/routing/engine.go
@@ -0,0 +1,116 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/admission"
+	"github.com/verbenabend/verbenabend/internal/placement"
+)
+
+const (
+	// reportLife is how long an engine's load report is used.
+	reportLife = 3 * time.Second
+	// ejectFirst is the first pause after a failure; it doubles up to ejectMost.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 8 * time.Second
+)
+
+// engine is what the daemon knows of one incarnation of an engine.
+type engine struct {
+	ep      Endpoint
+	hintKey uint64
+	present bool
+	// own counts the daemon's attempts there, ownLong the long ones among
+	// them, ownAlone those that must run alone, and ownTokens the prompt
+	// tokens that still have to be computed for them.
+	own       int
+	ownLong   int
+	ownAlone  int
+	ownTokens float64
+	// unanswered are the attempts without a first token, in order of sending.
+	unanswered []*attempt
+	slow       placement.Slowdown
+	limit      admission.Limit
+	peers      peerSums
+	report     LoadReport
+	failures   int
+	ejected    time.Time
+	probing    bool
+}
+
+// peerSums adds up what peers shared of an engine.
+type peerSums struct {
+	tokens   int
+	requests int
+	long     int
+	slowdown float64 // the greatest; 0 when no peer shared any
+}
+
+func newEngine(ep Endpoint) *engine {
+	return &engine{ep: ep, hintKey: placement.EngineKey(ep.ID, ep.Incarnation)}
+}
+
+// waitingSlowdown returns the slowdown that the longest unanswered attempt proves.
+func (e *engine) waitingSlowdown(now time.Time) float64 {
+	worst := 1.0
+	for _, a := range e.unanswered[:min(len(e.unanswered), waitingLookahead)] {
+		worst = max(worst, placement.Ratio(now.Sub(a.sent)-a.delay, a.expected))
+	}
+	return worst
+}
+
+// waitingLookahead bounds the unanswered attempts that are looked at.
+const waitingLookahead = 2
+
+func (e *engine) add(a *attempt) {
+	e.own++
+	e.ownTokens += a.tokens
+	if a.long {
+		e.ownLong++
+	}
+	if a.alone {
+		e.ownAlone++
+	}
+	e.unanswered = append(e.unanswered, a)
+}
+
+// answered removes an attempt from those that wait for a first token.
+func (e *engine) answered(a *attempt) {
+	if a.answered {
+		return
+	}
+	a.answered = true
+	e.ownTokens = max(0, e.ownTokens-a.tokens)
+	for i, b := range e.unanswered {
+		if b == a {
+			e.unanswered = append(e.unanswered[:i], e.unanswered[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *engine) remove(a *attempt) {
+	e.answered(a)
+	e.own--
+	if a.long {
+		e.ownLong--
+	}
+	if a.alone {
+		e.ownAlone--
+	}
+}
+
+// failed records a failure of an attempt that was sent at the given time.
+func (e *engine) failed(now time.Time) {
+	pause := min(ejectFirst<<min(e.failures, 6), ejectMost)
+	e.failures++
+	e.ejected = now.Add(pause)
+	e.probing = false
+}
+
+// healthy records that the engine works.
+func (e *engine) healthy() {
+	e.failures = 0
+	e.ejected = time.Time{}
+	e.probing = false
+}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -1,108 +1,412 @@
 package routing
 
 import (
-	"slices"
+	"math/bits"
 	"time"
 
-	"github.com/verbenabend/verbenabend/internal/prefix"
+	"github.com/verbenabend/verbenabend/internal/admission"
+	"github.com/verbenabend/verbenabend/internal/placement"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
-// Policy is the product's Scheduler: a request goes to the least loaded of the
-// few home engines of its prompt, or waits in arrival order until one has a
-// free slot.
+const (
+	// defaultMaxWait applies to classes that state none.
+	defaultMaxWait = 10 * time.Second
+	// queueLimit bounds the requests that wait in a daemon.
+	queueLimit = 4096
+	// rateEntries and the hint entries bound the memory of the tables.
+	rateEntries       = 1 << 14
+	hintEntriesMin    = 1 << 14
+	hintEntriesMax    = 1 << 18
+	hintsPerEngine    = 1 << 10
+	defaultRetryAfter = time.Second
+)
+
+// Policy is the product's Scheduler. A request goes to the home of its prompt
+// with the least predicted cost, waits in a queue that is fair by
+// organisation, or is refused.
 type Policy struct {
-	settings  Settings
-	daemons   int
-	endpoints []Endpoint
-	hashes    []uint64
-	running   map[string]int
-	queue     []*Request
-	actions   []Action
+	rules   rules
+	now     time.Time
+	daemons int
+
+	engines []*engine
+	byID    map[string]*engine
+	pools   map[string]*placement.Pool
+	all     placement.Pool
+	resting int
+	// generation counts changes of the engines.
+	generation int
+
+	flights map[string]*flight
+	queue   *admission.Queue[*waiting]
+	fresh   []*admission.Item[*waiting]
+	dirty   bool
+	recheck time.Time
+
+	speed   *placement.Speed
+	learned learned
+	drain   drain
+	rates   *placement.Rates
+	hints   *placement.Hints
+	picker  placement.Homes
+	widths  []int
+
+	peers        map[string]*peerView
+	peersChecked time.Time
+	shared       []PeerLoad
+
+	hedges      hedgeHeap
+	hedgeBudget *admission.Budget
+	retryBudget *admission.Budget
+
+	pending []Action
+	actions []Action
+}
+
+// waiting is a request in the queue.
+type waiting struct {
+	request    *Request
+	long       bool
+	homes      []int
+	generation int
 }
 
 // New returns a Policy.
 func New(s Settings) *Policy {
-	return &Policy{settings: s, daemons: 1, running: map[string]int{}}
+	p := &Policy{
+		rules: newRules(s.Without), daemons: 1,
+		byID: map[string]*engine{}, pools: map[string]*placement.Pool{},
+		flights: map[string]*flight{}, peers: map[string]*peerView{},
+		speed:       placement.NewSpeed(),
+		hedgeBudget: admission.NewBudget(s.HedgePercent),
+		retryBudget: admission.NewBudget(s.RetryPercent),
+	}
+	p.queue = admission.NewQueue[*waiting](queueLimit, p.rules.fairness)
+	return p
 }
 
 var _ Scheduler = (*Policy)(nil)
 
 // SetEndpoints implements Scheduler.
-func (p *Policy) SetEndpoints(_ time.Time, endpoints []Endpoint) {
-	p.endpoints = endpoints
-	p.hashes = p.hashes[:0]
-	for _, e := range endpoints {
-		p.hashes = append(p.hashes, e.Hash)
+func (p *Policy) SetEndpoints(now time.Time, endpoints []Endpoint) {
+	p.tick(now)
+	old := p.byID
+	p.byID = make(map[string]*engine, len(endpoints))
+	p.engines = p.engines[:0]
+	p.pools = map[string]*placement.Pool{}
+	p.all = placement.Pool{}
+	for _, ep := range endpoints {
+		e := old[ep.ID]
+		if e == nil || e.ep.Incarnation != ep.Incarnation {
+			e = newEngine(ep)
+		}
+		e.ep = ep
+		e.present = true
+		p.byID[ep.ID] = e
+		p.addToPools(len(p.engines), e)
+		p.engines = append(p.engines, e)
+	}
+	p.keepBusy(old)
+	p.sizeTables(now)
+	p.countResting(now)
+	p.sumPeers()
+	p.generation++
+	p.dirty = true
+}
+
+// keepBusy keeps engines that are gone but still run the daemon's attempts,
+// so that they are known again if they come back.
+func (p *Policy) keepBusy(old map[string]*engine) {
+	for id, e := range old {
+		if p.byID[id] == nil && e.own > 0 {
+			e.present = false
+			p.byID[id] = e
+		}
+	}
+}
+
+func (p *Policy) addToPools(index int, e *engine) {
+	addToPool(&p.all, index, e)
+	for _, w := range e.ep.Weights {
+		pool := p.pools[w]
+		if pool == nil {
+			pool = &placement.Pool{}
+			p.pools[w] = pool
+		}
+		addToPool(pool, index, e)
+	}
+}
+
+func addToPool(pool *placement.Pool, index int, e *engine) {
+	pool.Members = append(pool.Members, index)
+	pool.Hashes = append(pool.Hashes, e.ep.Hash)
+}
+
+// sizeTables makes the tables on first use and grows the hints with the fleet.
+func (p *Policy) sizeTables(now time.Time) {
+	if p.rates == nil {
+		p.rates = placement.NewRates(rateEntries, now)
+	}
+	want := min(max(hintEntriesMin, len(p.engines)*hintsPerEngine), hintEntriesMax)
+	want = 1 << bits.Len(uint(want-1))
+	if p.hints == nil || p.hints.Bytes() < placement.HintBytes(want) {
+		p.hints = placement.NewHints(want, now)
 	}
 }
 
 // SetPeers implements Scheduler.
-func (p *Policy) SetPeers(_ time.Time, daemons int) { p.daemons = max(1, daemons) }
+func (p *Policy) SetPeers(now time.Time, daemons int) {
+	p.tick(now)
+	p.daemons = max(1, daemons)
+	p.dirty = true
+}
 
 // Submit implements Scheduler.
-func (p *Policy) Submit(_ time.Time, r *Request) { p.queue = append(p.queue, r) }
+func (p *Policy) Submit(now time.Time, r *Request) {
+	p.tick(now)
+	if r.Attempt > 0 && !p.retryBudget.Take() {
+		p.refuse(r, verdict.CodeOverloaded, defaultRetryAfter)
+		return
+	}
+	if r.Attempt == 0 {
+		p.retryBudget.Earn()
+		p.hedgeBudget.Earn()
+	}
+	p.observeRates(now, r)
+	item := p.newItem(now, r)
+	if pool := p.pool(r); pool == nil || len(pool.Members) == 0 {
+		p.refuse(r, verdict.CodeNoUpstream, defaultRetryAfter)
+		return
+	}
+	p.fresh = append(p.fresh, item)
+}
+
+func (p *Policy) newItem(now time.Time, r *Request) *admission.Item[*waiting] {
+	wait := r.Class.MaxWait
+	if wait <= 0 {
+		wait = defaultMaxWait
+	}
+	expires := now.Add(wait)
+	if !r.Deadline.IsZero() && r.Deadline.Before(expires) {
+		expires = r.Deadline
+	}
+	return &admission.Item[*waiting]{
+		ID: r.ID, Organisation: r.Organisation, Share: max(1, r.Share),
+		Priority: r.Class.Priority, Deferrable: r.Class.Deferrable,
+		Work: p.work(r), Queued: now, Expires: expires,
+		Value: &waiting{request: r, long: p.learned.long(r), generation: -1},
+	}
+}
+
+// work predicts how long a request holds a slot, in seconds.
+func (p *Policy) work(r *Request) float64 {
+	return p.learned.outputTokens(r)*p.learned.pace.or(paceStart.Seconds()) + p.speed.FirstToken(float64(r.PromptTokens)*workUncached).Seconds()
+}
+
+// workUncached is the share of a prompt assumed to be computed when work is predicted.
+const workUncached = 0.25
 
 // Withdraw implements Scheduler.
-func (p *Policy) Withdraw(_ time.Time, id string) {
-	p.queue = slices.DeleteFunc(p.queue, func(r *Request) bool { return r.ID == id })
+func (p *Policy) Withdraw(now time.Time, id string) {
+	p.tick(now)
+	for i, it := range p.fresh {
+		if it.ID == id {
+			p.fresh = append(p.fresh[:i], p.fresh[i+1:]...)
+			return
+		}
+	}
+	for i := range p.pending {
+		if p.pending[i].Request.ID == id {
+			p.pending = append(p.pending[:i], p.pending[i+1:]...)
+			return
+		}
+	}
+	p.queue.Remove(id)
 }
 
 // FirstToken implements Scheduler.
-func (p *Policy) FirstToken(time.Time, string, string, int) {}
+func (p *Policy) FirstToken(now time.Time, id, endpoint string, cachedTokens int) {
+	p.tick(now)
+	a := p.attempt(id, endpoint)
+	if a == nil || a.answered {
+		return
+	}
+	a.engine.answered(a)
+	a.first, a.progressAt = now, now
+	a.engine.healthy()
+	p.countResting(now)
+	observed := now.Sub(a.sent) - a.delay
+	tokens := a.ahead + max(0, float64(a.request.PromptTokens-cachedTokens))
+	a.engine.slow.Observe(now, placement.Ratio(observed, p.speed.FirstToken(tokens)))
+	if p.slowdown(now, a.engine) < slowIgnored {
+		p.speed.Observe(tokens, observed)
+	}
+	p.judgeHint(a, cachedTokens)
+	p.remember(now, a.engine, a.request)
+	p.dirty = true
+}
+
+// judgeHint compares the hint that an attempt relied on with what was cached.
+func (p *Policy) judgeHint(a *attempt, cachedTokens int) {
+	c := &a.request.Chain
+	if a.hinted < 0 || c.Bytes == 0 {
+		return
+	}
+	predicted := float64(a.hintedPieces*c.PieceBytes) / float64(c.Bytes) * float64(a.request.PromptTokens)
+	if float64(cachedTokens) >= hintTolerance*predicted {
+		p.hints.Confirm(a.hinted)
+	} else {
+		p.hints.Refute(a.hinted)
+	}
+}
+
+// hintTolerance is the part of the predicted tokens that confirms a hint.
+const hintTolerance = 0.8
 
 // Finished implements Scheduler.
-func (p *Policy) Finished(_ time.Time, _, endpoint string, _ Outcome, _ int) {
-	p.running[endpoint]--
-	if p.running[endpoint] <= 0 {
-		delete(p.running, endpoint)
+func (p *Policy) Finished(now time.Time, id, endpoint string, outcome Outcome, outputTokens int) {
+	p.tick(now)
+	f := p.flights[id]
+	if f == nil {
+		return
+	}
+	a := f.at(endpoint)
+	if a == nil {
+		return
+	}
+	e := a.engine
+	p.judgeWait(now, a, outcome)
+	e.remove(a)
+	f.remove(a)
+	if len(f.attempts) == 0 {
+		delete(p.flights, id)
+	}
+	p.judgeOutcome(now, a, outcome, outputTokens)
+	if !e.present && e.own == 0 && p.byID[e.ep.ID] == e {
+		delete(p.byID, e.ep.ID)
+	}
+	p.countResting(now)
+	p.dirty = true
+}
+
+// judgeWait keeps the evidence of an attempt that ends without a first token.
+func (p *Policy) judgeWait(now time.Time, a *attempt, outcome Outcome) {
+	if a.answered || outcome != Canceled || !p.rules.waiting {
+		return
+	}
+	ratio := placement.Ratio(now.Sub(a.sent)-a.delay, a.expected)
+	if ratio > a.engine.slow.Value(now) {
+		a.engine.slow.Observe(now, ratio)
+	}
+}
+
+func (p *Policy) judgeOutcome(now time.Time, a *attempt, outcome Outcome, outputTokens int) {
+	switch outcome {
+	case Completed:
+		a.engine.healthy()
+		a.engine.limit.Completed()
+		p.learned.completed(a.request, outputTokens, now.Sub(a.first), now.Sub(a.sent))
+		p.remember(now, a.engine, a.request)
+	case Rejected:
+		a.engine.limit.Refused(now)
+		a.engine.probing = false
+	case Failed:
+		a.engine.failed(now)
+	case Canceled:
+		a.engine.probing = false
+	}
+}
+
+// Progress implements ProgressObserver.
+func (p *Policy) Progress(now time.Time, id, endpoint string, outputTokens int) {
+	p.tick(now)
+	a := p.attempt(id, endpoint)
+	if a == nil || !a.answered || !p.rules.progress {
+		return
 	}
+	tokens := outputTokens - a.progress
+	if now.Sub(a.progressAt) < ProgressInterval {
+		return
+	}
+	expected := time.Duration(float64(tokens) * p.learned.pace.or(paceStart.Seconds()) * float64(time.Second))
+	ratio := placement.Ratio(now.Sub(a.progressAt), expected)
+	a.engine.slow.Observe(now, ratio)
+	a.progressAt, a.progress = now, outputTokens
 }
 
 // Report implements Scheduler.
-func (p *Policy) Report(time.Time, LoadReport) {}
+func (p *Policy) Report(now time.Time, r LoadReport) {
+	p.tick(now)
+	if e := p.byID[r.Endpoint]; e != nil && r.At.After(e.report.At) {
+		e.report = r
+	}
+}
 
 // Share implements Scheduler.
-func (p *Policy) Share(time.Time) []PeerLoad { return nil }
+func (p *Policy) Share(now time.Time) []PeerLoad {
+	p.tick(now)
+	return append([]PeerLoad(nil), p.share(now)...)
+}
 
 // Learn implements Scheduler.
-func (p *Policy) Learn(time.Time, string, []PeerLoad) {}
+func (p *Policy) Learn(now time.Time, peer string, loads []PeerLoad) {
+	p.tick(now)
+	p.learn(now, peer, loads)
+	p.dirty = true
+}
 
 // Advance implements Scheduler.
-func (p *Policy) Advance(time.Time) []Action {
-	p.actions = p.actions[:0]
-	p.queue = slices.DeleteFunc(p.queue, p.place)
+func (p *Policy) Advance(now time.Time) []Action {
+	p.tick(now)
+	p.actions = append(p.actions[:0], p.pending...)
+	clear(p.pending)
+	p.pending = p.pending[:0]
+	p.expirePeers(now)
+	p.dispatch(now)
+	p.expire(now)
+	p.hedge(now)
 	return p.actions
 }
 
 // NextWake implements Scheduler.
-func (p *Policy) NextWake(time.Time) time.Time { return time.Time{} }
-
-// place decides one request and reports whether it is decided.
-func (p *Policy) place(r *Request) bool {
-	var best *Endpoint
-	served := false
-	for _, i := range prefix.TopScores(nil, r.Chain.HomeKey(), p.hashes, len(p.hashes)) {
-		e := &p.endpoints[i]
-		if !slices.Contains(e.Weights, r.Weights) || slices.Contains(r.Avoid, e.ID) {
-			continue
-		}
-		served = true
-		if p.running[e.ID] >= e.Slots {
-			continue
-		}
-		if best == nil || p.running[e.ID] < p.running[best.ID] {
-			best = e
-		}
+func (p *Policy) NextWake(time.Time) time.Time {
+	wake := p.queue.NextExpiry()
+	if len(p.hedges) > 0 {
+		wake = earlier(wake, p.hedges[0].at)
+	}
+	if p.queue.Len() > 0 {
+		wake = earlier(wake, p.recheck)
 	}
-	switch {
-	case !served:
-		p.actions = append(p.actions, Action{Kind: Refuse, Request: r, Code: verdict.CodeNoUpstream, RetryAfter: time.Second})
-		return true
-	case best == nil:
-		return false
+	return wake
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (p *Policy) tick(now time.Time) { p.now = now }
+
+func (p *Policy) refuse(r *Request, code verdict.Code, after time.Duration) {
+	p.pending = append(p.pending, Action{Kind: Refuse, Request: r, Code: code, RetryAfter: after})
+}
+
+func (p *Policy) attempt(id, endpoint string) *attempt {
+	f := p.flights[id]
+	if f == nil {
+		return nil
+	}
+	return f.at(endpoint)
+}
+
+func (p *Policy) countResting(now time.Time) {
+	p.resting = 0
+	for _, e := range p.engines {
+		if e.failures > 0 && now.Before(e.ejected) {
+			p.resting++
+		}
 	}
-	p.running[best.ID]++
-	p.actions = append(p.actions, Action{Kind: Start, Request: r, Endpoint: best.ID, Incarnation: best.Incarnation})
-	return true
 }
--- /dev/null
+++ b/internal/routing/policy_test.go
@@ -0,0 +1,229 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/prefix"
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const testWeights = "opal@1"
+
+func testEndpoints(n, slots int) []Endpoint {
+	var out []Endpoint
+	for i := range n {
+		id := fmt.Sprintf("10.0.0.%d:1", i)
+		out = append(out, Endpoint{ID: id, Incarnation: "1", Weights: []string{testWeights}, Slots: slots, Hash: prefix.NodeHash(id)})
+	}
+	return out
+}
+
+func testRequest(id, family int, class Class) *Request {
+	c := prefix.New(prefix.Scope{Weights: testWeights}, []string{"catalogue of spools", fmt.Sprint("family", family), fmt.Sprint("question", id)}, 4)
+	return &Request{
+		ID: fmt.Sprint(id), Organisation: fmt.Sprint("o", id%3), Share: 1, Class: class, Weights: testWeights,
+		Chain: c, PromptTokens: 100 * len(c.Pieces), MaxOutputTokens: 256, Repeatable: id%2 == 0,
+	}
+}
+
+// model is the oracle: what every request and engine may be doing.
+type model struct {
+	waiting  map[string]*Request
+	since    map[string]time.Time
+	running  map[string][]string // endpoints a request
+	requests map[string]*Request
+	starts   int
+	hedges   int
+	first    int
+	retries  int
+}
+
+func (m *model) load(endpoint string) int {
+	n := 0
+	for _, at := range m.running {
+		if slices.Contains(at, endpoint) {
+			n++
+		}
+	}
+	return n
+}
+
+// Every request gets exactly one of start, refusal or withdrawal; no engine
+// runs more than its slots allow this daemon; nobody waits past the longest
+// wait of its class; budgets hold; what may not be repeated has no second copy.
+func TestPolicyKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hedgePercent, retryPercent = 20, 30
+		p := New(Settings{HedgePercent: hedgePercent, RetryPercent: retryPercent})
+		now, next, slots := epoch, 0, rapid.IntRange(1, 4).Draw(t, "slots")
+		m := &model{waiting: map[string]*Request{}, since: map[string]time.Time{}, running: map[string][]string{}, requests: map[string]*Request{}}
+		p.SetEndpoints(now, testEndpoints(4, slots))
+		submit := func(r *Request) {
+			m.waiting[r.ID], m.since[r.ID], m.requests[r.ID] = r, now, r
+			p.Submit(now, r)
+		}
+		advance := func(t *rapid.T) {
+			for _, a := range p.Advance(now) {
+				id := a.Request.ID
+				switch a.Kind {
+				case Hedge:
+					m.hedges++
+					assert.Assert(t, a.Request.Repeatable)
+					assert.Equal(t, len(m.running[id]), 1)
+					assert.Assert(t, m.running[id][0] != a.Endpoint)
+					m.running[id] = append(m.running[id], a.Endpoint)
+				case Start:
+					assert.Equal(t, m.waiting[id], a.Request)
+					delete(m.waiting, id)
+					m.running[id] = append(m.running[id], a.Endpoint)
+					assert.Assert(t, !slices.Contains(a.Request.Avoid, a.Endpoint))
+					m.starts++
+					if a.Request.Attempt > 0 {
+						m.retries++
+					}
+				case Refuse:
+					assert.Equal(t, m.waiting[id], a.Request)
+					delete(m.waiting, id)
+					assert.Assert(t, a.Code != "" && a.RetryAfter > 0)
+				}
+				assert.Assert(t, m.load(a.Endpoint) <= slots)
+			}
+			for id, r := range m.waiting {
+				assert.Assert(t, now.Sub(m.since[id]) < r.Class.MaxWait)
+			}
+			assert.Assert(t, m.hedges*100 <= m.first*hedgePercent)
+			assert.Assert(t, m.retries*100 <= m.first*retryPercent)
+		}
+		pick := func(t *rapid.T) (string, string) {
+			ids := make([]string, 0, len(m.running))
+			for id := range m.running {
+				ids = append(ids, id)
+			}
+			if len(ids) == 0 {
+				t.Skip("nothing runs")
+			}
+			slices.Sort(ids)
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			return id, rapid.SampledFrom(m.running[id]).Draw(t, "endpoint")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				class := Class{Priority: 5, MaxWait: 2 * time.Second}
+				if rapid.Bool().Draw(t, "deferrable") {
+					class = Class{Priority: 1, MaxWait: 5 * time.Second, Deferrable: true}
+				}
+				next++
+				m.first++
+				submit(testRequest(next, rapid.IntRange(0, 5).Draw(t, "family"), class))
+				advance(t)
+			},
+			"withdraw": func(t *rapid.T) {
+				for id := range m.waiting {
+					delete(m.waiting, id)
+					p.Withdraw(now, id)
+					break
+				}
+				advance(t)
+			},
+			"first token": func(t *rapid.T) {
+				id, endpoint := pick(t)
+				p.FirstToken(now, id, endpoint, rapid.IntRange(0, m.requests[id].PromptTokens).Draw(t, "cached"))
+				advance(t)
+			},
+			"finish": func(t *rapid.T) {
+				id, endpoint := pick(t)
+				outcome := rapid.SampledFrom([]Outcome{Completed, Rejected, Failed, Canceled}).Draw(t, "outcome")
+				m.running[id] = slices.DeleteFunc(m.running[id], func(e string) bool { return e == endpoint })
+				over := len(m.running[id]) == 0
+				if over {
+					delete(m.running, id)
+				}
+				p.Finished(now, id, endpoint, outcome, 50)
+				if over && outcome == Rejected {
+					r := *m.requests[id]
+					r.Attempt++
+					r.Avoid = append(slices.Clone(r.Avoid), endpoint)
+					submit(&r)
+				}
+				advance(t)
+			},
+			"wait": func(t *rapid.T) {
+				until := now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				for wake := p.NextWake(now); !wake.IsZero() && !wake.After(until); wake = p.NextWake(now) {
+					if wake.After(now) {
+						now = wake
+					} else {
+						now = now.Add(time.Millisecond)
+					}
+					advance(t)
+				}
+				now = until
+				advance(t)
+			},
+			"learn": func(t *rapid.T) {
+				p.SetPeers(now, 2)
+				p.Learn(now, "b", []PeerLoad{{Endpoint: "10.0.0.1:1", Incarnation: "1", Requests: rapid.IntRange(0, slots).Draw(t, "requests"), Outstanding: 500, Slowdown: 3}})
+				advance(t)
+			},
+		})
+	})
+}
+
+// settle submits one request and returns where it starts.
+func startOf(t *testing.T, p *Policy, now time.Time, r *Request) string {
+	t.Helper()
+	p.Submit(now, r)
+	for _, a := range p.Advance(now) {
+		if a.Kind == Start && a.Request == r {
+			return a.Endpoint
+		}
+	}
+	t.Fatal("did not start")
+	return ""
+}
+
+// A daemon that has just started sends the first request of a prompt where
+// its peers, which have served it for long, send theirs.
+func TestRestartedDaemonFindsTheCaches(t *testing.T) {
+	class := Class{Priority: 5, MaxWait: time.Second}
+	for family := range 20 {
+		old := New(Settings{})
+		old.SetEndpoints(epoch, testEndpoints(12, 8))
+		now := epoch
+		var at string
+		for id := range 30 {
+			r := testRequest(id, family, class)
+			at = startOf(t, old, now, r)
+			now = now.Add(50 * time.Millisecond)
+			old.FirstToken(now, r.ID, at, r.PromptTokens-100)
+			old.Finished(now, r.ID, at, Completed, 20)
+		}
+		started := New(Settings{})
+		started.SetEndpoints(now, testEndpoints(12, 8))
+		assert.Equal(t, startOf(t, started, now, testRequest(99, family, class)), at)
+	}
+}
+
+// A request that waits past its prediction is evidence at once, here and,
+// once shared, at peers.
+func TestWaitingIsEvidence(t *testing.T) {
+	class := Class{Priority: 5, MaxWait: time.Second}
+	p, peer := New(Settings{}), New(Settings{})
+	p.SetEndpoints(epoch, testEndpoints(12, 8))
+	peer.SetEndpoints(epoch, testEndpoints(12, 8))
+	slow := startOf(t, p, epoch, testRequest(1, 1, class))
+	now := epoch.Add(3 * time.Second)
+	assert.Assert(t, startOf(t, p, now, testRequest(3, 1, class)) != slow)
+	peer.Learn(now, "p", p.Share(now))
+	assert.Assert(t, startOf(t, peer, now, testRequest(5, 1, class)) != slow)
+}
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -112,10 +112,13 @@
 type PeerLoad struct {
 	Endpoint    string
 	Incarnation string
-	// Outstanding is the work in tokens that the daemon has at the engine.
+	// Outstanding is the number of prompt tokens that the engine must still
+	// compute for the daemon's requests before their first tokens.
 	Outstanding int
 	// Requests is the number of its requests there.
 	Requests int
+	// Long is how many of them hold a slot for long.
+	Long int
 	// Slowdown is the engine's observed time over its expected time; 1 is normal.
 	Slowdown float64
 }
@@ -149,6 +152,17 @@
 	NextWake(now time.Time) time.Time
 }
 
+// ProgressObserver is implemented by a Scheduler that learns from answers as
+// they come. A caller that streams tells it, for each attempt that generates,
+// at most every ProgressInterval.
+type ProgressObserver interface {
+	// Progress reports how many output tokens of an attempt have come so far.
+	Progress(now time.Time, id, endpoint string, outputTokens int)
+}
+
+// ProgressInterval is the least time between two reports of an attempt's progress.
+const ProgressInterval = 100 * time.Millisecond
+
 // Settings tunes a Scheduler.
 type Settings struct {
 	// HedgePercent bounds hedges, in percent of requests.
