--- a/lab/main.go
+++ b/lab/main.go
@@ -2,4 +2,16 @@
 // load and measure it. It is never shipped.
 package main
 
-func main() {}
+import (
+	"github.com/alecthomas/kong"
+
+	"github.com/verbenabend/verbenabend/lab/measure"
+)
+
+func main() {
+	var cli struct {
+		Measure measure.Cmd `cmd:"" help:"Measure the decisions against engine models in virtual time."`
+	}
+	ctx := kong.Parse(&cli)
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/lab/measure/random.go
@@ -0,0 +1,56 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// newRand returns the random stream of one purpose of a run, so that what one
+// part draws never changes what another draws.
+func newRand(seed uint64, purpose string) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, mixName(purpose)))
+}
+
+func mixName(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+// mix combines two numbers to a well distributed one.
+func mix(a, b uint64) uint64 {
+	x := a*0x9e3779b97f4a7c15 + b + 0x632be59bd9b4e019
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// zipf draws ranks 0 to n-1 with probability falling as rank^-skew.
+type zipf struct{ sums []float64 }
+
+func newZipf(n int, skew float64) zipf {
+	z := zipf{sums: make([]float64, n)}
+	total := 0.0
+	for i := range n {
+		total += math.Pow(float64(i+1), -skew)
+		z.sums[i] = total
+	}
+	return z
+}
+
+func (z zipf) draw(r *rand.Rand) int {
+	return sort.SearchFloat64s(z.sums, r.Float64()*z.sums[len(z.sums)-1])
+}
+
+func (s span) draw(r *rand.Rand) int { return s.low + r.IntN(s.high-s.low+1) }
+
+// exponential draws an interval with the given mean.
+func exponential(r *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(r.ExpFloat64() * float64(mean))
+}
--- /dev/null
+++ b/lab/measure/scenario.go
@@ -0,0 +1,133 @@
+package measure
+
+import (
+	"time"
+)
+
+// scenario is what happens during a run. The zero value is steady traffic.
+type scenario struct {
+	name string
+	// start is when the disturbance begins, counted from the end of the warm-up, and lasts its length.
+	start, lasts time.Duration
+	// after is how long arrivals go on after the disturbance; zero means the workload's measured time.
+	after time.Duration
+	// load is the offered load in the disturbance over the steady load; zero means 1.
+	load float64
+	// greedy is the one organisation that the load applies to, counted from 1; zero means all.
+	greedy int
+	// shifted makes other prefixes hot from the start of the disturbance on.
+	shifted bool
+	// withoutLong leaves out long answers.
+	withoutLong bool
+	// newWeights makes callers ask for new weights once engines have loaded them.
+	newWeights bool
+	// callersRetry makes callers send refused work again.
+	callersRetry bool
+	// reportLag replaces the usual lag of load reports.
+	reportLag time.Duration
+	// inject schedules faults.
+	inject func(*world)
+}
+
+const disturbanceStart = 10 * time.Second
+
+func (s scenario) length(w workload) time.Duration {
+	if s.after == 0 {
+		return w.measured
+	}
+	return s.start + s.lasts + s.after
+}
+
+// begin and end are the disturbance in time of the run.
+func (s scenario) begin(w workload) time.Duration { return w.warm + s.start }
+func (s scenario) end(w workload) time.Duration   { return s.begin(w) + s.lasts }
+
+// peak returns the greatest value of rate.
+func (s scenario) peak(_ workload, org int) float64 {
+	if s.load == 0 || s.greedy != 0 && s.greedy != org+1 {
+		return 1
+	}
+	return max(1, s.load)
+}
+
+// rate returns an organisation's load at a time over its steady load.
+func (s scenario) rate(w workload, org int, at time.Duration) float64 {
+	if at < s.begin(w) || at >= s.end(w) {
+		return 1
+	}
+	return s.peak(w, org)
+}
+
+func (s scenario) drops(k *kind) bool { return s.withoutLong && k.long }
+
+// shift returns how often the hot set has changed.
+func (s scenario) shift(w workload, at time.Duration) int {
+	if s.shifted && at >= s.begin(w) {
+		return 1
+	}
+	return 0
+}
+
+// weights returns the version of the weights that callers ask for.
+func (s scenario) weights(w workload, at time.Duration) int {
+	if s.newWeights && at >= s.end(w) {
+		return 2
+	}
+	return 1
+}
+
+// scenarios returns all scenarios in the order of the tables.
+func scenarios() []scenario {
+	return []scenario{
+		{name: "steady"},
+		{name: "crest", start: disturbanceStart, lasts: 20 * time.Second, after: 20 * time.Second, load: 2 / steadyLoad},
+		{name: "slowed", inject: slowInTurn},
+		{name: "hot-shift", start: disturbanceStart, lasts: time.Second, after: 40 * time.Second, shifted: true},
+		{name: "herd-restart", start: disturbanceStart, lasts: time.Second, after: 20 * time.Second, inject: restartAll},
+		{name: "engine-crash", start: disturbanceStart, lasts: 5 * time.Second, after: 20 * time.Second, inject: crashOne},
+		{name: "long-and-short"},
+		{name: "short-only", withoutLong: true},
+	}
+}
+
+// restartAll replaces all daemons at once. Running streams are resumed; what
+// waited in a daemon is sent again by its caller.
+func restartAll(w *world) {
+	w.at(w.scenario.begin(w.load), func() {
+		for _, d := range w.daemons {
+			w.restart(d)
+		}
+	})
+}
+
+// crashOne crashes an engine, which comes back empty at the disturbance's end.
+func crashOne(w *world) {
+	e := w.engines[newRand(w.seed, "crash").IntN(len(w.engines))]
+	w.at(w.scenario.begin(w.load), func() { w.crash(e) })
+	w.at(w.scenario.end(w.load), func() { w.restore(e) })
+}
+
+const (
+	slowEngines  = 2
+	slowFactor   = 5
+	slowInterval = 4 * time.Second
+)
+
+// slowInTurn slows two engines at a time and moves on every four seconds.
+func slowInTurn(w *world) {
+	r := newRand(w.seed, "slowed")
+	var slowed []*engine
+	var move func()
+	move = func() {
+		for _, e := range slowed {
+			w.setSlowdown(e, 1)
+		}
+		slowed = slowed[:0]
+		for _, i := range r.Perm(len(w.engines))[:slowEngines] {
+			slowed = append(slowed, w.engines[i])
+			w.setSlowdown(w.engines[i], slowFactor)
+		}
+		w.after(slowInterval, move)
+	}
+	w.at(w.load.warm-slowInterval, move)
+}
