--- a/lab/main.go
+++ b/lab/main.go
@@ -15,6 +15,7 @@
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/lab/demo"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/measure"
 	"github.com/verbenabend/verbenabend/lab/platform"
 	"github.com/verbenabend/verbenabend/lab/service"
 )
@@ -24,6 +25,7 @@
 	Platform platformCmd `cmd:"" help:"Run a stand-in platform."`
 	Engine   engineCmd   `cmd:"" help:"Run a stand-in model engine."`
 	Service  serviceCmd  `cmd:"" help:"Run a stand-in plain service."`
+	Measure  measure.Cmd `cmd:"" help:"Measure the decisions against engine models in virtual time."`
 }
 
 type platformCmd struct {
