Run scripted scenarios against separate processes; probe only what a document describes

Cause: an upstream listed before its document was probed as a plain service and announced as serving without weights; the first questions after a submit were refused with no_upstream (scenarios/whole-path.txtar failed so). Ruled out: gossip delivering stale facts (the watcher itself was wrong). After: an upstream stays unknown until its service has a document, and the adoption of a document probes at once. go test ./lab passes.

--- /dev/null
+++ b/internal/cli/daemoncli/main.go
@@ -0,0 +1,85 @@
+// Package daemoncli is the command line of the daemon of one entry instance.
+package daemoncli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/verbenabend/verbenabend/internal/daemon"
+	"github.com/verbenabend/verbenabend/internal/settings"
+)
+
+// exitUsage is the exit code for wrong usage, exitFailed for a failure.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type commands struct {
+	Run   runCommand   `cmd:"" help:"Serve until SIGTERM, then drain. A second signal ends the process at once."`
+	Check checkCommand `cmd:"" help:"Check a settings file; every fault is listed."`
+}
+
+type runCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings in JSON."`
+}
+
+type checkCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings in JSON."`
+}
+
+// Run serves.
+func (c *runCommand) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, daemon.NewLogger(s))
+	if err != nil {
+		return err
+	}
+	hard, stop := context.WithCancel(context.Background())
+	defer stop()
+	ctx, drain := context.WithCancel(hard)
+	defer drain()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		drain()
+		<-signals
+		stop()
+	}()
+	return d.Run(ctx, hard)
+}
+
+// Run checks.
+func (c *checkCommand) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("yes: %s would run as %s in %s\n", c.Settings, s.Name, s.DataCentre)
+	return nil
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string) int {
+	var c commands
+	parser := kong.Must(&c, kong.Name("verbenabendd"), kong.Description("The entry daemon of verbenabend."), kong.UsageOnError())
+	k, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "verbenabendd:", err)
+		return exitUsage
+	}
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "no:", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/cmd/verbenabend/status.go
+++ b/internal/cli/operatorcli/status.go
@@ -1,4 +1,4 @@
-package main
+package operatorcli
 
 import (
 	"context"
@@ -60,7 +60,7 @@
 
 // callerFlags locate an entry for a caller.
 type callerFlags struct {
-	Entry string `env:"VERBENABEND_ENTRY" default:"http://127.0.0.1:7001" placeholder:"URL" help:"Caller listener of a daemon. Also VERBENABEND_ENTRY."`
+	Entry string `env:"VERBENABEND_ENTRY" default:"http://127.0.0.1:7011" placeholder:"URL" help:"Caller listener of a daemon. Also VERBENABEND_ENTRY."`
 	Key   string `env:"VERBENABEND_CALLER_KEY" placeholder:"KEY" help:"The organisation's key. Also VERBENABEND_CALLER_KEY."`
 }
 
--- a/cmd/verbenabend/timeline.go
+++ b/internal/cli/operatorcli/timeline.go
@@ -1,4 +1,4 @@
-package main
+package operatorcli
 
 import (
 	"context"
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -144,3 +144,19 @@
 	e.RetryAfter = time.Duration(body.Error.RetryAfterMS) * time.Millisecond
 	return e
 }
+
+// Failure is a failure in a form to print.
+type Failure struct {
+	Code    verdict.Code `json:"code"`
+	Verdict string       `json:"verdict"`
+	Message string       `json:"message"`
+}
+
+// Describe returns what err says.
+func Describe(err error) Failure {
+	f := Failure{Verdict: verdict.Of(err).String(), Message: err.Error()}
+	if e, ok := verdict.As(err); ok {
+		f.Code = e.Code
+	}
+	return f
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,7 +25,6 @@
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
 	"github.com/verbenabend/verbenabend/internal/resume"
-	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/settings"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
@@ -64,12 +63,13 @@
 	draining   atomic.Bool
 	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
 	told       map[string]toldEngine
+	adopted    chan struct{} // a document was adopted
 	inFlight   atomic.Int64
 }
 
 // New returns a daemon that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}}
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, adopted: make(chan struct{}, 1)}
 	d.provisionClients()
 	d.provisionMembers()
 	if err := d.provisionPeers(); err != nil {
@@ -103,7 +103,7 @@
 
 func (d *Daemon) provisionState() {
 	objects := d.client.Objects()
-	d.catalogue = docstore.NewCatalogue(d.log, func(*servicedoc.Accepted) {})
+	d.catalogue = docstore.NewCatalogue(d.log, d.documentAdopted)
 	announcer := docstore.NewAnnouncer(d.node)
 	d.documents = docstore.NewStore(d.table, objects, d.catalogue, announcer.Announce, d.log)
 	d.poller = docstore.NewPoller(d.table, objects, d.catalogue, announcer, time.Duration(d.settings.Platform.PollInterval), d.log)
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -12,6 +12,7 @@
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 )
 
@@ -33,8 +34,7 @@
 		d.followDocuments,
 		d.once.Run,
 		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
-		d.every(probeInterval, d.probeAll),
-		d.every(probeInterval, d.tellEngines),
+		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
 		d.every(memberInterval, d.refreshMembers),
 	}
@@ -112,6 +112,32 @@
 	}
 }
 
+// probeLoop probes at each interval, and at once when a document is adopted:
+// only then is it known what stands behind its service.
+func (d *Daemon) probeLoop(ctx context.Context) error {
+	for {
+		d.probeAll(ctx)
+		d.tellEngines()
+		timer := time.NewTimer(backoff.Around(probeInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-d.adopted:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// documentAdopted wakes the probe loop.
+func (d *Daemon) documentAdopted(*servicedoc.Accepted) {
+	select {
+	case d.adopted <- struct{}{}:
+	default:
+	}
+}
+
 // probeAll asks every upstream that this daemon watches for its state.
 func (d *Daemon) probeAll(ctx context.Context) {
 	var group errgroup.Group
@@ -131,10 +157,15 @@
 	if !ok {
 		return
 	}
+	doc := d.catalogue.Get(u.Service)
+	if doc == nil {
+		return // what stands behind a service is not known without its document
+	}
+	isEngine := doc.Document.Kind == servicedoc.KindModel
 	asked := time.Now()
 	var state upstream.EngineState
 	var err error
-	if d.isEngine(u.Service) {
+	if isEngine {
 		state, err = d.engines.State(ctx, address)
 	} else {
 		err = d.services.Check(ctx, address)
@@ -147,7 +178,7 @@
 		return
 	}
 	d.probes.Delete(address)
-	if !d.isEngine(u.Service) {
+	if !isEngine {
 		d.setState(u, fleet.Serving)
 		return
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -115,7 +115,7 @@
 
 // tellEngines publishes the state of watched upstreams that changed or whose
 // fact is due for renewal.
-func (d *Daemon) tellEngines(context.Context) {
+func (d *Daemon) tellEngines() {
 	snapshot := d.fleet.Snapshot()
 	for _, address := range d.watched() {
 		u := snapshot.ByAddress[address]
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -8,7 +8,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/verbenabend/verbenabend/internal/entry"
-	"github.com/verbenabend/verbenabend/internal/servicedoc"
 )
 
 // Status gives the daemon's view of the system.
@@ -55,13 +54,6 @@
 	return out
 }
 
-// isEngine reports whether a service is one of model engines; a service
-// without a document is taken for one if it answers as one.
-func (d *Daemon) isEngine(service string) bool {
-	doc := d.catalogue.Get(service)
-	return doc != nil && doc.Document.Kind == servicedoc.KindModel
-}
-
 func (d *Daemon) writeMetrics(w http.ResponseWriter) {
 	metrics.WritePrometheus(w, true)
 }
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -204,7 +204,7 @@
 	s.streams[g.id] = g
 	s.started++
 	missing := chain.Bytes - hits*s.config.PieceBytes
-	answer := fmt.Sprintf("%016x", prefix.NodeHash(organisation+"\x00"+strings.Join(levels, "\x00")))
+	answer := answerOf(organisation, levels)
 	go s.work(ctx, g, missing, answer, req.MaxTokens)
 	return g, 0, ""
 }
@@ -242,7 +242,7 @@
 		if !s.pause(ctx, s.config.TokenInterval) {
 			return
 		}
-		g.append(token{text: answer + "-" + strconv.Itoa(i) + " ", finish: finish})
+		g.append(token{text: tokenText(answer, i), finish: finish})
 	}
 }
 
@@ -298,3 +298,20 @@
 		*field = value
 	}
 }
+
+// AnswerText returns the whole answer that every engine gives to a prompt, so
+// that a test can tell whether a caller received its own.
+func AnswerText(organisation string, levels []string, tokens int) string {
+	answer := answerOf(organisation, levels)
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(tokenText(answer, i))
+	}
+	return b.String()
+}
+
+func answerOf(organisation string, levels []string) string {
+	return fmt.Sprintf("%016x", prefix.NodeHash(organisation+"\x00"+strings.Join(levels, "\x00")))
+}
+
+func tokenText(answer string, i int) string { return answer + "-" + strconv.Itoa(i) + " " }
--- a/lab/main.go
+++ b/lab/main.go
@@ -88,16 +88,19 @@
 	exitUsage  = 2
 )
 
-func main() {
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
 	var c commands
 	parser := kong.Must(&c, kong.Name("lab"), kong.Description("Stand-ins, load and measurements for verbenabend."), kong.UsageOnError())
-	k, err := parser.Parse(os.Args[1:])
+	k, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
-		os.Exit(exitUsage)
+		return exitUsage
 	}
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
-		os.Exit(exitFailed)
+		return exitFailed
 	}
+	return 0
 }
