Spread prompts over as many homes as their rate needs, the rest in reserve

Rates are now the decayed count over 10 s less its standard deviation, and the width of a level is what its rate needs, from 1 up; the rest of the 3 homes are a reserve.

--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// MinHomes is the number of homes of a key that is rarely asked for.
+	// MinHomes is the number of homes of a key that is rarely asked for, the
+	// reserve included.
 	MinHomes = 3
 	// homeUtilisation is the load of a home that the growth of homes aims at.
-	homeUtilisation = 0.5
+	homeUtilisation = 0.8
 	// MaxHomes bounds the homes of one key.
 	MaxHomes = 64
 )
@@ -23,10 +24,10 @@
 	Hashes []uint64
 }
 
-// Width returns how many homes a key needs whose requests keep the given
-// number of engines busy.
+// Width returns over how many homes a key's requests are spread when they
+// keep the given number of engines busy.
 func Width(busyEngines float64) int {
-	return min(MaxHomes, max(MinHomes, int(math.Ceil(busyEngines/homeUtilisation))+1))
+	return min(MaxHomes, max(1, int(math.Ceil(busyEngines/homeUtilisation))))
 }
 
 // Homes narrows a pool to the homes of one prompt. It keeps buffers between
@@ -36,20 +37,26 @@
 	picked []int
 }
 
-// Pick returns the homes in order of preference, as members of the pool. At
-// each level but the last, from the first, it keeps those of the remaining
-// engines that score highest for the level's hash, as many as widths says for
-// the level; it ends after the second level as soon as no more than MinHomes
-// are left. Prompts that share their first levels thus share homes, and a
+// Pick returns the homes in order of preference, as members of the pool. The
+// first shared level keeps the engines that score highest for it, as many as
+// widths says but at least MinHomes. Each next level orders anew those first
+// ones that the widths of the levels before spread their prompts over, and
+// the rest stay behind as a reserve. Prompts that share their first levels
+// thus share homes, more of them the more often they are asked for, and a
 // conversation that grows keeps its own. The slice is valid until the next call.
 func (h *Homes) Pick(c *prefix.Chain, pool *Pool, widths []int) []int {
 	h.reset(pool)
+	spread := h.scored
 	for level, width := range widths {
-		if width >= len(h.scored) && level < len(widths)-1 {
-			continue
+		h.score(SharedKey(c, level), pool, spread)
+		if level == 0 {
+			h.scored = prefix.Top(h.scored, max(width, MinHomes))
+			spread = h.scored
+		} else {
+			prefix.Top(spread, len(spread))
 		}
-		h.narrow(SharedKey(c, level), pool, width)
-		if level > 0 && len(h.scored) <= MinHomes {
+		spread = spread[:min(width, len(spread))]
+		if len(spread) <= 1 {
 			break
 		}
 	}
@@ -59,7 +66,8 @@
 // PickFlat returns the n engines that score highest for the prompt's home key.
 func (h *Homes) PickFlat(c *prefix.Chain, pool *Pool, n int) []int {
 	h.reset(pool)
-	h.narrow(c.HomeKey(), pool, n)
+	h.score(c.HomeKey(), pool, h.scored)
+	h.scored = prefix.Top(h.scored, max(n, MinHomes))
 	return h.members(pool)
 }
 
@@ -82,12 +90,11 @@
 	}
 }
 
-func (h *Homes) narrow(key uint64, pool *Pool, n int) {
-	for i := range h.scored {
-		s := &h.scored[i]
+func (h *Homes) score(key uint64, pool *Pool, scored []prefix.Scored) {
+	for i := range scored {
+		s := &scored[i]
 		s.Score = prefix.Score(key, pool.Hashes[s.Index])
 	}
-	h.scored = prefix.Top(h.scored, n)
 }
 
 func (h *Homes) members(pool *Pool) []int {
--- a/internal/placement/rates.go
+++ b/internal/placement/rates.go
@@ -8,7 +8,7 @@
 const (
 	rateWays = 4
 	// rateDecay is the time constant of measured rates.
-	rateDecay = 3 * time.Second
+	rateDecay = 10 * time.Second
 	// rateEntryBytes is the size of one entry.
 	rateEntryBytes = 24
 )
@@ -80,4 +80,9 @@
 	return e.weight * math.Exp((e.at-t)/rateDecay.Seconds())
 }
 
-func (e *rateEntry) rate(t float64) float64 { return e.decayed(t) / rateDecay.Seconds() }
+// rate is a cautious estimate: the decayed count less its standard deviation,
+// so that a key seen once is not taken to be frequent.
+func (e *rateEntry) rate(t float64) float64 {
+	w := e.decayed(t)
+	return max(0, w-math.Sqrt(w)) / rateDecay.Seconds()
+}
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -196,7 +196,7 @@
 // width returns the number of homes for a key at its measured rate.
 func (p *Policy) width(now time.Time, key uint64) int {
 	if !p.rules.growth || len(p.engines) == 0 {
-		return placement.MinHomes
+		return 1
 	}
 	rate := p.rates.Rate(now, key) * float64(p.daemons)
 	return placement.Width(rate * p.learned.stay.or(stayStart.Seconds()) / float64(max(1, p.engines[0].ep.Slots)))
