--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -32,14 +32,16 @@
 	Slowdown float64
 	// Delay is the network delay both ways.
 	Delay time.Duration
+	// Overrun is how far the engine is behind its predictions.
+	Overrun time.Duration
 }
 
 // Cost returns the predicted cost of a candidate in seconds.
 func (c *Candidate) Cost(price float64) float64 {
-	return c.Delay.Seconds() + c.Slowdown*(c.Wait.Seconds()+price*c.Recompute.Seconds())
+	return (c.Delay + c.Overrun).Seconds() + c.Slowdown*(c.Wait.Seconds()+price*c.Recompute.Seconds())
 }
 
 // FirstToken returns the predicted time to first token.
 func (c *Candidate) FirstToken() time.Duration {
-	return c.Delay + time.Duration(c.Slowdown*float64(c.Wait+c.Recompute))
+	return c.Delay + c.Overrun + time.Duration(c.Slowdown*float64(c.Wait+c.Recompute))
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -93,6 +93,9 @@
 		Slowdown:  p.slowdown(now, e),
 		Delay:     2 * e.ep.Delay,
 	}
+	if p.rules.waiting {
+		c.Overrun = e.overrun(now, c.Slowdown)
+	}
 	return c
 }
 
@@ -105,14 +108,16 @@
 	return tokens
 }
 
-// slowdown returns the engine's slowdown as used in decisions.
+// slowdown returns the engine's slowdown as used in decisions. What running
+// answers measure, here and at peers, goes before what is inferred from times
+// to first token, which unknown work before a request lengthens too.
 func (p *Policy) slowdown(now time.Time, e *engine) float64 {
 	if !p.rules.slowdown {
 		return 1
 	}
-	s := p.ownSlowdown(now, e)
+	s, answers := p.ownSlowdown(now, e)
 	if p.rules.peerSlow {
-		s = max(s, e.peers.slowdown)
+		s = withPeers(s, answers, &e.peers)
 	}
 	if s < slowIgnored {
 		return 1
@@ -120,12 +125,26 @@
 	return s
 }
 
-func (p *Policy) ownSlowdown(now time.Time, e *engine) float64 {
+func withPeers(own float64, answers int, peers *peerSums) float64 {
+	if answers+peers.answers == 0 {
+		return max(own, peers.inferred)
+	}
+	return (own*float64(answers) + peers.measured) / float64(answers+peers.answers)
+}
+
+// ownSlowdown returns the slowdown that the daemon sees itself and the number
+// of running answers that it was measured by, 0 when it was inferred.
+func (p *Policy) ownSlowdown(now time.Time, e *engine) (float64, int) {
+	if p.rules.progress {
+		if perToken, ok := e.pace.PerToken(now); ok {
+			return max(1, p.normalPace.Ratio(perToken)), max(1, e.own-len(e.unanswered))
+		}
+	}
 	s := e.slow.Value(now)
 	if p.rules.waiting {
 		s = max(s, e.waitingSlowdown(now))
 	}
-	return s
+	return s, 0
 }
 
 // uncached predicts the prompt tokens that the engine must compute for r.
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -30,6 +30,7 @@
 	// unanswered are the attempts without a first token, in order of sending.
 	unanswered []*attempt
 	slow       placement.Slowdown
+	pace       placement.Pace
 	limit      admission.Limit
 	peers      peerSums
 	report     LoadReport
@@ -43,7 +44,12 @@
 	tokens   int
 	requests int
 	long     int
-	slowdown float64 // the greatest; 0 when no peer shared any
+	// inferred is the greatest slowdown that peers inferred, 0 when none did.
+	inferred float64
+	// measured is the sum of the slowdowns that peers measured, each times
+	// its number of answers, answers.
+	measured float64
+	answers  int
 }
 
 func newEngine(ep Endpoint) *engine {
@@ -59,6 +65,16 @@
 	return worst
 }
 
+// overrun returns how much longer than predicted the first unanswered attempt
+// has waited: work that the daemon did not know of stands before it.
+func (e *engine) overrun(now time.Time, slowdown float64) time.Duration {
+	if len(e.unanswered) == 0 {
+		return 0
+	}
+	a := e.unanswered[0]
+	return max(0, now.Sub(a.sent)-a.delay-time.Duration(slowdown*float64(a.expected)))
+}
+
 // waitingLookahead bounds the unanswered attempts that are looked at.
 const waitingLookahead = 2
 
@@ -98,6 +114,9 @@
 	if a.alone {
 		e.ownAlone--
 	}
+	if e.own == len(e.unanswered) {
+		e.pace.Reset()
+	}
 }
 
 // failed records a failure of an attempt that was sent at the given time.
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -61,7 +61,12 @@
 	e.peers.tokens += l.Outstanding
 	e.peers.requests += l.Requests
 	e.peers.long += l.Long
-	e.peers.slowdown = max(e.peers.slowdown, l.Slowdown)
+	if l.Measured > 0 {
+		e.peers.measured += l.Slowdown * float64(l.Measured)
+		e.peers.answers += l.Measured
+		return
+	}
+	e.peers.inferred = max(e.peers.inferred, l.Slowdown)
 }
 
 // share returns what the daemon has at each engine, without engines where
@@ -69,13 +74,13 @@
 func (p *Policy) share(now time.Time) []PeerLoad {
 	p.shared = p.shared[:0]
 	for _, e := range p.engines {
-		slow := p.ownSlowdown(now, e)
+		slow, measured := p.ownSlowdown(now, e)
 		if e.own == 0 && slow < shareSlowdown {
 			continue
 		}
 		p.shared = append(p.shared, PeerLoad{
 			Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
-			Outstanding: int(e.ownTokens), Requests: e.own, Long: e.ownLong, Slowdown: slow,
+			Outstanding: int(e.ownTokens), Requests: e.own, Long: e.ownLong, Slowdown: slow, Measured: measured,
 		})
 	}
 	return p.shared
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -46,11 +46,13 @@
 
 	speed   *placement.Speed
 	learned learned
-	drain   drain
-	rates   *placement.Rates
-	hints   *placement.Hints
-	picker  placement.Homes
-	widths  []int
+	// normalPace is that of a normal engine's answers.
+	normalPace placement.NormalPace
+	drain      drain
+	rates      *placement.Rates
+	hints      *placement.Hints
+	picker     placement.Homes
+	widths     []int
 
 	peers        map[string]*peerView
 	peersChecked time.Time
@@ -325,16 +327,21 @@
 	if a == nil || !a.answered || !p.rules.progress {
 		return
 	}
-	tokens := outputTokens - a.progress
-	if now.Sub(a.progressAt) < ProgressInterval {
+	elapsed := now.Sub(a.progressAt)
+	if elapsed < progressLeast {
 		return
 	}
-	expected := time.Duration(float64(tokens) * p.learned.pace.or(paceStart.Seconds()) * float64(time.Second))
-	ratio := placement.Ratio(now.Sub(a.progressAt), expected)
-	a.engine.slow.Observe(now, ratio)
+	e := a.engine
+	e.pace.Observe(now, outputTokens-a.progress, elapsed)
+	if perToken, ok := e.pace.PerToken(now); ok {
+		p.normalPace.Observe(perToken)
+	}
 	a.progressAt, a.progress = now, outputTokens
 }
 
+// progressLeast is the least time between two samples of an answer's pace.
+const progressLeast = ProgressInterval / 2
+
 // Report implements Scheduler.
 func (p *Policy) Report(now time.Time, r LoadReport) {
 	p.tick(now)
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -121,6 +121,9 @@
 	Long int
 	// Slowdown is the engine's observed time over its expected time; 1 is normal.
 	Slowdown float64
+	// Measured is the number of running answers that Slowdown was measured
+	// by; 0 when it was inferred from times to first token.
+	Measured int
 }
 
 // Scheduler decides for one service. It is not safe for concurrent use.
