--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -4,16 +4,20 @@
 const budgetBurst = 10
 
 // Budget bounds extra attempts to a share of requests: each request earns a
-// fraction of an attempt, each attempt spends one. It starts empty, so that
-// the bound holds from the first request.
+// fraction of an attempt, each attempt spends one.
 type Budget struct {
 	perRequest float64
 	tokens     float64
 }
 
-// NewBudget returns a budget of percent of requests.
-func NewBudget(percent int) *Budget {
-	return &Budget{perRequest: float64(percent) / 100}
+// NewBudget returns a budget of percent of requests. It starts with initial
+// attempts, at most a full burst: never more are spent than initial plus
+// percent of the requests. A percentage of zero allows none.
+func NewBudget(percent, initial int) *Budget {
+	if percent <= 0 {
+		return &Budget{}
+	}
+	return &Budget{perRequest: float64(percent) / 100, tokens: float64(min(initial, budgetBurst))}
 }
 
 // Earn counts a request.
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -23,7 +23,8 @@
 // changes the versions, so that no other can follow.
 //
 // applied reads back whether the caller's nonce is in force; it is asked
-// after a conflict, which may be the caller's own earlier try.
+// after a conflict, which may be the caller's own earlier try, and after a
+// lost answer, since reads may still be answered.
 //
 // The error is ErrConflict when another writer was first; any other error
 // with verdict.NotRun means that txn had no effect and never will; with
@@ -47,6 +48,9 @@
 			}
 		default:
 			unanswered = true
+			if mine, readErr := applied(ctx); readErr == nil && mine {
+				return nil
+			}
 		}
 		if commitBackoff.Wait(ctx, try) != nil {
 			return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "the table's answer was lost and could not be read back")
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -20,6 +20,8 @@
 	hintEntriesMax    = 1 << 18
 	hintsPerEngine    = 1 << 10
 	defaultRetryAfter = time.Second
+	// initialRetries lets a service with little traffic survive an engine's crash.
+	initialRetries = 10
 )
 
 // Policy is the product's Scheduler. A request goes to the home of its prompt
@@ -81,8 +83,8 @@
 		byID: map[string]*engine{}, pools: map[string]*placement.Pool{},
 		flights: map[string]*flight{}, peers: map[string]*peerView{},
 		speed:       placement.NewSpeed(),
-		hedgeBudget: admission.NewBudget(s.HedgePercent),
-		retryBudget: admission.NewBudget(s.RetryPercent),
+		hedgeBudget: admission.NewBudget(s.HedgePercent, 0),
+		retryBudget: admission.NewBudget(s.RetryPercent, initialRetries),
 	}
 	p.queue = admission.NewQueue[*waiting](queueLimit, p.rules.fairness)
 	return p
