--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -25,6 +25,9 @@
 	// engineTTL is how long an upstream's state is kept by peers that do not
 	// watch it; watchers renew it at a third of that.
 	engineTTL = time.Minute
+	// untoldGrace is how long a daemon waits for a peer to tell of an upstream
+	// before it asks the upstream itself.
+	untoldGrace = 2 * time.Second
 	// isolatedAfter is how long a daemon may reach neither the platform nor a
 	// peer before it leaves the entries' answers.
 	isolatedAfter = 5 * time.Second
@@ -104,13 +107,24 @@
 	d.node.SetDraining(self.Draining)
 }
 
-// watched returns the upstreams that this daemon probes.
+// watched returns the upstreams that this daemon probes: those that rendezvous
+// hashing assigns to it, and those of which nobody has told for a while.
 func (d *Daemon) watched() []string {
-	var addresses []string
-	for address := range d.fleet.Snapshot().ByAddress {
+	snapshot := d.fleet.Snapshot()
+	var addresses, untold []string
+	for address, u := range snapshot.ByAddress {
 		addresses = append(addresses, address)
+		if u.State == fleet.Unknown && time.Since(u.AddedAt) > untoldGrace {
+			untold = append(untold, address)
+		}
+	}
+	out := fleet.Watched(d.settings.Name, d.node.Peers(), addresses)
+	for _, address := range untold {
+		if !slices.Contains(out, address) {
+			out = append(out, address)
+		}
 	}
-	return fleet.Watched(d.settings.Name, d.node.Peers(), addresses)
+	return out
 }
 
 // tellEngines publishes the state of watched upstreams that changed or whose
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/verbenabend/verbenabend/internal/entry"
+	"github.com/verbenabend/verbenabend/internal/fleet"
 )
 
 // Status gives the daemon's view of the system.
@@ -36,6 +37,24 @@
 	if !d.synced.Load() {
 		out = append(out, "documents not read yet: neither the platform nor a peer has given them")
 	}
+	for _, service := range d.unknownServices() {
+		out = append(out, "upstreams of "+service+" not known yet: they were neither probed nor told of by a peer")
+	}
+	return out
+}
+
+// unknownServices returns the services with a document of which an upstream's
+// state is not known yet.
+func (d *Daemon) unknownServices() []string {
+	documents := d.catalogue.Snapshot()
+	var out []string
+	for service, list := range d.fleet.Snapshot().ByService {
+		unknown := func(u *fleet.Upstream) bool { return u.State == fleet.Unknown }
+		if documents[service] != nil && slices.ContainsFunc(list, unknown) {
+			out = append(out, service)
+		}
+	}
+	slices.Sort(out)
 	return out
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 			(in.State != platform.InstanceLeaving || old.State == Leaving) {
 			return false
 		}
-		next.State, next.Engine, next.ReportedAt = old.State, old.Engine, old.ReportedAt
+		next.State, next.Engine, next.ReportedAt, next.AddedAt = old.State, old.Engine, old.ReportedAt, old.AddedAt
 	}
 	if in.State == platform.InstanceLeaving {
 		next.State = Leaving
--- a/internal/fleet/peerstate.go
+++ b/internal/fleet/peerstate.go
@@ -46,7 +46,7 @@
 			Incarnation: s.Incarnation, Weights: s.Weights, Slots: s.Slots, Loading: s.Loading, Leaving: s.State == Leaving,
 		}
 		if old != nil {
-			next.ReportedAt = old.ReportedAt
+			next.ReportedAt, next.AddedAt = old.ReportedAt, old.AddedAt
 			if old.State == Leaving && old.Engine.Incarnation == s.Incarnation && s.State == Serving {
 				return false
 			}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -42,6 +42,8 @@
 	Engine upstream.EngineState
 	// ReportedAt is when Engine was learned.
 	ReportedAt time.Time
+	// AddedAt is when the upstream was first listed or told of.
+	AddedAt time.Time
 	// Hash is the address's hash for rendezvous hashing.
 	Hash uint64
 }
@@ -76,5 +78,8 @@
 }
 
 func newUpstream(address, service, dataCentre string, labels map[string]string) *Upstream {
-	return &Upstream{Address: address, Service: service, DataCentre: dataCentre, Labels: labels, Hash: prefix.NodeHash(address)}
+	return &Upstream{
+		Address: address, Service: service, DataCentre: dataCentre, Labels: labels,
+		AddedAt: time.Now(), Hash: prefix.NodeHash(address),
+	}
 }
