--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpservice"
@@ -37,6 +38,7 @@
 type Daemon struct {
 	settings *settings.Settings
 	log      *eventlog.Log
+	metrics  *telemetry.Metrics
 
 	client    *httpplatform.Client
 	table     platform.Table
@@ -69,7 +71,8 @@
 
 // New returns a daemon that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, adopted: make(chan struct{}, 1)}
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
+	d.log.Observe(d.metrics.Event)
 	d.provisionClients()
 	d.provisionMembers()
 	if err := d.provisionPeers(); err != nil {
@@ -78,6 +81,7 @@
 	d.provisionState()
 	d.provisionDispatch()
 	d.subscribe()
+	d.registerGauges()
 	if err := d.listen(); err != nil {
 		d.Close()
 		return nil, err
@@ -138,13 +142,13 @@
 
 func (d *Daemon) listen() error {
 	callers := &entry.Callers{
-		Documents: documents{d.catalogue, d.documents}, Dispatcher: atMostOnce{d.dispatcher, d.once}, Members: d.members,
+		Documents: documents{d.catalogue, d.documents}, Dispatcher: instrumented{atMostOnce{d.dispatcher, d.once}, d.metrics}, Members: d.members,
 		Keys: resume.NewKeys(d.settings.FleetKey, d.settings.PreviousFleetKeys), Log: d.log,
 		Delay: d.delay, EntryMaxAge: time.Duration(d.settings.EntryMaxAge),
 	}
 	operators := &entry.Operators{
 		Documents: documents{d.catalogue, d.documents}, Log: d.log, Key: d.settings.OperatorKey,
-		Status: d.Status, WriteMetrics: d.writeMetrics,
+		Status: d.Status, WriteMetrics: d.metrics.Write,
 	}
 	var err error
 	if d.callers, err = newServer(d.settings.CallerListen, d.countInFlight(callers.Handler()), d.settings.TLS, d.settings.MaxConnections); err != nil {
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -131,7 +131,8 @@
 }
 
 // documentAdopted wakes the probe loop.
-func (d *Daemon) documentAdopted(*servicedoc.Accepted) {
+func (d *Daemon) documentAdopted(a *servicedoc.Accepted) {
+	d.metrics.Revision(a.Document.Service, uint64(a.Revision))
 	select {
 	case d.adopted <- struct{}{}:
 	default:
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"net/http"
 	"slices"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/verbenabend/verbenabend/internal/entry"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 )
@@ -72,7 +69,3 @@
 	slices.SortFunc(out, func(a, b entry.UpstreamStatus) int { return cmp.Compare(a.Address, b.Address) })
 	return out
 }
-
-func (d *Daemon) writeMetrics(w http.ResponseWriter) {
-	metrics.WritePrometheus(w, true)
-}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -30,7 +31,7 @@
 	// Status gives the daemon's view of the system.
 	Status func() Status
 	// WriteMetrics writes all metrics in the Prometheus text format.
-	WriteMetrics func(w http.ResponseWriter)
+	WriteMetrics func(w io.Writer)
 }
 
 // Status is the answer to GET /v1/status.
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -12,6 +12,8 @@
 	daemon string
 	logger hclog.Logger
 	kinds  map[ID]Kind
+	// observe is called for each event; set before the Log is used.
+	observe func(ID)
 
 	mu   sync.Mutex
 	ring []Entry
@@ -28,11 +30,17 @@
 	return l
 }
 
+// Observe calls fn for each event from now on; call it before the Log is shared.
+func (l *Log) Observe(fn func(ID)) { l.observe = fn }
+
 // Discard returns a Log that keeps few events and writes none.
 func Discard() *Log { return New("", hclog.NewNullLogger(), 16) }
 
 // Emit records an event.
 func (l *Log) Emit(id ID, f Fields) {
+	if l.observe != nil {
+		l.observe(id)
+	}
 	kind := l.kinds[id]
 	entry := Entry{At: l.Clock.Now(), Daemon: l.daemon, ID: id, Text: kind.Text, Fields: f}
 	l.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,10 +77,12 @@
 		if at.Before(u.ReportedAt) {
 			return false
 		}
+		restarted := s.Incarnation != u.Engine.Incarnation
 		u.Engine, u.ReportedAt = s, at
-		if s.Leaving {
+		switch {
+		case s.Leaving:
 			u.State = Leaving
-		} else if u.State != Leaving || s.Incarnation != u.Engine.Incarnation {
+		case u.State != Leaving || restarted:
 			u.State = Serving
 		}
 		return true
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -95,17 +95,25 @@
 	out := slices.DeleteFunc(m.live(), func(x Member) bool {
 		return x.Draining || x.Isolated || m.listed[x.CallerAddress].Draining
 	})
-	if len(out) == 0 {
-		return nil
+	near := func(x Member) time.Duration { return distance(dataCentre, x.DataCentre, delay) }
+	slices.SortStableFunc(out, func(a, b Member) int { return cmp.Compare(near(a), near(b)) })
+	for start := 0; start < len(out); {
+		end := start + 1
+		for end < len(out) && near(out[end]) == near(out[start]) {
+			end++
+		}
+		rotate(out[start:end], m.rotation)
+		start = end
 	}
-	shift := m.rotation % len(out)
-	out = slices.Concat(out[shift:], out[:shift])
-	slices.SortStableFunc(out, func(a, b Member) int {
-		return cmp.Compare(distance(dataCentre, a.DataCentre, delay), distance(dataCentre, b.DataCentre, delay))
-	})
 	return out
 }
 
+// rotate moves the first n members, modulo the number of members, to the end.
+func rotate(members []Member, n int) {
+	n %= len(members)
+	copy(members, slices.Concat(members[n:], members[:n]))
+}
+
 // PeerAddresses returns the peer addresses of all daemons listed or heard from.
 func (m *Members) PeerAddresses() []string {
 	m.mu.Lock()
