--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -37,6 +38,7 @@
 		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
 		d.every(memberInterval, d.refreshMembers),
+		d.watchReadiness,
 	}
 }
 
@@ -64,6 +66,27 @@
 	}
 }
 
+// readinessInterval is the pause between two looks at the daemon's readiness.
+const readinessInterval = 100 * time.Millisecond
+
+// watchReadiness records each change of the daemon's readiness.
+func (d *Daemon) watchReadiness(ctx context.Context) error {
+	last := "starting"
+	for pause(ctx, readinessInterval) {
+		reasons := strings.Join(d.notReady(), "; ")
+		if reasons == last {
+			continue
+		}
+		last = reasons
+		if reasons == "" {
+			d.log.Emit(eventlog.DaemonReady, eventlog.Fields{})
+		} else {
+			d.log.Emit(eventlog.DaemonNotReady, eventlog.Fields{Detail: reasons})
+		}
+	}
+	return ctx.Err()
+}
+
 // every returns a loop that calls fn at once and then after each interval,
 // with jitter, so that daemons started together spread.
 func (d *Daemon) every(interval time.Duration, fn func(context.Context)) func(context.Context) error {
--- /dev/null
+++ b/internal/docscheck/doc.go
@@ -0,0 +1,2 @@
+// Package docscheck holds the pages and the code together; it has only tests.
+package docscheck
