Measure faults: frozen, new weights, stale reports, cut, replaced daemon, greedy organisation, outage

The engine model's queue was unbounded while slots were free but all prompt computation was taken: TestEngineConservesJobs found it (, 'queued is greater than ...'); the model now bounds running and waiting jobs together. Two runs of every scenario give equal bytes (TestRuns).

--- a/lab/enginemodel/engine.go
+++ b/lab/enginemodel/engine.go
@@ -73,7 +73,7 @@
 // Submit hands in a job and reports whether the engine takes it.
 func (e *Engine) Submit(t time.Duration, j Job) bool {
 	e.run(t)
-	if len(e.running) >= e.spec.Slots && len(e.waiting) >= e.spec.QueueLimit {
+	if len(e.running)+len(e.waiting) >= e.spec.Slots+e.spec.QueueLimit {
 		return false
 	}
 	at := len(e.waiting)
--- a/lab/enginemodel/spec.go
+++ b/lab/enginemodel/spec.go
@@ -5,7 +5,7 @@
 type Spec struct {
 	// Slots is how many requests run at once.
 	Slots int
-	// QueueLimit is how many more may wait in the engine; beyond it they are rejected.
+	// QueueLimit is how many more than Slots the engine takes; beyond them it rejects.
 	QueueLimit int
 	// CachePieces is the memory of the prefix cache.
 	CachePieces int
--- a/lab/measure/call.go
+++ b/lab/measure/call.go
@@ -144,6 +144,7 @@
 	w.attempts++
 	a := &attempt{id: w.attempts, call: c, daemon: d, generation: d.generation, engine: w.engineByID(act.Endpoint), hedge: hedge}
 	c.live = append(c.live, a)
+	d.attempts[a.id] = a
 	w.toEngine(a, act.Incarnation)
 }
 
@@ -218,7 +219,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.end()
 	c.live = without(c.live, a)
 	if c.state == open {
 		c.state = completed
@@ -236,7 +237,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.end()
 	c.live = without(c.live, a)
 	outcome := routing.Failed
 	if why == rejected {
--- a/lab/measure/daemon.go
+++ b/lab/measure/daemon.go
@@ -24,6 +24,8 @@
 	// planned is the time of the next wake-up; zero means none.
 	planned time.Duration
 	pumping bool
+	// attempts holds what has not ended, by attempt.
+	attempts map[int]*attempt
 }
 
 const (
@@ -45,33 +47,36 @@
 		HedgePercent: hedgePercent, RetryPercent: retryPercent,
 		Seed: mix(w.seed, uint64(d.index*1000+d.generation)), Without: w.without,
 	})
-	d.scheduler.SetPeers(wall(w.now), w.liveDaemons())
+	d.scheduler.SetPeers(wall(w.now), w.peersOf(d))
 	w.setEndpoints(d)
 }
 
-// restart replaces a daemon's scheduler and makes callers send again what waited there.
-func (w *world) restart(d *daemon) {
-	waiting := d.waiting
-	d.waiting = nil
-	w.replace(d)
-	for _, c := range waiting {
-		w.after(reconnectDelay, func() { w.arrive(c) })
-	}
-}
-
 const (
 	hedgePercent = 5
 	retryPercent = 10
 )
 
-func (w *world) liveDaemons() int {
-	n := 0
-	for _, d := range w.daemons {
-		if !d.down {
+// peersOf returns how many daemons d can reach, itself included.
+func (w *world) peersOf(d *daemon) int {
+	n := 1
+	for _, peer := range w.daemons {
+		if peer != d && !peer.down && !w.net.separated(w.now, d.dataCentre, peer.dataCentre) {
 			n++
 		}
 	}
-	return max(1, n)
+	return n
+}
+
+// recountPeers tells all daemons how many they are, once they have noticed.
+func (w *world) recountPeers() {
+	w.after(detectionDelay, func() {
+		for _, d := range w.daemons {
+			if !d.down {
+				d.scheduler.SetPeers(wall(w.now), w.peersOf(d))
+				w.pump(d)
+			}
+		}
+	})
 }
 
 func (w *world) setEndpoints(d *daemon) {
@@ -109,14 +114,16 @@
 	w.setEndpoints(d)
 }
 
-// abandon fails the daemon's attempts at an engine that have no first token.
+// abandon fails the daemon's attempts at an unreachable engine that have no first token.
 func (w *world) abandon(d *daemon, e *engine) {
-	for _, id := range sortedKeys(e.attempts) {
-		a := e.attempts[id]
-		if a.daemon == d && !a.firstToken && !a.ended && w.unhealthy(e) {
-			w.cancel(a)
-			a.ended = false
+	if !w.unreachable(d, e) {
+		return
+	}
+	for _, id := range sortedKeys(d.attempts) {
+		a := d.attempts[id]
+		if a.engine == e && !a.firstToken {
 			w.attemptFailed(a, connectionLost)
+			w.cancel(a)
 		}
 	}
 }
@@ -171,7 +178,7 @@
 	loads := slices.Clone(d.scheduler.Share(wall(w.now)))
 	from := fmt.Sprintf("daemon-%d/%d", d.index, d.generation)
 	for _, peer := range w.daemons {
-		if peer == d {
+		if peer == d || w.net.separated(w.now, d.dataCentre, peer.dataCentre) {
 			continue
 		}
 		w.after(w.net.delay(w.now, d.dataCentre, peer.dataCentre), func() {
@@ -192,6 +199,9 @@
 	running, queued := e.model.Load()
 	r := routing.LoadReport{Endpoint: e.id, At: wall(w.now), Running: running, Queued: queued}
 	for _, d := range w.daemons {
+		if w.net.separated(w.now, e.dataCentre, d.dataCentre) {
+			continue
+		}
 		w.after(w.lag+w.net.delay(w.now, e.dataCentre, d.dataCentre), func() {
 			if !d.down {
 				d.scheduler.Report(wall(w.now), r)
--- a/lab/measure/engine.go
+++ b/lab/measure/engine.go
@@ -16,7 +16,7 @@
 	incarnation int
 	weights     []string
 	down        bool
-	slowdown    float64
+	frozen      bool
 	attempts    map[int]*attempt
 	// wake counts changes, so that an outdated wake-up does nothing.
 	wake uint64
@@ -105,9 +105,15 @@
 	w.at(a.delivered, do)
 }
 
+// end marks an attempt as over for its daemon.
+func (a *attempt) end() {
+	a.ended = true
+	delete(a.daemon.attempts, a.id)
+}
+
 // cancel tells the engine to drop an attempt.
 func (w *world) cancel(a *attempt) {
-	a.ended = true
+	a.end()
 	e := a.engine
 	w.after(w.net.delay(w.now, a.daemon.dataCentre, e.dataCentre), func() {
 		if e.attempts[a.id] == nil {
@@ -120,31 +126,10 @@
 }
 
 func (w *world) setSlowdown(e *engine, factor float64) {
-	e.slowdown = factor
 	e.model.SetSlowdown(w.now, factor)
 	w.collect(e)
 }
 
-// crash drops everything in an engine; daemons see their connections fail.
-func (w *world) crash(e *engine) {
-	e.down = true
-	e.model.Crash(w.now)
-	for _, id := range sortedKeys(e.attempts) {
-		a := e.attempts[id]
-		w.toDaemon(a, func() { w.attemptFailed(a, connectionLost) })
-	}
-	clear(e.attempts)
-	w.collect(e)
-	w.after(detectionDelay, func() { w.setListed(e, false) })
-}
-
-// restore brings a crashed engine back with an empty cache.
-func (w *world) restore(e *engine) {
-	e.down = false
-	e.incarnation++
-	w.after(detectionDelay, func() { w.setListed(e, true) })
-}
-
 func sortedKeys(m map[int]*attempt) []int {
 	keys := make([]int, 0, len(m))
 	for k := range m {
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -185,8 +185,18 @@
 }
 
 func (j job) run() Result {
-	t := newTrace(j.load, j.scenario, j.seed)
-	w := newWorld(j.load, j.scenario, j.seed, j.policy.make, j.without, &t)
+	r := j.runScenario(j.scenario)
+	if j.scenario.greedy > 0 {
+		twin := j.scenario
+		twin.load = 1
+		r.OthersWaitP99Without = j.runScenario(twin).OthersWaitP99
+	}
+	return r
+}
+
+func (j job) runScenario(s scenario) Result {
+	t := newTrace(j.load, s, j.seed)
+	w := newWorld(j.load, s, j.seed, j.policy.make, j.without, &t)
 	w.play()
 	r := w.result(j.policy.name)
 	r.Without = strings.Join(j.without, ",")
--- a/lab/measure/result.go
+++ b/lab/measure/result.go
@@ -51,14 +51,20 @@
 	RecoverySeconds float64 `json:"recovery_s"`
 	// DipInTime is the least share of good requests in a second since the disturbance began.
 	DipInTime float64 `json:"dip_good_share"`
+	// HitDip is the least hit rate of ideal in a second since the disturbance began.
+	HitDip float64 `json:"dip_hit_of_ideal"`
 	// HitBefore and HitFirstSecond are hit rates of ideal before the
 	// disturbance and of requests that arrived in the first second after it.
 	HitBefore      float64 `json:"hit_of_ideal_before"`
 	HitFirstSecond float64 `json:"hit_of_ideal_first_second"`
-	// HitLater is the hit rate of ideal from ten seconds after the disturbance's begin.
+	// HitLater is the hit rate of ideal from ten seconds after the disturbance's end.
 	HitLater float64 `json:"hit_of_ideal_after_10s"`
-	// OthersP99 is the TTFT of organisations other than the greedy one within the disturbance.
-	OthersP99 float64 `json:"others_ttft_p99_ms"`
+	// OthersWaitP99 is the wait of organisations other than the greedy one
+	// within the disturbance, OthersRefused the share of them refused;
+	// OthersWaitP99Without is the wait when the greedy one stays within its share.
+	OthersWaitP99        float64 `json:"others_wait_p99_ms"`
+	OthersWaitP99Without float64 `json:"others_wait_p99_without_ms"`
+	OthersRefused        float64 `json:"others_refused_share"`
 	// CapacityRate is the computed capacity in requests a second.
 	CapacityRate float64 `json:"capacity_rps"`
 }
@@ -133,21 +139,22 @@
 // fillDisturbance compares the time after a disturbance with the time before it.
 func (w *world) fillDisturbance(r *Result) {
 	begin, end := w.scenario.begin(w.load), w.scenario.end(w.load)
-	if begin == w.load.warm {
+	if w.scenario.start == 0 {
 		return
 	}
 	before := w.between(w.load.warm, begin)
 	r.HitBefore = hitOfIdeal(before)
 	r.HitFirstSecond = hitOfIdeal(w.between(begin, begin+time.Second))
-	r.HitLater = hitOfIdeal(w.between(begin+laterAfter, math.MaxInt64))
+	r.HitLater = hitOfIdeal(w.between(end+laterAfter, math.MaxInt64))
 	bound := goodFactor * percentile(times(filter(before, (*call).interactive)), 0.99)
 	last := w.load.warm + w.scenario.length(w.load)
-	r.DipInTime = 1
+	r.DipInTime, r.HitDip = 1, 1
 	r.RecoverySeconds = -1
 	good := 0
 	for t := begin; t+time.Second <= last; t += time.Second {
 		share := goodOf(filter(w.between(t, t+time.Second), (*call).interactive), bound)
 		r.DipInTime = min(r.DipInTime, share)
+		r.HitDip = min(r.HitDip, hitOfIdeal(w.between(t, t+time.Second)))
 		if t < end {
 			continue
 		}
@@ -159,12 +166,19 @@
 			r.RecoverySeconds = (t - end).Seconds() - recoveryRun + 1
 		}
 	}
-	if w.scenario.greedy > 0 {
-		others := filter(w.between(begin, end), func(c *call) bool {
-			return c.interactive() && c.organisation != w.scenario.greedy-1
-		})
-		r.OthersP99 = percentile(times(others), 0.99)
+	w.fillOthers(r)
+}
+
+// fillOthers measures the organisations that stay within their share.
+func (w *world) fillOthers(r *Result) {
+	if w.scenario.greedy == 0 {
+		return
 	}
+	others := filter(w.between(w.scenario.begin(w.load), w.scenario.end(w.load)), func(c *call) bool {
+		return c.interactive() && c.organisation != w.scenario.greedy-1
+	})
+	r.OthersWaitP99 = percentile(waits(others), 0.99)
+	r.OthersRefused = 1 - ratio(float64(len(filter(others, (*call).served))), float64(len(others)))
 }
 
 // goodOf returns the part of calls with a TTFT of at most bound milliseconds.
@@ -185,7 +199,7 @@
 func (w *world) goodput() float64 {
 	from, to := w.scenario.begin(w.load), w.scenario.end(w.load)
 	switch {
-	case from == to:
+	case w.scenario.start == 0:
 		from, to = w.load.warm, w.load.warm+w.scenario.length(w.load)
 	case w.scenario.load == 0:
 		to += laterAfter
--- a/lab/measure/scenario.go
+++ b/lab/measure/scenario.go
@@ -78,56 +78,30 @@
 
 // scenarios returns all scenarios in the order of the tables.
 func scenarios() []scenario {
+	const start, settle = disturbanceStart, 20 * time.Second
 	return []scenario{
 		{name: "steady"},
-		{name: "crest", start: disturbanceStart, lasts: 20 * time.Second, after: 20 * time.Second, load: 2 / steadyLoad},
+		{name: "crest", start: start, lasts: 20 * time.Second, after: settle, load: 2 / steadyLoad},
 		{name: "slowed", inject: slowInTurn},
-		{name: "hot-shift", start: disturbanceStart, lasts: time.Second, after: 40 * time.Second, shifted: true},
-		{name: "herd-restart", start: disturbanceStart, lasts: time.Second, after: 20 * time.Second, inject: restartAll},
-		{name: "engine-crash", start: disturbanceStart, lasts: 5 * time.Second, after: 20 * time.Second, inject: crashOne},
+		{name: "hot-shift", start: start, after: 40 * time.Second, shifted: true},
+		{name: "herd-restart", start: start, after: settle, inject: restartAll},
+		{name: "engine-crash", start: start, lasts: 5 * time.Second, after: settle, inject: crashOne},
 		{name: "long-and-short"},
 		{name: "short-only", withoutLong: true},
+		{name: "frozen", start: start, lasts: 10 * time.Second, after: settle, inject: freezeOne},
+		{name: "new-weights", start: start, lasts: 14 * time.Second, after: settle, newWeights: true, inject: loadWeights},
+		{name: "stale-reports", reportLag: staleLag, inject: slowInTurn},
+		{name: "cut", start: start, lasts: 8 * time.Second, after: settle, inject: cutDataCentre},
+		{name: "daemon-replaced", start: start, lasts: 5 * time.Second, after: settle, inject: replaceOne},
+		{name: "greedy", start: start, lasts: 20 * time.Second, after: settle, load: greedyLoad, greedy: 2},
+		{name: "outage", start: start, lasts: 3 * time.Second, after: settle, callersRetry: true, inject: crashAll},
 	}
 }
 
-// restartAll replaces all daemons at once. Running streams are resumed; what
-// waited in a daemon is sent again by its caller.
-func restartAll(w *world) {
-	w.at(w.scenario.begin(w.load), func() {
-		for _, d := range w.daemons {
-			w.restart(d)
-		}
-	})
-}
-
-// crashOne crashes an engine, which comes back empty at the disturbance's end.
-func crashOne(w *world) {
-	e := w.engines[newRand(w.seed, "crash").IntN(len(w.engines))]
-	w.at(w.scenario.begin(w.load), func() { w.crash(e) })
-	w.at(w.scenario.end(w.load), func() { w.restore(e) })
-}
-
 const (
-	slowEngines  = 2
-	slowFactor   = 5
-	slowInterval = 4 * time.Second
+	// staleLag is the age of load reports in stale-reports.
+	staleLag = 2 * time.Second
+	// greedyLoad is the factor on the second organisation's traffic, which
+	// brings all traffic to one and a half times the capacity.
+	greedyLoad = 5.8
 )
-
-// slowInTurn slows two engines at a time and moves on every four seconds.
-func slowInTurn(w *world) {
-	r := newRand(w.seed, "slowed")
-	var slowed []*engine
-	var move func()
-	move = func() {
-		for _, e := range slowed {
-			w.setSlowdown(e, 1)
-		}
-		slowed = slowed[:0]
-		for _, i := range r.Perm(len(w.engines))[:slowEngines] {
-			slowed = append(slowed, w.engines[i])
-			w.setSlowdown(w.engines[i], slowFactor)
-		}
-		w.after(slowInterval, move)
-	}
-	w.at(w.load.warm-slowInterval, move)
-}
--- a/lab/measure/world.go
+++ b/lab/measure/world.go
@@ -34,7 +34,6 @@
 	entries   []entryAnswer
 	attempts  int
 	tally     tally
-	sick      map[*engine]bool
 	// atWarm is taken at the end of the warm-up.
 	atWarm marks
 }
@@ -59,7 +58,7 @@
 	w := &world{
 		load: l, scenario: s, seed: seed, without: without, policy: policy, classes: classes(),
 		rand: newRand(seed, "world"), entryRand: newRand(seed, "entries"), lag: reportLag, trace: t,
-		calls: make(map[string]*call, len(t.arrivals)), sick: map[*engine]bool{},
+		calls:   make(map[string]*call, len(t.arrivals)),
 		entries: make([]entryAnswer, len(l.organisations)*callersPerOrganisation),
 	}
 	if s.reportLag > 0 {
@@ -79,7 +78,7 @@
 	for i := range w.load.engines {
 		e := &engine{
 			id: fmt.Sprintf("10.0.%d.%d:8000", i%len(w.load.dataCentres), i), dataCentre: i % len(w.load.dataCentres),
-			model: enginemodel.New(w.load.engine), weights: []string{weightsName(1)}, slowdown: 1, attempts: map[int]*attempt{},
+			model: enginemodel.New(w.load.engine), weights: []string{weightsName(1)}, attempts: map[int]*attempt{},
 		}
 		w.engines = append(w.engines, e)
 		w.after(time.Duration(w.rand.Int64N(int64(reportInterval))), func() { w.report(e) })
@@ -88,7 +87,7 @@
 
 func (w *world) addDaemons() {
 	for i := range w.load.daemons {
-		d := &daemon{index: i, dataCentre: i % len(w.load.dataCentres), listed: make([]bool, len(w.engines))}
+		d := &daemon{index: i, dataCentre: i % len(w.load.dataCentres), listed: make([]bool, len(w.engines)), attempts: map[int]*attempt{}}
 		for j := range d.listed {
 			d.listed[j] = true
 		}
@@ -179,7 +178,9 @@
 	panic("policy chose an engine that does not exist: " + id)
 }
 
-// unhealthy reports whether daemons give up attempts at an engine.
-func (w *world) unhealthy(e *engine) bool { return e.down || w.sick[e] }
+// unreachable reports whether d gets no answer from e.
+func (w *world) unreachable(d *daemon, e *engine) bool {
+	return e.down || e.frozen || w.net.separated(w.now, d.dataCentre, e.dataCentre)
+}
 
 func organisationName(i int) string { return fmt.Sprintf("organisation-%d", i) }
