--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -16,6 +16,9 @@
 //	  --without RULE                           turn off a rule of the product's policy, repeatable
 //	  --json                                   one JSON object a run and line
 //	  --quick                                  a quarter of the time
+//	  --targets                                each target's bound, median and worst figure, met or missed
+//
+// Without --json the tables give medians over the seeds, and sums for counts.
 //
 // The offered load is a share of a capacity in requests a second: the rate at
 // which all slots of all engines are taken when each request computes the
@@ -25,7 +28,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 	"slices"
@@ -47,6 +49,7 @@
 	Without  []string `help:"Turn off a rule of the product's policy." placeholder:"RULE"`
 	JSON     bool     `help:"Print one JSON object a line." name:"json"`
 	Quick    bool     `help:"Run a quarter of the time."`
+	Targets  bool     `help:"Print the targets, the figures and whether they are met."`
 
 	out io.Writer
 }
@@ -67,6 +70,9 @@
 	if c.JSON {
 		return writeJSON(c.out, results)
 	}
+	if c.Targets {
+		return writeTargets(c.out, results)
+	}
 	return writeTable(c.out, results)
 }
 
@@ -212,20 +218,3 @@
 	}
 	return nil
 }
-
-func writeTable(out io.Writer, results []Result) error {
-	_, err := fmt.Fprintf(out, "%-6s %-14s %-17s %3s %6s %6s %5s %4s %6s %6s %6s %7s %7s %7s %5s %4s %5s %5s %5s\n",
-		"load", "scenario", "policy", "n", "reqs", "done", "refd", "lost", "hit", "ideal", "waste", "p50", "p99", "shortw", "good", "late", "hedge", "retry", "recov")
-	if err != nil {
-		return errors.Wrap(err, "write table")
-	}
-	for _, r := range results {
-		_, err := fmt.Fprintf(out, "%-6s %-14s %-17s %3d %6d %6d %5d %4d %6.3f %6.3f %6.2f %7.0f %7.0f %7.0f %5.2f %4d %5.3f %5.3f %5.0f\n",
-			r.Workload, r.Scenario, r.Policy, r.Seed, r.Requests, r.Completed, r.Refused, r.Lost, r.PrefixHitRate, r.HitRateOfIdeal,
-			r.WastedOfUnavoidable, r.TTFTp50, r.TTFTp99, r.ShortWaitP99, r.GoodputShare, r.RefusedLate, r.HedgeShare, r.RetryShare, r.RecoverySeconds)
-		if err != nil {
-			return errors.Wrap(err, "write table")
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/lab/measure/table.go
@@ -0,0 +1,88 @@
+package measure
+
+import (
+	"io"
+)
+
+// group is the results of one workload, scenario and policy at several seeds.
+type group []Result
+
+func groups(results []Result) []group {
+	type key struct{ workload, scenario, policy, without string }
+	at := map[key]int{}
+	var out []group
+	for _, r := range results {
+		k := key{r.Workload, r.Scenario, r.Policy, r.Without}
+		i, ok := at[k]
+		if !ok {
+			i = len(out)
+			at[k] = i
+			out = append(out, nil)
+		}
+		out[i] = append(out[i], r)
+	}
+	return out
+}
+
+// median returns the middle of one figure over the group's seeds.
+func (g group) median(f func(Result) float64) float64 {
+	var values []float64
+	for _, r := range g {
+		values = append(values, f(r))
+	}
+	return medianOf(values)
+}
+
+// total returns the sum of a count over the group's seeds.
+func (g group) total(f func(Result) int) int {
+	n := 0
+	for _, r := range g {
+		n += f(r)
+	}
+	return n
+}
+
+// writeTable prints counts summed and figures as medians over the seeds.
+func writeTable(out io.Writer, results []Result) error {
+	p := printer{out: out}
+	p.line("| workload | scenario | policy | seeds | requests | completed | refused | lost | hit rate | of ideal | wasted | TTFT p50 ms | TTFT p99 ms | short wait p99 ms | goodput | late refusals | hedges | retries |")
+	p.line("| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	for _, g := range groups(results) {
+		r := g[0]
+		p.line("| %s | %s | %s | %d | %d | %d | %d | %d | %.3f | %.3f | %.2f | %.0f | %.0f | %.0f | %.3f | %d | %.3f | %.3f |",
+			r.Workload, r.Scenario, r.Policy, len(g),
+			g.total(func(r Result) int { return r.Requests }), g.total(func(r Result) int { return r.Completed }),
+			g.total(func(r Result) int { return r.Refused }), g.total(func(r Result) int { return r.Lost }),
+			g.median(func(r Result) float64 { return r.PrefixHitRate }), g.median(func(r Result) float64 { return r.HitRateOfIdeal }),
+			g.median(func(r Result) float64 { return r.WastedOfUnavoidable }), g.median(func(r Result) float64 { return r.TTFTp50 }),
+			g.median(ttftP99), g.median(shortWaitP99), g.median(func(r Result) float64 { return r.GoodputShare }),
+			g.total(func(r Result) int { return r.RefusedLate }), g.median(func(r Result) float64 { return r.HedgeShare }),
+			g.median(func(r Result) float64 { return r.RetryShare }))
+	}
+	writeRecoveries(&p, results)
+	return p.err
+}
+
+// writeRecoveries prints, for scenarios with a disturbance, the dip and the way back.
+func writeRecoveries(p *printer, results []Result) {
+	p.line("")
+	p.line("| workload | scenario | policy | least good share in a second | least hit rate of ideal in a second | of ideal before | first second | 10 s after | recovery s (median) | recovery s (worst) | never back |")
+	p.line("| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	for _, g := range groups(results) {
+		r := g[0]
+		if r.HitBefore == 0 {
+			continue
+		}
+		never, worst := 0, 0.0
+		for _, r := range g {
+			worst = max(worst, r.RecoverySeconds)
+			if r.RecoverySeconds < 0 {
+				never++
+			}
+		}
+		p.line("| %s | %s | %s | %.2f | %.2f | %.3f | %.3f | %.3f | %.0f | %.0f | %d of %d |", r.Workload, r.Scenario, r.Policy,
+			g.median(func(r Result) float64 { return r.DipInTime }), g.median(func(r Result) float64 { return r.HitDip }),
+			g.median(func(r Result) float64 { return r.HitBefore }), g.median(func(r Result) float64 { return r.HitFirstSecond }),
+			g.median(func(r Result) float64 { return r.HitLater }), g.median(recovery), worst, never, len(g))
+	}
+}
