--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -17,6 +17,7 @@
 //	  --json                                   one JSON object a run and line
 //	  --quick                                  a quarter of the time
 //	  --targets                                each target's bound, median and worst figure, met or missed
+//	  --rules                                  the main figures with each rule turned off, one at a time
 //
 // Without --json the tables give medians over the seeds, and sums for counts.
 //
@@ -50,6 +51,7 @@
 	JSON     bool     `help:"Print one JSON object a line." name:"json"`
 	Quick    bool     `help:"Run a quarter of the time."`
 	Targets  bool     `help:"Print the targets, the figures and whether they are met."`
+	Rules    bool     `help:"Print what the product's policy does with each of its rules turned off."`
 
 	out io.Writer
 }
@@ -63,6 +65,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Rules {
+		plan = rulePlan(plan)
+	}
 	results, err := runAll(plan)
 	if err != nil {
 		return err
@@ -70,6 +75,9 @@
 	if c.JSON {
 		return writeJSON(c.out, results)
 	}
+	if c.Rules {
+		return writeRules(c.out, results)
+	}
 	if c.Targets {
 		return writeTargets(c.out, results)
 	}
