--- a/lab/measure/daemon.go
+++ b/lab/measure/daemon.go
@@ -193,7 +193,7 @@
 // report sends an engine's load to all daemons, late, at every interval.
 func (w *world) report(e *engine) {
 	w.after(reportInterval, func() { w.report(e) })
-	if e.down {
+	if e.down || e.frozen {
 		return
 	}
 	running, queued := e.model.Load()
--- a/lab/measure/result.go
+++ b/lab/measure/result.go
@@ -19,7 +19,7 @@
 	// Refused requests were not run; Lost ones may have run and gave no whole answer.
 	Refused int `json:"refused"`
 	Lost    int `json:"lost"`
-	// PrefixHitRate is cached over all prompt tokens of served requests.
+	// PrefixHitRate is cached over all prompt tokens of completed requests.
 	PrefixHitRate float64 `json:"prefix_hit_rate"`
 	// HitRateOfIdeal is PrefixHitRate over that of one cache as large as all
 	// engines' that sees all requests in order of arrival, refused ones too.
@@ -210,7 +210,7 @@
 		if c.at >= from && c.at < to {
 			offered += cost
 		}
-		if c.state == completed && c.ttft <= w.classes[c.kind.class].inTime {
+		if c.served() && c.ttft <= w.classes[c.kind.class].inTime {
 			done += cost * overlap(c.winner.started, c.finished, from, to)
 		}
 	}
@@ -235,7 +235,7 @@
 	return filter(w.ordered, func(c *call) bool { return c.at >= from && c.at < to })
 }
 
-func (c *call) served() bool      { return c.winner != nil }
+func (c *call) served() bool      { return c.state == completed }
 func (c *call) interactive() bool { return c.kind.class == "interactive" }
 
 func hitOfIdeal(calls []*call) float64 {
--- a/lab/measure/scenario.go
+++ b/lab/measure/scenario.go
@@ -17,8 +17,8 @@
 	greedy int
 	// shifted makes other prefixes hot from the start of the disturbance on.
 	shifted bool
-	// withoutLong leaves out long answers.
-	withoutLong bool
+	// withoutLong leaves out long answers; filled raises the rest to the same offered work.
+	withoutLong, filled bool
 	// newWeights makes callers ask for new weights once engines have loaded them.
 	newWeights bool
 	// callersRetry makes callers send refused work again.
@@ -29,7 +29,7 @@
 	inject func(*world)
 }
 
-const disturbanceStart = 10 * time.Second
+const disturbanceStart = 20 * time.Second
 
 func (s scenario) length(w workload) time.Duration {
 	if s.after == 0 {
@@ -88,6 +88,7 @@
 		{name: "engine-crash", start: start, lasts: 5 * time.Second, after: settle, inject: crashOne},
 		{name: "long-and-short"},
 		{name: "short-only", withoutLong: true},
+		{name: "short-filled", withoutLong: true, filled: true},
 		{name: "frozen", start: start, lasts: 10 * time.Second, after: settle, inject: freezeOne},
 		{name: "new-weights", start: start, lasts: 14 * time.Second, after: settle, newWeights: true, inject: loadWeights},
 		{name: "stale-reports", reportLag: staleLag, inject: slowInTurn},
--- a/lab/measure/trace.go
+++ b/lab/measure/trace.go
@@ -46,15 +46,20 @@
 	t.engineRate = w.engine.Capacity(mean.prefill, mean.output)
 	t.capacity = t.engineRate * float64(w.engines)
 	end := w.warm + s.length(w)
+	rate := t.capacity
+	if s.filled {
+		rate /= 1 - mean.longPart
+	}
 	for o := range w.organisations {
-		t.arrivals = append(t.arrivals, organisationArrivals(w, s, seed, o, t.capacity, end)...)
+		t.arrivals = append(t.arrivals, organisationArrivals(w, s, seed, o, rate, end)...)
 	}
 	sort.SliceStable(t.arrivals, func(i, j int) bool { return t.arrivals[i].at < t.arrivals[j].at })
 	fillIdeal(w, t.arrivals)
 	return t
 }
 
-type means struct{ prefill, output float64 }
+// means describes the mean request and the part of the output that long answers make.
+type means struct{ prefill, output, longPart float64 }
 
 // calibrationRequests is the length of the pass that finds the mean request.
 const calibrationRequests = 12000
@@ -73,7 +78,11 @@
 	for _, a := range counted {
 		m.prefill += float64(a.prompt - a.ideal)
 		m.output += float64(a.output)
+		if a.kind.long {
+			m.longPart += float64(a.output)
+		}
 	}
+	m.longPart /= m.output
 	m.prefill /= float64(len(counted))
 	m.output /= float64(len(counted))
 	return m
