--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -25,6 +25,8 @@
 type Candidate struct {
 	// Wait is the predicted time before the engine begins, at normal speed.
 	Wait time.Duration
+	// Slot is the predicted wait for a slot.
+	Slot time.Duration
 	// Recompute is the time to compute what the engine is not known to hold,
 	// at normal speed.
 	Recompute time.Duration
@@ -38,10 +40,10 @@
 
 // Cost returns the predicted cost of a candidate in seconds.
 func (c *Candidate) Cost(price float64) float64 {
-	return (c.Delay + c.Overrun).Seconds() + c.Slowdown*(c.Wait.Seconds()+price*c.Recompute.Seconds())
+	return (c.Delay + c.Overrun).Seconds() + c.Slowdown*((c.Wait+c.Slot).Seconds()+price*c.Recompute.Seconds())
 }
 
 // FirstToken returns the predicted time to first token.
 func (c *Candidate) FirstToken() time.Duration {
-	return c.Delay + c.Overrun + time.Duration(c.Slowdown*float64(c.Wait+c.Recompute))
+	return c.Delay + c.Overrun + time.Duration(c.Slowdown*float64(c.Wait+c.Slot+c.Recompute))
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -48,9 +48,7 @@
 		uncached := p.uncached(now, e, r, rank, len(homes))
 		c := p.candidate(now, e, uncached)
 		room := p.room(e, r, long)
-		if !room {
-			c.Wait += time.Duration(p.learned.stay.or(stayStart.Seconds()) / float64(max(1, e.ep.Slots)) * float64(time.Second))
-		}
+		c.Slot = p.slotWait(e)
 		cost := c.Cost(price)
 		switch {
 		case !room:
@@ -62,6 +60,20 @@
 	return best
 }
 
+// slotWait predicts the wait for a slot when all are taken.
+func (p *Policy) slotWait(e *engine) time.Duration {
+	taken := e.own
+	if p.rules.peerLoad {
+		taken += e.peers.requests
+	}
+	before := taken + 1 - e.ep.Slots
+	if before <= 0 {
+		return 0
+	}
+	turnover := p.learned.stay.or(stayStart.Seconds()) / float64(max(1, e.ep.Slots))
+	return time.Duration(float64(before) * turnover * float64(time.Second))
+}
+
 func (p *Policy) price() float64 {
 	switch {
 	case !p.rules.price:
