--- a/lab/enginemodel/engine.go
+++ b/lab/enginemodel/engine.go
@@ -112,6 +112,21 @@
 	return e.now + d, ok
 }
 
+// Generated appends to dst how far the answers that run at t have come, in the
+// order in which they got their slots.
+func (e *Engine) Generated(t time.Duration, dst []Progress) []Progress {
+	e.run(t)
+	for _, j := range e.running {
+		if !j.prefilling {
+			dst = append(dst, Progress{ID: j.ID, Tokens: j.OutputTokens - int(math.Ceil(j.remaining))})
+		}
+	}
+	return dst
+}
+
+// Progress is the number of tokens generated so far for a job.
+type Progress struct{ ID, Tokens int }
+
 // SetSlowdown makes the engine factor times slower than its spec.
 func (e *Engine) SetSlowdown(t time.Duration, factor float64) {
 	e.run(t)
--- a/lab/measure/daemon.go
+++ b/lab/measure/daemon.go
@@ -7,6 +7,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/lab/enginemodel"
 )
 
 // daemon is one entry instance: a Scheduler that sees only its own traffic.
@@ -190,6 +191,41 @@
 	}
 }
 
+// streams tells the daemons how far the answers at an engine have come, at every interval.
+func (w *world) streams(e *engine) {
+	w.after(routing.ProgressInterval, func() { w.streams(e) })
+	if e.frozen {
+		return
+	}
+	w.collect(e)
+	w.progress = e.model.Generated(w.now, w.progress[:0])
+	of := make([][]enginemodel.Progress, len(w.daemons))
+	for _, p := range w.progress {
+		i := e.attempts[p.ID].daemon.index
+		of[i] = append(of[i], p)
+	}
+	for i, some := range of {
+		if len(some) > 0 {
+			d := w.daemons[i]
+			w.after(w.net.delay(w.now, e.dataCentre, d.dataCentre), func() { w.gotProgress(d, some) })
+		}
+	}
+}
+
+func (w *world) gotProgress(d *daemon, some []enginemodel.Progress) {
+	observer, ok := d.scheduler.(routing.ProgressObserver)
+	if !ok || d.down {
+		return
+	}
+	for _, p := range some {
+		a := d.attempts[p.ID]
+		if a != nil && a.firstToken && a.generation == d.generation {
+			observer.Progress(wall(w.now), a.call.requestID, a.engine.id, p.Tokens)
+		}
+	}
+	w.pump(d)
+}
+
 // report sends an engine's load to all daemons, late, at every interval.
 func (w *world) report(e *engine) {
 	w.after(reportInterval, func() { w.report(e) })
--- a/lab/measure/targets.go
+++ b/lab/measure/targets.go
@@ -79,6 +79,7 @@
 		{what: "crest: late refusals and lost requests", limit: 0, every: true, figure: of("crest", func(r Result) float64 { return float64(r.RefusedLate + r.Lost) })},
 		{what: "crest: seconds until back to steady", limit: 5, figure: of("crest", recovery)},
 		{what: "short work's wait p99 beside long over without", limit: 1.3, figure: over("long-and-short", "short-only", product, shortWaitP99)},
+		{what: "the same at equal offered work", limit: 1.3, figure: over("long-and-short", "short-filled", product, shortWaitP99)},
 		{what: "others' wait p99 beside a greedy organisation over without", limit: 1, figure: of("greedy", func(r Result) float64 { return r.OthersWaitP99 / r.OthersWaitP99Without })},
 		{what: "herd restart: hit rate in the first second over before", limit: 0.9, atLeast: true, figure: of("herd-restart", func(r Result) float64 { return r.HitFirstSecond / r.HitBefore })},
 		{what: "retries over requests, worst scenario", limit: 0.10, every: true, figure: greatest(func(r Result) float64 { return r.RetryShare })},
--- a/lab/measure/world.go
+++ b/lab/measure/world.go
@@ -34,6 +34,7 @@
 	entries   []entryAnswer
 	attempts  int
 	tally     tally
+	progress  []enginemodel.Progress
 	// atWarm is taken at the end of the warm-up.
 	atWarm marks
 }
@@ -97,6 +98,11 @@
 		w.replace(d)
 		w.after(time.Duration(w.rand.Int64N(int64(gossipInterval))), func() { w.gossip(d) })
 	}
+	if _, ok := w.daemons[0].scheduler.(routing.ProgressObserver); ok {
+		for _, e := range w.engines {
+			w.after(time.Duration(w.rand.Int64N(int64(routing.ProgressInterval))), func() { w.streams(e) })
+		}
+	}
 }
 
 func (w *world) addCalls() {
