--- /dev/null
+++ b/cmd/verbenabendd/main.go
@@ -0,0 +1,10 @@
+// Command verbenabendd is the daemon of one entry instance.
+package main
+
+import (
+	"os"
+
+	"github.com/verbenabend/verbenabend/internal/cli/daemoncli"
+)
+
+func main() { os.Exit(daemoncli.Main(os.Args[1:])) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,17 +25,20 @@
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
 	"github.com/verbenabend/verbenabend/internal/resume"
-	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpservice"
 )
 
+type atomicCounter = atomic.Int64
+
 // Daemon is one entry instance.
 type Daemon struct {
 	settings *settings.Settings
 	log      *eventlog.Log
+	metrics  *telemetry.Metrics
 
 	client    *httpplatform.Client
 	table     platform.Table
@@ -48,7 +52,7 @@
 	poller     *docstore.Poller
 	once       *once.Records
 	members    *membership.Members
-	board      gossip.Board
+	node       *gossip.Node
 	dispatcher *dispatch.Dispatcher
 
 	callers   *server
@@ -56,16 +60,28 @@
 
 	platformUp atomic.Bool
 	listed     atomic.Bool // an instance list was seen, from the platform or a peer
+	synced     atomic.Bool // all documents were read once, from the platform or a peer
+	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
 	draining   atomic.Bool
+	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
+	told       map[string]toldEngine
+	adopted    chan struct{} // a document was adopted
 	inFlight   atomic.Int64
 }
 
 // New returns a daemon that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents)}
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
+	d.log.Observe(d.metrics.Event)
 	d.provisionClients()
+	d.provisionMembers()
+	if err := d.provisionPeers(); err != nil {
+		return nil, err
+	}
 	d.provisionState()
 	d.provisionDispatch()
+	d.subscribe()
+	d.registerGauges()
 	if err := d.listen(); err != nil {
 		d.Close()
 		return nil, err
@@ -81,14 +97,20 @@
 	d.services = httpservice.New(nil)
 }
 
-func (d *Daemon) provisionState() {
+func (d *Daemon) provisionMembers() {
+	d.contact.Store(time.Now().UnixNano())
 	d.members = membership.New(membership.Member{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		CallerAddress: d.settings.CallerAddress, PeerAddress: d.settings.PeerAddress,
 	})
-	d.board = &gossip.Solo{}
-	d.catalogue = docstore.NewCatalogue(d.log, func(*servicedoc.Accepted) {})
-	d.documents = docstore.NewStore(d.table, d.client.Objects(), d.catalogue, func(*servicedoc.Accepted) {}, d.log)
+}
+
+func (d *Daemon) provisionState() {
+	objects := d.client.Objects()
+	d.catalogue = docstore.NewCatalogue(d.log, d.documentAdopted)
+	announcer := docstore.NewAnnouncer(d.node)
+	d.documents = docstore.NewStore(d.table, objects, d.catalogue, announcer.Announce, d.log)
+	d.poller = docstore.NewPoller(d.table, objects, d.catalogue, announcer, time.Duration(d.settings.Platform.PollInterval), d.log)
 	d.once = once.New(d.table, d.client.Objects(), d.log)
 }
 
@@ -120,13 +142,13 @@
 
 func (d *Daemon) listen() error {
 	callers := &entry.Callers{
-		Documents: documents{d.catalogue, d.documents}, Dispatcher: atMostOnce{d.dispatcher, d.once}, Members: d.members,
+		Documents: documents{d.catalogue, d.documents}, Dispatcher: instrumented{atMostOnce{d.dispatcher, d.once}, d.metrics}, Members: d.members,
 		Keys: resume.NewKeys(d.settings.FleetKey, d.settings.PreviousFleetKeys), Log: d.log,
 		Delay: d.delay, EntryMaxAge: time.Duration(d.settings.EntryMaxAge),
 	}
 	operators := &entry.Operators{
 		Documents: documents{d.catalogue, d.documents}, Log: d.log, Key: d.settings.OperatorKey,
-		Status: d.Status, WriteMetrics: d.writeMetrics,
+		Status: d.Status, WriteMetrics: d.metrics.Write,
 	}
 	var err error
 	if d.callers, err = newServer(d.settings.CallerListen, d.countInFlight(callers.Handler()), d.settings.TLS, d.settings.MaxConnections); err != nil {
@@ -156,6 +178,7 @@
 	d.log.Emit(eventlog.DaemonStarted, eventlog.Fields{Detail: d.settings.CallerAddress})
 	work, stopWork := context.WithCancel(hard)
 	defer stopWork()
+	d.node.Start()
 	group, work := errgroup.WithContext(work)
 	for _, loop := range d.loops() {
 		group.Go(func() error { return ignoreCanceled(loop(work)) })
@@ -204,6 +227,7 @@
 	if d.operators != nil {
 		d.operators.close()
 	}
+	d.node.Close()
 	d.dispatcher.Close()
 	d.client.Close()
 }
