--- a/lab/enginemodel/engine.go
+++ b/lab/enginemodel/engine.go
@@ -73,7 +73,7 @@
 // Submit hands in a job and reports whether the engine takes it.
 func (e *Engine) Submit(t time.Duration, j Job) bool {
 	e.run(t)
-	if len(e.running) >= e.spec.Slots && len(e.waiting) >= e.spec.QueueLimit {
+	if len(e.running)+len(e.waiting) >= e.spec.Slots+e.spec.QueueLimit {
 		return false
 	}
 	at := len(e.waiting)
@@ -112,6 +112,21 @@
 	return e.now + d, ok
 }
 
+// Generated appends to dst how far the answers that run at t have come, in the
+// order in which they got their slots.
+func (e *Engine) Generated(t time.Duration, dst []Progress) []Progress {
+	e.run(t)
+	for _, j := range e.running {
+		if !j.prefilling {
+			dst = append(dst, Progress{ID: j.ID, Tokens: j.OutputTokens - int(math.Ceil(j.remaining))})
+		}
+	}
+	return dst
+}
+
+// Progress is the number of tokens generated so far for a job.
+type Progress struct{ ID, Tokens int }
+
 // SetSlowdown makes the engine factor times slower than its spec.
 func (e *Engine) SetSlowdown(t time.Duration, factor float64) {
 	e.run(t)
