--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -32,17 +31,17 @@
 const (
 	defaultStreamIdle = 3 * time.Second
 	// maxAttempts bounds the engines tried for one request.
-	maxAttempts = 4
-	// maxResumes bounds consecutive resumptions of a stream that brought no event.
-	maxResumes = 4
-	// cancelTimeout bounds the call that cancels a stream at an engine.
-	cancelTimeout = 2 * time.Second
+	maxAttempts   = 4
 	bytesPerToken = 4
 )
 
 // Dispatcher carries out requests. It is safe for concurrent use.
 type Dispatcher struct {
-	cfg Config
+	cfg     Config
+	running *runningTable
+	// closing ends grace periods; background is what outlives its request.
+	closing    chan struct{}
+	background background
 
 	mu      sync.Mutex
 	runners map[string]*runner
@@ -63,11 +62,16 @@
 	if cfg.EngineDown == nil {
 		cfg.EngineDown = func(string) {}
 	}
-	return &Dispatcher{cfg: cfg, runners: map[string]*runner{}, peers: 1}
+	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, peers: 1}
 }
 
-// Close stops the dispatcher's timers.
+// Close ends the grace periods of streams whose callers left, waits for what
+// outlived its request, and stops the dispatcher's timers. It may be called again.
 func (d *Dispatcher) Close() {
+	if d.background.close() {
+		close(d.closing)
+	}
+	d.background.wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range d.runners {
@@ -156,10 +160,3 @@
 	}
 	return out
 }
-
-// cancelStream tells an engine that nobody waits for a stream any more.
-func (d *Dispatcher) cancelStream(address string, ref upstream.StreamRef) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	_ = d.cfg.Engines.Cancel(ctx, address, ref) // an engine that can't be reached ends the stream by itself
-}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -45,3 +45,10 @@
 	// Event receives the next event; indexes are consecutive.
 	Event(src Source, e upstream.Event) error
 }
+
+// Rewinder is implemented by a Sink that can forget the events it received,
+// because the caller has seen none of them.
+type Rewinder interface {
+	// Rewind makes the sink as new.
+	Rewind()
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -33,11 +33,7 @@
 	now := time.Now()
 	fn(r.scheduler, now)
 	for _, a := range r.scheduler.Advance(now) {
-		if ch, ok := r.waiting[a.Request.ID]; ok {
-			ch <- a
-			continue
-		}
-		if a.Kind != routing.Refuse {
+		if !r.deliver(a) && a.Kind != routing.Refuse {
 			r.scheduler.Finished(now, a.Request.ID, a.Endpoint, routing.Canceled, 0)
 		}
 	}
@@ -46,6 +42,16 @@
 	}
 }
 
+// deliver hands an action to the request that waits for it; it never blocks.
+func (r *runner) deliver(a routing.Action) bool {
+	select {
+	case r.waiting[a.Request.ID] <- a: // a request that does not wait has no channel
+		return true
+	default:
+		return false
+	}
+}
+
 // submit hands in a request and returns the channel on which its actions come.
 func (r *runner) submit(req *routing.Request) <-chan routing.Action {
 	ch := make(chan routing.Action, actionBuffer)
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -10,6 +10,7 @@
 	"github.com/verbenabend/verbenabend/internal/dispatch"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
 // format is the shape of an answer: that of a chat or of a text completion.
@@ -85,13 +86,22 @@
 	source dispatch.Source
 }
 
+// maxWholeBytes bounds an answer that is collected before it is written.
+const maxWholeBytes = 32 << 20
+
 // Event implements dispatch.Sink.
 func (s *wholeSink) Event(src dispatch.Source, e upstream.Event) error {
+	if s.text.Len()+len(e.Text) > maxWholeBytes {
+		return verdict.New(verdict.Ran, verdict.CodeTooLarge, "the answer exceeds the limit; ask for a streamed one")
+	}
 	s.text.WriteString(e.Text)
 	s.last, s.source = e, src
 	return nil
 }
 
+// Rewind implements dispatch.Rewinder: nothing was written yet.
+func (s *wholeSink) Rewind() { s.text.Reset() }
+
 func (s *wholeSink) finish(w http.ResponseWriter) {
 	text := s.text.String()
 	c := choice{FinishReason: &s.last.Finish}
@@ -141,7 +151,7 @@
 	s.line.WriteString(s.keys.Encode(resume.Position{
 		Organisation: s.req.Organisation.Name, Service: s.req.Service.Document.Service, RequestID: src.Info.RequestID,
 		Engine: src.Engine, Incarnation: src.Info.Ref.Incarnation, StreamID: src.Info.Ref.StreamID,
-		Weights: src.Info.Weights, Next: e.Index + 1,
+		Weights: src.Info.Weights, Next: e.Index + 1, Ended: e.Finish != "",
 	}))
 	s.line.WriteString("\ndata: ")
 	if err := s.encoder.Encode(s.chunk(e)); err != nil {
@@ -156,7 +166,9 @@
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
-	h.Set(HeaderUpstream, engine)
+	if engine != "" {
+		h.Set(HeaderUpstream, engine)
+	}
 	s.w.WriteHeader(http.StatusOK)
 }
 
@@ -189,6 +201,9 @@
 }
 
 func (s *streamSink) finish(http.ResponseWriter) {
+	if !s.begun {
+		s.begin("") // a stream whose last event the caller had
+	}
 	s.line.Reset()
 	s.line.WriteString("data: [DONE]\n\n")
 	_ = s.flush()
--- a/internal/resume/token.go
+++ b/internal/resume/token.go
@@ -25,6 +25,8 @@
 	Weights      string
 	// Next is the index of the first event that the caller lacks.
 	Next int
+	// Ended says that the caller has the last event.
+	Ended bool
 }
 
 // ErrInvalid reports a token that no entry of this fleet has made.
--- a/internal/upstream/httpengine/client.go
+++ b/internal/upstream/httpengine/client.go
@@ -40,7 +40,10 @@
 	fresh *http.Client
 }
 
-var _ upstream.Engines = (*Client)(nil)
+var (
+	_ upstream.Engines   = (*Client)(nil)
+	_ upstream.Abandoner = (*Client)(nil)
+)
 
 // New returns a client. dial may be nil.
 func New(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
@@ -55,9 +58,15 @@
 		DisableCompression:    true,
 	}
 	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout, DisableCompression: true}
-	return &Client{streams: &http.Client{Transport: streams}, fresh: &http.Client{Transport: fresh}}
+	return &Client{
+		streams: &http.Client{Transport: streams, CheckRedirect: noRedirect},
+		fresh:   &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
 }
 
+// noRedirect keeps net/http from sending a request to another address.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close drops idle connections.
 func (c *Client) Close() { c.streams.CloseIdleConnections() }
 
@@ -80,7 +89,20 @@
 	req.Header.Set(HeaderWeights, g.Weights)
 	req.Header.Set(HeaderIncarnation, g.Incarnation)
 	req.Header.Set(HeaderPriority, strconv.Itoa(g.Priority))
-	return open(c.streams, req, sent, 0)
+	stream, err := open(c.streams, req, sent, identity{HeaderRequestID, g.RequestID}, 0)
+	if err != nil && ctx.Err() == nil && refusedBy(err) == nil {
+		// What failed may be idle connections that fell silent or were closed.
+		c.streams.CloseIdleConnections()
+	}
+	return stream, err
+}
+
+func refusedBy(err error) *upstream.RefusedError {
+	var refused *upstream.RefusedError
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return nil
 }
 
 // Resume implements upstream.Engines. It always opens a new connection.
@@ -92,7 +114,7 @@
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "engine request")
 	}
 	req.Header.Set(HeaderIncarnation, ref.Incarnation)
-	return open(c.fresh, req, sent, next)
+	return open(c.fresh, req, sent, identity{HeaderStreamID, ref.StreamID}, next)
 }
 
 // Cancel implements upstream.Engines.
@@ -101,6 +123,12 @@
 	return c.control(ctx, controlTimeout, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(ref.StreamID), header, nil, nil)
 }
 
+// Abandon implements upstream.Abandoner.
+func (c *Client) Abandon(ctx context.Context, address string, ref upstream.StreamRef) error {
+	header := http.Header{HeaderIncarnation: {ref.Incarnation}, HeaderUnread: {"1"}}
+	return c.control(ctx, controlTimeout, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(ref.StreamID), header, nil, nil)
+}
+
 // State implements upstream.Engines.
 func (c *Client) State(ctx context.Context, address string) (upstream.EngineState, error) {
 	var s State
@@ -180,6 +208,10 @@
 	if known && status == http.StatusBadRequest {
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "engine rejected the request: "+r.Message)
 	}
+	return failure(status)
+}
+
+func failure(status int) error {
 	cause := errors.Newf("status %d", status)
 	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "engine failed")
 }
--- a/internal/upstream/httpengine/stream.go
+++ b/internal/upstream/httpengine/stream.go
@@ -37,9 +37,12 @@
 	ended  bool
 }
 
+// identity is a header by which an answer names what it answers.
+type identity struct{ header, value string }
+
 // open sends req and checks the answer's head. next is the index of the first
-// event that is due.
-func open(client *http.Client, req *http.Request, sent *httpverdict.Sent, next int) (upstream.Stream, error) {
+// event that is due, id what a refusal must name.
+func open(client *http.Client, req *http.Request, sent *httpverdict.Sent, id identity, next int) (upstream.Stream, error) {
 	ctx, cancel := context.WithCancel(req.Context())
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
@@ -50,6 +53,9 @@
 		raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
 		resp.Body.Close()
 		cancel()
+		if resp.Header.Get(id.header) != id.value {
+			return nil, failure(resp.StatusCode) // not an answer to this request
+		}
 		return nil, refusal(resp.StatusCode, raw)
 	}
 	info := upstream.StreamInfo{
--- a/internal/upstream/httpengine/wire.go
+++ b/internal/upstream/httpengine/wire.go
@@ -11,6 +11,9 @@
 	HeaderIncarnation  = "X-Incarnation"
 	HeaderStreamID     = "X-Stream-Id"
 	HeaderPriority     = "X-Priority"
+	// HeaderUnread, on a cancellation, makes it conditional: the engine refuses
+	// with 409 "in_use" while a connection reads the stream.
+	HeaderUnread = "X-Unread"
 )
 
 // ChatRequest is the body of POST /v1/chat/completions.
@@ -78,7 +81,8 @@
 }
 
 // Refusal is the body of a refusal. Codes: "incarnation", "weights",
-// "overloaded", "leaving", "fence", "stream_gone".
+// "overloaded", "leaving", "fence", "stream_gone", "in_use". The header
+// X-Request-Id names the request that is refused.
 type Refusal struct {
 	Code    string `json:"code"`
 	Message string `json:"message"`
--- a/internal/upstream/httpservice/client.go
+++ b/internal/upstream/httpservice/client.go
@@ -27,7 +27,8 @@
 	HeaderRequestID      = "X-Request-Id"
 	HeaderOrganisation   = "X-Organisation"
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderNotRun is set by a service that refused a call before running it.
+	// HeaderNotRun is set by a service that refused a call before running it;
+	// its value is the call's X-Request-Id.
 	HeaderNotRun = "X-Not-Run"
 )
 
@@ -70,7 +71,7 @@
 		return nil, verdict.Wrap(err, sent.Verdict(), verdict.CodeUpstreamFailed, "upstream unreachable")
 	}
 	defer resp.Body.Close()
-	return readReply(resp)
+	return readReply(resp, call.RequestID)
 }
 
 // Check implements upstream.Services: the upstream is alive if it accepts a connection.
@@ -88,7 +89,10 @@
 	return resp.Body.Close()
 }
 
-func readReply(resp *http.Response) (*upstream.Reply, error) {
+func readReply(resp *http.Response, requestID string) (*upstream.Reply, error) {
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == requestID {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "upstream refused the call")
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "answer cut off")
@@ -96,8 +100,5 @@
 	if len(body) > maxReplyBytes {
 		return nil, verdict.New(verdict.Ran, verdict.CodeTooLarge, "answer exceeds the limit")
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) != "" {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "upstream refused the call")
-	}
 	return &upstream.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -21,6 +21,8 @@
 	RefusedFence       RefusalReason = "fence"
 	// RefusedStreamGone means that the stream to resume is not known.
 	RefusedStreamGone RefusalReason = "stream_gone"
+	// RefusedInUse means that a stream to be abandoned is being read.
+	RefusedInUse RefusalReason = "in_use"
 )
 
 // Error implements error.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -126,6 +126,14 @@
 	Order(ctx context.Context, address string, o Order) error
 }
 
+// Abandoner is implemented by Engines whose engines can end a stream on the
+// condition that nobody reads it, so that a caller that came back through
+// another daemon is not cut off.
+type Abandoner interface {
+	// Abandon ends a stream unless a connection reads it.
+	Abandon(ctx context.Context, address string, ref StreamRef) error
+}
+
 // Call is a call to a plain service.
 type Call struct {
 	RequestID      string
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -165,12 +165,12 @@
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
 	var req httpengine.ChatRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
-		s.refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		s.refuse(w, r, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
 	g, status, code := s.start(r.Header, req)
 	if g == nil {
-		s.refuse(w, status, code, "refused")
+		s.refuse(w, r, status, code, "refused")
 		return
 	}
 	s.relay(w, r, g, 0)
--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -23,10 +23,11 @@
 	poison       bool
 	cancel       context.CancelFunc
 
-	mu     sync.Mutex
-	tokens []token
-	done   bool
-	more   chan struct{} // closed and replaced when tokens grow
+	mu      sync.Mutex
+	tokens  []token
+	readers int
+	done    bool
+	more    chan struct{} // closed and replaced when tokens grow
 }
 
 func (g *generation) append(t token) {
@@ -59,3 +60,21 @@
 		}
 	}
 }
+
+// read counts a connection that reads the answer, until the returned function is called.
+func (g *generation) read() (done func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readers++
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.readers--
+	}
+}
+
+func (g *generation) isRead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.readers > 0
+}
--- a/lab/engine/stream.go
+++ b/lab/engine/stream.go
@@ -17,19 +17,24 @@
 func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	if err != nil || from < 0 {
-		s.refuse(w, http.StatusBadRequest, "bad_request", "from must be a number")
+		s.refuse(w, r, http.StatusBadRequest, "bad_request", "from must be a number")
 		return
 	}
 	g := s.find(r)
 	if g == nil {
-		s.refuse(w, http.StatusGone, string(upstream.RefusedStreamGone), "no such stream in this incarnation")
+		s.refuse(w, r, http.StatusGone, string(upstream.RefusedStreamGone), "no such stream in this incarnation")
 		return
 	}
 	s.relay(w, r, g, from)
 }
 
 func (s *Server) cancelStream(w http.ResponseWriter, r *http.Request) {
-	if g := s.find(r); g != nil {
+	g := s.find(r)
+	if g != nil && r.Header.Get(httpengine.HeaderUnread) != "" && g.isRead() {
+		s.refuse(w, r, http.StatusConflict, string(upstream.RefusedInUse), "a connection reads the stream")
+		return
+	}
+	if g != nil {
 		g.cancel()
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -56,6 +61,7 @@
 	h.Set(httpengine.HeaderOrganisation, g.organisation)
 	h.Set(httpengine.HeaderWeights, g.weights)
 	h.Set(httpengine.HeaderRequestID, g.requestID)
+	defer g.read()()
 	w.WriteHeader(http.StatusOK)
 	out := http.NewResponseController(w)
 	_ = out.Flush()
@@ -127,7 +133,7 @@
 func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		s.refuse(w, http.StatusBadRequest, "bad_request", "after must be a number")
+		s.refuse(w, r, http.StatusBadRequest, "bad_request", "after must be a number")
 		return
 	}
 	s.mu.Lock()
@@ -143,13 +149,13 @@
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o upstream.Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&o); err != nil {
-		s.refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		s.refuse(w, r, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
 	s.mu.Lock()
 	if !s.config.IgnoreFence && o.Fence < s.fence {
 		s.mu.Unlock()
-		s.refuse(w, http.StatusConflict, string(upstream.RefusedFence), "an order with a greater fencing number was seen")
+		s.refuse(w, r, http.StatusConflict, string(upstream.RefusedFence), "an order with a greater fencing number was seen")
 		return
 	}
 	s.fence = max(s.fence, o.Fence)
@@ -176,10 +182,13 @@
 	}
 }
 
-func (s *Server) refuse(w http.ResponseWriter, status int, code, message string) {
+// refuse answers with a refusal that names the request or stream it refuses.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, code, message string) {
 	s.mu.Lock()
 	incarnation, weights := s.incarnation, slices.Clone(s.weights)
 	s.mu.Unlock()
+	w.Header().Set(httpengine.HeaderRequestID, r.Header.Get(httpengine.HeaderRequestID))
+	w.Header().Set(httpengine.HeaderStreamID, r.PathValue("id"))
 	reply(w, status, httpengine.Refusal{Code: code, Message: message, Incarnation: incarnation, Weights: weights})
 }
 
