--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -115,6 +117,9 @@
 func (t *transfer) failed(ctx context.Context, a *attempt) error {
 	outcome := t.blame(ctx, a)
 	t.over(a, outcome, 0)
+	if a.follower != nil && !errors.Is(a.err, errRestarted) {
+		t.d.goBackground(func() { t.d.cancelStream(a.action.Endpoint, a.follower.src.Info.Ref) })
+	}
 	t.earlier = worst(t.earlier, verdict.Of(a.err))
 	t.last = a.err
 	fields := t.fields(a)
