--- a/internal/dispatch/engines_test.go
+++ b/internal/dispatch/engines_test.go
@@ -60,7 +60,6 @@
 	engines map[string]*fakeEngine
 	steps   []step // consumed by Generate and Resume, in order
 	runs    map[string]int
-	wasted  int // generations whose head was lost, so that nobody can cancel them
 }
 
 type fakeEngine struct {
--- a/internal/dispatch/oracle_test.go
+++ b/internal/dispatch/oracle_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,6 +132,7 @@
 
 // recorder is a caller: it keeps what it was given and may leave.
 type recorder struct {
+	mu      sync.Mutex
 	events  []upstream.Event
 	source  Source
 	leaveAt int // events after which it leaves; negative for never
@@ -138,6 +141,8 @@
 var errLeft = errors.New("caller left")
 
 func (r *recorder) Event(src Source, e upstream.Event) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.leaveAt >= 0 && len(r.events) >= r.leaveAt {
 		return errLeft
 	}
@@ -374,8 +379,10 @@
 		go func() { done <- w.daemons[0].Generate(context.Background(), w.request("r", 200), first) }()
 		time.Sleep(time.Second)
 		synctest.Wait()
-		second := &recorder{leaveAt: -1, events: append([]upstream.Event(nil), first.events...)}
+		first.mu.Lock()
+		second := &recorder{leaveAt: -1, events: slices.Clone(first.events)}
 		position := first.position(w)
+		first.mu.Unlock()
 		assert.NilError(t, w.daemons[1].Resume(context.Background(), w.request("r", 200), position, second))
 		assert.NilError(t, <-done)
 		assert.NilError(t, checkWords("r", first.events))
