--- a/lab/cluster_test.go
+++ b/lab/cluster_test.go
@@ -37,6 +37,7 @@
 //	[!] ready NAME          wait until /readyz says yes; with !, check that it does not
 //	control NAME JSON       set the faults of a stand-in
 //	await REGEXP PROGRAM .. run a program until its output matches
+//	exits CODE PROGRAM ..   run a program; it must end with this exit code
 //	call NAME SERVICE METHOD PATH KEY
 //	                        call a plain service through a daemon; prints status,
 //	                        verdict and body; ! requires an error
@@ -266,15 +267,31 @@
 	check(ts, err)
 	var out []byte
 	await(ts, "output of "+strings.Join(args[1:], " "), func() bool {
-		cmd := exec.Command(args[1], args[2:]...)
-		cmd.Dir = clusterOf(ts).dir
-		cmd.Env = append(os.Environ(), scriptEnv(ts)...)
-		out, _ = cmd.CombinedOutput()
+		out, _ = command(ts, args[1:]).CombinedOutput()
 		return pattern.Match(out)
 	})
 	_, _ = ts.Stdout().Write(out)
 }
 
+// command prepares a program with the scenario's environment.
+func command(ts *testscript.TestScript, args []string) *exec.Cmd {
+	cmd := exec.Command(args[0], args[1:]...)
+	cmd.Dir = clusterOf(ts).dir
+	cmd.Env = append(os.Environ(), scriptEnv(ts)...)
+	return cmd
+}
+
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	check(ts, err)
+	cmd := command(ts, args[1:])
+	out, _ := cmd.CombinedOutput()
+	_, _ = ts.Stdout().Write(out)
+	if got := cmd.ProcessState.ExitCode(); got != want {
+		ts.Fatalf("exit code %d, want %d:\n%s", got, want, out)
+	}
+}
+
 func scriptEnv(ts *testscript.TestScript) []string {
 	var out []string
 	for _, name := range []string{"VERBENABEND_ENTRY", "VERBENABEND_DAEMON", "VERBENABEND_KEY", "VERBENABEND_CALLER_KEY"} {
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -27,6 +27,9 @@
 	DelayMS int `json:"delay_ms"`
 	// LoseAnswers applies writes and then drops the connection.
 	LoseAnswers bool `json:"lose_answers"`
+	// LostAfterCommit applies the next transaction and then drops every
+	// connection, that of the transaction included.
+	LostAfterCommit bool `json:"lost_after_commit"`
 }
 
 // Server is the stand-in. The zero value is not usable; see New.
@@ -36,6 +39,7 @@
 	objects   map[string][]byte
 	instances map[string]port.Instance
 	faults    Faults
+	committed bool // a transaction was applied since the faults were set
 	version   uint64
 	reads     uint64
 	writes    uint64
@@ -79,6 +83,9 @@
 		http.Error(w, "platform is down", http.StatusServiceUnavailable)
 		return
 	}
+	if faults.LostAfterCommit && s.lost(r) {
+		panic(http.ErrAbortHandler)
+	}
 	if faults.LoseAnswers && r.Method != http.MethodGet {
 		s.mux.ServeHTTP(discard{}, r)
 		panic(http.ErrAbortHandler)
@@ -86,10 +93,25 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// lost applies the first transaction after the fault was set, and reports
+// whether the answer to r is lost: from that transaction on, every one is.
+func (s *Server) lost(r *http.Request) bool {
+	s.mu.Lock()
+	committed := s.committed
+	s.committed = committed || r.Method == http.MethodPost
+	s.mu.Unlock()
+	if !committed && r.Method == http.MethodPost {
+		s.mux.ServeHTTP(discard{}, r)
+		return true
+	}
+	return committed
+}
+
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.committed = false
 	s.faults = f
 }
 
--- a/lab/scenario_test.go
+++ b/lab/scenario_test.go
@@ -37,6 +37,7 @@
 			"await":   cmdAwait,
 			"call":    cmdCall,
 			"asks":    cmdAsks,
+			"exits":   cmdExits,
 		},
 	})
 }
