--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -161,6 +161,10 @@
 
 const maxLineBytes = 1 << 20
 
+// ErrStreamCut reports that the connection broke before the answer ended; the
+// answer's LastEventID resumes it.
+var ErrStreamCut = verdict.New(verdict.Ran, verdict.CodeStreamLost, "the connection broke before the answer ended")
+
 // readAnswer reads server-sent events until the stream's end.
 func readAnswer(r io.Reader, a *Answer, piece func(string)) error {
 	lines := bufio.NewScanner(r)
@@ -189,7 +193,7 @@
 			a.LastEventID = id
 		}
 	}
-	return verdict.New(verdict.Ran, verdict.CodeStreamLost, "the stream ended before the answer did")
+	return ErrStreamCut
 }
 
 func (a *Answer) add(data string, text *strings.Builder, piece func(string)) error {
--- a/lab/main.go
+++ b/lab/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/lab/demo"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/load"
 	"github.com/verbenabend/verbenabend/lab/measure"
 	"github.com/verbenabend/verbenabend/lab/platform"
 	"github.com/verbenabend/verbenabend/lab/service"
@@ -25,6 +27,8 @@
 	Platform platformCmd `cmd:"" help:"Run a stand-in platform."`
 	Engine   engineCmd   `cmd:"" help:"Run a stand-in model engine."`
 	Service  serviceCmd  `cmd:"" help:"Run a stand-in plain service."`
+	Load     load.Cmd    `cmd:"" help:"Put a running system under load and check every answer."`
+	Get      getCmd      `cmd:"" help:"Print what an address answers."`
 	Measure  measure.Cmd `cmd:"" help:"Measure the decisions against engine models in virtual time."`
 }
 
@@ -74,6 +78,21 @@
 // Run serves until the process ends.
 func (c *serviceCmd) Run() error { return serve(c.Listen, service.New()) }
 
+type getCmd struct {
+	URL string `arg:"" help:"Address to ask."`
+}
+
+// Run prints the answer.
+func (c *getCmd) Run() error {
+	resp, err := http.Get(c.URL)
+	if err != nil {
+		return errors.Wrap(err, "get")
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return err
+}
+
 func serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
