--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -20,6 +20,15 @@
 	return &Budget{perRequest: float64(percent) / 100, tokens: float64(min(initial, budgetBurst))}
 }
 
+// SetPercent changes the percentage; what was saved up stays, unless the new
+// percentage is zero.
+func (b *Budget) SetPercent(percent int) {
+	b.perRequest = float64(max(0, percent)) / 100
+	if percent <= 0 {
+		b.tokens = 0
+	}
+}
+
 // Earn counts a request.
 func (b *Budget) Earn() { b.tokens = min(b.tokens+b.perRequest, budgetBurst) }
 
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -153,8 +153,9 @@
 	}
 }
 
-// documentAdopted wakes the probe loop.
+// documentAdopted brings a document into force and wakes the probe loop.
 func (d *Daemon) documentAdopted(a *servicedoc.Accepted) {
+	d.dispatcher.SetDocument(a)
 	d.metrics.Revision(a.Document.Service, uint64(a.Revision))
 	select {
 	case d.adopted <- struct{}{}:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 )
 
@@ -45,7 +47,9 @@
 
 	mu      sync.Mutex
 	runners map[string]*runner
-	peers   int
+	// documents holds the model services' documents in force.
+	documents map[string]*servicedoc.Accepted
+	peers     int
 }
 
 // New returns a Dispatcher.
@@ -62,7 +66,7 @@
 	if cfg.EngineDown == nil {
 		cfg.EngineDown = func(string) {}
 	}
-	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, peers: 1}
+	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, documents: map[string]*servicedoc.Accepted{}, peers: 1}
 }
 
 // Close ends the grace periods of streams whose callers left, waits for what
@@ -132,13 +136,38 @@
 	}
 }
 
-func (d *Dispatcher) runner(service string, settings routing.Settings) *runner {
+// SetDocument brings a document into force: its budgets, the data centres
+// that it allows and the engines that its models may use.
+func (d *Dispatcher) SetDocument(a *servicedoc.Accepted) {
+	if a.Document.Kind != servicedoc.KindModel {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.documents[a.Document.Service] = a
+	d.runnerOf(a).do(func(s routing.Scheduler, now time.Time) {
+		s.SetBudgets(now, *a.Document.Budgets.HedgePercent, *a.Document.Budgets.RetryPercent)
+		s.SetEndpoints(now, d.endpoints(d.cfg.Fleet.Snapshot(), a.Document.Service))
+	})
+}
+
+// runner returns the runner of a service, which is made at the latest when
+// its first request comes.
+func (d *Dispatcher) runner(a *servicedoc.Accepted) *runner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.documents[a.Document.Service] == nil {
+		d.documents[a.Document.Service] = a
+	}
+	return d.runnerOf(a)
+}
+
+func (d *Dispatcher) runnerOf(a *servicedoc.Accepted) *runner {
+	service, budgets := a.Document.Service, a.Document.Budgets
 	if r, ok := d.runners[service]; ok {
 		return r
 	}
-	r := newRunner(d.cfg.NewScheduler(settings))
+	r := newRunner(d.cfg.NewScheduler(routing.Settings{HedgePercent: *budgets.HedgePercent, RetryPercent: *budgets.RetryPercent}))
 	r.do(func(s routing.Scheduler, now time.Time) {
 		s.SetPeers(now, d.peers)
 		s.SetEndpoints(now, d.endpoints(d.cfg.Fleet.Snapshot(), service))
@@ -147,16 +176,37 @@
 	return r
 }
 
+// endpoints returns the engines that the document in force allows.
 func (d *Dispatcher) endpoints(s *fleet.Snapshot, service string) []routing.Endpoint {
+	doc := d.documents[service]
+	if doc == nil {
+		return nil
+	}
 	var out []routing.Endpoint
 	for _, u := range s.ByService[service] {
-		if u.State != fleet.Serving || u.Engine.Leaving || u.Engine.Slots == 0 {
+		weights := allowedWeights(&doc.Document, u)
+		if u.State != fleet.Serving || u.Engine.Leaving || u.Engine.Slots == 0 || len(weights) == 0 {
 			continue
 		}
 		out = append(out, routing.Endpoint{
-			ID: u.Address, Incarnation: u.Engine.Incarnation, Weights: u.Engine.Weights,
+			ID: u.Address, Incarnation: u.Engine.Incarnation, Weights: weights,
 			Slots: u.Engine.Slots, Delay: d.cfg.Delay(u.DataCentre), Hash: u.Hash,
 		})
 	}
 	return out
 }
+
+// allowedWeights returns what an engine has loaded of the models that the
+// document places on it.
+func allowedWeights(doc *servicedoc.Document, u *fleet.Upstream) []string {
+	if !allowed(doc.DataCentres, u.DataCentre) {
+		return nil
+	}
+	var out []string
+	for _, m := range doc.Models {
+		if u.Matches(m.Engines) && slices.Contains(u.Engine.Weights, m.Weights()) {
+			out = append(out, m.Weights())
+		}
+	}
+	return out
+}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -8,7 +8,6 @@
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/routing"
-	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -16,8 +15,7 @@
 // Generate serves a model request and returns nil after its last event was
 // passed to sink. Errors carry a verdict that covers all attempts.
 func (d *Dispatcher) Generate(ctx context.Context, req *ModelRequest, sink Sink) error {
-	doc := &req.Service.Document
-	t := &transfer{d: d, r: d.runner(doc.Service, settingsOf(doc)), req: req, sink: sink, earlier: verdict.NotRun}
+	t := &transfer{d: d, r: d.runner(req.Service), req: req, sink: sink, earlier: verdict.NotRun}
 	route := routingRequest(req)
 	for attempt := range maxAttempts {
 		next := route
@@ -36,10 +34,6 @@
 	return withEarlier(t.last, t.earlier)
 }
 
-func settingsOf(doc *servicedoc.Document) routing.Settings {
-	return routing.Settings{HedgePercent: *doc.Budgets.HedgePercent, RetryPercent: *doc.Budgets.RetryPercent}
-}
-
 func routingRequest(req *ModelRequest) routing.Request {
 	levels := make([]string, len(req.Messages))
 	for i, m := range req.Messages {
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -133,6 +133,8 @@
 	SetEndpoints(now time.Time, endpoints []Endpoint)
 	// SetPeers tells how many daemons share the engines, this one included.
 	SetPeers(now time.Time, daemons int)
+	// SetBudgets changes the bounds on hedges and retries, in percent of requests.
+	SetBudgets(now time.Time, hedgePercent, retryPercent int)
 	// Submit hands in a request; Advance gives the decision, at once or later.
 	Submit(now time.Time, r *Request)
 	// Withdraw takes back a request that has not started.
--- a/lab/cluster_test.go
+++ b/lab/cluster_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/verbenabend/verbenabend/internal/settings"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/netport"
 )
 
 // The commands of a scenario, beside those that testscript has:
@@ -75,6 +75,9 @@
 		env.Setenv(prefix+"_CALLERS", "http://"+s.CallerAddress)
 		env.Setenv(prefix+"_OPERATORS", "http://"+s.OperatorListen)
 	}
+	for name, address := range c.address {
+		env.Setenv(strings.ToUpper(strings.ReplaceAll(name, "-", "_")), address)
+	}
 	first := c.daemons["entry-1"]
 	env.Setenv("VERBENABEND_ENTRY", "http://"+first.CallerAddress)
 	env.Setenv("VERBENABEND_DAEMON", "http://"+first.OperatorListen)
@@ -93,12 +96,11 @@
 	ports := map[string]string{}
 	free := func(old string) string {
 		if _, ok := ports[old]; !ok {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			address, err := netport.Free()
 			if err != nil {
 				panic(err)
 			}
-			defer l.Close()
-			ports[old] = l.Addr().String()
+			ports[old] = address
 		}
 		return ports[old]
 	}
@@ -238,7 +240,22 @@
 }
 
 func (c *cluster) awaitReady(ts *testscript.TestScript, name string) {
-	await(ts, name+" is ready", func() bool { return c.isReady(name) })
+	deadline := time.Now().Add(conditionTimeout)
+	for !c.isReady(name) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("timed out: %s is not ready; its log:\n%s", name, c.log(name))
+		}
+		time.Sleep(conditionPoll)
+	}
+}
+
+// log returns what a process has printed.
+func (c *cluster) log(name string) string {
+	raw, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
 }
 
 func await(ts *testscript.TestScript, what string, ok func() bool) {
--- a/lab/demo/system.go
+++ b/lab/demo/system.go
@@ -16,6 +16,7 @@
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/settings"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/netport"
 	"github.com/verbenabend/verbenabend/lab/platform"
 	"github.com/verbenabend/verbenabend/lab/service"
 )
@@ -101,7 +102,7 @@
 func (s *system) daemonSettings(i int, dc string) (*settings.Settings, error) {
 	ports := [3]string{}
 	for j := range ports {
-		address, err := freeAddress()
+		address, err := netport.Free()
 		if err != nil {
 			return nil, err
 		}
@@ -121,15 +122,6 @@
 	return set, nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // serve runs a handler on a free loopback port.
 func (s *system) serve(ctx context.Context, h http.Handler) (address string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
