--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,50 +9,46 @@
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
-// Call serves a request to a plain service. A call that is not repeatable is
-// sent again only after an attempt that certainly did not run.
+// Call serves a request to a plain service and returns the reply and the
+// upstream that gave it. A call that is not repeatable is sent again only
+// after an attempt that certainly did not run. Errors carry a verdict that
+// covers all attempts.
 func (d *Dispatcher) Call(ctx context.Context, req *CallRequest) (*upstream.Reply, string, error) {
-	service := req.Service.Document.Service
-	var last error
-	var hashes []uint64
-	serving := d.servingUpstreams(req)
-	for _, u := range serving {
-		hashes = append(hashes, u.hash)
-	}
-	order := prefix.TopScores(nil, prefix.NodeHash(req.Call.RequestID), hashes, maxAttempts)
-	for _, i := range order {
-		address := serving[i].address
+	earlier := verdict.NotRun
+	var last error = verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream of "+req.Service.Document.Service+" serves now")
+	for _, address := range d.callTargets(req) {
 		reply, err := d.cfg.Services.Do(ctx, address, &req.Call)
 		if err == nil {
 			return reply, address, nil
 		}
-		d.cfg.EngineDown(address)
-		if last == nil || verdict.Of(last) == verdict.NotRun {
-			last = err
+		last = withEarlier(err, earlier)
+		earlier = verdict.Of(last)
+		if ctx.Err() != nil {
+			break
 		}
-		if ctx.Err() != nil || (verdict.Of(err) != verdict.NotRun && !req.Repeatable) {
+		d.cfg.EngineDown(address)
+		if verdict.Of(err) != verdict.NotRun && !req.Repeatable {
 			break
 		}
 	}
-	if last == nil {
-		return nil, "", verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream of "+service+" serves now")
-	}
 	return nil, "", last
 }
 
-type target struct {
-	address string
-	hash    uint64
-}
-
-func (d *Dispatcher) servingUpstreams(req *CallRequest) []target {
-	var out []target
-	doc := req.Service.Document
+// callTargets returns the upstreams to try, in rendezvous order of the request.
+func (d *Dispatcher) callTargets(req *CallRequest) []string {
+	doc := &req.Service.Document
+	var addresses []string
+	var hashes []uint64
 	for _, u := range d.cfg.Fleet.Snapshot().ByService[doc.Service] {
 		if u.Serves("") && allowed(doc.DataCentres, u.DataCentre) {
-			out = append(out, target{u.Address, u.Hash})
+			addresses = append(addresses, u.Address)
+			hashes = append(hashes, u.Hash)
 		}
 	}
+	var out []string
+	for _, i := range prefix.TopScores(nil, prefix.NodeHash(req.Call.RequestID), hashes, maxAttempts) {
+		out = append(out, addresses[i])
+	}
 	return out
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -15,7 +16,7 @@
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Authorization": true, "Content-Length": true, "Idempotency-Key": true,
+	"Authorization": true, "Content-Length": true, "Expect": true, "Idempotency-Key": true,
 }
 
 func (c *Callers) call(w http.ResponseWriter, r *http.Request) {
@@ -49,7 +50,7 @@
 	if !rule.Repeatable && key == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeIdempotencyKey, "this call must not run twice: send "+HeaderIdempotencyKey)
 	}
-	target := path
+	target := (&url.URL{Path: path}).EscapedPath()
 	if r.URL.RawQuery != "" {
 		target += "?" + r.URL.RawQuery
 	}
@@ -69,10 +70,24 @@
 	return reply, err
 }
 
+// copyHeader copies the headers that are for the other end, which are neither
+// hop-by-hop nor named by Connection.
 func copyHeader(to, from http.Header) {
+	named := connectionHeaders(from)
 	for name, values := range from {
-		if !hopHeaders[name] && !strings.HasPrefix(name, "Verbenabend-") {
+		if !hopHeaders[name] && !named[name] && !strings.HasPrefix(name, "Verbenabend-") {
 			to[name] = values
 		}
 	}
 }
+
+// connectionHeaders returns the headers that Connection says are hop-by-hop.
+func connectionHeaders(h http.Header) map[string]bool {
+	named := map[string]bool{}
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -79,7 +79,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		WriteError(w, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no such path"))
 	})
-	return mux
+	return plainPaths(mux)
 }
 
 // Entries is the answer to GET /v1/entries.
--- /dev/null
+++ b/internal/entry/main_test.go
@@ -0,0 +1,9 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/verbenabend/verbenabend/internal/upstream/httpservice"
 )
 
 const maxBodyBytes = 32 << 20
@@ -21,6 +23,10 @@
 
 // Faults is the body of POST /control.
 type Faults struct {
+	// Refuse refuses an order before it runs.
+	Refuse bool `json:"refuse"`
+	// DropBeforeRun drops the connection before an order runs.
+	DropBeforeRun bool `json:"drop_before_run"`
 	// DropAfterRun runs an order and then drops the connection.
 	DropAfterRun bool `json:"drop_after_run"`
 	// DelayMS is how long an order takes, in milliseconds.
@@ -65,8 +71,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	key := r.Header.Get("Idempotency-Key")
+	key := r.Header.Get(httpservice.HeaderIdempotencyKey)
 	s.mu.Lock()
+	if f := s.faults; f.Refuse || f.DropBeforeRun {
+		s.mu.Unlock()
+		refuse(w, r, f)
+		return
+	}
 	s.orders++
 	s.runs[key]++
 	answer := Order{Number: s.orders, Key: key, Runs: s.runs[key]}
@@ -81,6 +92,15 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
+// refuse ends an order that does not run.
+func refuse(w http.ResponseWriter, r *http.Request, f Faults) {
+	if f.DropBeforeRun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(httpservice.HeaderNotRun, r.Header.Get(httpservice.HeaderRequestID))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (s *Server) listOrders(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s.Runs())
