--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -12,6 +13,7 @@
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 )
 
@@ -33,10 +35,10 @@
 		d.followDocuments,
 		d.once.Run,
 		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
-		d.every(probeInterval, d.probeAll),
-		d.every(probeInterval, d.tellEngines),
+		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
 		d.every(memberInterval, d.refreshMembers),
+		d.watchReadiness,
 	}
 }
 
@@ -64,6 +66,27 @@
 	}
 }
 
+// readinessInterval is the pause between two looks at the daemon's readiness.
+const readinessInterval = 100 * time.Millisecond
+
+// watchReadiness records each change of the daemon's readiness.
+func (d *Daemon) watchReadiness(ctx context.Context) error {
+	last := "starting"
+	for pause(ctx, readinessInterval) {
+		reasons := strings.Join(d.notReady(), "; ")
+		if reasons == last {
+			continue
+		}
+		last = reasons
+		if reasons == "" {
+			d.log.Emit(eventlog.DaemonReady, eventlog.Fields{})
+		} else {
+			d.log.Emit(eventlog.DaemonNotReady, eventlog.Fields{Detail: reasons})
+		}
+	}
+	return ctx.Err()
+}
+
 // every returns a loop that calls fn at once and then after each interval,
 // with jitter, so that daemons started together spread.
 func (d *Daemon) every(interval time.Duration, fn func(context.Context)) func(context.Context) error {
@@ -112,6 +135,33 @@
 	}
 }
 
+// probeLoop probes at each interval, and at once when a document is adopted:
+// only then is it known what stands behind its service.
+func (d *Daemon) probeLoop(ctx context.Context) error {
+	for {
+		d.probeAll(ctx)
+		d.tellEngines()
+		timer := time.NewTimer(backoff.Around(probeInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-d.adopted:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// documentAdopted wakes the probe loop.
+func (d *Daemon) documentAdopted(a *servicedoc.Accepted) {
+	d.metrics.Revision(a.Document.Service, uint64(a.Revision))
+	select {
+	case d.adopted <- struct{}{}:
+	default:
+	}
+}
+
 // probeAll asks every upstream that this daemon watches for its state.
 func (d *Daemon) probeAll(ctx context.Context) {
 	var group errgroup.Group
@@ -131,10 +181,15 @@
 	if !ok {
 		return
 	}
+	doc := d.catalogue.Get(u.Service)
+	if doc == nil {
+		return // what stands behind a service is not known without its document
+	}
+	isEngine := doc.Document.Kind == servicedoc.KindModel
 	asked := time.Now()
 	var state upstream.EngineState
 	var err error
-	if d.isEngine(u.Service) {
+	if isEngine {
 		state, err = d.engines.State(ctx, address)
 	} else {
 		err = d.services.Check(ctx, address)
@@ -147,7 +202,7 @@
 		return
 	}
 	d.probes.Delete(address)
-	if !d.isEngine(u.Service) {
+	if !isEngine {
 		d.setState(u, fleet.Serving)
 		return
 	}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -20,6 +20,8 @@
 	hintEntriesMax    = 1 << 18
 	hintsPerEngine    = 1 << 10
 	defaultRetryAfter = time.Second
+	// initialRetries lets a service with little traffic survive an engine's crash.
+	initialRetries = 10
 )
 
 // Policy is the product's Scheduler. A request goes to the home of its prompt
@@ -46,11 +48,13 @@
 
 	speed   *placement.Speed
 	learned learned
-	drain   drain
-	rates   *placement.Rates
-	hints   *placement.Hints
-	picker  placement.Homes
-	widths  []int
+	// normalPace is that of a normal engine's answers.
+	normalPace placement.NormalPace
+	drain      drain
+	rates      *placement.Rates
+	hints      *placement.Hints
+	picker     placement.Homes
+	widths     []int
 
 	peers        map[string]*peerView
 	peersChecked time.Time
@@ -79,8 +83,8 @@
 		byID: map[string]*engine{}, pools: map[string]*placement.Pool{},
 		flights: map[string]*flight{}, peers: map[string]*peerView{},
 		speed:       placement.NewSpeed(),
-		hedgeBudget: admission.NewBudget(s.HedgePercent),
-		retryBudget: admission.NewBudget(s.RetryPercent),
+		hedgeBudget: admission.NewBudget(s.HedgePercent, 0),
+		retryBudget: admission.NewBudget(s.RetryPercent, initialRetries),
 	}
 	p.queue = admission.NewQueue[*waiting](queueLimit, p.rules.fairness)
 	return p
@@ -325,16 +329,21 @@
 	if a == nil || !a.answered || !p.rules.progress {
 		return
 	}
-	tokens := outputTokens - a.progress
-	if now.Sub(a.progressAt) < ProgressInterval {
+	elapsed := now.Sub(a.progressAt)
+	if elapsed < progressLeast {
 		return
 	}
-	expected := time.Duration(float64(tokens) * p.learned.pace.or(paceStart.Seconds()) * float64(time.Second))
-	ratio := placement.Ratio(now.Sub(a.progressAt), expected)
-	a.engine.slow.Observe(now, ratio)
+	e := a.engine
+	e.pace.Observe(now, outputTokens-a.progress, elapsed)
+	if perToken, ok := e.pace.PerToken(now); ok {
+		p.normalPace.Observe(perToken)
+	}
 	a.progressAt, a.progress = now, outputTokens
 }
 
+// progressLeast is the least time between two samples of an answer's pace.
+const progressLeast = ProgressInterval / 2
+
 // Report implements Scheduler.
 func (p *Policy) Report(now time.Time, r LoadReport) {
 	p.tick(now)
