Drain until no caller can come, open only when ready, and test a rolling restart

Cause: a daemon that drains was still named by peers that had not heard of it, for up to the age of an answer more; a daemon that starts was named before it had documents; Shutdown cut what ran longer than a second; a lost update could make a draining daemon look open again; refusals by a leaving engine spent the retry budget, so that requests were refused (seen: 14 of 'the service is overloaded' in TestLeavingEngineGetsNoNewWork).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +62,7 @@
 	synced     atomic.Bool // all documents were read once, from the platform or a peer
 	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
 	draining   atomic.Bool
+	opened     atomic.Bool  // the daemon was ready once
 	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
 	told       map[string]toldEngine
 	adopted    chan struct{} // a document was adopted
@@ -163,14 +163,6 @@
 // maxOperatorConnections bounds concurrent connections of operators.
 const maxOperatorConnections = 128
 
-func (d *Daemon) countInFlight(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.inFlight.Add(1)
-		defer d.inFlight.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Run serves until ctx ends, then drains: the daemon leaves the entries'
 // answers at once, serves until every answer given has expired and every
 // request has ended, and only then returns. When hard ends, it returns at once.
@@ -178,6 +170,7 @@
 	d.log.Emit(eventlog.DaemonStarted, eventlog.Fields{Detail: d.settings.CallerAddress})
 	work, stopWork := context.WithCancel(hard)
 	defer stopWork()
+	d.announce()
 	d.node.Start()
 	group, work := errgroup.WithContext(work)
 	for _, loop := range d.loops() {
@@ -188,6 +181,7 @@
 	select {
 	case <-ctx.Done():
 		d.drain(hard)
+		d.callers.shutdown(hard)
 	case <-work.Done():
 	}
 	stopWork()
@@ -199,26 +193,6 @@
 	return err
 }
 
-// drainPoll is how often a draining daemon looks whether its requests have ended.
-const drainPoll = 50 * time.Millisecond
-
-// drain waits until no caller can still be sent here and no request runs.
-func (d *Daemon) drain(hard context.Context) {
-	d.draining.Store(true)
-	d.announce()
-	d.log.Emit(eventlog.DaemonDraining, eventlog.Fields{})
-	expired := time.Now().Add(time.Duration(d.settings.EntryMaxAge))
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
-	for time.Now().Before(expired) || d.inFlight.Load() > 0 {
-		select {
-		case <-tick.C:
-		case <-hard.Done():
-			return
-		}
-	}
-}
-
 // Close releases what New provisioned.
 func (d *Daemon) Close() {
 	if d.callers != nil {
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -69,7 +69,8 @@
 // readinessInterval is the pause between two looks at the daemon's readiness.
 const readinessInterval = 100 * time.Millisecond
 
-// watchReadiness records each change of the daemon's readiness.
+// watchReadiness records each change of the daemon's readiness, and lets
+// callers come when it is ready for the first time.
 func (d *Daemon) watchReadiness(ctx context.Context) error {
 	last := "starting"
 	for pause(ctx, readinessInterval) {
@@ -79,6 +80,8 @@
 		}
 		last = reasons
 		if reasons == "" {
+			d.opened.Store(true)
+			d.announce()
 			d.log.Emit(eventlog.DaemonReady, eventlog.Fields{})
 		} else {
 			d.log.Emit(eventlog.DaemonNotReady, eventlog.Fields{Detail: reasons})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -92,19 +92,18 @@
 	if isolated == self.Isolated {
 		return
 	}
-	self.Isolated = isolated
-	d.members.SetSelf(self)
+	d.members.UpdateSelf(func(m *membership.Member) { m.Isolated = isolated })
 	if isolated {
 		d.log.Emit(eventlog.DaemonIsolated, eventlog.Fields{})
 	}
 }
 
-// announce tells peers and the entries' answers that this daemon drains.
+// announce tells peers and the entries' answers whether callers may come: not
+// before the daemon was ready once, and not while it drains.
 func (d *Daemon) announce() {
-	self := d.members.Self()
-	self.Draining = d.draining.Load()
-	d.members.SetSelf(self)
-	d.node.SetDraining(self.Draining)
+	closed := d.draining.Load() || !d.opened.Load()
+	d.members.UpdateSelf(func(m *membership.Member) { m.Draining = closed })
+	d.node.SetDraining(closed)
 }
 
 // watched returns the upstreams that this daemon probes: those that rendezvous
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -100,6 +100,12 @@
 	return err
 }
 
+// shutdown stops accepting connections and returns when every request has
+// ended, or when ctx ends.
+func (s *server) shutdown(ctx context.Context) {
+	_ = s.http.Shutdown(ctx) // close follows and ends what is left
+}
+
 // shutdownTimeout bounds the wait for connections that are between requests.
 const shutdownTimeout = time.Second
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -14,7 +14,7 @@
 	reasons := d.notReady()
 	return entry.Status{
 		Daemon: self.Name, DataCentre: self.DataCentre, Ready: len(reasons) == 0, NotReady: reasons,
-		Draining: self.Draining, Isolated: self.Isolated, PlatformUp: d.platformUp.Load(),
+		Draining: d.draining.Load(), Isolated: self.Isolated, PlatformUp: d.platformUp.Load(),
 		Peers:     entry.PeerStatusOf(d.members.Live(), self.Name),
 		Documents: entry.DocumentStatusOf(d.catalogue.Snapshot()),
 		Upstreams: d.upstreamStatus(),
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -19,9 +19,9 @@
 	doc := &req.Service.Document
 	t := &transfer{d: d, r: d.runner(doc.Service, settingsOf(doc)), req: req, sink: sink, earlier: verdict.NotRun}
 	route := routingRequest(req)
-	for attempt := range maxAttempts {
+	for range maxAttempts {
 		next := route
-		next.Attempt, next.Avoid = attempt, slices.Clone(t.avoid)
+		next.Attempt, next.Avoid = t.retries, slices.Clone(t.avoid)
 		winner, err := t.race(ctx, &next)
 		if err != nil {
 			return withEarlier(err, t.earlier)
@@ -72,6 +72,9 @@
 	sink Sink
 	// avoid lists the engines that failed the request.
 	avoid []string
+	// retries counts the attempts that failed, without those that an engine
+	// refused because this daemon's view of it was old.
+	retries int
 	// earlier is the verdict on all attempts that have ended, last the error
 	// of the last one.
 	earlier verdict.Verdict
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -117,6 +117,11 @@
 func (t *transfer) failed(ctx context.Context, a *attempt) error {
 	outcome := t.blame(ctx, a)
 	t.over(a, outcome, 0)
+	if isStale(a.err) {
+		t.d.cfg.EngineDown(a.action.Endpoint)
+	} else {
+		t.retries++
+	}
 	if a.follower != nil && !errors.Is(a.err, errRestarted) {
 		t.d.goBackground(func() { t.d.cancelStream(a.action.Endpoint, a.follower.src.Info.Ref) })
 	}
--- a/internal/dispatch/verdicts.go
+++ b/internal/dispatch/verdicts.go
@@ -67,6 +67,21 @@
 	return nil
 }
 
+// isStale reports whether an engine refused because the decision relied on an
+// old view of it: it leaves, it restarted, or it has other weights.
+func isStale(err error) bool {
+	refused := refusedBy(err)
+	if refused == nil {
+		return false
+	}
+	switch refused.Reason {
+	case upstream.RefusedLeaving, upstream.RefusedIncarnation, upstream.RefusedWeights:
+		return true
+	default:
+		return false
+	}
+}
+
 // ended reports whether a request ended because of its caller.
 func ended(ctx context.Context, err error) bool {
 	return ctx.Err() != nil || errors.Is(err, errSink)
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -16,7 +16,8 @@
 	DataCentre    string
 	CallerAddress string
 	PeerAddress   string
-	// Draining daemons finish what they have and are not named to callers.
+	// Draining daemons finish what they have, or are not ready yet, and are
+	// not named to callers.
 	Draining bool
 	// Isolated daemons reach neither the platform nor a peer.
 	Isolated bool
@@ -36,11 +37,11 @@
 	return &Members{self: self, listed: map[string]Member{}}
 }
 
-// SetSelf replaces what is said of this daemon.
-func (m *Members) SetSelf(self Member) {
+// UpdateSelf changes what is said of this daemon.
+func (m *Members) UpdateSelf(change func(*Member)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self = self
+	change(&m.self)
 }
 
 // Self returns what is said of this daemon.
--- /dev/null
+++ b/lab/demo/rolling_test.go
@@ -0,0 +1,216 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/client"
+	"github.com/verbenabend/verbenabend/internal/daemon"
+	"github.com/verbenabend/verbenabend/internal/entry"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+const (
+	rollingCallers = 6
+	longTokens     = 2000 // about 4 s of stream
+	shortTokens    = 5
+)
+
+// rollingCaller does what callers are told to do: it keeps the entries'
+// answer as long as it may, and connects on its own.
+type rollingCaller struct {
+	s       *system
+	http    *http.Client
+	entries entry.Entries
+	until   time.Time
+	turn    int
+}
+
+// next returns the entry to use.
+func (c *rollingCaller) next(ctx context.Context) (*client.Caller, error) {
+	if time.Now().After(c.until) {
+		asked := time.Now()
+		entries, err := c.lookUp(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c.entries, c.until = *entries, asked.Add(time.Duration(entries.MaxAgeMS)*time.Millisecond)
+	}
+	c.turn++
+	e := c.entries.Entries[c.turn%len(c.entries.Entries)]
+	return &client.Caller{URL: "http://" + e.Address, Key: callerKey, HTTP: c.http}, nil
+}
+
+// lookUp asks an entry it knows, or any of the well-known addresses.
+func (c *rollingCaller) lookUp(ctx context.Context) (*entry.Entries, error) {
+	known := c.s.addresses()
+	for _, e := range c.entries.Entries {
+		known = append(known, e.Address)
+	}
+	var last error = errors.New("no address known")
+	for _, address := range known {
+		entries, err := (&client.Caller{URL: "http://" + address, Key: callerKey, HTTP: c.http}).Entries(ctx, ModelService, "")
+		if err == nil && len(entries.Entries) > 0 {
+			return entries, nil
+		}
+		last = errors.CombineErrors(err, last)
+	}
+	return nil, last
+}
+
+func (c *rollingCaller) ask(ctx context.Context, tokens int) error {
+	entry, err := c.next(ctx)
+	if err != nil {
+		return errors.Wrap(err, "look up entries")
+	}
+	a, err := entry.Ask(ctx, &client.Question{
+		Service: ModelService, MaxTokens: tokens, Messages: []upstream.Message{{Role: "user", Content: "Which blue? " + strconv.Itoa(c.turn)}},
+	}, nil)
+	if err != nil {
+		return errors.Wrapf(err, "ask %s for %d tokens", entry.URL, tokens)
+	}
+	if !a.Complete || a.CompletionTokens != tokens {
+		return errors.Newf("cut after %d of %d tokens", a.CompletionTokens, tokens)
+	}
+	return nil
+}
+
+func (c *rollingCaller) order(ctx context.Context, key string) error {
+	entry, err := c.next(ctx)
+	if err != nil {
+		return errors.Wrap(err, "look up entries")
+	}
+	_, err = entry.Call(ctx, PlainService, http.MethodPost, "/orders", key, []byte("{}"))
+	return errors.Wrap(err, "order")
+}
+
+// addresses returns the callers' addresses of the daemons started last.
+func (s *system) addresses() (out []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.daemons {
+		out = append(out, d.CallerAddress)
+	}
+	return out
+}
+
+// load runs callers until stop is closed.
+func (s *system) load(ctx context.Context, stop <-chan struct{}, served *atomic.Int64, fail func(error)) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for i := range rollingCallers {
+		callers.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			c := &rollingCaller{s: s, http: &http.Client{Transport: transport}}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err := s.oneRequest(ctx, c, i, n); err != nil {
+					fail(err)
+				} else {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	return &callers
+}
+
+func (s *system) oneRequest(ctx context.Context, c *rollingCaller, caller, n int) error {
+	switch {
+	case caller == 0:
+		return c.ask(ctx, longTokens)
+	case n%4 == 0:
+		return c.order(ctx, fmt.Sprintf("order-%d-%d", caller, n))
+	default:
+		return c.ask(ctx, shortTokens)
+	}
+}
+
+// restart stops a daemon as planned and starts it again on other ports.
+func (s *system) restart(ctx context.Context, i int) error {
+	old := s.stops[i]
+	old.stop()
+	<-old.stopped
+	set, err := s.daemonSettings(i, s.daemons[i].DataCentre)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.daemons[i] = set
+	s.mu.Unlock()
+	d, err := daemon.New(set, daemon.NewLogger(set))
+	if err != nil {
+		return err
+	}
+	s.run(ctx, i, d)
+	ready, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	return s.awaitReady(ready)
+}
+
+func TestRollingRestartCutsAndRefusesNothing(t *testing.T) {
+	s, err := start()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	setup, done := context.WithTimeout(ctx, stepTimeout)
+	assert.NilError(t, s.awaitReady(setup))
+	assert.NilError(t, s.submitDocuments(setup))
+	done()
+	stop := make(chan struct{})
+	var served, failed atomic.Int64
+	callers := s.load(ctx, stop, &served, func(err error) {
+		failed.Add(1)
+		t.Errorf("cut or refused: %v", err)
+	})
+	for i := range s.daemons {
+		assert.NilError(t, s.restart(ctx, i))
+	}
+	close(stop)
+	callers.Wait()
+	t.Logf("rolling restart of %d daemons: %d requests served, %d cut or refused", len(s.daemons), served.Load(), failed.Load())
+	cancel()
+	assert.NilError(t, s.close())
+}
+
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	s, err := start()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*stepTimeout)
+	defer cancel()
+	assert.NilError(t, s.awaitReady(ctx))
+	assert.NilError(t, s.submitDocuments(ctx))
+	stop := make(chan struct{})
+	var served atomic.Int64
+	callers := s.load(ctx, stop, &served, func(err error) { t.Errorf("cut or refused: %v", err) })
+	for served.Load() < 50 {
+		time.Sleep(pollInterval)
+	}
+	leaving := s.engines[0]
+	leaving.SetLeaving()
+	time.Sleep(leavingBound) // the promise is a time: no daemon sends work after it
+	started := leaving.Asked()
+	before := served.Load()
+	for served.Load() < before+200 {
+		time.Sleep(pollInterval)
+	}
+	assert.Equal(t, leaving.Asked(), started)
+	close(stop)
+	callers.Wait()
+	assert.NilError(t, s.close())
+}
+
+// leavingBound is the time after which a leaving upstream gets no new work.
+const leavingBound = 3 * time.Second
--- a/lab/demo/system.go
+++ b/lab/demo/system.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -41,6 +42,14 @@
 	daemons     []*settings.Settings
 	group       *errgroup.Group
 	stop        context.CancelFunc
+	stops       []runningDaemon
+	mu          sync.Mutex // guards daemons while they are replaced
+}
+
+// runningDaemon ends one daemon as planned.
+type runningDaemon struct {
+	stop    context.CancelFunc
+	stopped <-chan struct{}
 }
 
 // start starts the system; stop it with close.
@@ -87,16 +96,28 @@
 			Address: set.CallerAddress, Service: port.EntryService, DataCentre: dc, State: port.InstanceLive, PeerAddress: set.PeerAddress,
 		})
 	}
-	for _, set := range s.daemons {
+	s.stops = make([]runningDaemon, len(s.daemons))
+	for i, set := range s.daemons {
 		d, err := daemon.New(set, daemon.NewLogger(set))
 		if err != nil {
 			return err
 		}
-		s.group.Go(func() error { return d.Run(ctx, context.Background()) })
+		s.run(ctx, i, d)
 	}
 	return nil
 }
 
+// run runs a daemon until ctx ends or it is stopped.
+func (s *system) run(ctx context.Context, i int, d *daemon.Daemon) {
+	ctx, stop := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	s.stops[i] = runningDaemon{stop: stop, stopped: stopped}
+	s.group.Go(func() error {
+		defer close(stopped)
+		return d.Run(ctx, context.Background())
+	})
+}
+
 // daemonSettings makes the settings of a daemon on free ports.
 func (s *system) daemonSettings(i int, dc string) (*settings.Settings, error) {
 	ports := [3]string{}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -79,6 +79,7 @@
 	running     int
 	queued      int
 	started     uint64
+	asked       uint64
 	faults      Faults
 	life        context.Context // ends when the engine crashes
 	kill        context.CancelFunc
@@ -109,6 +110,16 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// SetLeaving makes the engine say that it is leaving, with no other fault.
+func (s *Server) SetLeaving() { s.SetFaults(Faults{Leaving: true}) }
+
+// Asked returns how many generations were asked for, with those refused.
+func (s *Server) Asked() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
 // Started returns how many generations were started in all incarnations.
 func (s *Server) Started() uint64 {
 	s.mu.Lock()
@@ -186,6 +197,7 @@
 	chain := prefix.New(prefix.Scope{Organisation: organisation, Weights: weights}, levels, s.config.PieceBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.asked++
 	switch want := h.Get(httpengine.HeaderIncarnation); {
 	case want != "" && want != s.incarnation:
 		return nil, http.StatusConflict, "incarnation"
