--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -39,9 +39,7 @@
 	m.SetListed([]Member{listed, member("e", "home")})
 	entries := m.Entries("home", delay)
 	assert.Equal(t, len(entries), 1, "only a is heard from and stays")
-	self := m.Self()
-	self.Isolated = true
-	m.SetSelf(self)
+	m.UpdateSelf(func(self *Member) { self.Isolated = true })
 	assert.Equal(t, len(m.Entries("home", delay)), 0)
 	assert.DeepEqual(t, m.PeerAddresses(), []string{"b:3", "c:3", "e:3"})
 }
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +34,7 @@
 // entry returns the base URL to use now. The answer of the system is kept as
 // long as the system said; further calls go round its entries.
 func (c *caller) entry(ctx context.Context) string {
-	if time.Now().After(c.until) {
+	if len(c.entries) == 0 || time.Now().After(c.until) {
 		c.refresh(ctx)
 	}
 	c.next++
@@ -43,6 +44,11 @@
 	return c.entries[c.next%len(c.entries)]
 }
 
+// drop leaves out an entry that did not answer until the next refresh.
+func (c *caller) drop(url string) {
+	c.entries = slices.DeleteFunc(c.entries, func(x string) bool { return x == url })
+}
+
 func (c *caller) refresh(ctx context.Context) {
 	for _, url := range c.cmd.Entry {
 		out, err := (&client.Caller{URL: url, Key: c.cmd.Key, HTTP: c.http}).Entries(ctx, c.cmd.Service, "")
@@ -80,13 +86,17 @@
 		text += piece
 	}
 	for range maxTries {
-		answer, err := (&client.Caller{URL: c.entry(ctx), Key: c.cmd.Key, HTTP: c.http}).Ask(ctx, q, note)
+		url := c.entry(ctx)
+		answer, err := (&client.Caller{URL: url, Key: c.cmd.Key, HTTP: c.http}).Ask(ctx, q, note)
 		if err == nil {
 			out.answer, out.err = answer, nil
 			out.state = c.judge(p, text)
 			return out
 		}
 		out.err = err
+		if e, ok := verdict.As(err); ok && (e.Code == verdict.CodeUpstreamFailed || errors.Is(err, client.ErrStreamCut)) {
+			c.drop(url)
+		}
 		if !c.again(ctx, q, answer, err, &out) {
 			break
 		}
@@ -114,7 +124,6 @@
 		return errors.Is(err, client.ErrStreamCut)
 	case out.state == refused, e.Code == verdict.CodeUpstreamFailed:
 		out.retried++
-		c.until = time.Time{} // the entry may have gone
 		sleep(ctx, max(e.RetryAfter, defaultRetryAfter))
 		return true
 	}
