--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -79,7 +78,8 @@
 	// Nonce identifies the attempt that claimed the key.
 	Nonce       string
 	Fingerprint Fingerprint
-	ClaimedAt   time.Time
+	// ClaimedAt is in microseconds since the Unix epoch, by the clock of the daemon that claimed.
+	ClaimedAt int64
 	// Reply is set for answered calls unless Object names where it is.
 	Reply  *reply
 	Object string
--- a/internal/once/records.go
+++ b/internal/once/records.go
@@ -77,7 +77,7 @@
 // CodeOutcomeUnknown when the call ran and its reply was not kept; MayHaveRun
 // with CodeOutcomeUnknown when an earlier attempt has no known outcome.
 func (r *Records) Do(ctx context.Context, key Key, fp Fingerprint, run func(context.Context) (*upstream.Reply, error)) (reply *upstream.Reply, replayed bool, err error) {
-	mine := record{State: claimed, Nonce: rand.Text(), Fingerprint: fp, ClaimedAt: time.Now()}
+	mine := record{State: claimed, Nonce: rand.Text(), Fingerprint: fp, ClaimedAt: time.Now().UnixMicro()}
 	found, err := r.claim(ctx, key, mine)
 	if err != nil {
 		return nil, false, err
--- a/internal/once/sweep.go
+++ b/internal/once/sweep.go
@@ -49,7 +49,7 @@
 	var txn platform.Txn
 	for _, row := range rows {
 		rec, err := decodeRecord(row.Value)
-		if err != nil || time.Since(rec.ClaimedAt) < Retention+clockAllowance {
+		if err != nil || time.Since(time.UnixMicro(rec.ClaimedAt)) < Retention+clockAllowance {
 			continue
 		}
 		r.deleteObject(ctx, rec)
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -22,7 +22,7 @@
 	LoseRequest
 	// LoseAnswer carries the call out and fails it.
 	LoseAnswer
-	// LateEffect fails the call and carries it out after LateDelay.
+	// LateEffect fails the call and carries it out after the client's late delay.
 	LateEffect
 	// KillBefore kills the client before the call has its effect.
 	KillBefore
@@ -32,8 +32,9 @@
 	Faults
 )
 
-// LateDelay is how long after its failure a call with LateEffect takes effect.
-const LateDelay = 700 * time.Millisecond
+// DefaultLateDelay is how long after its failure a call with LateEffect takes
+// effect, unless SetLateDelay says otherwise.
+const DefaultLateDelay = 700 * time.Millisecond
 
 // Client is one daemon's view of a Platform. It implements platform.Table and
 // platform.Instances; Objects gives the object store.
@@ -47,6 +48,7 @@
 	silent      bool
 	killed      bool
 	delay       time.Duration
+	lateDelay   time.Duration
 }
 
 // Objects returns the client's view of the object store.
@@ -87,6 +89,13 @@
 	c.delay = d
 }
 
+// SetLateDelay sets how long after its failure a call with LateEffect takes effect.
+func (c *Client) SetLateDelay(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lateDelay = d
+}
+
 // Kill makes all later calls fail without effect, as if the daemon had died.
 func (c *Client) Kill() {
 	c.mu.Lock()
@@ -154,7 +163,9 @@
 	case LoseRequest:
 		return noAnswer()
 	case LateEffect:
-		time.AfterFunc(LateDelay, func() { _ = effect() })
+		c.mu.Lock()
+		time.AfterFunc(c.lateDelay, func() { _ = effect() })
+		c.mu.Unlock()
 		return noAnswer()
 	case KillBefore:
 		c.Kill()
--- a/internal/platform/platformtest/platform.go
+++ b/internal/platform/platformtest/platform.go
@@ -37,7 +37,7 @@
 }
 
 // Client returns a new view of the platform without faults.
-func (p *Platform) Client() *Client { return &Client{platform: p} }
+func (p *Platform) Client() *Client { return &Client{platform: p, lateDelay: DefaultLateDelay} }
 
 // SetInstances replaces the instance list; readers see it after lag.
 func (p *Platform) SetInstances(lag time.Duration, list ...platform.Instance) {
