--- a/internal/upstream/httpengine/client_test.go
+++ b/internal/upstream/httpengine/client_test.go
@@ -27,7 +27,7 @@
 	limit int // bytes of answers that still come; negative for no limit
 	// keep frames answers by their length, so that connections are reused;
 	// else an answer lasts until the connection ends.
-	keep bool
+	keep  bool
 	dials int
 	asked map[string]int // requests that the server read, by id
 }
