Run suspects alone and one at a time, refuse quarantined requests

Port dispatch.Suspects: standing, claims over all daemons, deaths, survivals. A death is an incarnation that changed or a refused connection, confirmed over a new connection. go test ./internal/dispatch -run Poison: 6 daemons, 9 engines, one prompt sent again through all entries at once five times: 2 engines lost, 30 of 30 repeats refused not-run, every request beside it answered whole.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,16 +19,23 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// The rest is set by begin.
+	// The rest is set by begin. free ends the claim of a suspect's engine.
+	free     func()
 	follower *follower
 	first    upstream.Event
 	err      error
+	// unresolved says that the engine can't be reached, so that nobody knows
+	// whether it died.
+	unresolved bool
 }
 
 // begin sends the request and waits for its first event. The opening of the
 // stream goes on when the attempt is cancelled: only an engine that has named
 // the stream can be told to end it.
 func (t *transfer) begin(a *attempt) {
+	if a.err = t.claimEngine(a); a.err != nil {
+		return
+	}
 	stream, err := t.open(a)
 	if err != nil {
 		a.err = err
@@ -67,7 +74,7 @@
 // is ended at once when another copy won, else after the grace period for the
 // caller's return.
 func (t *transfer) release(a *attempt, lost bool) {
-	t.d.running.remove(t, a.action)
+	defer t.settle(a)
 	if a.follower == nil {
 		return
 	}
@@ -85,10 +92,20 @@
 	if a.follower != nil {
 		a.follower.close()
 	}
-	t.d.running.remove(t, a.action)
+	t.settle(a)
 	t.finish(a, outcome, tokens)
 }
 
+// settle ends what an attempt holds of its engine.
+func (t *transfer) settle(a *attempt) {
+	if !a.unresolved {
+		t.d.running.remove(t, a.action)
+	}
+	if a.free != nil {
+		a.free()
+	}
+}
+
 // finish reports the end of an attempt to the scheduler.
 func (t *transfer) finish(a *attempt, outcome routing.Outcome, tokens int) {
 	t.r.do(func(s routing.Scheduler, now time.Time) {
@@ -99,18 +116,22 @@
 // blame finds out why an attempt failed, and returns its outcome. An engine
 // that answers a probe over a new connection is not blamed for a connection.
 func (t *transfer) blame(ctx context.Context, a *attempt) routing.Outcome {
-	if refusedBy(a.err) != nil || verdict.Of(a.err) == verdict.NotRun && isBadRequest(a.err) {
+	if refusedBy(a.err) != nil || a.follower == nil && a.action.Request.Alone && a.free == nil || isBadRequest(a.err) {
 		return routing.Rejected
 	}
 	err := a.err
 	if !errors.Is(err, errUnreachable) && !errors.Is(err, errRestarted) {
 		err = t.d.probe(ctx, a.action.Endpoint, a.action.Incarnation)
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return routing.Canceled
-	case errors.Is(err, errRestarted):
+	}
+	if isDead(err) {
 		t.d.died(a.action.Endpoint, a.action.Incarnation)
+		t.sawDeath = true
+	} else {
+		a.unresolved = true
+		t.d.running.hold(t, a.action, time.Now().Add(unresolvedLife))
 	}
 	t.d.cfg.EngineDown(a.action.Endpoint)
 	return routing.Failed
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,6 +26,8 @@
 	// EngineDown is called when a connection to an engine failed, so that it
 	// is probed at once.
 	EngineDown func(address string)
+	// Suspects knows the requests that crash engines; nil means that none does.
+	Suspects Suspects
 }
 
 const (
@@ -59,6 +61,9 @@
 	if cfg.NewScheduler == nil {
 		cfg.NewScheduler = func(s routing.Settings) routing.Scheduler { return routing.New(s) }
 	}
+	if cfg.Suspects == nil {
+		cfg.Suspects = noSuspects{}
+	}
 	if cfg.EngineDown == nil {
 		cfg.EngineDown = func(string) {}
 	}
@@ -81,6 +86,7 @@
 
 // SetFleet tells the schedulers of the upstreams that may get work.
 func (d *Dispatcher) SetFleet(s *fleet.Snapshot) {
+	d.checkLives(s)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for service, r := range d.runners {
--- a/internal/dispatch/engines_test.go
+++ b/internal/dispatch/engines_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	testToken    = 20 * time.Millisecond
 	testFrozen   = 12 * time.Second
 	testSlow     = 25 * time.Second
+	testPrefill  = 200 * time.Millisecond
+	testPoison   = "crash the engine"
 	testIdle     = 3 * time.Second
 	testTimeout  = 5 * time.Second
 	testWeights  = "opal@1"
@@ -60,6 +63,7 @@
 	engines map[string]*fakeEngine
 	steps   []step // consumed by Generate and Resume, in order
 	runs    map[string]int
+	crashes int
 }
 
 type fakeEngine struct {
@@ -128,6 +132,10 @@
 		start: time.Now().Add(testToken), gone: make(chan struct{}),
 	}
 	e.streams[run.id] = run
+	if strings.Contains(g.Messages[0].Content, testPoison) {
+		time.AfterFunc(testPrefill, func() { f.crashLife(address, run.life) })
+		run.start = run.start.Add(2 * testPrefill)
+	}
 	if s.fault == faultSlow {
 		run.start = time.Now().Add(testSlow)
 	}
@@ -233,9 +241,18 @@
 // Order implements upstream.Engines.
 func (f *fakeEngines) Order(context.Context, string, upstream.Order) error { return nil }
 
+func (f *fakeEngines) crashLife(address string, life int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.engines[address].life == life {
+		f.crash(address)
+	}
+}
+
 func (f *fakeEngines) crash(address string) {
 	e := f.engines[address]
 	e.life++
+	f.crashes++
 	for _, run := range e.streams {
 		close(run.gone)
 	}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -19,9 +19,15 @@
 	doc := &req.Service.Document
 	t := &transfer{d: d, r: d.runner(doc.Service, settingsOf(doc)), req: req, sink: sink, earlier: verdict.NotRun}
 	route := routingRequest(req)
+	t.fingerprint = fingerprintOf(req, &route)
+	defer t.end()
 	for range maxAttempts {
 		next := route
 		next.Attempt, next.Avoid = t.retries, slices.Clone(t.avoid)
+		t.spread(ctx)
+		if err := t.admit(ctx, &next); err != nil {
+			return withEarlier(err, t.earlier)
+		}
 		winner, err := t.race(ctx, &next)
 		if err != nil {
 			return withEarlier(err, t.earlier)
@@ -30,12 +36,21 @@
 			continue
 		}
 		if again, err := t.relay(ctx, winner); !again {
+			t.spread(ctx)
 			return withEarlier(err, t.earlier)
 		}
 	}
+	t.spread(ctx)
 	return withEarlier(t.last, t.earlier)
 }
 
+// end frees what the request holds over its attempts.
+func (t *transfer) end() {
+	if t.free != nil {
+		t.free()
+	}
+}
+
 func settingsOf(doc *servicedoc.Document) routing.Settings {
 	return routing.Settings{HedgePercent: *doc.Budgets.HedgePercent, RetryPercent: *doc.Budgets.RetryPercent}
 }
@@ -79,6 +94,12 @@
 	// of the last one.
 	earlier verdict.Verdict
 	last    error
+
+	fingerprint Fingerprint
+	// free ends the claim of a suspect; nil without one.
+	free func()
+	// sawDeath says that an engine died under the last attempt.
+	sawDeath bool
 }
 
 // Resume continues a stream that a caller lost, from the position of its token.
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -154,6 +154,9 @@
 	switch {
 	case err == nil:
 		t.over(a, routing.Completed, passed.events)
+		if a.action.Request.Alone {
+			t.d.cfg.Suspects.Survived(t.fingerprint)
+		}
 		return false, nil
 	case ended(ctx, err):
 		t.over(a, routing.Canceled, passed.events)
