--- a/lab/measure/table.go
+++ b/lab/measure/table.go
@@ -60,6 +60,7 @@
 			g.median(func(r Result) float64 { return r.RetryShare }))
 	}
 	writeRecoveries(&p, results)
+	writeHomes(&p, results)
 	return p.err
 }
 
@@ -86,3 +87,15 @@
 			g.median(func(r Result) float64 { return r.HitLater }), g.median(recovery), worst, never, len(g))
 	}
 }
+
+// writeHomes prints how the homes of hot prefixes follow a hot shift.
+func writeHomes(p *printer, results []Result) {
+	p.line("")
+	p.line("| workload | policy | seed | homes of the prefix that was hot, before | after | homes of the prefix that becomes hot, before | after |")
+	p.line("| --- | --- | ---: | ---: | ---: | ---: | ---: |")
+	for _, r := range results {
+		if len(r.HomesOld) == 2 {
+			p.line("| %s | %s | %d | %d | %d | %d | %d |", r.Workload, r.Policy, r.Seed, r.HomesOld[0], r.HomesOld[1], r.HomesNew[0], r.HomesNew[1])
+		}
+	}
+}
--- a/lab/measure/trace.go
+++ b/lab/measure/trace.go
@@ -14,13 +14,15 @@
 type arrival struct {
 	at           time.Duration
 	organisation int
-	caller       int
-	kind         *kind
-	weights      int
-	chain        prefix.Chain
-	prompt       int
-	output       int
-	allowed      int
+	// root is the first level's number within the organisation.
+	root    int
+	caller  int
+	kind    *kind
+	weights int
+	chain   prefix.Chain
+	prompt  int
+	output  int
+	allowed int
 	// ideal is the number of prompt tokens that one cache as large as all engines' has.
 	ideal int
 }
@@ -134,7 +136,7 @@
 	root := g.rank(g.roots.draw(r), g.w.roots, s.shift(g.w, at))
 	branch := g.rank(g.branchs.draw(r), g.w.branches, s.shift(g.w, at))
 	a := arrival{
-		at: at, organisation: g.org, kind: k, weights: s.weights(g.w, at),
+		at: at, organisation: g.org, root: root, kind: k, weights: s.weights(g.w, at),
 		caller:  g.org*callersPerOrganisation + r.IntN(callersPerOrganisation),
 		output:  k.output.draw(r),
 		allowed: k.allowed[r.IntN(len(k.allowed))],
