Price a slot by the wait that holding it causes

Slots, not prompt computation, were what hot engines lacked: long answers crowded them and short work waited. The cost of a candidate gets the expected stay times the fourth power of its fullness times 0.2.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -27,6 +27,8 @@
 	Wait time.Duration
 	// Slot is the predicted wait for a slot.
 	Slot time.Duration
+	// Crowd is the price of holding one of the engine's slots.
+	Crowd time.Duration
 	// Recompute is the time to compute what the engine is not known to hold,
 	// at normal speed.
 	Recompute time.Duration
@@ -40,7 +42,7 @@
 
 // Cost returns the predicted cost of a candidate in seconds.
 func (c *Candidate) Cost(price float64) float64 {
-	return (c.Delay + c.Overrun).Seconds() + c.Slowdown*((c.Wait+c.Slot).Seconds()+price*c.Recompute.Seconds())
+	return (c.Delay + c.Overrun + c.Crowd).Seconds() + c.Slowdown*((c.Wait+c.Slot).Seconds()+price*c.Recompute.Seconds())
 }
 
 // FirstToken returns the predicted time to first token.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -38,6 +38,7 @@
 // choose returns the best home for a request. exclude, if not nil, is left out.
 func (p *Policy) choose(now time.Time, r *Request, homes []int, long bool, exclude *engine) choice {
 	price := p.price()
+	stay := p.learned.outputTokens(r) * p.learned.pace.or(paceStart.Seconds())
 	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
 	for rank, i := range homes {
 		e := p.engines[i]
@@ -49,6 +50,7 @@
 		c := p.candidate(now, e, uncached)
 		room := p.room(e, r, long)
 		c.Slot = p.slotWait(e)
+		c.Crowd = p.crowd(e, stay)
 		cost := c.Cost(price)
 		switch {
 		case !room:
@@ -60,13 +62,31 @@
 	return best
 }
 
+// crowdWeight scales the price of a slot.
+const crowdWeight = 0.2
+
+// crowd returns the price of holding a slot for stay seconds: the wait that
+// it is expected to cause to later requests, which grows steeply as the
+// engine's slots fill.
+func (p *Policy) crowd(e *engine, stay float64) time.Duration {
+	if !p.rules.crowd {
+		return 0
+	}
+	full := float64(p.taken(e)) / float64(max(1, e.ep.Slots))
+	return time.Duration(crowdWeight * stay * full * full * full * full * float64(time.Second))
+}
+
+// taken returns the slots of the engine that are known to be taken.
+func (p *Policy) taken(e *engine) int {
+	if !p.rules.peerLoad {
+		return e.own
+	}
+	return e.own + e.peers.requests
+}
+
 // slotWait predicts the wait for a slot when all are taken.
 func (p *Policy) slotWait(e *engine) time.Duration {
-	taken := e.own
-	if p.rules.peerLoad {
-		taken += e.peers.requests
-	}
-	before := taken + 1 - e.ep.Slots
+	before := p.taken(e) + 1 - e.ep.Slots
 	if before <= 0 {
 		return 0
 	}
@@ -229,11 +249,6 @@
 
 // room reports whether the engine may run one more request of this kind.
 func (p *Policy) room(e *engine, r *Request, long bool) bool {
-	peers := e.peers.requests
-	if !p.rules.peerLoad {
-		peers = 0
-	}
-	total := e.own + peers
 	if p.rules.limits && e.own >= e.limit.Allowed(e.ep.Slots, p.daemons, p.known(e)) {
 		return false
 	}
@@ -244,7 +259,7 @@
 		return false
 	}
 	if r.Class.Deferrable && p.rules.deferral {
-		return total < max(1, int(deferrablePart*float64(e.ep.Slots)))
+		return p.taken(e) < max(1, int(deferrablePart*float64(e.ep.Slots)))
 	}
 	return true
 }
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -34,6 +34,8 @@
 	RuleLimits = "limits"
 	// RulePatience lets a request wait for a home that holds its prompt although another has a free slot.
 	RulePatience = "patience"
+	// RuleCrowd prices a slot by the wait that holding it causes to others.
+	RuleCrowd = "crowd-price"
 	// RuleLongShare lets long work hold only a part of each engine's slots.
 	RuleLongShare = "long-share"
 	// RuleFairness shares the queue among organisations.
@@ -51,7 +53,7 @@
 	homes, nested, growth, order, hints, price, loadPrice     bool
 	slowdown, waiting, progress, peerLoad, peerSlow, reports  bool
 	ejection, limits, patience, longShare, fairness, earlyRef bool
-	deferral, hedges                                          bool
+	deferral, hedges, crowd                                   bool
 }
 
 func newRules(without []string) rules {
@@ -66,6 +68,6 @@
 		progress: !off[RuleProgress], peerLoad: !off[RulePeerLoad], peerSlow: !off[RulePeerSlowdown],
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], longShare: !off[RuleLongShare], fairness: !off[RuleFairness],
-		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], hedges: !off[RuleHedges],
+		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], hedges: !off[RuleHedges],
 	}
 }
