--- a/lab/measure/call.go
+++ b/lab/measure/call.go
@@ -55,7 +55,7 @@
 
 const (
 	// maxAttempts bounds the attempts of one call at engines, hedges apart.
-	maxAttempts = 3
+	maxAttempts = 4
 	// callerRetries bounds how often a caller sends refused work again.
 	callerRetries = 3
 	// reconnectDelay is how long a caller takes to turn to another daemon.
@@ -189,17 +189,22 @@
 		return
 	}
 	a.firstToken = true
+	c.winner = a
+	c.cached = cached
+	c.wait = a.started - c.entered
+	c.ttft = w.now + w.load.client - c.at
+	w.cancelOthers(c, a)
+	w.withdraw(a)
 	w.tell(a, func(s routing.Scheduler) { s.FirstToken(wall(w.now), c.requestID, a.engine.id, cached) })
-	if c.winner == nil {
-		c.winner = a
-		c.cached = cached
-		c.wait = a.started - c.entered
-		c.ttft = w.now + w.load.client - c.at
-		w.cancelOthers(c, a)
-	}
 	w.pump(a.daemon)
 }
 
+// withdraw ends the interest in further copies, as package dispatch does
+// whenever a race between the copies of a request is over.
+func (w *world) withdraw(a *attempt) {
+	w.tell(a, func(s routing.Scheduler) { s.Withdraw(wall(w.now), a.call.requestID) })
+}
+
 // cancelOthers stops the copies that lost.
 func (w *world) cancelOthers(c *call, winner *attempt) {
 	for _, other := range slices.Clone(c.live) {
@@ -248,6 +253,7 @@
 	}
 	w.tell(a, func(s routing.Scheduler) { s.Finished(wall(w.now), c.requestID, a.engine.id, outcome, 0) })
 	if len(c.live) == 0 && c.state == open {
+		w.withdraw(a)
 		w.tryAgain(a)
 	}
 	w.pump(a.daemon)
