--- a/lab/measure/trace.go
+++ b/lab/measure/trace.go
@@ -14,13 +14,15 @@
 type arrival struct {
 	at           time.Duration
 	organisation int
-	caller       int
-	kind         *kind
-	weights      int
-	chain        prefix.Chain
-	prompt       int
-	output       int
-	allowed      int
+	// root is the first level's number within the organisation.
+	root    int
+	caller  int
+	kind    *kind
+	weights int
+	chain   prefix.Chain
+	prompt  int
+	output  int
+	allowed int
 	// ideal is the number of prompt tokens that one cache as large as all engines' has.
 	ideal int
 }
@@ -37,12 +39,10 @@
 // callersPerOrganisation is the number of processes that keep an entries answer each.
 const callersPerOrganisation = 6
 
-// newTrace draws the traffic of a scenario. The capacity comes from a first
-// pass at an arbitrary rate, because the ideal hit rate depends only on the
-// order of arrivals.
-func newTrace(w workload, s scenario, seed uint64) trace {
+// newTrace draws the traffic of a scenario. The capacity comes from the mean
+// request of steady traffic with ideal hits.
+func newTrace(w workload, s scenario, seed uint64, mean means) trace {
 	t := trace{}
-	mean := calibrate(w, seed)
 	t.engineRate = w.engine.Capacity(mean.prefill, mean.output)
 	t.capacity = t.engineRate * float64(w.engines)
 	end := w.warm + s.length(w)
@@ -64,7 +64,8 @@
 // calibrationRequests is the length of the pass that finds the mean request.
 const calibrationRequests = 12000
 
-// calibrate returns the mean request of the steady traffic with ideal hits.
+// calibrate returns the mean request of the steady traffic with ideal hits,
+// from a pass at an arbitrary rate: the hits depend only on the order of arrivals.
 func calibrate(w workload, seed uint64) means {
 	end := time.Duration(calibrationRequests) * time.Second / calibrationRate
 	var all []arrival
@@ -134,7 +135,7 @@
 	root := g.rank(g.roots.draw(r), g.w.roots, s.shift(g.w, at))
 	branch := g.rank(g.branchs.draw(r), g.w.branches, s.shift(g.w, at))
 	a := arrival{
-		at: at, organisation: g.org, kind: k, weights: s.weights(g.w, at),
+		at: at, organisation: g.org, root: root, kind: k, weights: s.weights(g.w, at),
 		caller:  g.org*callersPerOrganisation + r.IntN(callersPerOrganisation),
 		output:  k.output.draw(r),
 		allowed: k.allowed[r.IntN(len(k.allowed))],
