Share among daemons what engines were seen to hold

A daemon sees a seventh of the traffic, so its hints told little, and a copy made at a reserve home was unknown to the others. PeerLoad.Held carries the hashes of shared prompt levels that an engine was newly seen to hold, at most 32 an engine and interval, and none that is known from less than a quarter of the retention ago.

--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -11,7 +11,7 @@
 	// reserve included.
 	MinHomes = 3
 	// homeUtilisation is the load of a home that the growth of homes aims at.
-	homeUtilisation = 0.8
+	homeUtilisation = 1.0
 	// MaxHomes bounds the homes of one key.
 	MaxHomes = 64
 )
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -9,14 +9,17 @@
 )
 
 const (
-	// firstHomePrior and otherHomePrior are the presumed shares of a prompt's
-	// shared levels that the first and the other homes hold.
-	firstHomePrior = 0.9
-	otherHomePrior = 0.1
+	// priorAtStart and priorLater are the presumed shares of a prompt's shared
+	// levels that the first home holds when no hint tells: a daemon that has
+	// just started knows nothing, later one it has most hints.
+	priorAtStart = 0.9
+	priorLater   = 0.2
+	// priorFade is the time constant from the one to the other.
+	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
 	slowIgnored = 1.5
 	// longPart is the part of an engine's slots that long work may hold.
-	longPart = 0.5
+	longPart = 0.7
 	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
 	deferrablePart = 0.75
 	// maxMarks bounds the levels of a prompt that hints are kept of.
@@ -46,7 +49,7 @@
 			continue
 		}
 		best.any = true
-		uncached := p.uncached(now, e, r, rank, len(homes))
+		uncached := p.uncached(now, e, r, rank)
 		c := p.candidate(now, e, uncached)
 		room := p.room(e, r, long)
 		c.Slot = p.slotWait(e)
@@ -180,7 +183,7 @@
 }
 
 // uncached predicts the prompt tokens that the engine must compute for r.
-func (p *Policy) uncached(now time.Time, e *engine, r *Request, rank, homes int) float64 {
+func (p *Policy) uncached(now time.Time, e *engine, r *Request, rank int) float64 {
 	c := &r.Chain
 	if len(c.LevelPieces) == 0 || c.Bytes == 0 {
 		return float64(r.PromptTokens)
@@ -192,18 +195,23 @@
 	}
 	expected := float64(held)
 	if shared > held && p.rules.order {
-		expected += p.prior(rank, homes) * float64(shared-held)
+		expected += p.prior(now, rank) * float64(shared-held)
 	}
 	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
 	return float64(r.PromptTokens) * max(0, 1-share)
 }
 
-// prior returns the presumed share of the shared levels that a home holds.
-func (p *Policy) prior(rank, _ int) float64 {
-	if rank == 0 {
-		return firstHomePrior
+// prior returns the presumed share of the shared levels that a home holds
+// though no hint tells.
+func (p *Policy) prior(now time.Time, rank int) float64 {
+	switch {
+	case rank > 0:
+		return 0
+	case !p.rules.peerHints || !p.rules.hints:
+		return priorAtStart
 	}
-	return otherHomePrior
+	fade := math.Exp(-now.Sub(p.started).Seconds() / priorFade.Seconds())
+	return priorLater + (priorAtStart-priorLater)*fade
 }
 
 // held returns the number of leading pieces that the engine was seen to hold.
@@ -221,9 +229,14 @@
 func (p *Policy) remember(now time.Time, e *engine, r *Request) {
 	c := &r.Chain
 	for level := max(0, len(c.Levels)-maxMarks); level < len(c.Levels); level++ {
-		if c.LevelPieces[level] > 0 {
-			p.hints.Store(now, c.Levels[level], e.hintKey)
+		if c.LevelPieces[level] == 0 {
+			continue
+		}
+		// The last level is the prompt's own; peers will not meet it again soon.
+		if level < len(c.Levels)-1 {
+			p.noteHeld(now, e, c.Levels[level])
 		}
+		p.hints.Store(now, c.Levels[level], e.hintKey)
 	}
 }
 
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -34,9 +34,11 @@
 	limit      admission.Limit
 	peers      peerSums
 	report     LoadReport
-	failures   int
-	ejected    time.Time
-	probing    bool
+	// held are prompt levels that peers should learn of.
+	held     []uint64
+	failures int
+	ejected  time.Time
+	probing  bool
 }
 
 // peerSums adds up what peers shared of an engine.
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -20,9 +20,45 @@
 	}
 	v.at = now
 	v.loads = append(v.loads[:0], loads...)
+	p.learnHeld(now, loads)
 	p.sumPeers()
 }
 
+// learnHeld takes over what peers saw engines hold.
+func (p *Policy) learnHeld(now time.Time, loads []PeerLoad) {
+	if !p.rules.peerHints || p.hints == nil {
+		return
+	}
+	for i := range loads {
+		e := p.byID[loads[i].Endpoint]
+		if e == nil || e.ep.Incarnation != loads[i].Incarnation {
+			continue
+		}
+		for _, hash := range loads[i].Held {
+			p.hints.Store(now, hash, e.hintKey)
+		}
+	}
+}
+
+const (
+	// maxHeldShared bounds the prompt levels told of one engine at a time.
+	maxHeldShared = 32
+	// heldRepeat is the part of the retention after which a level that an
+	// engine still holds is told again.
+	heldRepeat = 4
+)
+
+// noteHeld keeps a prompt level for the next Share if peers do not know it.
+func (p *Policy) noteHeld(now time.Time, e *engine, hash uint64) {
+	if !p.rules.peerHints || p.daemons == 1 || len(e.held) >= maxHeldShared {
+		return
+	}
+	if age, ok := p.hints.Age(now, hash, e.hintKey); ok && age < p.hints.Retention()/heldRepeat {
+		return
+	}
+	e.held = append(e.held, hash)
+}
+
 // expirePeers forgets peers that have not been heard of.
 func (p *Policy) expirePeers(now time.Time) {
 	if now.Sub(p.peersChecked) < peerLife/4 {
@@ -75,13 +111,14 @@
 	p.shared = p.shared[:0]
 	for _, e := range p.engines {
 		slow, measured := p.ownSlowdown(now, e)
-		if e.own == 0 && slow < shareSlowdown {
+		if e.own == 0 && slow < shareSlowdown && len(e.held) == 0 {
 			continue
 		}
 		p.shared = append(p.shared, PeerLoad{
 			Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
-			Outstanding: int(e.ownTokens), Requests: e.own, Long: e.ownLong, Slowdown: slow, Measured: measured,
+			Outstanding: int(e.ownTokens), Requests: e.own, Long: e.ownLong, Slowdown: slow, Measured: measured, Held: e.held,
 		})
+		e.held = nil
 	}
 	return p.shared
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -28,6 +28,7 @@
 type Policy struct {
 	rules   rules
 	now     time.Time
+	started time.Time
 	daemons int
 
 	engines []*engine
@@ -148,6 +149,7 @@
 // sizeTables makes the tables on first use and grows the hints with the fleet.
 func (p *Policy) sizeTables(now time.Time) {
 	if p.rates == nil {
+		p.started = now
 		p.rates = placement.NewRates(rateEntries, now)
 	}
 	want := min(max(hintEntriesMin, len(p.engines)*hintsPerEngine), hintEntriesMax)
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -12,6 +12,8 @@
 	RuleHomeOrder = "home-order"
 	// RuleHints uses what engines were seen to hold.
 	RuleHints = "hints"
+	// RulePeerHints shares among daemons what engines were seen to hold.
+	RulePeerHints = "peer-hints"
 	// RulePrice prices recomputation above waiting.
 	RulePrice = "recompute-price"
 	// RuleLoadPrice raises that price with the fleet's load.
@@ -53,7 +55,7 @@
 	homes, nested, growth, order, hints, price, loadPrice     bool
 	slowdown, waiting, progress, peerLoad, peerSlow, reports  bool
 	ejection, limits, patience, longShare, fairness, earlyRef bool
-	deferral, hedges, crowd                                   bool
+	deferral, hedges, crowd, peerHints                        bool
 }
 
 func newRules(without []string) rules {
@@ -68,6 +70,6 @@
 		progress: !off[RuleProgress], peerLoad: !off[RulePeerLoad], peerSlow: !off[RulePeerSlowdown],
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], longShare: !off[RuleLongShare], fairness: !off[RuleFairness],
-		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], hedges: !off[RuleHedges],
+		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints], hedges: !off[RuleHedges],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -124,6 +124,10 @@
 	// Measured is the number of running answers that Slowdown was measured
 	// by; 0 when it was inferred from times to first token.
 	Measured int
+	// Held are the hashes of shared prompt levels (prefix.Chain.Levels) that
+	// the engine was newly seen to hold since the last Share. They are hints:
+	// losing some costs a recomputation at worst.
+	Held []uint64
 }
 
 // Scheduler decides for one service. It is not safe for concurrent use.
@@ -144,7 +148,8 @@
 	Finished(now time.Time, id, endpoint string, outcome Outcome, outputTokens int)
 	// Report records an engine's own load report.
 	Report(now time.Time, r LoadReport)
-	// Share returns what peers should learn, at most one entry an engine.
+	// Share returns what peers should learn, at most one entry an engine. It
+	// is called once an interval; all peers get the same.
 	Share(now time.Time) []PeerLoad
 	// Learn records what a peer shared; it replaces what that peer shared before.
 	Learn(now time.Time, peer string, loads []PeerLoad)
