--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 			(in.State != platform.InstanceLeaving || old.State == Leaving) {
 			return false
 		}
-		next.State, next.Engine, next.ReportedAt = old.State, old.Engine, old.ReportedAt
+		next.State, next.Engine, next.ReportedAt, next.AddedAt = old.State, old.Engine, old.ReportedAt, old.AddedAt
 	}
 	if in.State == platform.InstanceLeaving {
 		next.State = Leaving
@@ -77,10 +77,12 @@
 		if at.Before(u.ReportedAt) {
 			return false
 		}
+		restarted := s.Incarnation != u.Engine.Incarnation
 		u.Engine, u.ReportedAt = s, at
-		if s.Leaving {
+		switch {
+		case s.Leaving:
 			u.State = Leaving
-		} else if u.State != Leaving || s.Incarnation != u.Engine.Incarnation {
+		case u.State != Leaving || restarted:
 			u.State = Serving
 		}
 		return true
