Warm up until long answers are in balance

At Trust 62 of 144 slots ran before the crest after 40 s of warm-up, because answers of 3,000 tokens last over 70 s; the warm-up is now 100 s (Hilos 40 s).

--- a/lab/measure/table.go
+++ b/lab/measure/table.go
@@ -60,6 +60,7 @@
 			g.median(func(r Result) float64 { return r.RetryShare }))
 	}
 	writeRecoveries(&p, results)
+	writeOthers(&p, results)
 	writeHomes(&p, results)
 	return p.err
 }
@@ -99,3 +100,19 @@
 		}
 	}
 }
+
+// writeOthers prints how organisations within their share fare beside a greedy one.
+func writeOthers(p *printer, results []Result) {
+	p.line("")
+	p.line("| workload | policy | others' wait p99 ms beside a greedy organisation | without | others refused |")
+	p.line("| --- | --- | ---: | ---: | ---: |")
+	for _, g := range groups(results) {
+		if g[0].OthersWaitP99 == 0 {
+			continue
+		}
+		p.line("| %s | %s | %.0f | %.0f | %.3f |", g[0].Workload, g[0].Policy,
+			g.median(func(r Result) float64 { return r.OthersWaitP99 }),
+			g.median(func(r Result) float64 { return r.OthersWaitP99Without }),
+			g.median(func(r Result) float64 { return r.OthersRefused }))
+	}
+}
--- a/lab/measure/workload.go
+++ b/lab/measure/workload.go
@@ -77,7 +77,7 @@
 		},
 		roots: 3, branches: 12, rootSkew: 1.2, branchSkew: 1.4,
 		rootBytes: span{9000, 20000}, branchBytes: span{20000, 70000},
-		warm: 40 * time.Second, measured: 240 * time.Second,
+		warm: 100 * time.Second, measured: 240 * time.Second,
 	}
 }
 
@@ -102,7 +102,7 @@
 		},
 		roots: 5, branches: 10, rootSkew: 1.1, branchSkew: 0.9,
 		rootBytes: span{24000, 48000}, branchBytes: span{8000, 20000},
-		warm: 20 * time.Second, measured: 100 * time.Second,
+		warm: 40 * time.Second, measured: 100 * time.Second,
 	}
 }
 
