Keep headroom from organisations that exceed their share

Fair queueing orders what waits, but an organisation that floods the engines leaves no free slot to those within their share.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -17,7 +17,9 @@
 	delay    time.Duration
 	long     bool
 	alone    bool
-	answered bool
+	// organisation is the hash of the customer's name.
+	organisation uint64
+	answered     bool
 	// hinted is the age of the hint relied on, negative when there was none.
 	hinted       time.Duration
 	hintedPieces int
@@ -29,6 +31,7 @@
 type flight struct {
 	request  *Request
 	attempts []*attempt
+	demand   demand
 	hedged   bool
 }
 
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -21,11 +21,12 @@
 				now = now.Add(time.Millisecond)
 				p.observeRates(now, requests[0])
 			}
+			d := p.demand(now, requests[0])
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
 				r := requests[i%len(requests)]
-				p.choose(now, r, p.homes(now, r), false, nil)
+				p.choose(now, r, p.homes(now, r), &d, nil)
 			}
 		})
 	}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -26,6 +26,22 @@
 	maxMarks = 8
 )
 
+// demand is what a request is expected to take.
+type demand struct {
+	organisation uint64
+	// stay is how long it holds a slot, in seconds.
+	stay float64
+	long bool
+}
+
+func (p *Policy) demand(now time.Time, r *Request) demand {
+	return demand{
+		organisation: p.organisations.arrived(now, r.Organisation, r.Share),
+		stay:         p.learned.outputTokens(r) * p.learned.pace.or(paceStart.Seconds()),
+		long:         p.learned.long(r),
+	}
+}
+
 // choice is the outcome of choosing among a request's homes.
 type choice struct {
 	engine    *engine // nil when no home has room
@@ -39,9 +55,9 @@
 }
 
 // choose returns the best home for a request. exclude, if not nil, is left out.
-func (p *Policy) choose(now time.Time, r *Request, homes []int, long bool, exclude *engine) choice {
+func (p *Policy) choose(now time.Time, r *Request, homes []int, d *demand, exclude *engine) choice {
 	price := p.price()
-	stay := p.learned.outputTokens(r) * p.learned.pace.or(paceStart.Seconds())
+	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
 	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
 	for rank, i := range homes {
 		e := p.engines[i]
@@ -51,9 +67,9 @@
 		best.any = true
 		uncached := p.uncached(now, e, r, rank)
 		c := p.candidate(now, e, uncached)
-		room := p.room(e, r, long)
+		room := p.room(e, r, d) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
-		c.Crowd = p.crowd(e, stay)
+		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price)
 		switch {
 		case !room:
@@ -261,14 +277,14 @@
 const ejectDivisor = 2
 
 // room reports whether the engine may run one more request of this kind.
-func (p *Policy) room(e *engine, r *Request, long bool) bool {
+func (p *Policy) room(e *engine, r *Request, d *demand) bool {
 	if p.rules.limits && e.own >= e.limit.Allowed(e.ep.Slots, p.daemons, p.known(e)) {
 		return false
 	}
 	if !p.rules.limits && e.own >= e.ep.Slots {
 		return false
 	}
-	if long && p.rules.longShare && e.ownLong+e.peers.long >= max(1, int(longPart*float64(e.ep.Slots))) {
+	if d.long && p.rules.longShare && e.ownLong+e.peers.long >= max(1, int(longPart*float64(e.ep.Slots))) {
 		return false
 	}
 	if r.Class.Deferrable && p.rules.deferral {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	homes := p.itemHomes(now, w)
-	c := p.choose(now, w.request, homes, w.long, nil)
+	c := p.choose(now, w.request, homes, &w.demand, nil)
 	if c.engine == nil || p.waitsForBetter(now, it, c) {
 		w.homes = append(w.homes[:0], homes...)
 		w.generation = p.generation
@@ -87,11 +87,11 @@
 	}
 	f := p.flights[w.request.ID]
 	if f == nil {
-		f = &flight{request: w.request}
+		f = &flight{request: w.request, demand: w.demand}
 		p.flights[w.request.ID] = f
 	}
 	p.drain.started(now, it.Work)
-	p.start(now, f, c, w.long, Start)
+	p.start(now, f, c, Start)
 	return true
 }
 
@@ -113,11 +113,11 @@
 }
 
 // start accounts for an attempt and adds its action.
-func (p *Policy) start(now time.Time, f *flight, c choice, long bool, kind ActionKind) {
+func (p *Policy) start(now time.Time, f *flight, c choice, kind ActionKind) {
 	e := c.engine
 	a := &attempt{
 		request: f.request, engine: e, sent: now, tokens: c.uncached, ahead: p.backlog(now, e),
-		delay: 2 * e.ep.Delay, long: long, alone: f.request.Alone, hinted: -1,
+		delay: 2 * e.ep.Delay, long: f.demand.long, alone: f.request.Alone, organisation: f.demand.organisation, hinted: -1,
 	}
 	a.expected = p.speed.FirstToken(a.ahead + a.tokens)
 	p.noteHint(now, a)
@@ -125,6 +125,7 @@
 		e.probing = true
 	}
 	e.add(a)
+	p.organisations.get(a.organisation).own++
 	f.attempts = append(f.attempts, a)
 	p.actions = append(p.actions, Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation})
 	if kind == Start {
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -35,7 +35,9 @@
 	peers      peerSums
 	report     LoadReport
 	// held are prompt levels that peers should learn of.
-	held     []uint64
+	held []uint64
+	// told is set while peers believe that the daemon has something here.
+	told     bool
 	failures int
 	ejected  time.Time
 	probing  bool
--- a/internal/routing/hedge.go
+++ b/internal/routing/hedge.go
@@ -76,11 +76,11 @@
 	if p.load() > hedgeLoad {
 		return false
 	}
-	c := p.choose(now, f.request, p.homes(now, f.request), a.long, a.engine)
+	c := p.choose(now, f.request, p.homes(now, f.request), &f.demand, a.engine)
 	if c.engine == nil || c.candidate.FirstToken() > now.Sub(a.sent) || !p.hedgeBudget.Take() {
 		return false
 	}
 	f.hedged = true
-	p.start(now, f, c, a.long, Hedge)
+	p.start(now, f, c, Hedge)
 	return true
 }
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -82,6 +82,7 @@
 	for _, e := range p.engines {
 		e.peers = peerSums{}
 	}
+	p.organisations.clearPeers()
 	for _, v := range p.peers {
 		for i := range v.loads {
 			p.addPeerLoad(&v.loads[i])
@@ -90,6 +91,7 @@
 }
 
 func (p *Policy) addPeerLoad(l *PeerLoad) {
+	p.organisations.addPeer(l.Organisations)
 	e := p.byID[l.Endpoint]
 	if e == nil || e.ep.Incarnation != l.Incarnation {
 		return
@@ -106,20 +108,25 @@
 }
 
 // share returns what the daemon has at each engine, without engines where
-// there is nothing to tell.
+// there is nothing to tell and was nothing before.
 func (p *Policy) share(now time.Time) []PeerLoad {
 	p.shared = p.shared[:0]
 	for _, e := range p.engines {
 		slow, measured := p.ownSlowdown(now, e)
-		if e.own == 0 && slow < shareSlowdown && len(e.held) == 0 {
+		tell := e.own > 0 || slow >= shareSlowdown || len(e.held) > 0
+		if !tell && !e.told {
 			continue
 		}
+		e.told = tell
 		p.shared = append(p.shared, PeerLoad{
 			Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
 			Outstanding: int(e.ownTokens), Requests: e.own, Long: e.ownLong, Slowdown: slow, Measured: measured, Held: e.held,
 		})
 		e.held = nil
 	}
+	if told := p.organisations.told(); len(told) > 0 {
+		p.shared = append(p.shared, PeerLoad{Organisations: told})
+	}
 	return p.shared
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -57,6 +57,9 @@
 	picker     placement.Homes
 	widths     []int
 
+	organisations organisations
+	slots         int
+
 	peers        map[string]*peerView
 	peersChecked time.Time
 	shared       []PeerLoad
@@ -72,7 +75,7 @@
 // waiting is a request in the queue.
 type waiting struct {
 	request    *Request
-	long       bool
+	demand     demand
 	homes      []int
 	generation int
 }
@@ -101,6 +104,7 @@
 	p.engines = p.engines[:0]
 	p.pools = map[string]*placement.Pool{}
 	p.all = placement.Pool{}
+	p.slots = 0
 	for _, ep := range endpoints {
 		e := old[ep.ID]
 		if e == nil || e.ep.Incarnation != ep.Incarnation {
@@ -108,6 +112,7 @@
 		}
 		e.ep = ep
 		e.present = true
+		p.slots += ep.Slots
 		p.byID[ep.ID] = e
 		p.addToPools(len(p.engines), e)
 		p.engines = append(p.engines, e)
@@ -201,7 +206,7 @@
 		ID: r.ID, Organisation: r.Organisation, Share: max(1, r.Share),
 		Priority: r.Class.Priority, Deferrable: r.Class.Deferrable,
 		Work: p.work(r), Queued: now, Expires: expires,
-		Value: &waiting{request: r, long: p.learned.long(r), generation: -1},
+		Value: &waiting{request: r, demand: p.demand(now, r), generation: -1},
 	}
 }
 
@@ -285,6 +290,7 @@
 	p.judgeWait(now, a, outcome)
 	e.remove(a)
 	f.remove(a)
+	p.organisations.get(a.organisation).own--
 	if len(f.attempts) == 0 {
 		delete(p.flights, id)
 	}
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -42,6 +42,8 @@
 	RuleLongShare = "long-share"
 	// RuleFairness shares the queue among organisations.
 	RuleFairness = "fairness"
+	// RuleHeadroom keeps a part of each engine's slots from organisations that exceed their share.
+	RuleHeadroom = "share-headroom"
 	// RuleEarlyRefusal refuses at once what cannot start in time.
 	RuleEarlyRefusal = "early-refusal"
 	// RuleDeferral keeps deferrable work to the troughs.
@@ -55,7 +57,7 @@
 	homes, nested, growth, order, hints, price, loadPrice     bool
 	slowdown, waiting, progress, peerLoad, peerSlow, reports  bool
 	ejection, limits, patience, longShare, fairness, earlyRef bool
-	deferral, hedges, crowd, peerHints                        bool
+	deferral, hedges, crowd, peerHints, headroom              bool
 }
 
 func newRules(without []string) rules {
@@ -70,6 +72,7 @@
 		progress: !off[RuleProgress], peerLoad: !off[RulePeerLoad], peerSlow: !off[RulePeerSlowdown],
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], longShare: !off[RuleLongShare], fairness: !off[RuleFairness],
-		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints], hedges: !off[RuleHedges],
+		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
+		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -128,6 +128,16 @@
 	// the engine was newly seen to hold since the last Share. They are hints:
 	// losing some costs a recomputation at worst.
 	Held []uint64
+	// Organisations is set in the one entry without an Endpoint: how many
+	// requests of each organisation the daemon runs at all engines.
+	Organisations []OrganisationLoad
+}
+
+// OrganisationLoad is what a daemon runs for one organisation.
+type OrganisationLoad struct {
+	// Hash is the hash of the organisation's name, as prefix.NodeHash gives it.
+	Hash     uint64
+	Requests int
 }
 
 // Scheduler decides for one service. It is not safe for concurrent use.
@@ -148,8 +158,8 @@
 	Finished(now time.Time, id, endpoint string, outcome Outcome, outputTokens int)
 	// Report records an engine's own load report.
 	Report(now time.Time, r LoadReport)
-	// Share returns what peers should learn, at most one entry an engine. It
-	// is called once an interval; all peers get the same.
+	// Share returns what peers should learn, at most one entry an engine and
+	// one without an endpoint for organisations. It is called once an interval; all peers get the same.
 	Share(now time.Time) []PeerLoad
 	// Learn records what a peer shared; it replaces what that peer shared before.
 	Learn(now time.Time, peer string, loads []PeerLoad)
