--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -36,7 +36,11 @@
 	if a.err = t.claimEngine(a); a.err != nil {
 		return
 	}
+	t.d.running.add(t, a.action)
 	stream, err := t.open(a)
+	if err == nil || verdict.Of(err) != verdict.NotRun {
+		t.d.running.opened(t, a.action)
+	}
 	if err != nil {
 		a.err = err
 		return
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -69,7 +69,6 @@
 	if action.Kind == routing.Hedge {
 		c.t.d.cfg.Log.Emit(eventlog.HedgeStarted, c.t.fields(a))
 	}
-	c.t.d.running.add(c.t, action)
 	c.t.d.goBackground(func() {
 		c.t.begin(a)
 		c.results <- a
--- a/internal/dispatch/running.go
+++ b/internal/dispatch/running.go
@@ -15,14 +15,20 @@
 
 // runningTable knows which requests of this daemon run at which engines.
 type runningTable struct {
-	mu sync.Mutex
-	// lives holds, for each request, until when it is held after its end; zero
-	// while it runs.
-	lives map[incarnation]map[*transfer]time.Time
+	mu    sync.Mutex
+	lives map[incarnation]map[*transfer]*stay
+}
+
+// stay is one request at one life of an engine.
+type stay struct {
+	// opened says that the engine may have begun to work on the request.
+	opened bool
+	// until is when the request is forgotten after its end; zero while it runs.
+	until time.Time
 }
 
 func newRunningTable() *runningTable {
-	return &runningTable{lives: map[incarnation]map[*transfer]time.Time{}}
+	return &runningTable{lives: map[incarnation]map[*transfer]*stay{}}
 }
 
 func lifeOf(a routing.Action) incarnation { return incarnation{a.Endpoint, a.Incarnation} }
@@ -32,9 +38,18 @@
 	defer r.mu.Unlock()
 	key := lifeOf(a)
 	if r.lives[key] == nil {
-		r.lives[key] = map[*transfer]time.Time{}
+		r.lives[key] = map[*transfer]*stay{}
+	}
+	r.lives[key][t] = &stay{}
+}
+
+// opened says that the engine did not refuse the request.
+func (r *runningTable) opened(t *transfer, a routing.Action) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.lives[lifeOf(a)][t]; s != nil {
+		s.opened = true
 	}
-	r.lives[key][t] = time.Time{}
 }
 
 func (r *runningTable) remove(t *transfer, a routing.Action) {
@@ -54,20 +69,23 @@
 func (r *runningTable) hold(t *transfer, a routing.Action, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.lives[lifeOf(a)][t]; ok {
-		r.lives[lifeOf(a)][t] = until
+	if s := r.lives[lifeOf(a)][t]; s != nil {
+		s.until = until
 	}
 }
 
-// take returns the requests that ran in a life that has ended, and forgets them.
+// take returns the requests that ran in a life that has ended, and forgets
+// them. Those that the engine may still refuse stay.
 func (r *runningTable) take(key incarnation) []*transfer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]*transfer, 0, len(r.lives[key]))
-	for t := range r.lives[key] {
-		out = append(out, t)
+	var out []*transfer
+	for t, s := range r.lives[key] {
+		if s.opened {
+			out = append(out, t)
+			r.drop(key, t)
+		}
 	}
-	delete(r.lives, key)
 	return out
 }
 
@@ -77,8 +95,8 @@
 	defer r.mu.Unlock()
 	var out []incarnation
 	for key, requests := range r.lives {
-		for t, until := range requests {
-			if !until.IsZero() && now.After(until) {
+		for t, s := range requests {
+			if !s.until.IsZero() && now.After(s.until) {
 				r.drop(key, t)
 			}
 		}
