--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -128,7 +127,8 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	buffer := bytes.NewBuffer(make([]byte, 0, bodyRoom(r.ContentLength, limit)))
+	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -136,7 +136,15 @@
 	case err != nil:
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the body could not be read")
 	}
-	return body, nil
+	return buffer.Bytes(), nil
+}
+
+// maxBodyRoom bounds the memory taken on a caller's word, before its body has come.
+const maxBodyRoom = 256 << 10
+
+// bodyRoom returns how much memory to take for a body of the stated length.
+func bodyRoom(stated, limit int64) int64 {
+	return min(max(stated, 0), limit, maxBodyRoom) + bytes.MinRead
 }
 
 func (c *Callers) fail(w http.ResponseWriter, who caller, err error) {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -125,18 +125,21 @@
 
 // streamSink writes each event as a server-sent event with a resume token.
 type streamSink struct {
-	w       http.ResponseWriter
-	out     *http.ResponseController
-	keys    *resume.Keys
-	req     *dispatch.ModelRequest
-	format  format
-	begun   bool
-	line    bytes.Buffer
-	encoder *json.Encoder
+	w      http.ResponseWriter
+	out    *http.ResponseController
+	tokens *resume.Encoder
+	// position is that of the next token.
+	position resume.Position
+	token    []byte
+	req      *dispatch.ModelRequest
+	format   format
+	begun    bool
+	line     bytes.Buffer
+	encoder  *json.Encoder
 }
 
 func newStreamSink(w http.ResponseWriter, keys *resume.Keys, req *dispatch.ModelRequest, f format) *streamSink {
-	s := &streamSink{w: w, out: http.NewResponseController(w), keys: keys, req: req, format: f}
+	s := &streamSink{w: w, out: http.NewResponseController(w), tokens: keys.Encoder(), req: req, format: f}
 	s.encoder = json.NewEncoder(&s.line)
 	return s
 }
@@ -148,11 +151,7 @@
 	}
 	s.line.Reset()
 	s.line.WriteString("id: ")
-	s.line.WriteString(s.keys.Encode(resume.Position{
-		Organisation: s.req.Organisation.Name, Service: s.req.Service.Document.Service, RequestID: src.Info.RequestID,
-		Engine: src.Engine, Incarnation: src.Info.Ref.Incarnation, StreamID: src.Info.Ref.StreamID,
-		Weights: src.Info.Weights, Next: e.Index + 1, Ended: e.Finish != "",
-	}))
+	s.line.Write(s.nextToken(src, e))
 	s.line.WriteString("\ndata: ")
 	if err := s.encoder.Encode(s.chunk(e)); err != nil {
 		return err
@@ -161,6 +160,17 @@
 	return s.flush()
 }
 
+// nextToken returns the token after e; it is valid until the next call.
+func (s *streamSink) nextToken(src dispatch.Source, e upstream.Event) []byte {
+	s.position = resume.Position{
+		Organisation: s.req.Organisation.Name, Service: s.req.Service.Document.Service, RequestID: src.Info.RequestID,
+		Engine: src.Engine, Incarnation: src.Info.Ref.Incarnation, StreamID: src.Info.Ref.StreamID,
+		Weights: src.Info.Weights, Next: e.Index + 1, Ended: e.Finish != "",
+	}
+	s.token = s.tokens.Append(s.token[:0], &s.position)
+	return s.token
+}
+
 func (s *streamSink) begin(engine string) {
 	s.begun = true
 	h := s.w.Header()
--- a/internal/resume/token.go
+++ b/internal/resume/token.go
@@ -5,7 +5,6 @@
 package resume
 
 import (
-	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
@@ -52,13 +51,7 @@
 
 // Encode returns the token of p.
 func (k *Keys) Encode(p Position) string {
-	var b bytes.Buffer
-	enc := msgpack.NewEncoder(&b)
-	enc.UseArrayEncodedStructs(true)
-	if err := enc.Encode(&p); err != nil {
-		panic(err) // every position can be encoded
-	}
-	return base64.RawURLEncoding.EncodeToString(append(mac(k.keys[0], b.Bytes()), b.Bytes()...))
+	return string(k.Encoder().Append(nil, &p))
 }
 
 // Decode checks a token and returns its position, or ErrInvalid.
