Wire suspects to gossip and to leases in the table

go test ./internal/suspects, and ./demo -run Poison in lab: three real daemons and engines, a prompt that crashes engines sent once and then three times through all entries at once: 2 engines lost, 9 of 9 repeats refused quarantined and not-run. The deaths travel as gossip facts, one each, so that daemons never overwrite each other; claims are leases of the table, which alone can agree.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
@@ -123,6 +124,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		Delay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
+		Suspects:   suspects.New(d.settings.Name, d.node, d.table, d.log),
 		EngineDown: func(address string) { go d.probe(context.Background(), address) },
 	})
 }
