Send load figures as short hashes, and as often as gossip has room for them

Cause: load figures went out as maps with field names, and gossip passed on one of four a second, while a scheduler's figures build on what was shared before: the figures between two turns were lost. A scheduler is given its engines again only when they changed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,13 +66,14 @@
 	opened     atomic.Bool  // the daemon was ready once
 	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
 	told       map[string]toldEngine
-	adopted    chan struct{} // a document was adopted
+	indexes    map[string]*engineIndex // by service; used by hearLoad only
+	adopted    chan struct{}           // a document was adopted
 	inFlight   atomic.Int64
 }
 
 // New returns a daemon that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, indexes: map[string]*engineIndex{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
 	d.log.Observe(d.metrics.Event)
 	d.provisionClients()
 	d.provisionMembers()
--- /dev/null
+++ b/internal/daemon/peerload.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/peerload"
+)
+
+// tellLoad publishes what this daemon has at the engines, as often as gossip
+// has room for it: what a scheduler shares builds on what it shared before.
+func (d *Daemon) tellLoad(context.Context) {
+	if !d.node.LoadDue(time.Now()) {
+		return
+	}
+	for service, loads := range d.dispatcher.Share() {
+		d.node.Publish(gossip.Fact{
+			Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadTTL, Value: peerload.Encode(loads),
+		})
+	}
+}
+
+func (d *Daemon) hearLoad(f gossip.Fact) {
+	peer, service, ok := strings.Cut(f.ID, "/")
+	if !ok {
+		return
+	}
+	loads, err := peerload.Decode(f.Value, d.engineIndex(service))
+	if err == nil {
+		d.dispatcher.Learn(service, peer, loads)
+	}
+}
+
+// engineIndex finds the engines of a service by short hash, as of one
+// generation of the fleet. It implements peerload.Engines.
+type engineIndex struct {
+	generation uint64
+	byHash     map[uint32]*fleet.Upstream
+}
+
+// Engine implements peerload.Engines.
+func (x *engineIndex) Engine(hash uint32) (address, incarnation string, ok bool) {
+	u, ok := x.byHash[hash]
+	if !ok {
+		return "", "", false
+	}
+	return u.Address, u.Engine.Incarnation, true
+}
+
+// engineIndex returns the index for the present snapshot. Gossip calls from
+// one goroutine, so that the cache needs no lock.
+func (d *Daemon) engineIndex(service string) *engineIndex {
+	snapshot := d.fleet.Snapshot()
+	if x := d.indexes[service]; x != nil && x.generation == snapshot.Generation {
+		return x
+	}
+	x := &engineIndex{generation: snapshot.Generation, byHash: map[uint32]*fleet.Upstream{}}
+	for _, u := range snapshot.ByService[service] {
+		x.byHash[peerload.Hash(u.Address)] = u
+	}
+	d.indexes[service] = x
+	return x
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +13,6 @@
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/membership"
-	"github.com/verbenabend/verbenabend/internal/routing"
 )
 
 const (
@@ -167,23 +165,3 @@
 		d.emitState(after, after.State)
 	}
 }
-
-// tellLoad publishes the outstanding work of this daemon.
-func (d *Daemon) tellLoad(context.Context) {
-	for service, loads := range d.dispatcher.Share() {
-		value, err := msgpack.Marshal(loads)
-		if err != nil {
-			continue
-		}
-		d.node.Publish(gossip.Fact{Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadTTL, Value: value})
-	}
-}
-
-func (d *Daemon) hearLoad(f gossip.Fact) {
-	peer, service, ok := strings.Cut(f.ID, "/")
-	var loads []routing.PeerLoad
-	if !ok || msgpack.Unmarshal(f.Value, &loads) != nil {
-		return
-	}
-	d.dispatcher.Learn(service, peer, loads)
-}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -51,7 +51,9 @@
 	runners map[string]*runner
 	// documents holds the model services' documents in force.
 	documents map[string]*servicedoc.Accepted
-	peers     int
+	// given holds the endpoints that each scheduler was given last.
+	given map[string][]routing.Endpoint
+	peers int
 }
 
 // New returns a Dispatcher.
@@ -71,7 +73,7 @@
 	if cfg.EngineDown == nil {
 		cfg.EngineDown = func(string) {}
 	}
-	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, documents: map[string]*servicedoc.Accepted{}, peers: 1}
+	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, documents: map[string]*servicedoc.Accepted{}, given: map[string][]routing.Endpoint{}, peers: 1}
 }
 
 // Close ends the grace periods of streams whose callers left, waits for what
@@ -94,7 +96,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for service, r := range d.runners {
-		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, d.endpoints(s, service)) })
+		endpoints := d.endpoints(s, service)
+		if slices.EqualFunc(endpoints, d.given[service], sameEndpoint) {
+			continue // most changes of the fleet are load reports
+		}
+		d.given[service] = endpoints
+		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, endpoints) })
 	}
 }
 
@@ -151,12 +158,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.documents[a.Document.Service] = a
+	d.given[a.Document.Service] = d.endpoints(d.cfg.Fleet.Snapshot(), a.Document.Service)
 	d.runnerOf(a).do(func(s routing.Scheduler, now time.Time) {
 		s.SetBudgets(now, *a.Document.Budgets.HedgePercent, *a.Document.Budgets.RetryPercent)
-		s.SetEndpoints(now, d.endpoints(d.cfg.Fleet.Snapshot(), a.Document.Service))
+		s.SetEndpoints(now, d.given[a.Document.Service])
 	})
 }
 
+func sameEndpoint(a, b routing.Endpoint) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && slices.Equal(a.Weights, b.Weights)
+}
+
 // runner returns the runner of a service, which is made at the latest when
 // its first request comes.
 func (d *Dispatcher) runner(a *servicedoc.Accepted) *runner {
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -4,7 +4,7 @@
 
 const (
 	// minLoadInterval is the pause between load figures in a small fleet.
-	minLoadInterval = time.Second
+	minLoadInterval = 250 * time.Millisecond
 	// maxLoadInterval is the age past which load figures mislead; if the
 	// budget allows none that often, none are sent.
 	maxLoadInterval = 5 * time.Second
