--- a/lab/demo/system.go
+++ b/lab/demo/system.go
@@ -160,7 +160,18 @@
 	return l.Addr().String(), nil
 }
 
+// close stops the daemons as planned, and then what they call.
 func (s *system) close() error {
+	for _, d := range s.stops {
+		if d.stop != nil {
+			d.stop()
+		}
+	}
+	for _, d := range s.stops {
+		if d.stopped != nil {
+			<-d.stopped
+		}
+	}
 	s.stop()
 	return s.group.Wait()
 }
