--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -22,17 +22,23 @@
 }
 
 // Call implements entry.Dispatcher.
-func (a atMostOnce) Call(ctx context.Context, req *dispatch.CallRequest) (reply *upstream.Reply, address string, err error) {
+func (a atMostOnce) Call(ctx context.Context, req *dispatch.CallRequest) (*upstream.Reply, string, error) {
 	if req.Repeatable {
 		return a.Dispatcher.Call(ctx, req)
 	}
+	var address string
 	key := once.Key{Organisation: req.Organisation.Name, Service: req.Service.Document.Service, Key: req.Call.IdempotencyKey}
 	// A caller that leaves does not stop the call: its outcome has to be recorded.
 	ctx = context.WithoutCancel(ctx)
-	reply, _, err = a.records.Do(ctx, key, once.FingerprintOf(&req.Call), func(ctx context.Context) (*upstream.Reply, error) {
+	reply, replayed, err := a.records.Do(ctx, key, once.FingerprintOf(&req.Call), func(ctx context.Context) (*upstream.Reply, error) {
 		reply, at, err := a.Dispatcher.Call(ctx, req)
 		address = at
 		return reply, err
 	})
+	if replayed {
+		again := *reply
+		again.Replayed = true
+		reply = &again
+	}
 	return reply, address, err
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -36,6 +36,9 @@
 		return
 	}
 	copyHeader(w.Header(), reply.Header)
+	if reply.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -151,6 +151,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Replayed says that the reply is that of an earlier run of the call.
+	Replayed bool
 }
 
 // Services is the port to plain services. Errors carry a verdict.
