--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -9,20 +9,39 @@
 )
 
 const (
-	// firstHomePrior and otherHomePrior are the presumed shares of a prompt's
-	// shared levels that the first and the other homes hold.
-	firstHomePrior = 0.9
-	otherHomePrior = 0.1
+	// priorAtStart and priorLater are the presumed shares of a prompt's shared
+	// levels that the first home holds when no hint tells: a daemon that has
+	// just started knows nothing, later one it has most hints.
+	priorAtStart = 0.9
+	priorLater   = 0.2
+	// priorFade is the time constant from the one to the other.
+	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
 	slowIgnored = 1.5
 	// longPart is the part of an engine's slots that long work may hold.
-	longPart = 0.5
+	longPart = 0.7
 	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
 	deferrablePart = 0.75
 	// maxMarks bounds the levels of a prompt that hints are kept of.
 	maxMarks = 8
 )
 
+// demand is what a request is expected to take.
+type demand struct {
+	organisation uint64
+	// stay is how long it holds a slot, in seconds.
+	stay float64
+	long bool
+}
+
+func (p *Policy) demand(now time.Time, r *Request) demand {
+	return demand{
+		organisation: p.organisations.arrived(now, r.Organisation, r.Share),
+		stay:         p.learned.outputTokens(r) * p.learned.pace.or(paceStart.Seconds()),
+		long:         p.learned.long(r),
+	}
+}
+
 // choice is the outcome of choosing among a request's homes.
 type choice struct {
 	engine    *engine // nil when no home has room
@@ -36,9 +55,9 @@
 }
 
 // choose returns the best home for a request. exclude, if not nil, is left out.
-func (p *Policy) choose(now time.Time, r *Request, homes []int, long bool, exclude *engine) choice {
+func (p *Policy) choose(now time.Time, r *Request, homes []int, d *demand, exclude *engine) choice {
 	price := p.price()
-	stay := p.learned.outputTokens(r) * p.learned.pace.or(paceStart.Seconds())
+	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
 	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
 	for rank, i := range homes {
 		e := p.engines[i]
@@ -46,11 +65,11 @@
 			continue
 		}
 		best.any = true
-		uncached := p.uncached(now, e, r, rank, len(homes))
+		uncached := p.uncached(now, e, r, rank)
 		c := p.candidate(now, e, uncached)
-		room := p.room(e, r, long)
+		room := p.room(e, r, d) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
-		c.Crowd = p.crowd(e, stay)
+		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price)
 		switch {
 		case !room:
@@ -180,7 +199,7 @@
 }
 
 // uncached predicts the prompt tokens that the engine must compute for r.
-func (p *Policy) uncached(now time.Time, e *engine, r *Request, rank, homes int) float64 {
+func (p *Policy) uncached(now time.Time, e *engine, r *Request, rank int) float64 {
 	c := &r.Chain
 	if len(c.LevelPieces) == 0 || c.Bytes == 0 {
 		return float64(r.PromptTokens)
@@ -192,18 +211,23 @@
 	}
 	expected := float64(held)
 	if shared > held && p.rules.order {
-		expected += p.prior(rank, homes) * float64(shared-held)
+		expected += p.prior(now, rank) * float64(shared-held)
 	}
 	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
 	return float64(r.PromptTokens) * max(0, 1-share)
 }
 
-// prior returns the presumed share of the shared levels that a home holds.
-func (p *Policy) prior(rank, _ int) float64 {
-	if rank == 0 {
-		return firstHomePrior
+// prior returns the presumed share of the shared levels that a home holds
+// though no hint tells.
+func (p *Policy) prior(now time.Time, rank int) float64 {
+	switch {
+	case rank > 0:
+		return 0
+	case !p.rules.peerHints || !p.rules.hints:
+		return priorAtStart
 	}
-	return otherHomePrior
+	fade := math.Exp(-now.Sub(p.started).Seconds() / priorFade.Seconds())
+	return priorLater + (priorAtStart-priorLater)*fade
 }
 
 // held returns the number of leading pieces that the engine was seen to hold.
@@ -221,9 +245,14 @@
 func (p *Policy) remember(now time.Time, e *engine, r *Request) {
 	c := &r.Chain
 	for level := max(0, len(c.Levels)-maxMarks); level < len(c.Levels); level++ {
-		if c.LevelPieces[level] > 0 {
-			p.hints.Store(now, c.Levels[level], e.hintKey)
+		if c.LevelPieces[level] == 0 {
+			continue
+		}
+		// The last level is the prompt's own; peers will not meet it again soon.
+		if level < len(c.Levels)-1 {
+			p.noteHeld(now, e, c.Levels[level])
 		}
+		p.hints.Store(now, c.Levels[level], e.hintKey)
 	}
 }
 
@@ -248,14 +277,14 @@
 const ejectDivisor = 2
 
 // room reports whether the engine may run one more request of this kind.
-func (p *Policy) room(e *engine, r *Request, long bool) bool {
+func (p *Policy) room(e *engine, r *Request, d *demand) bool {
 	if p.rules.limits && e.own >= e.limit.Allowed(e.ep.Slots, p.daemons, p.known(e)) {
 		return false
 	}
 	if !p.rules.limits && e.own >= e.ep.Slots {
 		return false
 	}
-	if long && p.rules.longShare && e.ownLong+e.peers.long >= max(1, int(longPart*float64(e.ep.Slots))) {
+	if d.long && p.rules.longShare && e.ownLong+e.peers.long >= max(1, int(longPart*float64(e.ep.Slots))) {
 		return false
 	}
 	if r.Class.Deferrable && p.rules.deferral {
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -12,6 +12,8 @@
 	RuleHomeOrder = "home-order"
 	// RuleHints uses what engines were seen to hold.
 	RuleHints = "hints"
+	// RulePeerHints shares among daemons what engines were seen to hold.
+	RulePeerHints = "peer-hints"
 	// RulePrice prices recomputation above waiting.
 	RulePrice = "recompute-price"
 	// RuleLoadPrice raises that price with the fleet's load.
@@ -40,6 +42,8 @@
 	RuleLongShare = "long-share"
 	// RuleFairness shares the queue among organisations.
 	RuleFairness = "fairness"
+	// RuleHeadroom keeps a part of each engine's slots from organisations that exceed their share.
+	RuleHeadroom = "share-headroom"
 	// RuleEarlyRefusal refuses at once what cannot start in time.
 	RuleEarlyRefusal = "early-refusal"
 	// RuleDeferral keeps deferrable work to the troughs.
@@ -53,7 +57,7 @@
 	homes, nested, growth, order, hints, price, loadPrice     bool
 	slowdown, waiting, progress, peerLoad, peerSlow, reports  bool
 	ejection, limits, patience, longShare, fairness, earlyRef bool
-	deferral, hedges, crowd                                   bool
+	deferral, hedges, crowd, peerHints, headroom              bool
 }
 
 func newRules(without []string) rules {
@@ -68,6 +72,7 @@
 		progress: !off[RuleProgress], peerLoad: !off[RulePeerLoad], peerSlow: !off[RulePeerSlowdown],
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], longShare: !off[RuleLongShare], fairness: !off[RuleFairness],
-		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], hedges: !off[RuleHedges],
+		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
+		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges],
 	}
 }
