Bound bodies, slow senders and slow readers

Every write sets its own deadline. Ruled out: that net/http keeps the write deadline of a streamed answer on a connection that is used again; TestKeptConnectionOutlivesItsDeadline passes without the new deadline too. Seen failing with each turned off: the deadline of an event (a caller that does not read held the request for good), the deadline of a body, the bound on all bodies together (go test ./internal/entry).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -25,11 +25,12 @@
 		c.fail(w, who, err)
 		return
 	}
-	body, err := readBody(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	body, release, err := c.bodies.read(w, r, who.doc.Document.Limits.MaxBodyBytes)
 	if err != nil {
 		c.fail(w, who, err)
 		return
 	}
+	defer release()
 	reply, err := c.doCall(r, who, body, w.Header())
 	if err != nil {
 		c.fail(w, who, err)
@@ -39,6 +40,7 @@
 	if reply.Replayed {
 		w.Header().Set(HeaderReplayed, "true")
 	}
+	boundWrite(w, len(reply.Body))
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -8,12 +8,9 @@
 	"crypto/rand"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/verbenabend/verbenabend/internal/dispatch"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/membership"
@@ -52,6 +49,8 @@
 	Delay func(from, to string) time.Duration
 	// EntryMaxAge is how long callers may keep an answer of /v1/entries.
 	EntryMaxAge time.Duration
+
+	bodies bodies
 }
 
 // Headers of callers.
@@ -126,27 +125,6 @@
 	return caller{id: id, doc: doc, organisation: organisation}, nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	buffer := bytes.NewBuffer(make([]byte, 0, bodyRoom(r.ContentLength, limit)))
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body exceeds "+strconv.FormatInt(limit, 10)+" bytes")
-	case err != nil:
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the body could not be read")
-	}
-	return buffer.Bytes(), nil
-}
-
-// maxBodyRoom bounds the memory taken on a caller's word, before its body has come.
-const maxBodyRoom = 256 << 10
-
-// bodyRoom returns how much memory to take for a body of the stated length.
-func bodyRoom(stated, limit int64) int64 {
-	return min(max(stated, 0), limit, maxBodyRoom) + bytes.MinRead
-}
-
 func (c *Callers) fail(w http.ResponseWriter, who caller, err error) {
 	fields := eventlog.Fields{RequestID: who.id, Detail: err.Error()}
 	if who.doc != nil {
@@ -166,6 +144,7 @@
 		WriteError(w, err)
 		return
 	}
+	boundWrite(w, b.Len())
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(b.Bytes())
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -74,11 +74,12 @@
 		c.fail(w, who, err)
 		return
 	}
-	body, err := readBody(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	body, release, err := c.bodies.read(w, r, who.doc.Document.Limits.MaxBodyBytes)
 	if err != nil {
 		c.fail(w, who, err)
 		return
 	}
+	defer release()
 	chat, err := decode(body)
 	if err != nil {
 		c.fail(w, who, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the body is not a completion request"))
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -47,6 +47,7 @@
 // WriteError answers with a failure and its verdict.
 func WriteError(w http.ResponseWriter, err error) {
 	body, e := errorBody(err)
+	boundWrite(w, 0)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderVerdict, body.Error.Verdict)
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/verbenabend/verbenabend/internal/dispatch"
 	"github.com/verbenabend/verbenabend/internal/resume"
@@ -120,9 +119,6 @@
 func (s *wholeSink) fail(error) bool { return false }
 func (s *wholeSink) resumable() bool { return false }
 
-// writeTimeout bounds how long a caller may take to accept one event.
-const writeTimeout = 30 * time.Second
-
 // streamSink writes each event as a server-sent event with a resume token.
 type streamSink struct {
 	w      http.ResponseWriter
@@ -202,8 +198,7 @@
 }
 
 func (s *streamSink) flush() error {
-	// Recorders in tests have no deadlines; real connections do.
-	_ = s.out.SetWriteDeadline(time.Now().Add(writeTimeout))
+	boundWrite(s.w, 0)
 	if _, err := s.w.Write(s.line.Bytes()); err != nil {
 		return err
 	}
