Run the whole path over failing connections and engines in virtual time

go test ./wholepath in lab: connections to engines refused, cut or silent at any byte, engines crashed, silenced and slowed; net/http on both sides.

--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -30,9 +30,7 @@
 	bodiesRetryAfter = time.Second
 )
 
-// boundWrite sets the time by which the next n bytes must be written. Every
-// write sets it anew: net/http keeps the deadline of an earlier request on a
-// connection that is used again.
+// boundWrite sets the time by which the next n bytes must be written.
 func boundWrite(w http.ResponseWriter, n int) {
 	allowed := writeTimeout + time.Duration(n)*time.Second/writeRate
 	// Recorders in tests have no deadlines; real connections do.
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -80,6 +81,7 @@
 	queued      int
 	started     uint64
 	asked       uint64
+	runs        map[string]int
 	faults      Faults
 	life        context.Context // ends when the engine crashes
 	kill        context.CancelFunc
@@ -96,6 +98,7 @@
 	setDefault(&c.TokenInterval, 2*time.Millisecond)
 	setDefault(&c.LoadTime, time.Second)
 	s := &Server{config: c, mux: http.NewServeMux(), weights: slices.Clone(c.Weights), role: "mixed"}
+	s.runs = map[string]int{}
 	s.reset()
 	s.mux.HandleFunc("POST /v1/chat/completions", s.generate)
 	s.mux.HandleFunc("GET /v1/streams/{id}", s.resume)
@@ -120,6 +123,18 @@
 	return s.asked
 }
 
+// Answer returns what every word of the answer to a prompt begins with.
+func Answer(organisation string, levels []string) string {
+	return fmt.Sprintf("%016x", prefix.NodeHash(organisation+"\x00"+strings.Join(levels, "\x00")))
+}
+
+// Runs returns how often each request was started, by request id.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 // Started returns how many generations were started in all incarnations.
 func (s *Server) Started() uint64 {
 	s.mu.Lock()
@@ -215,6 +230,7 @@
 	}
 	s.streams[g.id] = g
 	s.started++
+	s.runs[g.requestID]++
 	missing := chain.Bytes - hits*s.config.PieceBytes
 	answer := answerOf(organisation, levels)
 	go s.work(ctx, g, missing, answer, req.MaxTokens)
--- /dev/null
+++ b/lab/wholepath/faults_test.go
@@ -0,0 +1,283 @@
+package wholepath
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/client"
+	"github.com/verbenabend/verbenabend/internal/dispatch"
+	"github.com/verbenabend/verbenabend/internal/entry"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/membership"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/resume"
+	"github.com/verbenabend/verbenabend/internal/servicedoc"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+	"github.com/verbenabend/verbenabend/lab/engine"
+)
+
+const (
+	callerKey = "whole-path-key"
+	weights   = "opal@1"
+	tokens    = 12
+	settle    = 20 * time.Second // for grace periods and held connections to end
+)
+
+var engineAddresses = []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
+
+// engineEvent happens to an engine at a time.
+type engineEvent struct {
+	engine int
+	at     time.Duration
+	faults engine.Faults
+}
+
+type plan struct {
+	conns    []plannedConn
+	events   []engineEvent
+	requests int
+}
+
+func drawPlan(t *rapid.T) plan {
+	conn := rapid.Custom(func(t *rapid.T) plannedConn {
+		return plannedConn{connFault(rapid.IntRange(0, int(connFaults)-1).Draw(t, "fault")), rapid.IntRange(0, 1600).Draw(t, "after bytes")}
+	})
+	event := rapid.Custom(func(t *rapid.T) engineEvent {
+		e := engineEvent{engine: rapid.IntRange(0, len(engineAddresses)-1).Draw(t, "engine"), at: time.Duration(rapid.IntRange(1, 400).Draw(t, "at ms")) * time.Millisecond}
+		switch rapid.IntRange(0, 2).Draw(t, "event") {
+		case 0:
+			e.faults.Crash = true
+		case 1:
+			e.faults.Silence = true
+		case 2:
+			e.faults.Slowdown = 50
+		}
+		return e
+	})
+	return plan{
+		conns:    rapid.SliceOfN(conn, 0, 8).Draw(t, "connections"),
+		events:   rapid.SliceOfN(event, 0, 3).Draw(t, "events"),
+		requests: rapid.IntRange(1, 4).Draw(t, "requests"),
+	}
+}
+
+// system is a daemon's handler before three engines.
+type system struct {
+	net        *network
+	engines    []*engine.Server
+	adapter    *httpengine.Client
+	dispatcher *dispatch.Dispatcher
+	fleet      *fleet.Fleet
+	stops      []func()
+	callers    *http.Client
+}
+
+func newSystem(t *testing.T, conns []plannedConn) *system {
+	s := &system{net: &network{servers: map[string]*listener{}}, fleet: fleet.New(nil)}
+	var list []platform.Instance
+	for _, a := range engineAddresses {
+		e := engine.New(engine.Config{Weights: []string{weights}, TokenInterval: 20 * time.Millisecond})
+		s.engines = append(s.engines, e)
+		s.stops = append(s.stops, s.net.serve(a, e))
+		list = append(list, platform.Instance{Address: a, Service: "lamp-bench", State: platform.InstanceLive})
+	}
+	s.adapter = httpengine.New(s.net.dial)
+	s.fleet.ApplyList(list)
+	s.refresh()
+	s.net.plan = conns
+	log := eventlog.New("d", hclog.NewNullLogger(), 16)
+	s.dispatcher = dispatch.New(dispatch.Config{Engines: s.adapter, Fleet: s.fleet, Log: log})
+	c := &entry.Callers{
+		Documents: documents{document(t)}, Dispatcher: s.dispatcher, Members: membership.New(membership.Member{Name: "d"}),
+		Keys: resume.NewKeys("fleet-key", nil), Log: log,
+	}
+	s.stops = append(s.stops, s.net.serve("entry:80", c.Handler()))
+	s.callers = &http.Client{Transport: &http.Transport{DialContext: s.net.dialGood}}
+	return s
+}
+
+type documents struct{ doc *servicedoc.Accepted }
+
+func (d documents) Get(string) *servicedoc.Accepted           { return d.doc }
+func (d documents) Snapshot() map[string]*servicedoc.Accepted { return nil }
+func (d documents) Submit(context.Context, []byte, servicedoc.Revision) (*servicedoc.Accepted, error) {
+	return nil, errors.New("not used")
+}
+
+func document(t *testing.T) *servicedoc.Accepted {
+	sum := sha256.Sum256([]byte(callerKey))
+	doc, err := servicedoc.NewAccepted(1, []byte(`{"service":"lamp-bench","kind":"model","models":[{"name":"opal","version":"1"}],
+		"organisations":[{"name":"trust","key_sha256":["`+hex.EncodeToString(sum[:])+`"]}],"budgets":{"retry_percent":100}}`))
+	assert.NilError(t, err)
+	return doc
+}
+
+// refresh does what the daemon's probes do.
+func (s *system) refresh() {
+	for _, a := range engineAddresses {
+		if state, err := s.adapter.State(context.Background(), a); err == nil {
+			s.fleet.ApplyEngineState(a, state, time.Now())
+		}
+	}
+	if s.dispatcher != nil {
+		s.dispatcher.SetFleet(s.fleet.Snapshot())
+	}
+}
+
+func (s *system) close() {
+	s.callers.CloseIdleConnections()
+	s.dispatcher.Close()
+	s.adapter.Close()
+	for _, e := range s.engines {
+		e.SetFaults(engine.Faults{Crash: true}) // ends what still runs
+	}
+	for _, stop := range s.stops {
+		stop()
+	}
+}
+
+// ran returns how many requests the engines started, each counted once.
+func (s *system) ran() int {
+	ids := map[string]bool{}
+	for _, e := range s.engines {
+		for id := range e.Runs() {
+			ids[id] = true
+		}
+	}
+	return len(ids)
+}
+
+var answerWord = regexp.MustCompile(`^([0-9a-f]{16})-([0-9]+)$`)
+
+// checkAnswer reports a gap, a repeat or another's words. Every prompt has an
+// answer of its own.
+func checkAnswer(text, want string) error {
+	for i, word := range strings.Fields(text) {
+		m := answerWord.FindStringSubmatch(word)
+		if m == nil || m[1] != want || m[2] != strconv.Itoa(i) {
+			return errors.Newf("word %d is %q, want %s-%d", i, word, want, i)
+		}
+	}
+	return nil
+}
+
+// answerTo is the answer's word to a prompt, asked without any fault.
+func answerTo(prompt string) string {
+	return engine.Answer("trust", []string{prompt})
+}
+
+type tally struct{ whole, notRun, mayHaveRun, ran int }
+
+func (s *system) ask(i int, counts *tally) error {
+	prompt := fmt.Sprintf("Which blue? %d", i)
+	c := &client.Caller{URL: "http://entry:80", Key: callerKey, HTTP: s.callers}
+	a, err := c.Ask(context.Background(), &client.Question{
+		Service: "lamp-bench", MaxTokens: tokens, Messages: []upstream.Message{{Role: "user", Content: prompt}},
+	}, nil)
+	if a != nil {
+		if broken := checkAnswer(a.Text, answerTo(prompt)); broken != nil {
+			return broken
+		}
+	}
+	switch {
+	case err == nil && (!a.Complete || a.CompletionTokens != tokens):
+		return errors.Newf("silent end after %q", a.Text)
+	case err == nil:
+		counts.whole++
+	case verdict.Of(err) == verdict.NotRun:
+		counts.notRun++
+		if e, _ := verdict.As(err); e.Code != verdict.CodeOverloaded && e.Code != verdict.CodeNoUpstream {
+			return errors.Wrap(err, "refused")
+		}
+	case verdict.Of(err) == verdict.Ran:
+		counts.ran++
+	default:
+		counts.mayHaveRun++
+	}
+	return nil
+}
+
+func play(t *testing.T, p plan, counts *tally) (broken error) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, p.conns)
+		for _, e := range p.events {
+			time.AfterFunc(e.at, func() { s.engines[e.engine].SetFaults(e.faults) })
+		}
+		stop, stopped := make(chan struct{}), make(chan struct{})
+		go s.watch(stop, stopped)
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		refused := 0
+		for i := range p.requests {
+			group.Go(func() {
+				mine := &tally{}
+				err := s.ask(i, mine)
+				mu.Lock()
+				defer mu.Unlock()
+				broken = errors.CombineErrors(broken, err)
+				counts.add(mine)
+				refused += mine.notRun
+			})
+		}
+		group.Wait()
+		if ran := s.ran(); ran > p.requests-refused {
+			broken = errors.CombineErrors(broken, errors.Newf("%d of %d requests ran, %d were told not-run", ran, p.requests, refused))
+		}
+		close(stop)
+		<-stopped
+		time.Sleep(settle)
+		s.close()
+		synctest.Wait()
+	})
+	return broken
+}
+
+func (c *tally) add(o *tally) {
+	c.whole += o.whole
+	c.notRun += o.notRun
+	c.mayHaveRun += o.mayHaveRun
+	c.ran += o.ran
+}
+
+func (s *system) watch(stop <-chan struct{}, stopped chan<- struct{}) {
+	defer close(stopped)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(200 * time.Millisecond):
+			s.refresh()
+		}
+	}
+}
+
+// TestAnswersUnderNetworkAndEngineFaults cuts and silences connections at any
+// byte and crashes, silences and slows engines, over net/http on both sides.
+func TestAnswersUnderNetworkAndEngineFaults(t *testing.T) {
+	counts := &tally{}
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		if err := play(t, p, counts); err != nil {
+			rt.Fatalf("%v\nplan %+v", err, p)
+		}
+	})
+	t.Logf("whole %d, not-run %d, may-have-run %d, ran %d", counts.whole, counts.notRun, counts.mayHaveRun, counts.ran)
+}
