--- /dev/null
+++ b/internal/daemon/drain_test.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/settings"
+)
+
+// newLoneDaemon returns a daemon without a platform and without peers.
+func newLoneDaemon(t *testing.T) *Daemon {
+	s, err := settings.Parse([]byte(`{"name":"entry-1","data_centre":"merrimack","caller_listen":"127.0.0.1:0","operator_listen":"127.0.0.1:0",
+		"peer_listen":"127.0.0.1:0","caller_address":"127.0.0.1:7001","peer_address":"127.0.0.1:7003",
+		"operator_key":"an-operator-key-for-tests","fleet_key":"a-fleet-key-for-all-the-tests","platform":{"url":"http://127.0.0.1:1"},"entry_max_age":"100ms"}`))
+	assert.NilError(t, err)
+	d, err := New(s, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	return d
+}
+
+func (d *Daemon) entryCount() int {
+	return len(d.members.Entries("", func(string, string) time.Duration { return 0 }))
+}
+
+// TestEntriesNameOnlyReadyDaemons follows a daemon from its start to its drain.
+func TestEntriesNameOnlyReadyDaemons(t *testing.T) {
+	d := newLoneDaemon(t)
+	d.announce()
+	assert.Equal(t, d.entryCount(), 0) // not ready: no list, no documents
+	d.opened.Store(true)
+	d.announce()
+	assert.Equal(t, d.entryCount(), 1)
+	hard, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.inFlight.Add(1)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		d.drain(hard)
+	}()
+	for d.entryCount() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	d.updateIsolation(true) // changes what is said of the daemon, not that it drains
+	assert.Equal(t, d.entryCount(), 0)
+	select {
+	case <-drained:
+		t.Fatal("drained with a request in flight")
+	case <-time.After(drainSpread + time.Second): // beyond the age of every answer given
+	}
+	d.inFlight.Add(-1)
+	<-drained
+}
