--- /dev/null
+++ b/internal/daemon/ready_test.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/docstore"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/platform/platformtest"
+	"github.com/verbenabend/verbenabend/internal/settings"
+)
+
+func newDaemon(t *testing.T) *Daemon {
+	s, err := settings.Parse([]byte(`{
+		"name": "entry-1", "data_centre": "merrimack", "caller_listen": "127.0.0.1:0", "operator_listen": "127.0.0.1:0",
+		"peer_listen": "127.0.0.1:0", "operator_key": "0123456789abcdef", "fleet_key": "0123456789abcdef",
+		"platform": {"url": "http://127.0.0.1:1"}}`))
+	assert.NilError(t, err)
+	d, err := New(s, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// A daemon that serves stays ready while a service that is new has upstreams
+// of which nothing is known yet; one that starts is not ready before.
+func TestNewServiceDoesNotMakeAServingDaemonUnready(t *testing.T) {
+	d := newDaemon(t)
+	d.listed.Store(true)
+	d.synced.Store(true)
+	d.fleet.ApplyList([]platform.Instance{{Address: "10.0.0.1:1", Service: "s", DataCentre: "merrimack", State: platform.InstanceLive}})
+	assert.Equal(t, len(d.notReady()), 0, "no document, no promise")
+
+	submitTestDocument(t, d)
+	assert.Equal(t, len(d.notReady()), 1)
+	d.served.Store(true)
+	assert.Equal(t, len(d.notReady()), 0)
+	d.draining.Store(true)
+	assert.Equal(t, len(d.notReady()), 1)
+}
+
+// submitTestDocument accepts a document through an in-memory platform.
+func submitTestDocument(t *testing.T, d *Daemon) {
+	p := platformtest.New().Client()
+	store := docstore.NewStore(p, p.Objects(), d.catalogue, nil, d.log)
+	_, err := store.Submit(context.Background(), []byte(`{"service":"s","kind":"plain","organisations":[{"name":"o","key_sha256":["`+strings.Repeat("ab", 32)+`"]}]}`), 0)
+	assert.NilError(t, err)
+}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -34,6 +34,9 @@
 	if !d.synced.Load() {
 		out = append(out, "documents not read yet: neither the platform nor a peer has given them")
 	}
+	if d.served.Load() {
+		return out // a service or an upstream that is new holds nothing else up
+	}
 	for _, service := range d.unknownServices() {
 		out = append(out, "upstreams of "+service+" not known yet: they were neither probed nor told of by a peer")
 	}
