Wire the rollout of weights; keep serving while engines go over to a version

Ruled out: gossip delay of the engines' states alone (the refused attempts saw each engine say its new weights). The check that a resumed stream has the document's version is replaced: it must have the same model, and goes on in its own version.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -10,8 +10,10 @@
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/lease"
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -39,9 +41,18 @@
 		d.every(loadInterval, d.tellLoad),
 		d.every(memberInterval, d.refreshMembers),
 		d.watchReadiness,
+		d.rollOut,
 	}
 }
 
+// rollOut brings engines to what the documents ask for, while this daemon is
+// the one that holds the lease.
+func (d *Daemon) rollOut(ctx context.Context) error {
+	keeper := lease.NewKeeper(d.table, lease.Settings{Name: rollout.LeaseName, Holder: d.settings.Name, Settle: rollout.OrderDelay}, d.log)
+	runner := rollout.NewRunner(d.engines, d.catalogue.Snapshot, d.fleet.Snapshot, d.log)
+	return keeper.Run(ctx, runner.Work)
+}
+
 // followDocuments reads all documents once, from whoever answers first, and
 // then follows their changes.
 func (d *Daemon) followDocuments(ctx context.Context) error {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,7 +53,11 @@
 	documents map[string]*servicedoc.Accepted
 	// given holds the endpoints that each scheduler was given last.
 	given map[string][]routing.Endpoint
-	peers int
+	// versions counts those endpoints by version, for each model of a service.
+	versions map[string]map[string]modelVersions
+	// adopted is when a service's document came into force here.
+	adopted map[string]time.Time
+	peers   int
 }
 
 // New returns a Dispatcher.
@@ -73,7 +77,7 @@
 	if cfg.EngineDown == nil {
 		cfg.EngineDown = func(string) {}
 	}
-	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, documents: map[string]*servicedoc.Accepted{}, given: map[string][]routing.Endpoint{}, peers: 1}
+	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, documents: map[string]*servicedoc.Accepted{}, given: map[string][]routing.Endpoint{}, versions: map[string]map[string]modelVersions{}, adopted: map[string]time.Time{}, peers: 1}
 }
 
 // Close ends the grace periods of streams whose callers left, waits for what
@@ -100,7 +104,7 @@
 		if slices.EqualFunc(endpoints, d.given[service], sameEndpoint) {
 			continue // most changes of the fleet are load reports
 		}
-		d.given[service] = endpoints
+		d.give(service, endpoints)
 		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, endpoints) })
 	}
 }
@@ -158,13 +162,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.documents[a.Document.Service] = a
-	d.given[a.Document.Service] = d.endpoints(d.cfg.Fleet.Snapshot(), a.Document.Service)
+	d.adopted[a.Document.Service] = time.Now()
+	d.give(a.Document.Service, d.endpoints(d.cfg.Fleet.Snapshot(), a.Document.Service))
 	d.runnerOf(a).do(func(s routing.Scheduler, now time.Time) {
 		s.SetBudgets(now, *a.Document.Budgets.HedgePercent, *a.Document.Budgets.RetryPercent)
 		s.SetEndpoints(now, d.given[a.Document.Service])
 	})
 }
 
+// give notes the endpoints that a scheduler is given.
+func (d *Dispatcher) give(service string, endpoints []routing.Endpoint) {
+	d.given[service] = endpoints
+	d.versions[service] = countVersions(&d.documents[service].Document, endpoints)
+}
+
 func sameEndpoint(a, b routing.Endpoint) bool {
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && slices.Equal(a.Weights, b.Weights)
 }
@@ -186,9 +197,10 @@
 		return r
 	}
 	r := newRunner(d.cfg.NewScheduler(routing.Settings{HedgePercent: *budgets.HedgePercent, RetryPercent: *budgets.RetryPercent}))
+	d.give(service, d.endpoints(d.cfg.Fleet.Snapshot(), service))
 	r.do(func(s routing.Scheduler, now time.Time) {
 		s.SetPeers(now, d.peers)
-		s.SetEndpoints(now, d.endpoints(d.cfg.Fleet.Snapshot(), service))
+		s.SetEndpoints(now, d.given[service])
 	})
 	d.runners[service] = r
 	return r
@@ -215,15 +227,17 @@
 }
 
 // allowedWeights returns what an engine has loaded of the models that the
-// document places on it.
+// document places on it, in any version.
 func allowedWeights(doc *servicedoc.Document, u *fleet.Upstream) []string {
 	if !allowed(doc.DataCentres, u.DataCentre) {
 		return nil
 	}
 	var out []string
-	for _, m := range doc.Models {
-		if u.Matches(m.Engines) && slices.Contains(u.Engine.Weights, m.Weights()) {
-			out = append(out, m.Weights())
+	for _, w := range u.Engine.Weights {
+		id, _ := servicedoc.ParseWeights(w)
+		placed := func(m servicedoc.Model) bool { return m.Name == id.Name && u.Matches(m.Engines) }
+		if slices.ContainsFunc(doc.Models, placed) {
+			out = append(out, w)
 		}
 	}
 	return out
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -15,7 +15,20 @@
 // Generate serves a model request and returns nil after its last event was
 // passed to sink. Errors carry a verdict that covers all attempts.
 func (d *Dispatcher) Generate(ctx context.Context, req *ModelRequest, sink Sink) error {
-	t := &transfer{d: d, r: d.runner(req.Service), req: req, sink: sink, earlier: verdict.NotRun}
+	r := d.runner(req.Service)
+	var err error
+	for range maxAttempts {
+		chosen := d.withVersion(req)
+		err = d.generate(ctx, r, chosen, sink)
+		if !d.otherVersion(err, req, chosen) {
+			return err
+		}
+	}
+	return err
+}
+
+func (d *Dispatcher) generate(ctx context.Context, r *runner, req *ModelRequest, sink Sink) error {
+	t := &transfer{d: d, r: r, req: req, sink: sink, earlier: verdict.NotRun}
 	route := routingRequest(req)
 	t.fingerprint = fingerprintOf(req, &route)
 	defer t.end()
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -132,7 +132,7 @@
 	if outcome != routing.Canceled {
 		t.avoid = append(t.avoid, a.action.Endpoint)
 	}
-	if isBadRequest(a.err) {
+	if isBadRequest(a.err) || t.d.heed(a) {
 		return a.err
 	}
 	return nil
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -169,10 +169,13 @@
 	if !sink.resumable() {
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "only a streamed answer can be resumed")
 	}
-	if p.Weights != req.Model.Weights() {
-		return verdict.New(verdict.Ran, verdict.CodeStreamLost, "the stream was made by another version of the model")
+	made, _ := servicedoc.ParseWeights(p.Weights)
+	if made.Name != req.Model.Name {
+		return verdict.New(verdict.Ran, verdict.CodeStreamLost, "the stream was made by another model")
 	}
 	resumed := *req
 	resumed.ID = p.RequestID
+	// The version may have changed since the stream began; its engine goes on with the old one.
+	resumed.Model.Version, resumed.Model.Adapter = made.Version, made.Adapter
 	return c.Dispatcher.Resume(r.Context(), &resumed, p, sink)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,6 +89,18 @@
 	})
 }
 
+// ApplyRefusal records what an engine said of itself when it refused a
+// request; it is newer than any report.
+func (f *Fleet) ApplyRefusal(address, incarnation string, weights []string) {
+	f.modify(address, func(u *Upstream) bool {
+		if u.Engine.Incarnation == incarnation && slices.Equal(u.Engine.Weights, weights) {
+			return false
+		}
+		u.Engine.Incarnation, u.Engine.Weights = incarnation, weights
+		return true
+	})
+}
+
 // SetState records that an upstream serves, is leaving or is down.
 func (f *Fleet) SetState(address string, s State) {
 	f.modify(address, func(u *Upstream) bool {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -31,8 +31,8 @@
 	loadTimeout = time.Minute
 	// busyInterval and idleInterval are the pauses between two rounds, with
 	// and without orders to follow up.
-	busyInterval = time.Second
-	idleInterval = 5 * time.Second
+	busyInterval = 250 * time.Millisecond
+	idleInterval = 500 * time.Millisecond
 	// parallelReads bounds the states read at the same time.
 	parallelReads = 16
 )
--- a/internal/servicedoc/document.go
+++ b/internal/servicedoc/document.go
@@ -239,6 +239,16 @@
 	return w
 }
 
+// WeightsID names what an engine has loaded.
+type WeightsID struct{ Name, Version, Adapter string }
+
+// ParseWeights is the reverse of Model.Weights.
+func ParseWeights(s string) (WeightsID, bool) {
+	name, rest, ok := strings.Cut(s, "@")
+	version, adapter, _ := strings.Cut(rest, "+")
+	return WeightsID{Name: name, Version: version, Adapter: adapter}, ok && name != "" && version != ""
+}
+
 func (d Document) withDefaults() Document {
 	if d.Limits.MaxBodyBytes == 0 {
 		d.Limits.MaxBodyBytes = DefaultMaxBodyBytes
