--- a/internal/docstore/store_test.go
+++ b/internal/docstore/store_test.go
@@ -425,6 +425,41 @@
 	})
 }
 
+// A table down for an hour: daemons serve on, read the object store at a
+// bounded rate, and do not return to the table in a burst.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		const daemons = 33
+		w := newWorld(ctx, daemons)
+		_, err := w.daemons[0].store.Submit(ctx, []byte(body("a", 1, false)), 0)
+		assert.NilError(t, err)
+		time.Sleep(5 * time.Second)
+		for _, d := range w.daemons {
+			d.client.SetDown(true, false)
+		}
+		before, _ := w.platform.Calls()
+		time.Sleep(time.Hour)
+		after, _ := w.platform.Calls()
+		assert.Assert(t, after-before <= daemons*3600/2, "%d reads", after-before)
+		_, err = w.daemons[1].store.Submit(ctx, []byte(body("a", 2, false)), 1)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		for _, d := range w.daemons {
+			assert.Equal(t, d.catalogue.Revision("a"), servicedoc.Revision(1))
+			d.client.SetDown(false, false)
+		}
+		most := 0
+		for range 100 {
+			before, _ := w.platform.Calls()
+			time.Sleep(100 * time.Millisecond)
+			after, _ := w.platform.Calls()
+			most = max(most, after-before)
+		}
+		assert.Assert(t, most <= daemons/2, "%d reads in 100 ms", most)
+		cancel()
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	s := submission{Service: "a", Revision: 1, Nonce: "n", Digest: sha256.Sum256([]byte("x"))}
 	f.Add(mustEncode(revisionRow{}.with(s)))
