--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -112,12 +112,32 @@
 type PeerLoad struct {
 	Endpoint    string
 	Incarnation string
-	// Outstanding is the work in tokens that the daemon has at the engine.
+	// Outstanding is the number of prompt tokens that the engine must still
+	// compute for the daemon's requests before their first tokens.
 	Outstanding int
 	// Requests is the number of its requests there.
 	Requests int
+	// Long is how many of them hold a slot for long.
+	Long int
 	// Slowdown is the engine's observed time over its expected time; 1 is normal.
 	Slowdown float64
+	// Measured is the number of running answers that Slowdown was measured
+	// by; 0 when it was inferred from times to first token.
+	Measured int
+	// Held are the hashes of shared prompt levels (prefix.Chain.Levels) that
+	// the engine was newly seen to hold since the last Share. They are hints:
+	// losing some costs a recomputation at worst.
+	Held []uint64
+	// Organisations is set in the one entry without an Endpoint: how many
+	// requests of each organisation the daemon runs at all engines.
+	Organisations []OrganisationLoad
+}
+
+// OrganisationLoad is what a daemon runs for one organisation.
+type OrganisationLoad struct {
+	// Hash is the hash of the organisation's name, as prefix.NodeHash gives it.
+	Hash     uint64
+	Requests int
 }
 
 // Scheduler decides for one service. It is not safe for concurrent use.
@@ -127,6 +147,8 @@
 	SetEndpoints(now time.Time, endpoints []Endpoint)
 	// SetPeers tells how many daemons share the engines, this one included.
 	SetPeers(now time.Time, daemons int)
+	// SetBudgets changes the bounds on hedges and retries, in percent of requests.
+	SetBudgets(now time.Time, hedgePercent, retryPercent int)
 	// Submit hands in a request; Advance gives the decision, at once or later.
 	Submit(now time.Time, r *Request)
 	// Withdraw takes back a request that has not started.
@@ -138,7 +160,8 @@
 	Finished(now time.Time, id, endpoint string, outcome Outcome, outputTokens int)
 	// Report records an engine's own load report.
 	Report(now time.Time, r LoadReport)
-	// Share returns what peers should learn, at most one entry an engine.
+	// Share returns what peers should learn, at most one entry an engine and
+	// one without an endpoint for organisations. It is called once an interval; all peers get the same.
 	Share(now time.Time) []PeerLoad
 	// Learn records what a peer shared; it replaces what that peer shared before.
 	Learn(now time.Time, peer string, loads []PeerLoad)
@@ -149,6 +172,17 @@
 	NextWake(now time.Time) time.Time
 }
 
+// ProgressObserver is implemented by a Scheduler that learns from answers as
+// they come. A caller that streams tells it, for each attempt that generates,
+// at most every ProgressInterval.
+type ProgressObserver interface {
+	// Progress reports how many output tokens of an attempt have come so far.
+	Progress(now time.Time, id, endpoint string, outputTokens int)
+}
+
+// ProgressInterval is the least time between two reports of an attempt's progress.
+const ProgressInterval = 100 * time.Millisecond
+
 // Settings tunes a Scheduler.
 type Settings struct {
 	// HedgePercent bounds hedges, in percent of requests.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -126,6 +126,14 @@
 	Order(ctx context.Context, address string, o Order) error
 }
 
+// Abandoner is implemented by Engines whose engines can end a stream on the
+// condition that nobody reads it, so that a caller that came back through
+// another daemon is not cut off.
+type Abandoner interface {
+	// Abandon ends a stream unless a connection reads it.
+	Abandon(ctx context.Context, address string, ref StreamRef) error
+}
+
 // Call is a call to a plain service.
 type Call struct {
 	RequestID      string
@@ -143,6 +151,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Replayed says that the reply is that of an earlier run of the call.
+	Replayed bool
 }
 
 // Services is the port to plain services. Errors carry a verdict.
