--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -28,9 +28,11 @@
 }
 
 var (
-	_ platform.Table     = (*Client)(nil)
-	_ platform.Objects   = objects{}
-	_ platform.Instances = (*Client)(nil)
+	_ platform.Table   = (*Client)(nil)
+	_ platform.Objects = objects{}
+
+	_ platform.ObjectDeleter = objects{}
+	_ platform.Instances     = (*Client)(nil)
 )
 
 const (
--- a/internal/platform/httpplatform/objects.go
+++ b/internal/platform/httpplatform/objects.go
@@ -28,3 +28,8 @@
 	err := o.client.call(ctx, http.MethodGet, "/objects?"+url.Values{"prefix": {prefix}}.Encode(), nil, &keys)
 	return keys.Keys, err
 }
+
+// Delete implements platform.ObjectDeleter.
+func (o objects) Delete(ctx context.Context, key string) error {
+	return o.client.call(ctx, http.MethodDelete, "/objects/"+url.PathEscape(key), nil, nil)
+}
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -57,6 +57,7 @@
 	s.mux.HandleFunc("POST /table/transactions", s.commit)
 	s.mux.HandleFunc("PUT /objects/{key}", s.putObject)
 	s.mux.HandleFunc("GET /objects/{key}", s.getObject)
+	s.mux.HandleFunc("DELETE /objects/{key}", s.deleteObject)
 	s.mux.HandleFunc("GET /objects", s.listObjects)
 	s.mux.HandleFunc("GET /instances", s.listInstances)
 	return s
@@ -229,6 +230,13 @@
 	_, _ = w.Write(body)
 }
 
+func (s *Server) deleteObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	delete(s.objects, r.PathValue("key"))
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
