--- a/lab/wholepath/faults_test.go
+++ b/lab/wholepath/faults_test.go
@@ -103,15 +103,22 @@
 	s.fleet.ApplyList(list)
 	s.refresh()
 	s.net.plan = conns
+	var stop func()
+	s.dispatcher, stop = s.addEntry(t, "entry:80")
+	s.stops = append(s.stops, stop)
+	s.callers = &http.Client{Transport: &http.Transport{DialContext: s.net.dialGood}}
+	return s
+}
+
+// addEntry runs one more daemon's handler before the same engines.
+func (s *system) addEntry(t *testing.T, address string) (*dispatch.Dispatcher, func()) {
 	log := eventlog.New("d", hclog.NewNullLogger(), 16)
-	s.dispatcher = dispatch.New(dispatch.Config{Engines: s.adapter, Fleet: s.fleet, Log: log})
+	d := dispatch.New(dispatch.Config{Engines: s.adapter, Fleet: s.fleet, Log: log})
 	c := &entry.Callers{
-		Documents: documents{document(t)}, Dispatcher: s.dispatcher, Members: membership.New(membership.Member{Name: "d"}),
+		Documents: documents{document(t)}, Dispatcher: d, Members: membership.New(membership.Member{Name: address}),
 		Keys: resume.NewKeys("fleet-key", nil), Log: log,
 	}
-	s.stops = append(s.stops, s.net.serve("entry:80", c.Handler()))
-	s.callers = &http.Client{Transport: &http.Transport{DialContext: s.net.dialGood}}
-	return s
+	return d, s.net.serve(address, c.Handler())
 }
 
 type documents struct{ doc *servicedoc.Accepted }
