Space and bound connections that break before an event

Cause: a resumption that succeeded and broke at once was tried again without a pause, for up to two minutes. Seen when the token's end mark was turned off in 'go test ./wholepath -run Entry' (the test did not end within 100 s).

--- a/internal/dispatch/follower.go
+++ b/internal/dispatch/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,12 @@
 	idle time.Duration
 	// eventAt is when the last event came.
 	eventAt time.Time
-	silence *time.Timer
+	// fruitless counts connections in a row that brought no event, cuts those
+	// of them that broke before they were silent for long.
+	fruitless int
+	cuts      int
+	wasSilent atomic.Bool
+	silence   *time.Timer
 	// stop ends the watch that closes the present connection with the context.
 	stop func() bool
 }
@@ -69,6 +75,7 @@
 			f.next++
 			f.idle = f.d.cfg.StreamIdle
 			f.eventAt = time.Now()
+			f.fruitless, f.cuts = 0, 0
 			return e, nil
 		}
 		if errors.Is(err, io.EOF) || ctx.Err() != nil {
@@ -99,7 +106,11 @@
 		return
 	}
 	stream := f.stream
-	f.silence = time.AfterFunc(f.idle, func() { stream.Close() })
+	f.wasSilent.Store(false)
+	f.silence = time.AfterFunc(f.idle, func() {
+		f.wasSilent.Store(true)
+		stream.Close()
+	})
 	f.stop = context.AfterFunc(ctx, func() { stream.Close() })
 }
 
@@ -107,16 +118,22 @@
 // silent may also be a slow engine, so each silence makes the next limit
 // longer, as long as the engine answers a probe and knows the stream.
 func (f *follower) reconnect(ctx context.Context, cause error) error {
-	f.close()
-	f.idle = min(2*f.idle, maxIdle)
-	if time.Since(f.eventAt) > maxStall {
-		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeStreamLost, "the engine sends no more events")
-	}
 	tries := maxResumes
 	if f.next == 0 {
 		tries = maxEarlyResumes
 	}
+	if f.stream != nil && !f.wasSilent.Load() {
+		f.cuts++
+	}
+	f.close()
+	f.idle = min(2*f.idle, maxIdle)
+	if f.cuts > tries || time.Since(f.eventAt) > maxStall {
+		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeStreamLost, "the engine sends no more events")
+	}
 	for try := 0; ; try++ {
+		if err := f.pause(ctx); err != nil {
+			return err
+		}
 		err := f.resumeOnce(ctx)
 		if err == nil {
 			return nil
@@ -124,12 +141,18 @@
 		if ctx.Err() != nil || try+1 >= tries || refusedBy(err) != nil || errors.Is(err, errRestarted) {
 			return err
 		}
-		if err := resumeBackoff.Wait(ctx, try); err != nil {
-			return err
-		}
 	}
 }
 
+// pause waits before all but the first connection in a row without an event.
+func (f *follower) pause(ctx context.Context) error {
+	f.fruitless++
+	if f.fruitless == 1 {
+		return ctx.Err()
+	}
+	return resumeBackoff.Wait(ctx, f.fruitless-2)
+}
+
 // resumeOnce probes the engine and asks it for the rest of the stream, both
 // over new connections.
 func (f *follower) resumeOnce(ctx context.Context) error {
--- a/internal/dispatch/oracle_test.go
+++ b/internal/dispatch/oracle_test.go
@@ -396,3 +396,23 @@
 		assert.Equal(t, len(second.events), 200)
 	})
 }
+
+// TestConnectionsThatBreakAtOnceAreBounded lets each resumed connection break
+// before its first event.
+func TestConnectionsThatBreakAtOnceAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steps := []step{{fault: faultCut, after: 1}}
+		for range 50 {
+			steps = append(steps, step{fault: faultCut})
+		}
+		w := newWorld(t, steps)
+		defer w.close()
+		start := time.Now()
+		sink := &recorder{leaveAt: -1}
+		err := w.daemons[0].Generate(context.Background(), w.request("r", 4), sink)
+		assert.Equal(t, verdict.Of(err), verdict.Ran)
+		assert.Equal(t, len(sink.events), 1)
+		assert.Assert(t, len(steps)-len(w.engines.steps) <= maxResumes+2)
+		assert.Assert(t, time.Since(start) >= time.Second) // the tries are spaced
+	})
+}
