--- a/internal/gossip/budget_test.go
+++ b/internal/gossip/budget_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -78,9 +79,10 @@
 			before += n.Stats().SentBytes
 		}
 		const seconds = 120
-		for range seconds {
+		for second := range seconds {
 			for i, n := range nodes {
-				n.Publish(Fact{Kind: KindLoad, ID: testName(i) + "/lamp-bench", TTL: 10 * time.Second, Value: make([]byte, 200)})
+				value := bytes.Repeat([]byte{byte(second)}, 200)
+				n.Publish(Fact{Kind: KindLoad, ID: testName(i) + "/lamp-bench", TTL: 10 * time.Second, Value: value})
 			}
 			time.Sleep(time.Second)
 		}
@@ -116,3 +118,26 @@
 		closeAll(nodes)
 	})
 }
+
+// No daemon opens more connections than its fan-out and one, also while it
+// looks for peers at many addresses and changes its neighbours.
+func TestFanOutIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var seeds []string
+		for i := range budgetNodes {
+			seeds = append(seeds, testName(i))
+		}
+		nodes := testFleet(t, newNetwork(), budgetNodes, func(_ int, c *Config) {
+			c.Seeds, c.RotateInterval = seeds, 500*time.Millisecond
+		})
+		defer closeAll(nodes)
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			for i, n := range nodes {
+				out := n.Stats().Outbound
+				assert.Assert(t, out <= DefaultFanOut+1, "daemon %d: %d outgoing connections", i, out)
+			}
+		}
+		assert.Assert(t, acquainted(nodes)())
+	})
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -229,9 +229,6 @@
 }
 
 func handleGraft(c *conn, m *message) {
-	if len(m.Origins) == 0 {
-		clear(c.pruned)
-	}
 	for _, o := range m.Origins {
 		delete(c.pruned, o)
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -43,7 +43,7 @@
 	messageWant messageType = 5
 	// messagePrune asks not to pass on routine facts of some origins.
 	messagePrune messageType = 6
-	// messageGraft takes back prunes: of the origins given, or all if none is.
+	// messageGraft takes back prunes of some origins.
 	messageGraft messageType = 7
 )
 
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -52,7 +52,23 @@
 		nodes := testFleet(t, nw, 5, nil)
 		defer closeAll(nodes)
 		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
+		var old []*conn
+		for _, n := range nodes {
+			n.mu.Lock()
+			for _, c := range n.conns {
+				old = append(old, c)
+			}
+			n.mu.Unlock()
+		}
 		nw.each((*link).silence)
+		time.Sleep(DefaultIdleTimeout + 10*time.Millisecond)
+		for _, c := range old {
+			select {
+			case <-c.done:
+			default:
+				t.Fatalf("the silent connection to %s was kept", c.name())
+			}
+		}
 		nodes[0].Publish(Fact{Kind: KindDocument, ID: "lamp-bench", Version: 9, TTL: time.Minute})
 		eventually(t, 5*time.Second, "document known everywhere", allHold(nodes, KindDocument, "lamp-bench", 9))
 	})
@@ -271,9 +287,10 @@
 		nodes = append(nodes, testNode(t, nw, "late", nil))
 		defer closeAll(nodes)
 		eventually(t, 4*time.Second, "known to the late daemon", allHold(nodes, KindEngine, "10.0.0.1:80", 1))
-		time.Sleep(5 * time.Second)
+		time.Sleep(6 * time.Second)
 		for _, n := range nodes {
 			assert.Equal(t, len(n.Facts(KindEngine)), 0)
+			assert.Equal(t, n.Stats().Facts, len(nodes), "expired facts take memory")
 		}
 	})
 }
@@ -295,7 +312,7 @@
 func TestSilentHandshake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork()
-		node := testNode(t, nw, testName(0), func(c *Config) { c.MaxInbound = 1 })
+		node := testNode(t, nw, testName(0), func(c *Config) { c.MaxInbound, c.Seeds = 1, nil })
 		dial := nw.dialer("stranger")
 		nc, err := dial(t.Context(), testName(0))
 		assert.NilError(t, err)
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -210,10 +210,6 @@
 	if n.closing {
 		return
 	}
-	// What the lost connection delivered must come another way.
-	for _, other := range n.conns {
-		other.send(&message{Type: messageGraft})
-	}
 	if errors.IsAny(err, errMalformed, errUnauthentic) {
 		n.rejected.Add(1)
 		n.cfg.Events.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: c.name() + ": " + err.Error()})
