--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -131,11 +131,13 @@
 	}
 }
 
-// relay queues a fact on all connections but from. Routine facts are left out
-// where the peer gets them another way.
+// relay queues a fact on all connections but from. Routine facts and renewals
+// are left out where the peer gets them another way.
 func (n *Node) relay(k factKey, origin string, from *conn, now time.Time) {
+	e := n.store.byKey[k]
+	spare := routine(k.kind) || (e != nil && e.touched)
 	for _, c := range n.conns {
-		if c == from || (routine(k.kind) && c.prunes(origin, now)) {
+		if c == from || (spare && c.prunes(origin, now)) {
 			continue
 		}
 		c.queue(k, now, false)
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -147,7 +147,9 @@
 
 // Publish implements Board. Facts whose ID or Value is too long are dropped.
 // A KindDaemon fact of the daemon itself must hold a DaemonInfo; the Node
-// renews it until it is closed.
+// renews it until it is closed. A fact without a version whose value is known
+// and lives for at least half of its TTL is not announced again, so that
+// several daemons may tell the same at the cost of one.
 func (n *Node) Publish(f Fact) {
 	if f.ID == "" || len(f.ID) > maxIDBytes || len(f.Value) > MaxValueBytes {
 		n.rejected.Add(1)
@@ -181,6 +183,9 @@
 func (n *Node) publish(f Fact, now time.Time) {
 	k := factKey{f.Kind, f.ID}
 	if f.Version == 0 {
+		if f.Kind != KindDaemon && n.store.fresh(k, f, now) {
+			return
+		}
 		f.Version = n.store.nextVersion(k, uint64(n.clock.Now().Micros))
 	}
 	if n.store.put(f, now) == putIgnored {
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -323,3 +323,24 @@
 		eventually(t, 10*time.Second, "peer known", acquainted([]*Node{node, peer}))
 	})
 }
+
+// Two daemons that tell the same of an engine again and again cost what one
+// does, and the fact stays alive.
+func TestSameStateFromTwoDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := testFleet(t, newNetwork(), 5, nil)
+		defer closeAll(nodes)
+		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
+		versions := map[uint64]bool{}
+		for second := range 100 {
+			for _, n := range nodes[:2] {
+				n.Publish(Fact{Kind: KindEngine, ID: "10.0.0.1:80", TTL: 20 * time.Second, Value: []byte("serving")})
+			}
+			time.Sleep(time.Second)
+			facts := nodes[4].Facts(KindEngine)
+			assert.Equal(t, len(facts), 1, "after %d s", second)
+			versions[facts[0].Version] = true
+		}
+		assert.Assert(t, len(versions) <= 12, "%d versions", len(versions))
+	})
+}
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -164,6 +164,13 @@
 	return v
 }
 
+// fresh reports whether the value of f is known and lives for at least half
+// of f's TTL.
+func (s *store) fresh(k factKey, f Fact, now time.Time) bool {
+	e, ok := s.byKey[k]
+	return ok && bytes.Equal(e.fact.Value, f.Value) && e.expires.Sub(now) > f.TTL/2
+}
+
 // facts returns the facts of kind with the time that they have left.
 func (s *store) facts(kind Kind, now time.Time) []Fact {
 	var out []Fact
