--- a/internal/fleet/watch_test.go
+++ b/internal/fleet/watch_test.go
@@ -60,3 +60,11 @@
 	engines := names("10.0.0.%d:80", 5)
 	assert.DeepEqual(t, Watched("only", nil, engines), engines)
 }
+
+// BenchmarkWatched is one look at which of all engines a daemon probes.
+func BenchmarkWatched(b *testing.B) {
+	daemons, engines := names("daemon-%d", 329), names("10.0.0.%d:80", 600)
+	for b.Loop() {
+		Watched("self", daemons, engines)
+	}
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -81,6 +81,9 @@
 	if result == putReplaced {
 		n.deliver(f)
 	}
+	if f.Kind == KindDaemon && !n.store.byKey[k].touched {
+		n.membersKnown = false
+	}
 	n.relay(k, f.Origin, c, now)
 }
 
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -50,6 +50,9 @@
 	// loads are own load figures that wait for their turn.
 	loads  map[factKey]bool
 	loadAt time.Time
+	// memberList is the result of readMembers while membersKnown.
+	memberList   []member
+	membersKnown bool
 	// displaced is set when a later process has the same name.
 	displaced bool
 	closing   bool
@@ -249,8 +252,17 @@
 	return out
 }
 
-// members returns the live daemons but this one, ordered by name.
+// members returns the live daemons but this one, ordered by name. The list is
+// kept until a daemon's own fact changes or expires; it must not be changed.
 func (n *Node) members(now time.Time) []member {
+	if !n.membersKnown {
+		n.memberList = n.readMembers(now)
+		n.membersKnown = true
+	}
+	return n.memberList
+}
+
+func (n *Node) readMembers(now time.Time) []member {
 	var out []member
 	for _, f := range n.store.facts(KindDaemon, now) {
 		info, err := DecodeDaemonInfo(f.Value)
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -257,6 +257,7 @@
 func (n *Node) expire(now time.Time) {
 	for _, f := range n.store.expire(now) {
 		if f.Kind == KindDaemon {
+			n.membersKnown = false
 			delete(n.via, f.Origin)
 			delete(n.grafted, f.Origin)
 		}
--- a/lab/main.go
+++ b/lab/main.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	port "github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/lab/capacity"
 	"github.com/verbenabend/verbenabend/lab/demo"
 	"github.com/verbenabend/verbenabend/lab/engine"
 	"github.com/verbenabend/verbenabend/lab/load"
@@ -23,13 +24,14 @@
 )
 
 type commands struct {
-	Demo     demo.Cmd    `cmd:"" help:"Run a small system in this process and show what it does."`
-	Platform platformCmd `cmd:"" help:"Run a stand-in platform."`
-	Engine   engineCmd   `cmd:"" help:"Run a stand-in model engine."`
-	Service  serviceCmd  `cmd:"" help:"Run a stand-in plain service."`
-	Load     load.Cmd    `cmd:"" help:"Put a running system under load and check every answer."`
-	Get      getCmd      `cmd:"" help:"Print what an address answers."`
-	Measure  measure.Cmd `cmd:"" help:"Measure the decisions against engine models in virtual time."`
+	Demo     demo.Cmd     `cmd:"" help:"Run a small system in this process and show what it does."`
+	Platform platformCmd  `cmd:"" help:"Run a stand-in platform."`
+	Engine   engineCmd    `cmd:"" help:"Run a stand-in model engine."`
+	Service  serviceCmd   `cmd:"" help:"Run a stand-in plain service."`
+	Load     load.Cmd     `cmd:"" help:"Put a running system under load and check every answer."`
+	Get      getCmd       `cmd:"" help:"Print what an address answers."`
+	Capacity capacity.Cmd `cmd:"" help:"Measure what gossip and a daemon's state cost, for docs/CAPACITY.md."`
+	Measure  measure.Cmd  `cmd:"" help:"Measure the decisions against engine models in virtual time."`
 }
 
 type platformCmd struct {
