--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -11,6 +11,9 @@
 	// priorityDaemon is for what daemons say of themselves: without it the
 	// overlay falls apart, and its rate is bounded by the number of daemons.
 	priorityDaemon
+	// priorityBody is for urgent facts with long values, such as documents with
+	// their bodies: a daemon that catches up must not keep others from being heard.
+	priorityBody
 	// priorityEngine is for what upstreams say of themselves.
 	priorityEngine
 	// priorityLoad facts are delayed and dropped first.
@@ -19,9 +22,15 @@
 	priorities = int(priorityLoad) + 1
 )
 
-func priorityOf(k Kind) priority {
+// bodyBytes is the length from which the value of an urgent fact is a body.
+const bodyBytes = 1 << 10
+
+func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
 	case KindDocument, KindSuspect:
+		if valueBytes > bodyBytes {
+			return priorityBody
+		}
 		return priorityUrgent
 	case KindEngine:
 		return priorityEngine
@@ -62,6 +71,8 @@
 		return -b.burst
 	case priorityDaemon:
 		return 0
+	case priorityBody:
+		return b.burst / 16
 	case priorityEngine:
 		return b.burst / 8
 	default:
--- a/internal/gossip/budget_test.go
+++ b/internal/gossip/budget_test.go
@@ -141,3 +141,30 @@
 		assert.Assert(t, acquainted(nodes)())
 	})
 }
+
+// Daemons that catch up on many long documents don't keep one another's
+// renewals from being sent.
+func TestCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		nodes := testFleet(t, nw, 1, nil)
+		defer func() { closeAll(nodes) }()
+		const documents = 40
+		for i := range documents {
+			nodes[0].Publish(Fact{Kind: KindDocument, ID: fmt.Sprint(i), Version: 1, TTL: maxTTL, Value: make([]byte, MaxValueBytes-1)})
+		}
+		for i := range 4 {
+			nodes = append(nodes, testNode(t, nw, testName(i+1), nil))
+		}
+		eventually(t, 10*time.Second, "all peers known", acquainted(nodes))
+		eventually(t, time.Hour, "all documents everywhere", func() bool {
+			assert.Assert(t, acquainted(nodes)(), "daemons lost each other")
+			for _, n := range nodes {
+				if len(n.Facts(KindDocument)) < documents {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -83,13 +83,17 @@
 
 // queue marks a fact to be sent.
 func (c *conn) queue(k factKey, now time.Time, whole bool) {
-	p := priorityOf(k.kind)
+	e, ok := c.node.store.byKey[k]
+	if !ok {
+		return
+	}
+	p := priorityOf(k.kind, len(e.fact.Value))
 	old, known := c.pending[p][k]
 	if !known {
 		old.since = now
 	}
 	c.pending[p][k] = pendingFact{since: old.since, whole: old.whole || whole}
-	if at := now.Add(c.flushDelay(k)); c.flushAt.IsZero() || at.Before(c.flushAt) {
+	if at := now.Add(c.flushDelay(e)); c.flushAt.IsZero() || at.Before(c.flushAt) {
 		c.flushAt = at
 	}
 	c.signal()
@@ -100,10 +104,9 @@
 const promptShare = 10
 
 // flushDelay is how long a fact may wait for others to share its frame.
-func (c *conn) flushDelay(k factKey) time.Duration {
+func (c *conn) flushDelay(e *entry) time.Duration {
 	delay := c.node.cfg.FlushInterval
-	e := c.node.store.byKey[k]
-	if k.kind == KindLoad || e == nil || e.touched {
+	if e.fact.Kind == KindLoad || e.touched {
 		return delay
 	}
 	return delay / promptShare
