--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -78,10 +78,11 @@
 	if routine(f.Kind) {
 		n.via[f.Origin] = c
 	}
-	if result == putReplaced {
+	renewed := f.Kind == KindDaemon && n.store.byKey[k].touched
+	if result == putReplaced && !renewed {
 		n.deliver(f)
 	}
-	if f.Kind == KindDaemon && !n.store.byKey[k].touched {
+	if f.Kind == KindDaemon && !renewed {
 		n.membersKnown = false
 	}
 	n.relay(k, f.Origin, c, now)
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -215,7 +215,8 @@
 // daemons counts the live daemons, this one included.
 func (n *Node) daemons(now time.Time) int { return 1 + len(n.members(now)) }
 
-// Subscribe implements Board.
+// Subscribe implements Board. KindDaemon facts that only renew what is known
+// are not delivered: in a large fleet there are dozens a second.
 func (n *Node) Subscribe(kind Kind, fn func(Fact)) {
 	s := newSubscription(kind, fn)
 	n.mu.Lock()
--- a/lab/capacity/gossip.go
+++ b/lab/capacity/gossip.go
@@ -12,6 +12,8 @@
 
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/peerload"
+	"github.com/verbenabend/verbenabend/internal/routing"
 )
 
 const (
@@ -138,13 +140,13 @@
 }
 
 func loads(seed int) []byte {
-	list := make([]gossip.EngineLoad, loadEngines)
+	list := make([]routing.PeerLoad, loadEngines)
 	for i := range list {
-		list[i] = gossip.EngineLoad{
-			Engine: gossip.EngineID(fmt.Sprint(i), "1"), Requests: (seed + i) % 16, Outstanding: 1000 * ((seed * i) % 37), Slowdown: 1 + float64(seed%5),
+		list[i] = routing.PeerLoad{
+			Endpoint: fmt.Sprint(i), Incarnation: "1", Outstanding: 1000 * ((seed * i) % 37), Requests: (seed + i) % 16, Slowdown: 1 + float64(seed%5),
 		}
 	}
-	return gossip.EncodeLoads(list)
+	return peerload.Encode(list)
 }
 
 func sentBytes(list []*gossip.Node) int64 {
