--- a/lab/capacity/cmd.go
+++ b/lab/capacity/cmd.go
@@ -17,7 +17,7 @@
 	Load    bool          `default:"true" negatable:"" help:"Measure with load figures too."`
 	Warmup  time.Duration `default:"12s" help:"Time before each measurement."`
 	Time    time.Duration `default:"20s" help:"Time of each measurement."`
-	Memory  bool          `help:"Measure memory only."`
+	Memory  bool          `help:"Measure memory and single calls only."`
 }
 
 // result is one line of output.
@@ -32,8 +32,10 @@
 	// CPUMicros is the processor time of one daemon a second, in microseconds.
 	CPUMicros   float64 `json:"cpu_us_per_second,omitempty"`
 	Connections float64 `json:"connections,omitempty"`
-	// Bytes is the heap that one item takes.
+	// Bytes is the heap that one item takes, or what one call sends and receives.
 	Bytes float64 `json:"bytes_each,omitempty"`
+	// CallMicros is the processor time of one call, both ends, in microseconds.
+	CallMicros float64 `json:"cpu_us_each,omitempty"`
 }
 
 // Run prints the results to standard output.
@@ -41,7 +43,11 @@
 
 func (c *Cmd) run(w io.Writer) error {
 	out := json.NewEncoder(w)
-	for _, r := range memory() {
+	small, err := calls()
+	if err != nil {
+		return err
+	}
+	for _, r := range append(memory(), small...) {
 		if err := out.Encode(r); err != nil {
 			return err
 		}
