--- a/lab/capacity/gossip.go
+++ b/lab/capacity/gossip.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// engineTTL is the life of an engine's state, renewed at a third of it.
-	engineTTL = time.Minute
+	// engineTTL is the life of an engine's state, renewed at a third of it. It
+	// is a quarter of the daemons' own, so that a short run sees renewals.
+	engineTTL = 15 * time.Second
 	// loadTTL is the life of load figures, published every second.
 	loadTTL = 10 * time.Second
 	// loadEngines is how many engines one daemon reports on.
