--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -4,13 +4,18 @@
 // it does I/O or reads a clock.
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// priceIdle and priceFull are the prices of recomputation, in units of
 	// waiting time, at an idle and at a full fleet.
-	priceIdle = 2.0
-	priceFull = 6.0
+	priceIdle = 4.0
+	priceFull = 40.0
+	// priceSteepness is the power of the load by which the price rises.
+	priceSteepness = 8
 )
 
 // Price returns the price of a second of recomputation in seconds of waiting.
@@ -18,7 +23,7 @@
 // pushes out what others need.
 func Price(load float64) float64 {
 	load = min(max(load, 0), 1)
-	return priceIdle + (priceFull-priceIdle)*load
+	return priceIdle + (priceFull-priceIdle)*math.Pow(load, priceSteepness)
 }
 
 // Candidate is what is known of one home of a request.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -56,7 +56,7 @@
 
 // choose returns the best home for a request. exclude, if not nil, is left out.
 func (p *Policy) choose(now time.Time, r *Request, homes []int, d *demand, exclude *engine) choice {
-	price := p.price()
+	price := p.price(r)
 	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
 	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
 	for rank, i := range homes {
@@ -113,15 +113,24 @@
 	return time.Duration(float64(before) * turnover * float64(time.Second))
 }
 
-func (p *Policy) price() float64 {
-	switch {
-	case !p.rules.price:
+// deferrablePrice multiplies the price of recomputation for work that can
+// wait for the engine that holds its prompt.
+const deferrablePrice = 3
+
+// price returns the price of recomputation for a request.
+func (p *Policy) price(r *Request) float64 {
+	if !p.rules.price {
 		return 1
-	case !p.rules.loadPrice:
-		return placement.Price(0)
-	default:
-		return placement.Price(p.load())
 	}
+	load := 0.0
+	if p.rules.loadPrice {
+		load = p.load()
+	}
+	price := placement.Price(load)
+	if r.Class.Deferrable && p.rules.deferral {
+		price *= deferrablePrice
+	}
+	return price
 }
 
 // load returns the share of all slots that is taken, as far as is known.
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -19,7 +19,7 @@
 	earlyPart = 0.8
 	// patiencePart is the part of the longest wait for which a request waits
 	// for a better home.
-	patiencePart = 0.25
+	patiencePart = 0.9
 )
 
 // dispatch starts what can start: requests that just came, and, when
