--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +25,7 @@
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
@@ -63,15 +63,17 @@
 	synced     atomic.Bool // all documents were read once, from the platform or a peer
 	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
 	draining   atomic.Bool
+	opened     atomic.Bool  // the daemon was ready once
 	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
 	told       map[string]toldEngine
-	adopted    chan struct{} // a document was adopted
+	indexes    map[string]*engineIndex // by service; used by hearLoad only
+	adopted    chan struct{}           // a document was adopted
 	inFlight   atomic.Int64
 }
 
 // New returns a daemon that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
+	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, indexes: map[string]*engineIndex{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
 	d.log.Observe(d.metrics.Event)
 	d.provisionClients()
 	d.provisionMembers()
@@ -123,6 +125,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		Delay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
+		Suspects:   suspects.New(d.settings.Name, d.node, d.table, d.log),
 		EngineDown: func(address string) { go d.probe(context.Background(), address) },
 	})
 }
@@ -163,14 +166,6 @@
 // maxOperatorConnections bounds concurrent connections of operators.
 const maxOperatorConnections = 128
 
-func (d *Daemon) countInFlight(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.inFlight.Add(1)
-		defer d.inFlight.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Run serves until ctx ends, then drains: the daemon leaves the entries'
 // answers at once, serves until every answer given has expired and every
 // request has ended, and only then returns. When hard ends, it returns at once.
@@ -178,6 +173,7 @@
 	d.log.Emit(eventlog.DaemonStarted, eventlog.Fields{Detail: d.settings.CallerAddress})
 	work, stopWork := context.WithCancel(hard)
 	defer stopWork()
+	d.announce()
 	d.node.Start()
 	group, work := errgroup.WithContext(work)
 	for _, loop := range d.loops() {
@@ -188,6 +184,7 @@
 	select {
 	case <-ctx.Done():
 		d.drain(hard)
+		d.callers.shutdown(hard)
 	case <-work.Done():
 	}
 	stopWork()
@@ -199,26 +196,6 @@
 	return err
 }
 
-// drainPoll is how often a draining daemon looks whether its requests have ended.
-const drainPoll = 50 * time.Millisecond
-
-// drain waits until no caller can still be sent here and no request runs.
-func (d *Daemon) drain(hard context.Context) {
-	d.draining.Store(true)
-	d.announce()
-	d.log.Emit(eventlog.DaemonDraining, eventlog.Fields{})
-	expired := time.Now().Add(time.Duration(d.settings.EntryMaxAge))
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
-	for time.Now().Before(expired) || d.inFlight.Load() > 0 {
-		select {
-		case <-tick.C:
-		case <-hard.Done():
-			return
-		}
-	}
-}
-
 // Close releases what New provisioned.
 func (d *Daemon) Close() {
 	if d.callers != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +13,6 @@
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/membership"
-	"github.com/verbenabend/verbenabend/internal/routing"
 )
 
 const (
@@ -92,19 +90,18 @@
 	if isolated == self.Isolated {
 		return
 	}
-	self.Isolated = isolated
-	d.members.SetSelf(self)
+	d.members.UpdateSelf(func(m *membership.Member) { m.Isolated = isolated })
 	if isolated {
 		d.log.Emit(eventlog.DaemonIsolated, eventlog.Fields{})
 	}
 }
 
-// announce tells peers and the entries' answers that this daemon drains.
+// announce tells peers and the entries' answers whether callers may come: not
+// before the daemon was ready once, and not while it drains.
 func (d *Daemon) announce() {
-	self := d.members.Self()
-	self.Draining = d.draining.Load()
-	d.members.SetSelf(self)
-	d.node.SetDraining(self.Draining)
+	closed := d.draining.Load() || !d.opened.Load()
+	d.members.UpdateSelf(func(m *membership.Member) { m.Draining = closed })
+	d.node.SetDraining(closed)
 }
 
 // watched returns the upstreams that this daemon probes: those that rendezvous
@@ -168,23 +165,3 @@
 		d.emitState(after, after.State)
 	}
 }
-
-// tellLoad publishes the outstanding work of this daemon.
-func (d *Daemon) tellLoad(context.Context) {
-	for service, loads := range d.dispatcher.Share() {
-		value, err := msgpack.Marshal(loads)
-		if err != nil {
-			continue
-		}
-		d.node.Publish(gossip.Fact{Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadTTL, Value: value})
-	}
-}
-
-func (d *Daemon) hearLoad(f gossip.Fact) {
-	peer, service, ok := strings.Cut(f.ID, "/")
-	var loads []routing.PeerLoad
-	if !ok || msgpack.Unmarshal(f.Value, &loads) != nil {
-		return
-	}
-	d.dispatcher.Learn(service, peer, loads)
-}
--- a/internal/dispatch/engines_test.go
+++ b/internal/dispatch/engines_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	testToken    = 20 * time.Millisecond
 	testFrozen   = 12 * time.Second
 	testSlow     = 25 * time.Second
+	testPrefill  = 200 * time.Millisecond
+	testPoison   = "crash the engine"
 	testIdle     = 3 * time.Second
 	testTimeout  = 5 * time.Second
 	testWeights  = "opal@1"
@@ -60,6 +63,7 @@
 	engines map[string]*fakeEngine
 	steps   []step // consumed by Generate and Resume, in order
 	runs    map[string]int
+	crashes int
 }
 
 type fakeEngine struct {
@@ -128,6 +132,10 @@
 		start: time.Now().Add(testToken), gone: make(chan struct{}),
 	}
 	e.streams[run.id] = run
+	if strings.Contains(g.Messages[0].Content, testPoison) {
+		time.AfterFunc(testPrefill, func() { f.crashLife(address, run.life) })
+		run.start = run.start.Add(2 * testPrefill)
+	}
 	if s.fault == faultSlow {
 		run.start = time.Now().Add(testSlow)
 	}
@@ -150,7 +158,7 @@
 		return nil, broken("no connection")
 	}
 	run := e.streams[ref.StreamID]
-	if run == nil || lifeName(address, e.life) != ref.Incarnation {
+	if run == nil || run.canceled || lifeName(address, e.life) != ref.Incarnation {
 		return nil, verdict.Wrap(&upstream.RefusedError{Reason: upstream.RefusedStreamGone}, verdict.NotRun, verdict.CodeUpstreamFailed, "gone")
 	}
 	return f.open(address, e, run, s, next), nil
@@ -171,13 +179,20 @@
 		info.Weights += "x"
 	case faultOtherLife:
 		info.Ref.Incarnation += "x"
-	case faultOtherRef:
+	case faultOtherRef: // before the first event, any stream id may be the request's
+		if next == 0 {
+			break
+		}
 		info.Ref.StreamID += "x"
 	}
-	if info.RequestID != run.request || info.Organisation != testCustomer || info.Weights != testWeights {
+	crossed := info.RequestID != run.request || info.Organisation != testCustomer || info.Weights != testWeights ||
+		info.Ref != upstream.StreamRef{Incarnation: lifeName(address, run.life), StreamID: run.id}
+	text := run.request
+	if crossed {
+		text += "x"       // another's words come under another's head
 		run.wasted = true // the daemon can't know which stream is its own
 	}
-	return &fakeStream{f: f, address: address, run: run, info: info, step: s, next: next, first: next, closed: make(chan struct{})}
+	return &fakeStream{f: f, address: address, run: run, info: info, text: text, step: s, next: next, first: next, closed: make(chan struct{})}
 }
 
 // Cancel implements upstream.Engines.
@@ -226,9 +241,18 @@
 // Order implements upstream.Engines.
 func (f *fakeEngines) Order(context.Context, string, upstream.Order) error { return nil }
 
+func (f *fakeEngines) crashLife(address string, life int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.engines[address].life == life {
+		f.crash(address)
+	}
+}
+
 func (f *fakeEngines) crash(address string) {
 	e := f.engines[address]
 	e.life++
+	f.crashes++
 	for _, run := range e.streams {
 		close(run.gone)
 	}
@@ -256,6 +280,7 @@
 	address string
 	run     *fakeRun
 	info    upstream.StreamInfo
+	text    string // whose words come
 	step    step
 	first   int
 	next    int
@@ -289,14 +314,18 @@
 	}
 	s.f.mu.Lock()
 	ready := s.run.start.Add(time.Duration(s.next) * testToken)
+	canceled := s.run.canceled
 	if frozen := s.f.engines[s.address].frozen; ready.Before(frozen) {
 		ready = frozen
 	}
 	s.f.mu.Unlock()
+	if canceled {
+		return upstream.Event{}, broken("cancelled")
+	}
 	if err := s.wait(time.Until(ready)); err != nil {
 		return upstream.Event{}, err
 	}
-	e := upstream.Event{Index: s.next, Text: word(s.run.request, s.next)}
+	e := upstream.Event{Index: s.next, Text: word(s.text, s.next)}
 	if s.next == s.run.tokens-1 {
 		e.Finish = "stop"
 	}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -8,7 +8,6 @@
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/routing"
-	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -16,12 +15,17 @@
 // Generate serves a model request and returns nil after its last event was
 // passed to sink. Errors carry a verdict that covers all attempts.
 func (d *Dispatcher) Generate(ctx context.Context, req *ModelRequest, sink Sink) error {
-	doc := &req.Service.Document
-	t := &transfer{d: d, r: d.runner(doc.Service, settingsOf(doc)), req: req, sink: sink, earlier: verdict.NotRun}
+	t := &transfer{d: d, r: d.runner(req.Service), req: req, sink: sink, earlier: verdict.NotRun}
 	route := routingRequest(req)
-	for attempt := range maxAttempts {
+	t.fingerprint = fingerprintOf(req, &route)
+	defer t.end()
+	for range maxAttempts {
 		next := route
-		next.Attempt, next.Avoid = attempt, slices.Clone(t.avoid)
+		next.Attempt, next.Avoid = t.retries, slices.Clone(t.avoid)
+		t.spread(ctx)
+		if err := t.admit(ctx, &next); err != nil {
+			return withEarlier(err, t.earlier)
+		}
 		winner, err := t.race(ctx, &next)
 		if err != nil {
 			return withEarlier(err, t.earlier)
@@ -30,14 +34,19 @@
 			continue
 		}
 		if again, err := t.relay(ctx, winner); !again {
+			t.spread(ctx)
 			return withEarlier(err, t.earlier)
 		}
 	}
+	t.spread(ctx)
 	return withEarlier(t.last, t.earlier)
 }
 
-func settingsOf(doc *servicedoc.Document) routing.Settings {
-	return routing.Settings{HedgePercent: *doc.Budgets.HedgePercent, RetryPercent: *doc.Budgets.RetryPercent}
+// end frees what the request holds over its attempts.
+func (t *transfer) end() {
+	if t.free != nil {
+		t.free()
+	}
 }
 
 func routingRequest(req *ModelRequest) routing.Request {
@@ -72,10 +81,19 @@
 	sink Sink
 	// avoid lists the engines that failed the request.
 	avoid []string
+	// retries counts the attempts that failed, without those that an engine
+	// refused because this daemon's view of it was old.
+	retries int
 	// earlier is the verdict on all attempts that have ended, last the error
 	// of the last one.
 	earlier verdict.Verdict
 	last    error
+
+	fingerprint Fingerprint
+	// free ends the claim of a suspect; nil without one.
+	free func()
+	// sawDeath says that an engine died under the last attempt.
+	sawDeath bool
 }
 
 // Resume continues a stream that a caller lost, from the position of its token.
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -69,7 +69,6 @@
 	if action.Kind == routing.Hedge {
 		c.t.d.cfg.Log.Emit(eventlog.HedgeStarted, c.t.fields(a))
 	}
-	c.t.d.running.add(c.t, action)
 	c.t.d.goBackground(func() {
 		c.t.begin(a)
 		c.results <- a
@@ -117,6 +116,11 @@
 func (t *transfer) failed(ctx context.Context, a *attempt) error {
 	outcome := t.blame(ctx, a)
 	t.over(a, outcome, 0)
+	if isStale(a.err) {
+		t.d.cfg.EngineDown(a.action.Endpoint)
+	} else {
+		t.retries++
+	}
 	if a.follower != nil && !errors.Is(a.err, errRestarted) {
 		t.d.goBackground(func() { t.d.cancelStream(a.action.Endpoint, a.follower.src.Info.Ref) })
 	}
@@ -149,6 +153,9 @@
 	switch {
 	case err == nil:
 		t.over(a, routing.Completed, passed.events)
+		if a.action.Request.Alone {
+			t.d.cfg.Suspects.Survived(t.fingerprint)
+		}
 		return false, nil
 	case ended(ctx, err):
 		t.over(a, routing.Canceled, passed.events)
--- a/lab/cluster_test.go
+++ b/lab/cluster_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/verbenabend/verbenabend/internal/settings"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/netport"
 )
 
 // The commands of a scenario, beside those that testscript has:
@@ -37,6 +37,7 @@
 //	[!] ready NAME          wait until /readyz says yes; with !, check that it does not
 //	control NAME JSON       set the faults of a stand-in
 //	await REGEXP PROGRAM .. run a program until its output matches
+//	exits CODE PROGRAM ..   run a program; it must end with this exit code
 //	call NAME SERVICE METHOD PATH KEY
 //	                        call a plain service through a daemon; prints status,
 //	                        verdict and body; ! requires an error
@@ -74,6 +75,9 @@
 		env.Setenv(prefix+"_CALLERS", "http://"+s.CallerAddress)
 		env.Setenv(prefix+"_OPERATORS", "http://"+s.OperatorListen)
 	}
+	for name, address := range c.address {
+		env.Setenv(strings.ToUpper(strings.ReplaceAll(name, "-", "_")), address)
+	}
 	first := c.daemons["entry-1"]
 	env.Setenv("VERBENABEND_ENTRY", "http://"+first.CallerAddress)
 	env.Setenv("VERBENABEND_DAEMON", "http://"+first.OperatorListen)
@@ -92,12 +96,11 @@
 	ports := map[string]string{}
 	free := func(old string) string {
 		if _, ok := ports[old]; !ok {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			address, err := netport.Free()
 			if err != nil {
 				panic(err)
 			}
-			defer l.Close()
-			ports[old] = l.Addr().String()
+			ports[old] = address
 		}
 		return ports[old]
 	}
@@ -237,7 +240,22 @@
 }
 
 func (c *cluster) awaitReady(ts *testscript.TestScript, name string) {
-	await(ts, name+" is ready", func() bool { return c.isReady(name) })
+	deadline := time.Now().Add(conditionTimeout)
+	for !c.isReady(name) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("timed out: %s is not ready; its log:\n%s", name, c.log(name))
+		}
+		time.Sleep(conditionPoll)
+	}
+}
+
+// log returns what a process has printed.
+func (c *cluster) log(name string) string {
+	raw, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
 }
 
 func await(ts *testscript.TestScript, what string, ok func() bool) {
@@ -266,15 +284,31 @@
 	check(ts, err)
 	var out []byte
 	await(ts, "output of "+strings.Join(args[1:], " "), func() bool {
-		cmd := exec.Command(args[1], args[2:]...)
-		cmd.Dir = clusterOf(ts).dir
-		cmd.Env = append(os.Environ(), scriptEnv(ts)...)
-		out, _ = cmd.CombinedOutput()
+		out, _ = command(ts, args[1:]).CombinedOutput()
 		return pattern.Match(out)
 	})
 	_, _ = ts.Stdout().Write(out)
 }
 
+// command prepares a program with the scenario's environment.
+func command(ts *testscript.TestScript, args []string) *exec.Cmd {
+	cmd := exec.Command(args[0], args[1:]...)
+	cmd.Dir = clusterOf(ts).dir
+	cmd.Env = append(os.Environ(), scriptEnv(ts)...)
+	return cmd
+}
+
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	check(ts, err)
+	cmd := command(ts, args[1:])
+	out, _ := cmd.CombinedOutput()
+	_, _ = ts.Stdout().Write(out)
+	if got := cmd.ProcessState.ExitCode(); got != want {
+		ts.Fatalf("exit code %d, want %d:\n%s", got, want, out)
+	}
+}
+
 func scriptEnv(ts *testscript.TestScript) []string {
 	var out []string
 	for _, name := range []string{"VERBENABEND_ENTRY", "VERBENABEND_DAEMON", "VERBENABEND_KEY", "VERBENABEND_CALLER_KEY"} {
--- a/lab/demo/system.go
+++ b/lab/demo/system.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -16,6 +17,7 @@
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/settings"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/netport"
 	"github.com/verbenabend/verbenabend/lab/platform"
 	"github.com/verbenabend/verbenabend/lab/service"
 )
@@ -41,6 +43,14 @@
 	daemons     []*settings.Settings
 	group       *errgroup.Group
 	stop        context.CancelFunc
+	stops       []runningDaemon
+	mu          sync.Mutex // guards daemons while they are replaced
+}
+
+// runningDaemon ends one daemon as planned.
+type runningDaemon struct {
+	stop    context.CancelFunc
+	stopped <-chan struct{}
 }
 
 // start starts the system; stop it with close.
@@ -87,21 +97,33 @@
 			Address: set.CallerAddress, Service: port.EntryService, DataCentre: dc, State: port.InstanceLive, PeerAddress: set.PeerAddress,
 		})
 	}
-	for _, set := range s.daemons {
+	s.stops = make([]runningDaemon, len(s.daemons))
+	for i, set := range s.daemons {
 		d, err := daemon.New(set, daemon.NewLogger(set))
 		if err != nil {
 			return err
 		}
-		s.group.Go(func() error { return d.Run(ctx, context.Background()) })
+		s.run(ctx, i, d)
 	}
 	return nil
 }
 
+// run runs a daemon until ctx ends or it is stopped.
+func (s *system) run(ctx context.Context, i int, d *daemon.Daemon) {
+	ctx, stop := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	s.stops[i] = runningDaemon{stop: stop, stopped: stopped}
+	s.group.Go(func() error {
+		defer close(stopped)
+		return d.Run(ctx, context.Background())
+	})
+}
+
 // daemonSettings makes the settings of a daemon on free ports.
 func (s *system) daemonSettings(i int, dc string) (*settings.Settings, error) {
 	ports := [3]string{}
 	for j := range ports {
-		address, err := freeAddress()
+		address, err := netport.Free()
 		if err != nil {
 			return nil, err
 		}
@@ -121,15 +143,6 @@
 	return set, nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // serve runs a handler on a free loopback port.
 func (s *system) serve(ctx context.Context, h http.Handler) (address string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -147,7 +160,18 @@
 	return l.Addr().String(), nil
 }
 
+// close stops the daemons as planned, and then what they call.
 func (s *system) close() error {
+	for _, d := range s.stops {
+		if d.stop != nil {
+			d.stop()
+		}
+	}
+	for _, d := range s.stops {
+		if d.stopped != nil {
+			<-d.stopped
+		}
+	}
 	s.stop()
 	return s.group.Wait()
 }
