--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -129,6 +129,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := chosen("rule", ruleNames(), c.Without, func(r string) string { return r }); err != nil {
+		return nil, err
+	}
 	var plan []job
 	for _, l := range loads {
 		if c.Quick {
--- a/lab/measure/measure_test.go
+++ b/lab/measure/measure_test.go
@@ -98,7 +98,7 @@
 }
 
 func TestUnknownNamesAreRefused(t *testing.T) {
-	for _, c := range []Cmd{{Workload: []string{"x"}}, {Scenario: []string{"x"}}, {Policy: []string{"x"}}} {
+	for _, c := range []Cmd{{Workload: []string{"x"}}, {Scenario: []string{"x"}}, {Policy: []string{"x"}}, {Without: []string{"x"}}} {
 		assert.ErrorContains(t, c.Run(), "unknown")
 	}
 }
--- a/lab/measure/rules.go
+++ b/lab/measure/rules.go
@@ -14,7 +14,7 @@
 		routing.RulePrice, routing.RuleLoadPrice, routing.RuleSlowdown, routing.RuleWaiting, routing.RuleProgress,
 		routing.RulePeerLoad, routing.RulePeerSlowdown, routing.RuleReports, routing.RuleEjection, routing.RuleLimits,
 		routing.RulePatience, routing.RuleLongShare, routing.RuleFairness, routing.RuleEarlyRefusal, routing.RuleDeferral,
-		routing.RuleHedges,
+		routing.RuleHedges, routing.RuleCrowd, routing.RuleHeadroom, routing.RulePeerHints,
 	}
 }
 
