--- a/lab/measure/messages.go
+++ b/lab/measure/messages.go
@@ -5,12 +5,16 @@
 	"slices"
 	"time"
 
+	"github.com/verbenabend/verbenabend/internal/peerload"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/lab/enginemodel"
 )
 
 const (
 	gossipInterval = 250 * time.Millisecond
+	// gossipOverhead is what gossip adds to the encoded figures, in bytes a
+	// delivery: names, version, authentication and frame.
+	gossipOverhead = 80
 	reportInterval = 250 * time.Millisecond
 	// reportLag is the usual age of an engine's load report on arrival.
 	reportLag = 500 * time.Millisecond
@@ -23,11 +27,16 @@
 		return
 	}
 	loads := slices.Clone(d.scheduler.Share(wall(w.now)))
+	size := 0
+	if len(loads) > 0 {
+		size = len(peerload.Encode(loads)) + gossipOverhead
+	}
 	from := fmt.Sprintf("daemon-%d/%d", d.index, d.generation)
 	for _, peer := range w.daemons {
 		if peer == d || w.net.separated(w.now, d.dataCentre, peer.dataCentre) {
 			continue
 		}
+		w.tally.gossipBytes += size // each figure reaches each daemon about once
 		w.after(w.net.delay(w.now, d.dataCentre, peer.dataCentre), func() {
 			if !peer.down {
 				peer.scheduler.Learn(wall(w.now), from, loads)
--- a/lab/measure/result.go
+++ b/lab/measure/result.go
@@ -34,7 +34,9 @@
 	GoodputShare float64 `json:"goodput_share"`
 	RefusedLate  int     `json:"refused_late"`
 	// HedgeShare and RetryShare are further attempts over requests, the warm-up included.
-	HedgeShare    float64 `json:"hedge_share"`
+	HedgeShare float64 `json:"hedge_share"`
+	// GossipBytes is what a daemon sends to its peers, in bytes a second.
+	GossipBytes   float64 `json:"gossip_bytes_per_daemon_s"`
 	RetryShare    float64 `json:"retry_share"`
 	CallerRetries int     `json:"caller_retries"`
 	// Forbidden counts second copies of work that may not be repeated.
--- a/lab/measure/summary.go
+++ b/lab/measure/summary.go
@@ -51,6 +51,7 @@
 	r.GoodputShare = round(w.goodput(), 4)
 	all := float64(max(1, len(w.ordered)))
 	r.HedgeShare = round(float64(w.tally.hedges)/all, 4)
+	r.GossipBytes = round(float64(w.tally.gossipBytes)/float64(len(w.daemons))/w.now.Seconds(), 0)
 	r.RetryShare = round(float64(w.tally.retries)/all, 4)
 	w.fillDisturbance(&r)
 	return r
--- a/lab/measure/world.go
+++ b/lab/measure/world.go
@@ -44,6 +44,8 @@
 	starts, hedges, retries, callerRetries, refusalsLate int
 	// forbidden counts hedges and retries of work that may not be repeated.
 	forbidden int
+	// gossipBytes counts what daemons sent to one another.
+	gossipBytes int
 }
 
 // entryAnswer is the entries answer that one caller keeps.
