--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 )
 
 // allHold reports whether every node knows version of a fact.
@@ -344,3 +346,19 @@
 		assert.Assert(t, len(versions) <= 12, "%d versions", len(versions))
 	})
 }
+
+// What a daemon does after hearing a fact has a later time stamp than what led
+// to it, although its own clock is behind.
+func TestTimestampsFollowCauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := testFleet(t, newNetwork(), 2, nil)
+		defer closeAll(nodes)
+		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
+		ahead := eventlog.Timestamp{Micros: time.Now().Add(30 * time.Second).UnixMicro()}
+		nodes[0].clock.Observe(ahead)
+		cause := nodes[0].clock.Now()
+		nodes[0].Publish(Fact{Kind: KindDocument, ID: "lamp-bench", Version: 1, TTL: time.Minute})
+		eventually(t, time.Second, "fact known", allHold(nodes, KindDocument, "lamp-bench", 1))
+		assert.Assert(t, cause.Before(nodes[1].clock.Now()))
+	})
+}
