Read the instance list less often in a large fleet; tell peers of what it names

Cause: docs/CAPACITY.md counts 118 KB a read; each of 330 daemons read it every second, far over 8 KB a second. After: all daemons together read it about as often as eight, a new or leaving upstream is told to the others at once. At 330 daemons that is one read in 41 s each, 2.9 KB a second by the measured size of a read.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -36,7 +36,7 @@
 	return []func(context.Context) error{
 		d.followDocuments,
 		d.once.Run,
-		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
+		d.followInstances,
 		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
 		d.every(memberInterval, d.refreshMembers),
@@ -114,6 +114,25 @@
 	}
 }
 
+// listReaders is how many reads of the instance list all daemons together
+// spread over one poll interval. What one of them finds the others hear.
+const listReaders = 8
+
+// followInstances reads the platform's list at an interval that grows with the
+// number of daemons, since the list grows with the deployment too.
+func (d *Daemon) followInstances(ctx context.Context) error {
+	for {
+		d.readInstances(ctx)
+		if !pause(ctx, backoff.Around(listInterval(time.Duration(d.settings.Platform.PollInterval), len(d.members.Live())))) {
+			return ctx.Err()
+		}
+	}
+}
+
+func listInterval(poll time.Duration, daemons int) time.Duration {
+	return poll * time.Duration(max(listReaders, daemons)) / listReaders
+}
+
 // readInstances reads the platform's list of upstreams and daemons.
 func (d *Daemon) readInstances(ctx context.Context) {
 	list, err := d.instances.ListInstances(ctx)
@@ -124,8 +143,10 @@
 	if err != nil {
 		return
 	}
+	before := d.fleet.Snapshot()
 	d.fleet.ApplyList(list)
 	d.listed.Store(true)
+	d.tellListed(before, d.fleet.Snapshot())
 	var daemons []membership.Member
 	for _, in := range list {
 		if in.Service == platform.EntryService {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// tellListed publishes upstreams that the list named for the first time, or
+// said to be leaving, so that daemons hear of them before they read it again.
+func (d *Daemon) tellListed(before, after *fleet.Snapshot) {
+	if len(before.ByAddress) == 0 {
+		return // a daemon that has just started tells nothing new
+	}
+	for address, u := range after.ByAddress {
+		old := before.ByAddress[address]
+		if old == nil || (u.State == fleet.Leaving && old.State != fleet.Leaving) {
+			d.publishEngine(u)
+		}
+	}
+}
+
+func (d *Daemon) publishEngine(u *fleet.Upstream) {
+	value, err := msgpack.Marshal(fleet.PeerStateOf(u))
+	if err == nil {
+		d.node.Publish(gossip.Fact{Kind: gossip.KindEngine, ID: u.Address, TTL: engineTTL, Value: value})
+	}
+}
+
 // toldEngine is what this daemon last published of an upstream.
 type toldEngine struct {
 	value string
--- a/internal/daemon/ready_test.go
+++ b/internal/daemon/ready_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -50,3 +51,10 @@
 	_, err := store.Submit(context.Background(), []byte(`{"service":"s","kind":"plain","organisations":[{"name":"o","key_sha256":["`+strings.Repeat("ab", 32)+`"]}]}`), 0)
 	assert.NilError(t, err)
 }
+
+// All daemons together read the instance list about as often as eight do.
+func TestListIsReadLessOftenInALargeFleet(t *testing.T) {
+	assert.Equal(t, listInterval(time.Second, 1), time.Second)
+	assert.Equal(t, listInterval(time.Second, 7), time.Second)
+	assert.Equal(t, listInterval(time.Second, 330), 41250*time.Millisecond)
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -94,3 +94,14 @@
 		assert.Equal(t, state(f), Down, "a state of a later version is ignored")
 	})
 }
+
+// A daemon that reads the list seldom hears from peers of upstreams that are
+// new; that they know no more does not unsettle what is known here.
+func TestPeersTellOfNewUpstreams(t *testing.T) {
+	f := New(nil)
+	f.ApplyPeerState(address, PeerState{Service: "s", DataCentre: "merrimack"}, false, time.Now())
+	assert.Equal(t, state(f), Unknown)
+	f.ApplyEngineState(address, engine("i1"), time.Now())
+	f.ApplyPeerState(address, PeerState{Service: "s", DataCentre: "merrimack"}, false, time.Now())
+	assert.Equal(t, state(f), Serving)
+}
--- a/internal/fleet/peerstate.go
+++ b/internal/fleet/peerstate.go
@@ -37,7 +37,8 @@
 	f.update(func(byAddress map[string]*Upstream) bool {
 		old := byAddress[address]
 		fresh := old != nil && watched && now.Sub(old.ReportedAt) < ownReportFresh
-		if (fresh && s.State != Leaving) || s.State < Serving || s.State > Down {
+		news := s.State != Unknown || old == nil
+		if (fresh && s.State != Leaving) || !news || s.State < Unknown || s.State > Down {
 			return false
 		}
 		next := newUpstream(address, s.Service, s.DataCentre, s.Labels)
