--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	members    *membership.Members
 	node       *gossip.Node
 	dispatcher *dispatch.Dispatcher
+	suspects   *suspects.Book
 
 	callers   *server
 	operators *server
@@ -123,10 +124,11 @@
 			d.dispatcher.SetFleet(s)
 		}
 	})
+	d.suspects = suspects.New(d.settings.Name, d.node, d.table, d.log)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		Delay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
-		Suspects:   suspects.New(d.settings.Name, d.node, d.table, d.log),
+		Suspects:   d.suspects,
 		EngineDown: func(address string) { go d.probe(context.Background(), address) },
 	})
 }
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -34,6 +34,7 @@
 	return []func(context.Context) error{
 		d.followDocuments,
 		d.once.Run,
+		d.suspects.Run,
 		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
 		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
--- a/internal/suspects/book.go
+++ b/internal/suspects/book.go
@@ -1,7 +1,8 @@
 // Package suspects knows, over all daemons, the requests that may crash
 // engines. Each death under a request is a fact of its own, so that daemons
 // which learn of the same death at once never overwrite each other; facts
-// spread by gossip and thus survive the loss of any one daemon. Claims are
+// spread by gossip and thus survive the loss of any one daemon. Quarantined
+// requests are kept in the platform's table too. Claims are
 // leases in the platform's table: what must not happen twice at once is agreed there.
 package suspects
 
@@ -99,6 +100,7 @@
 		event := eventlog.SuspectRecorded
 		if n >= quarantineDeaths {
 			event = eventlog.RequestIsolated
+			go b.keep(request)
 		}
 		service, _, _ := strings.Cut(string(fp), "/")
 		b.log.Emit(event, eventlog.Fields{Service: service, Upstream: engine, Detail: "prompt " + request + ", " + strconv.Itoa(n) + " engine(s) died under it"})
--- a/internal/suspects/book_test.go
+++ b/internal/suspects/book_test.go
@@ -141,3 +141,26 @@
 		assert.Equal(t, books[1].count.Load(), int64(0))
 	})
 }
+
+// TestQuarantineSurvivesAllDaemons reads the table with a daemon that has no peers.
+func TestQuarantineSurvivesAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, clients, books := newBooks(1)
+		clients[0].Plan(platformtest.LoseRequest, platformtest.LoseAnswer)
+		books[0].Died("engine", "x", []dispatch.Fingerprint{"s/a/1", "s/a/2"})
+		books[0].Died("engine", "y", []dispatch.Fingerprint{"s/a/1"})
+		time.Sleep(writeTimeout)
+		late := New("late", &boards{peers: &[]*boards{}}, p.Client(), eventlog.New("d", hclog.NewNullLogger(), 16))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- late.Run(ctx) }()
+		synctest.Wait()
+		assert.Equal(t, late.Standing("s/a/1"), dispatch.Quarantined)
+		assert.Equal(t, late.Standing("s/a/2"), dispatch.Clear)
+		time.Sleep(2 * (Life + readInterval))
+		assert.Equal(t, late.Standing("s/a/1"), dispatch.Clear)
+		assert.Equal(t, p.Rows(rowPrefix), 0)
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+}
