--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -50,6 +50,9 @@
 	// loads are own load figures that wait for their turn.
 	loads  map[factKey]bool
 	loadAt time.Time
+	// memberList is the result of readMembers while membersKnown.
+	memberList   []member
+	membersKnown bool
 	// displaced is set when a later process has the same name.
 	displaced bool
 	closing   bool
@@ -147,7 +150,9 @@
 
 // Publish implements Board. Facts whose ID or Value is too long are dropped.
 // A KindDaemon fact of the daemon itself must hold a DaemonInfo; the Node
-// renews it until it is closed.
+// renews it until it is closed. A fact without a version whose value is known
+// and lives for at least half of its TTL is not announced again, so that
+// several daemons may tell the same at the cost of one.
 func (n *Node) Publish(f Fact) {
 	if f.ID == "" || len(f.ID) > maxIDBytes || len(f.Value) > MaxValueBytes {
 		n.rejected.Add(1)
@@ -181,6 +186,9 @@
 func (n *Node) publish(f Fact, now time.Time) {
 	k := factKey{f.Kind, f.ID}
 	if f.Version == 0 {
+		if f.Kind != KindDaemon && n.store.fresh(k, f, now) {
+			return
+		}
 		f.Version = n.store.nextVersion(k, uint64(n.clock.Now().Micros))
 	}
 	if n.store.put(f, now) == putIgnored {
@@ -207,7 +215,8 @@
 // daemons counts the live daemons, this one included.
 func (n *Node) daemons(now time.Time) int { return 1 + len(n.members(now)) }
 
-// Subscribe implements Board.
+// Subscribe implements Board. KindDaemon facts that only renew what is known
+// are not delivered: in a large fleet there are dozens a second.
 func (n *Node) Subscribe(kind Kind, fn func(Fact)) {
 	s := newSubscription(kind, fn)
 	n.mu.Lock()
@@ -244,8 +253,17 @@
 	return out
 }
 
-// members returns the live daemons but this one, ordered by name.
+// members returns the live daemons but this one, ordered by name. The list is
+// kept until a daemon's own fact changes or expires; it must not be changed.
 func (n *Node) members(now time.Time) []member {
+	if !n.membersKnown {
+		n.memberList = n.readMembers(now)
+		n.membersKnown = true
+	}
+	return n.memberList
+}
+
+func (n *Node) readMembers(now time.Time) []member {
 	var out []member
 	for _, f := range n.store.facts(KindDaemon, now) {
 		info, err := DecodeDaemonInfo(f.Value)
