--- a/internal/dispatch/oracle_test.go
+++ b/internal/dispatch/oracle_test.go
@@ -416,3 +416,21 @@
 		assert.Assert(t, time.Since(start) >= time.Second) // the tries are spaced
 	})
 }
+
+// TestSecondCopyWins hedges a request whose first engine is slow.
+func TestSecondCopyWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, []step{{fault: faultSlow}})
+		defer w.close()
+		start := time.Now()
+		sink := &recorder{leaveAt: -1}
+		assert.NilError(t, w.daemons[0].Generate(context.Background(), w.request("r", 4), sink))
+		assert.NilError(t, checkWords("r", sink.events))
+		assert.Equal(t, len(sink.events), 4)
+		assert.Assert(t, time.Since(start) < testSlow)
+		assert.Equal(t, w.engines.runs["r"], 2)
+		time.Sleep(abandonGrace / 2)
+		assert.Equal(t, len(w.engines.orphans()), 0) // the first copy was cancelled at once
+		assert.NilError(t, w.counts.check())
+	})
+}
