--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -36,6 +36,7 @@
 	return []func(context.Context) error{
 		d.followDocuments,
 		d.once.Run,
+		d.suspects.Run,
 		d.followInstances,
 		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
