--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -20,12 +20,7 @@
 }
 
 func (c *Callers) call(w http.ResponseWriter, r *http.Request) {
-	who, err := c.authenticate(w, r, servicedoc.KindPlain)
-	if err != nil {
-		c.fail(w, who, err)
-		return
-	}
-	body, release, err := c.bodies.read(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	who, body, release, err := c.receive(w, r, servicedoc.KindPlain)
 	if err != nil {
 		c.fail(w, who, err)
 		return
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -107,6 +107,17 @@
 	organisation *servicedoc.Organisation
 }
 
+// receive authenticates a request and reads its body. release frees the room
+// that the body takes.
+func (c *Callers) receive(w http.ResponseWriter, r *http.Request, kind servicedoc.Kind) (who caller, body []byte, release func(), err error) {
+	who, err = c.authenticate(w, r, kind)
+	if err != nil {
+		return who, nil, nil, err
+	}
+	body, release, err = c.bodies.read(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	return who, body, release, err
+}
+
 func (c *Callers) authenticate(w http.ResponseWriter, r *http.Request, kind servicedoc.Kind) (caller, error) {
 	id := rand.Text()
 	w.Header().Set(HeaderRequestID, id)
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -69,12 +69,7 @@
 
 func (c *Callers) complete(w http.ResponseWriter, r *http.Request, decode func([]byte) (chatRequest, error), f format) {
 	received := time.Now()
-	who, err := c.authenticate(w, r, servicedoc.KindModel)
-	if err != nil {
-		c.fail(w, who, err)
-		return
-	}
-	body, release, err := c.bodies.read(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	who, body, release, err := c.receive(w, r, servicedoc.KindModel)
 	if err != nil {
 		c.fail(w, who, err)
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"os"
@@ -185,18 +186,11 @@
 	if s.PeerAddress == "" {
 		s.PeerAddress = s.PeerListen
 	}
-	setDefault(&s.EntryMaxAge, servicedoc.Duration(DefaultEntryMaxAge))
-	setDefault(&s.MaxConnections, DefaultMaxConnections)
-	setDefault(&s.Platform.Timeout, servicedoc.Duration(DefaultPlatformTimeout))
-	setDefault(&s.Platform.PollInterval, servicedoc.Duration(DefaultPollInterval))
-	setDefault(&s.Log.RingEvents, DefaultRingEvents)
-	setDefault(&s.Log.Level, "info")
-	setDefault(&s.Log.Format, "json")
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	s.EntryMaxAge = cmp.Or(s.EntryMaxAge, servicedoc.Duration(DefaultEntryMaxAge))
+	s.MaxConnections = cmp.Or(s.MaxConnections, DefaultMaxConnections)
+	s.Platform.Timeout = cmp.Or(s.Platform.Timeout, servicedoc.Duration(DefaultPlatformTimeout))
+	s.Platform.PollInterval = cmp.Or(s.Platform.PollInterval, servicedoc.Duration(DefaultPollInterval))
+	s.Log.RingEvents = cmp.Or(s.Log.RingEvents, DefaultRingEvents)
+	s.Log.Level = cmp.Or(s.Log.Level, "info")
+	s.Log.Format = cmp.Or(s.Log.Format, "json")
 }
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -18,6 +19,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
+	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
 // Config sets up an engine. Zero values select the defaults.
@@ -91,12 +93,12 @@
 
 // New returns an engine that serves.
 func New(c Config) *Server {
-	setDefault(&c.Slots, 8)
-	setDefault(&c.CachePieces, 4000)
-	setDefault(&c.PieceBytes, 4000)
-	setDefault(&c.PrefillBytesPerSecond, 4_000_000)
-	setDefault(&c.TokenInterval, 2*time.Millisecond)
-	setDefault(&c.LoadTime, time.Second)
+	c.Slots = cmp.Or(c.Slots, 8)
+	c.CachePieces = cmp.Or(c.CachePieces, 4000)
+	c.PieceBytes = cmp.Or(c.PieceBytes, 4000)
+	c.PrefillBytesPerSecond = cmp.Or(c.PrefillBytesPerSecond, 4_000_000)
+	c.TokenInterval = cmp.Or(c.TokenInterval, 2*time.Millisecond)
+	c.LoadTime = cmp.Or(c.LoadTime, time.Second)
 	s := &Server{config: c, mux: http.NewServeMux(), weights: slices.Clone(c.Weights), role: "mixed"}
 	s.runs = map[string]int{}
 	s.reset()
@@ -180,8 +182,7 @@
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Decode(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
@@ -320,13 +321,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // AnswerText returns the whole answer that every engine gives to a prompt, so
 // that a test can tell whether a caller received its own.
 func AnswerText(organisation string, levels []string, tokens int) string {
--- a/lab/engine/stream.go
+++ b/lab/engine/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
+	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
 // resume handles GET /v1/streams/{id}?from=N.
@@ -124,7 +125,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, http.StatusOK, httpengine.State{
+	httpjson.Reply(w, http.StatusOK, httpengine.State{
 		Incarnation: s.incarnation, Weights: slices.Clone(s.weights), Role: s.role, Leaving: s.faults.Leaving, Loading: s.loading,
 		Slots: s.config.Slots, Running: s.running, Queued: s.queued, CacheEvents: s.cache.sequence, Fence: s.fence,
 	})
@@ -142,7 +143,7 @@
 	for _, e := range s.cache.since(after) {
 		out.Events = append(out.Events, httpengine.CacheEvent{Sequence: e.sequence, Piece: e.piece, Evicted: e.evicted})
 	}
-	reply(w, http.StatusOK, out)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 // order handles POST /orders: loading takes time, unloading and roles do not.
@@ -189,11 +190,5 @@
 	s.mu.Unlock()
 	w.Header().Set(httpengine.HeaderRequestID, r.Header.Get(httpengine.HeaderRequestID))
 	w.Header().Set(httpengine.HeaderStreamID, r.PathValue("id"))
-	reply(w, status, httpengine.Refusal{Code: code, Message: message, Incarnation: incarnation, Weights: weights})
-}
-
-func reply(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	httpjson.Reply(w, status, httpengine.Refusal{Code: code, Message: message, Incarnation: incarnation, Weights: weights})
 }
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"io"
 	"maps"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
+	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
 const maxBodyBytes = 64 << 20
@@ -140,13 +140,13 @@
 		s.mu.Unlock()
 	case r.URL.Path == "/control/instances":
 		var in port.Instance
-		if !decode(w, r, &in) {
+		if !httpjson.Decode(w, r, &in) {
 			return
 		}
 		s.SetInstance(in)
 	default:
 		var f Faults
-		if !decode(w, r, &f) {
+		if !httpjson.Decode(w, r, &f) {
 			return
 		}
 		s.SetFaults(f)
@@ -162,7 +162,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	reply(w, row)
+	httpjson.Reply(w, http.StatusOK, row)
 }
 
 func (s *Server) listRows(w http.ResponseWriter, r *http.Request) {
@@ -180,12 +180,12 @@
 			out.Rows = append(out.Rows, s.rows[key])
 		}
 	}
-	reply(w, out)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
 	var txn httpplatform.Transaction
-	if !decode(w, r, &txn) {
+	if !httpjson.Decode(w, r, &txn) {
 		return
 	}
 	s.mu.Lock()
@@ -246,7 +246,7 @@
 			out.Keys = append(out.Keys, key)
 		}
 	}
-	reply(w, out)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
@@ -256,20 +256,7 @@
 	for _, address := range slices.Sorted(maps.Keys(s.instances)) {
 		out.Instances = append(out.Instances, s.instances[address])
 	}
-	reply(w, out)
-}
-
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 // discard is a ResponseWriter whose answer is lost.
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/upstream/httpservice"
+	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
 const maxBodyBytes = 32 << 20
@@ -108,8 +109,7 @@
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Decode(w, r, &f) {
 		return
 	}
 	s.mu.Lock()
