Five homes in reserve, three at a full fleet

With hints shared a larger reserve no longer scatters prompts. Homes 3 -> 5, the first 3 only from a load of 0.9; a key is spread when it keeps 1.5 engines' slots busy (the reserve takes peaks); slowdown counts from 1.3.

--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -9,9 +9,9 @@
 const (
 	// MinHomes is the number of homes of a key that is rarely asked for, the
 	// reserve included.
-	MinHomes = 3
+	MinHomes = 5
 	// homeUtilisation is the load of a home that the growth of homes aims at.
-	homeUtilisation = 1.0
+	homeUtilisation = 1.5
 	// MaxHomes bounds the homes of one key.
 	MaxHomes = 64
 )
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -17,7 +17,7 @@
 	// priorFade is the time constant from the one to the other.
 	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
-	slowIgnored = 1.5
+	slowIgnored = 1.3
 	// longPart is the part of an engine's slots that long work may hold.
 	longPart = 0.7
 	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
@@ -59,7 +59,11 @@
 	price := p.price(r)
 	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
 	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
+	full := p.rules.loadPrice && p.load() >= fullLoad
 	for rank, i := range homes {
+		if full && rank >= fullHomes && best.any {
+			break
+		}
 		e := p.engines[i]
 		if e == exclude || p.barred(now, e, r) {
 			continue
@@ -113,6 +117,13 @@
 	return time.Duration(float64(before) * turnover * float64(time.Second))
 }
 
+const (
+	// fullLoad is the load of the fleet from which a request may only go to
+	// the first fullHomes of its homes: copies elsewhere cost what is short.
+	fullLoad  = 0.9
+	fullHomes = 3
+)
+
 // deferrablePrice multiplies the price of recomputation for work that can
 // wait for the engine that holds its prompt.
 const deferrablePrice = 3
