--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -227,3 +227,69 @@
 	peer.Learn(now, "p", p.Share(now))
 	assert.Assert(t, startOf(t, peer, now, testRequest(5, 1, class)) != slow)
 }
+
+// What one daemon saw an engine hold brings a peer's request there, and is
+// worth nothing once the engine has another incarnation.
+func TestSharedHintsFollowIncarnation(t *testing.T) {
+	class := Class{Priority: 5, MaxWait: time.Second}
+	for family := range 10 {
+		p, peer, restarted := New(Settings{}), New(Settings{}), New(Settings{})
+		endpoints := testEndpoints(12, 8)
+		p.SetPeers(epoch, 3)
+		for _, s := range []*Policy{p, peer} {
+			s.SetEndpoints(epoch, endpoints)
+		}
+		r := testRequest(family, family, class)
+		home := startOf(t, p, epoch, r)
+		p.Finished(epoch, r.ID, home, Rejected, 0)
+		again := testRequest(family+100, family, class)
+		again.Avoid = []string{home}
+		second := startOf(t, p, epoch, again)
+		p.FirstToken(epoch, again.ID, second, 0)
+		p.Finished(epoch, again.ID, second, Completed, 10)
+
+		loads := p.Share(epoch)
+		i := slices.IndexFunc(endpoints, func(e Endpoint) bool { return e.ID == second })
+		endpoints[i].Incarnation = "2"
+		restarted.SetEndpoints(epoch, endpoints)
+		later := epoch.Add(time.Second)
+		peer.Learn(later, "p", loads)
+		restarted.Learn(later, "p", loads)
+		hash := r.Chain.Levels[len(r.Chain.Levels)-2]
+		assert.Assert(t, peer.hints.Holds(later, hash, peer.byID[second].hintKey))
+		assert.Assert(t, !restarted.hints.Holds(later, hash, restarted.byID[second].hintKey))
+	}
+}
+
+// An organisation that floods the engines leaves slots to another one that
+// comes later and stays within its share.
+func TestFloodLeavesHeadroom(t *testing.T) {
+	served := func(without ...string) int {
+		p := New(Settings{Without: without})
+		p.SetEndpoints(epoch, testEndpoints(4, 10))
+		class := Class{Priority: 5, MaxWait: time.Second}
+		submit := func(id int, organisation string) {
+			r := testRequest(id, id, class)
+			r.Organisation = organisation
+			p.Submit(epoch, r)
+		}
+		submit(0, "modest")
+		for id := 1; id <= 200; id++ {
+			submit(id, "greedy")
+		}
+		p.Advance(epoch)
+		for id := 201; id <= 208; id++ {
+			submit(id, "modest")
+		}
+		started := 0
+		for _, a := range p.Advance(epoch) {
+			if a.Kind == Start && a.Request.Organisation == "modest" {
+				started++
+			}
+		}
+		return started
+	}
+	// Some may wait for a better home whose headroom others have just taken.
+	assert.Assert(t, served() >= 6, "served %d", served())
+	assert.Equal(t, served(RuleHeadroom), 0)
+}
