Count the fleet's load as it changes; a stricter test of homes after a restart

TestRestartedDaemonFindsTheCaches had one first level for all its prompts, and their home was the first engine, so it passed without homes too. It now has twenty, and fails with the rule homes off (10.0.0.0:1 is not the home).

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -146,15 +146,10 @@
 
 // load returns the share of all slots that is taken, as far as is known.
 func (p *Policy) load() float64 {
-	slots, taken := 0, 0
-	for _, e := range p.engines {
-		slots += e.ep.Slots
-		taken += e.own + e.peers.requests
-	}
-	if slots == 0 {
+	if p.slots == 0 {
 		return 0
 	}
-	return float64(taken) / float64(slots)
+	return float64(p.own+p.peerRequests) / float64(p.slots)
 }
 
 func (p *Policy) candidate(now time.Time, e *engine, uncached float64) placement.Candidate {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -125,6 +125,7 @@
 		e.probing = true
 	}
 	e.add(a)
+	p.own++
 	p.organisations.get(a.organisation).own++
 	f.attempts = append(f.attempts, a)
 	p.actions = append(p.actions, Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation})
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -83,6 +83,7 @@
 		e.peers = peerSums{}
 	}
 	p.organisations.clearPeers()
+	p.peerRequests = 0
 	for _, v := range p.peers {
 		for i := range v.loads {
 			p.addPeerLoad(&v.loads[i])
@@ -98,6 +99,7 @@
 	}
 	e.peers.tokens += l.Outstanding
 	e.peers.requests += l.Requests
+	p.peerRequests += l.Requests
 	e.peers.long += l.Long
 	if l.Measured > 0 {
 		e.peers.measured += l.Slowdown * float64(l.Measured)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -58,7 +58,11 @@
 	widths     []int
 
 	organisations organisations
-	slots         int
+	// slots counts those of all engines, own the daemon's attempts and
+	// peerRequests those of peers.
+	slots        int
+	own          int
+	peerRequests int
 
 	peers        map[string]*peerView
 	peersChecked time.Time
@@ -289,6 +293,7 @@
 	e := a.engine
 	p.judgeWait(now, a, outcome)
 	e.remove(a)
+	p.own--
 	f.remove(a)
 	p.organisations.get(a.organisation).own--
 	if len(f.attempts) == 0 {
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -196,13 +196,18 @@
 // its peers, which have served it for long, send theirs.
 func TestRestartedDaemonFindsTheCaches(t *testing.T) {
 	class := Class{Priority: 5, MaxWait: time.Second}
-	for family := range 20 {
+	request := func(id, catalogue int) *Request {
+		r := testRequest(id, 0, class)
+		r.Chain = prefix.New(prefix.Scope{}, []string{fmt.Sprint("catalogue", catalogue), "family", fmt.Sprint(id)}, 4)
+		return r
+	}
+	for catalogue := range 20 {
 		old := New(Settings{})
 		old.SetEndpoints(epoch, testEndpoints(12, 8))
 		now := epoch
 		var at string
 		for id := range 30 {
-			r := testRequest(id, family, class)
+			r := request(id, catalogue)
 			at = startOf(t, old, now, r)
 			now = now.Add(50 * time.Millisecond)
 			old.FirstToken(now, r.ID, at, r.PromptTokens-100)
@@ -210,7 +215,7 @@
 		}
 		started := New(Settings{})
 		started.SetEndpoints(now, testEndpoints(12, 8))
-		assert.Equal(t, startOf(t, started, now, testRequest(99, family, class)), at)
+		assert.Equal(t, startOf(t, started, now, request(99, catalogue)), at)
 	}
 }
 
