--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -21,7 +21,7 @@
 	// longPart is the part of an engine's slots that long work may hold.
 	longPart = 0.7
 	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
-	deferrablePart = 0.75
+	deferrablePart = 0.7
 	// maxMarks bounds the levels of a prompt that hints are kept of.
 	maxMarks = 8
 )
