--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -17,11 +17,11 @@
 	// priorFade is the time constant from the one to the other.
 	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
-	slowIgnored = 1.5
+	slowIgnored = 1.3
 	// longPart is the part of an engine's slots that long work may hold.
 	longPart = 0.7
 	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
-	deferrablePart = 0.75
+	deferrablePart = 0.7
 	// maxMarks bounds the levels of a prompt that hints are kept of.
 	maxMarks = 8
 )
@@ -59,7 +59,11 @@
 	price := p.price(r)
 	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
 	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
+	full := p.rules.loadPrice && p.load() >= fullLoad
 	for rank, i := range homes {
+		if full && rank >= fullHomes && best.any {
+			break
+		}
 		e := p.engines[i]
 		if e == exclude || p.barred(now, e, r) {
 			continue
@@ -113,6 +117,13 @@
 	return time.Duration(float64(before) * turnover * float64(time.Second))
 }
 
+const (
+	// fullLoad is the load of the fleet from which a request may only go to
+	// the first fullHomes of its homes: copies elsewhere cost what is short.
+	fullLoad  = 0.9
+	fullHomes = 3
+)
+
 // deferrablePrice multiplies the price of recomputation for work that can
 // wait for the engine that holds its prompt.
 const deferrablePrice = 3
@@ -135,15 +146,10 @@
 
 // load returns the share of all slots that is taken, as far as is known.
 func (p *Policy) load() float64 {
-	slots, taken := 0, 0
-	for _, e := range p.engines {
-		slots += e.ep.Slots
-		taken += e.own + e.peers.requests
-	}
-	if slots == 0 {
+	if p.slots == 0 {
 		return 0
 	}
-	return float64(taken) / float64(slots)
+	return float64(p.own+p.peerRequests) / float64(p.slots)
 }
 
 func (p *Policy) candidate(now time.Time, e *engine, uncached float64) placement.Candidate {
