Lengthen control intervals with the fleet; read the instance list conditionally

Cause: docs/CAPACITY.md sums control to 18.4 KB a second at 330 daemons. After, worked out from the same slopes and not run at that size: 8.9 KB. What is told of engines lives up to 5 minutes, probes are a second apart from 100 daemons on, an unchanged list is answered 304.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// probeInterval is the pause between two state reports of an upstream.
-	probeInterval = 500 * time.Millisecond
+	// An upstream is asked for its state after each probe interval, which is
+	// longer in a large fleet.
+	minProbeInterval       = 500 * time.Millisecond
+	maxProbeInterval       = time.Second
+	probeIntervalPerDaemon = 10 * time.Millisecond
 	// loadInterval is the pause between two looks at the daemon's own load.
 	loadInterval = 250 * time.Millisecond
 	// probeWorkers bounds concurrent probes.
@@ -177,7 +180,7 @@
 	for {
 		d.probeAll(ctx)
 		d.tellEngines()
-		timer := time.NewTimer(backoff.Around(probeInterval))
+		timer := time.NewTimer(backoff.Around(probeInterval(len(d.members.Live()))))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -189,6 +192,10 @@
 	}
 }
 
+func probeInterval(daemons int) time.Duration {
+	return min(max(minProbeInterval, time.Duration(daemons)*probeIntervalPerDaemon), maxProbeInterval)
+}
+
 // documentAdopted brings a document into force and wakes the probe loop.
 func (d *Daemon) documentAdopted(a *servicedoc.Accepted) {
 	d.dispatcher.SetDocument(a)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -18,11 +18,14 @@
 const (
 	// memberInterval is the pause between two looks at who is heard from.
 	memberInterval = 250 * time.Millisecond
-	// loadTTL is how long a peer's load figures are believed.
-	loadTTL = 3 * time.Second
-	// engineTTL is how long an upstream's state is kept by peers that do not
-	// watch it; watchers renew it at a third of that.
-	engineTTL = time.Minute
+	// loadTTL is how long a peer's load figures are believed; gossip sends them
+	// at least every 5 s or not at all.
+	loadTTL = 6 * time.Second
+	// An upstream's state is kept by peers that do not watch it for engineTTL,
+	// and longer in a large fleet; watchers renew it at a third of that.
+	minEngineTTL       = time.Minute
+	maxEngineTTL       = 5 * time.Minute
+	engineTTLPerDaemon = time.Second
 	// untoldGrace is how long a daemon waits for a peer to tell of an upstream
 	// before it asks the upstream itself.
 	untoldGrace = 2 * time.Second
@@ -124,6 +127,11 @@
 	return out
 }
 
+// engineTTL returns the life of an upstream's state in a fleet of so many daemons.
+func engineTTL(daemons int) time.Duration {
+	return min(max(minEngineTTL, time.Duration(daemons)*engineTTLPerDaemon), maxEngineTTL)
+}
+
 // tellEngines publishes the state of watched upstreams that changed or whose
 // fact is due for renewal.
 func (d *Daemon) tellEngines() {
@@ -138,11 +146,12 @@
 			continue
 		}
 		told := d.told[address]
-		if string(value) == told.value && time.Since(told.at) < engineTTL/3 {
+		ttl := engineTTL(len(d.members.Live()))
+		if string(value) == told.value && time.Since(told.at) < ttl/3 {
 			continue
 		}
 		d.told[address] = toldEngine{value: string(value), at: time.Now()}
-		d.node.Publish(gossip.Fact{Kind: gossip.KindEngine, ID: address, TTL: engineTTL, Value: value})
+		d.node.Publish(gossip.Fact{Kind: gossip.KindEngine, ID: address, TTL: ttl, Value: value})
 	}
 }
 
@@ -163,7 +172,8 @@
 func (d *Daemon) publishEngine(u *fleet.Upstream) {
 	value, err := msgpack.Marshal(fleet.PeerStateOf(u))
 	if err == nil {
-		d.node.Publish(gossip.Fact{Kind: gossip.KindEngine, ID: u.Address, TTL: engineTTL, Value: value})
+		ttl := engineTTL(len(d.members.Live()))
+		d.node.Publish(gossip.Fact{Kind: gossip.KindEngine, ID: u.Address, TTL: ttl, Value: value})
 	}
 }
 
--- a/internal/daemon/ready_test.go
+++ b/internal/daemon/ready_test.go
@@ -52,8 +52,13 @@
 	assert.NilError(t, err)
 }
 
-// All daemons together read the instance list about as often as eight do.
-func TestListIsReadLessOftenInALargeFleet(t *testing.T) {
+// In a large fleet each daemon reads the instance list, asks upstreams and
+// renews what it tells of them less often.
+func TestIntervalsGrowWithTheFleet(t *testing.T) {
+	assert.Equal(t, probeInterval(7), minProbeInterval)
+	assert.Equal(t, probeInterval(330), maxProbeInterval)
+	assert.Equal(t, engineTTL(7), minEngineTTL)
+	assert.Equal(t, engineTTL(330), maxEngineTTL)
 	assert.Equal(t, listInterval(time.Second, 1), time.Second)
 	assert.Equal(t, listInterval(time.Second, 7), time.Second)
 	assert.Equal(t, listInterval(time.Second, 330), 41250*time.Millisecond)
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,9 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+
+	listMu sync.Mutex
+	list   taggedList
 }
 
 var (
@@ -92,14 +96,55 @@
 // Objects returns the object store; the table and the store both have a Get.
 func (c *Client) Objects() platform.Objects { return objects{c} }
 
-// ListInstances implements platform.Instances.
+// ListInstances implements platform.Instances. The list is sent again only
+// when it has changed, if the platform supports entity tags.
 func (c *Client) ListInstances(ctx context.Context) ([]platform.Instance, error) {
+	c.listMu.Lock()
+	known := c.list
+	c.listMu.Unlock()
+	header := http.Header{}
+	if known.tag != "" {
+		header.Set("If-None-Match", known.tag)
+	}
+	a, err := c.exchange(ctx, http.MethodGet, "/instances", header, nil)
+	if err != nil {
+		return nil, err
+	}
+	if a.status == http.StatusNotModified {
+		return known.instances, nil
+	}
 	var list InstanceList
-	err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
-	return list.Instances, err
+	if err := decodeAnswer(a.status, a.body, &list); err != nil {
+		return nil, err
+	}
+	c.listMu.Lock()
+	c.list = taggedList{tag: a.header.Get("ETag"), instances: list.Instances}
+	c.listMu.Unlock()
+	return list.Instances, nil
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+// taggedList is the newest instance list with its entity tag.
+type taggedList struct {
+	tag       string
+	instances []platform.Instance // must not be changed
+}
+
+// answer is what the platform answered.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	a, err := c.exchange(ctx, method, path, nil, body)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(a.status, a.body, into)
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	ctx, sent := httpverdict.Track(ctx)
@@ -109,19 +154,22 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
 	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "platform request")
+		return answer{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "platform request")
 	}
 	httpverdict.NeverReplay(req)
+	for name, values := range header {
+		req.Header[name] = values
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return verdict.Wrap(err, sent.Verdict(), verdict.CodePlatformUnavailable, "platform unreachable")
+		return answer{}, verdict.Wrap(err, sent.Verdict(), verdict.CodePlatformUnavailable, "platform unreachable")
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "platform answer cut off")
+		return answer{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "platform answer cut off")
 	}
-	return decodeAnswer(resp.StatusCode, raw, answer)
+	return answer{status: resp.StatusCode, header: resp.Header, body: raw}, nil
 }
 
 func decodeAnswer(status int, raw []byte, answer any) error {
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
+	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
@@ -249,13 +251,19 @@
 	httpjson.Reply(w, http.StatusOK, out)
 }
 
-func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := httpplatform.InstanceList{}
 	for _, address := range slices.Sorted(maps.Keys(s.instances)) {
 		out.Instances = append(out.Instances, s.instances[address])
 	}
+	tag := strconv.Quote(strconv.FormatUint(prefix.NodeHash(fmt.Sprint(out.Instances)), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	httpjson.Reply(w, http.StatusOK, out)
 }
 
--- a/lab/platform/platform_test.go
+++ b/lab/platform/platform_test.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"maps"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -61,9 +63,33 @@
 	assert.NilError(t, objects.(port.ObjectDeleter).Delete(ctx, "documents/s/1"))
 	_, err = objects.Get(ctx, "documents/s/1")
 	assert.ErrorIs(t, err, port.ErrNotFound)
-	list, err := c.ListInstances(ctx)
+}
+
+// An unchanged list is not sent again, a changed one is.
+func TestInstanceListIsSentWhenItChanged(t *testing.T) {
+	s := New([]port.Instance{{Address: "10.0.0.1:1", Service: "s", DataCentre: "merrimack", State: port.InstanceLeaving}})
+	var statuses []int
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		s.ServeHTTP(recorder, r)
+		statuses = append(statuses, recorder.Code)
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer h.Close()
+	c := httpplatform.New(h.URL, 5*time.Second)
+	defer c.Close()
+	for range 2 {
+		list, err := c.ListInstances(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, list[0].State, port.InstanceLeaving)
+	}
+	s.SetInstance(port.Instance{Address: "10.0.0.2:1", Service: "s", DataCentre: "merrimack", State: port.InstanceLive})
+	list, err := c.ListInstances(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, list[0].State, port.InstanceLeaving)
+	assert.Equal(t, len(list), 2)
+	assert.DeepEqual(t, statuses, []int{http.StatusOK, http.StatusNotModified, http.StatusOK})
 }
 
 // What the adapter says of a failed write is what the platform did.
