--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	members    *membership.Members
 	node       *gossip.Node
 	dispatcher *dispatch.Dispatcher
+	suspects   *suspects.Book
 
 	callers   *server
 	operators *server
@@ -62,6 +63,7 @@
 	listed     atomic.Bool // an instance list was seen, from the platform or a peer
 	synced     atomic.Bool // all documents were read once, from the platform or a peer
 	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
+	served     atomic.Bool // the daemon was ready once
 	draining   atomic.Bool
 	opened     atomic.Bool  // the daemon was ready once
 	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
@@ -122,10 +124,11 @@
 			d.dispatcher.SetFleet(s)
 		}
 	})
+	d.suspects = suspects.New(d.settings.Name, d.node, d.table, d.log)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		Delay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
-		Suspects:   suspects.New(d.settings.Name, d.node, d.table, d.log),
+		Suspects:   d.suspects,
 		EngineDown: func(address string) { go d.probe(context.Background(), address) },
 	})
 }
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -10,8 +10,10 @@
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/lease"
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -34,14 +36,24 @@
 	return []func(context.Context) error{
 		d.followDocuments,
 		d.once.Run,
-		d.every(time.Duration(d.settings.Platform.PollInterval), d.readInstances),
+		d.suspects.Run,
+		d.followInstances,
 		d.probeLoop,
 		d.every(loadInterval, d.tellLoad),
 		d.every(memberInterval, d.refreshMembers),
 		d.watchReadiness,
+		d.rollOut,
 	}
 }
 
+// rollOut brings engines to what the documents ask for, while this daemon is
+// the one that holds the lease.
+func (d *Daemon) rollOut(ctx context.Context) error {
+	keeper := lease.NewKeeper(d.table, lease.Settings{Name: rollout.LeaseName, Holder: d.settings.Name, Settle: rollout.OrderDelay}, d.log)
+	runner := rollout.NewRunner(d.engines, d.catalogue.Snapshot, d.fleet.Snapshot, d.log)
+	return keeper.Run(ctx, runner.Work)
+}
+
 // followDocuments reads all documents once, from whoever answers first, and
 // then follows their changes.
 func (d *Daemon) followDocuments(ctx context.Context) error {
@@ -103,6 +115,25 @@
 	}
 }
 
+// listReaders is how many reads of the instance list all daemons together
+// spread over one poll interval. What one of them finds the others hear.
+const listReaders = 8
+
+// followInstances reads the platform's list at an interval that grows with the
+// number of daemons, since the list grows with the deployment too.
+func (d *Daemon) followInstances(ctx context.Context) error {
+	for {
+		d.readInstances(ctx)
+		if !pause(ctx, backoff.Around(listInterval(time.Duration(d.settings.Platform.PollInterval), len(d.members.Live())))) {
+			return ctx.Err()
+		}
+	}
+}
+
+func listInterval(poll time.Duration, daemons int) time.Duration {
+	return poll * time.Duration(max(listReaders, daemons)) / listReaders
+}
+
 // readInstances reads the platform's list of upstreams and daemons.
 func (d *Daemon) readInstances(ctx context.Context) {
 	list, err := d.instances.ListInstances(ctx)
@@ -113,8 +144,10 @@
 	if err != nil {
 		return
 	}
+	before := d.fleet.Snapshot()
 	d.fleet.ApplyList(list)
 	d.listed.Store(true)
+	d.tellListed(before, d.fleet.Snapshot())
 	var daemons []membership.Member
 	for _, in := range list {
 		if in.Service == platform.EntryService {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -20,22 +20,22 @@
 }
 
 func (c *Callers) call(w http.ResponseWriter, r *http.Request) {
-	who, err := c.authenticate(w, r, servicedoc.KindPlain)
-	if err != nil {
-		c.fail(w, who, err)
-		return
-	}
-	body, err := readBody(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	who, body, release, err := c.receive(w, r, servicedoc.KindPlain)
 	if err != nil {
 		c.fail(w, who, err)
 		return
 	}
+	defer release()
 	reply, err := c.doCall(r, who, body, w.Header())
 	if err != nil {
 		c.fail(w, who, err)
 		return
 	}
 	copyHeader(w.Header(), reply.Header)
+	if reply.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+	boundWrite(w, len(reply.Body))
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -69,16 +69,12 @@
 
 func (c *Callers) complete(w http.ResponseWriter, r *http.Request, decode func([]byte) (chatRequest, error), f format) {
 	received := time.Now()
-	who, err := c.authenticate(w, r, servicedoc.KindModel)
-	if err != nil {
-		c.fail(w, who, err)
-		return
-	}
-	body, err := readBody(w, r, who.doc.Document.Limits.MaxBodyBytes)
+	who, body, release, err := c.receive(w, r, servicedoc.KindModel)
 	if err != nil {
 		c.fail(w, who, err)
 		return
 	}
+	defer release()
 	chat, err := decode(body)
 	if err != nil {
 		c.fail(w, who, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the body is not a completion request"))
@@ -168,10 +164,13 @@
 	if !sink.resumable() {
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "only a streamed answer can be resumed")
 	}
-	if p.Weights != req.Model.Weights() {
-		return verdict.New(verdict.Ran, verdict.CodeStreamLost, "the stream was made by another version of the model")
+	made, _ := servicedoc.ParseWeights(p.Weights)
+	if made.Name != req.Model.Name {
+		return verdict.New(verdict.Ran, verdict.CodeStreamLost, "the stream was made by another model")
 	}
 	resumed := *req
 	resumed.ID = p.RequestID
+	// The version may have changed since the stream began; its engine goes on with the old one.
+	resumed.Model.Version, resumed.Model.Adapter = made.Version, made.Adapter
 	return c.Dispatcher.Resume(r.Context(), &resumed, p, sink)
 }
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -78,9 +78,13 @@
 	if routine(f.Kind) {
 		n.via[f.Origin] = c
 	}
-	if result == putReplaced {
+	renewed := f.Kind == KindDaemon && n.store.byKey[k].touched
+	if result == putReplaced && !renewed {
 		n.deliver(f)
 	}
+	if f.Kind == KindDaemon && !renewed {
+		n.membersKnown = false
+	}
 	n.relay(k, f.Origin, c, now)
 }
 
@@ -131,11 +135,13 @@
 	}
 }
 
-// relay queues a fact on all connections but from. Routine facts are left out
-// where the peer gets them another way.
+// relay queues a fact on all connections but from. Routine facts and renewals
+// are left out where the peer gets them another way.
 func (n *Node) relay(k factKey, origin string, from *conn, now time.Time) {
+	e := n.store.byKey[k]
+	spare := routine(k.kind) || (e != nil && e.touched)
 	for _, c := range n.conns {
-		if c == from || (routine(k.kind) && c.prunes(origin, now)) {
+		if c == from || (spare && c.prunes(origin, now)) {
 			continue
 		}
 		c.queue(k, now, false)
@@ -229,9 +235,6 @@
 }
 
 func handleGraft(c *conn, m *message) {
-	if len(m.Origins) == 0 {
-		clear(c.pruned)
-	}
 	for _, o := range m.Origins {
 		delete(c.pruned, o)
 	}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -4,10 +4,12 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,6 +19,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
+	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
 // Config sets up an engine. Zero values select the defaults.
@@ -80,6 +83,7 @@
 	queued      int
 	started     uint64
 	asked       uint64
+	runs        map[string]int
 	faults      Faults
 	life        context.Context // ends when the engine crashes
 	kill        context.CancelFunc
@@ -89,13 +93,14 @@
 
 // New returns an engine that serves.
 func New(c Config) *Server {
-	setDefault(&c.Slots, 8)
-	setDefault(&c.CachePieces, 4000)
-	setDefault(&c.PieceBytes, 4000)
-	setDefault(&c.PrefillBytesPerSecond, 4_000_000)
-	setDefault(&c.TokenInterval, 2*time.Millisecond)
-	setDefault(&c.LoadTime, time.Second)
+	c.Slots = cmp.Or(c.Slots, 8)
+	c.CachePieces = cmp.Or(c.CachePieces, 4000)
+	c.PieceBytes = cmp.Or(c.PieceBytes, 4000)
+	c.PrefillBytesPerSecond = cmp.Or(c.PrefillBytesPerSecond, 4_000_000)
+	c.TokenInterval = cmp.Or(c.TokenInterval, 2*time.Millisecond)
+	c.LoadTime = cmp.Or(c.LoadTime, time.Second)
 	s := &Server{config: c, mux: http.NewServeMux(), weights: slices.Clone(c.Weights), role: "mixed"}
+	s.runs = map[string]int{}
 	s.reset()
 	s.mux.HandleFunc("POST /v1/chat/completions", s.generate)
 	s.mux.HandleFunc("GET /v1/streams/{id}", s.resume)
@@ -120,6 +125,18 @@
 	return s.asked
 }
 
+// Answer returns what every word of the answer to a prompt begins with.
+func Answer(organisation string, levels []string) string {
+	return fmt.Sprintf("%016x", prefix.NodeHash(organisation+"\x00"+strings.Join(levels, "\x00")))
+}
+
+// Runs returns how often each request was started, by request id.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 // Started returns how many generations were started in all incarnations.
 func (s *Server) Started() uint64 {
 	s.mu.Lock()
@@ -165,8 +182,7 @@
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Decode(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
@@ -215,6 +231,7 @@
 	}
 	s.streams[g.id] = g
 	s.started++
+	s.runs[g.requestID]++
 	missing := chain.Bytes - hits*s.config.PieceBytes
 	answer := answerOf(organisation, levels)
 	go s.work(ctx, g, missing, answer, req.MaxTokens)
@@ -304,13 +321,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // AnswerText returns the whole answer that every engine gives to a prompt, so
 // that a test can tell whether a caller received its own.
 func AnswerText(organisation string, levels []string, tokens int) string {
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"io"
 	"maps"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	port "github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/platform/httpplatform"
+	"github.com/verbenabend/verbenabend/lab/httpjson"
 )
 
 const maxBodyBytes = 64 << 20
@@ -57,6 +57,7 @@
 	s.mux.HandleFunc("POST /table/transactions", s.commit)
 	s.mux.HandleFunc("PUT /objects/{key}", s.putObject)
 	s.mux.HandleFunc("GET /objects/{key}", s.getObject)
+	s.mux.HandleFunc("DELETE /objects/{key}", s.deleteObject)
 	s.mux.HandleFunc("GET /objects", s.listObjects)
 	s.mux.HandleFunc("GET /instances", s.listInstances)
 	return s
@@ -139,13 +140,13 @@
 		s.mu.Unlock()
 	case r.URL.Path == "/control/instances":
 		var in port.Instance
-		if !decode(w, r, &in) {
+		if !httpjson.Decode(w, r, &in) {
 			return
 		}
 		s.SetInstance(in)
 	default:
 		var f Faults
-		if !decode(w, r, &f) {
+		if !httpjson.Decode(w, r, &f) {
 			return
 		}
 		s.SetFaults(f)
@@ -161,7 +162,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	reply(w, row)
+	httpjson.Reply(w, http.StatusOK, row)
 }
 
 func (s *Server) listRows(w http.ResponseWriter, r *http.Request) {
@@ -179,12 +180,12 @@
 			out.Rows = append(out.Rows, s.rows[key])
 		}
 	}
-	reply(w, out)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
 	var txn httpplatform.Transaction
-	if !decode(w, r, &txn) {
+	if !httpjson.Decode(w, r, &txn) {
 		return
 	}
 	s.mu.Lock()
@@ -229,6 +230,13 @@
 	_, _ = w.Write(body)
 }
 
+func (s *Server) deleteObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	delete(s.objects, r.PathValue("key"))
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -238,7 +246,7 @@
 			out.Keys = append(out.Keys, key)
 		}
 	}
-	reply(w, out)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
@@ -248,20 +256,7 @@
 	for _, address := range slices.Sorted(maps.Keys(s.instances)) {
 		out.Instances = append(out.Instances, s.instances[address])
 	}
-	reply(w, out)
-}
-
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	httpjson.Reply(w, http.StatusOK, out)
 }
 
 // discard is a ResponseWriter whose answer is lost.
