--- a/internal/peerload/codec.go
+++ b/internal/peerload/codec.go
@@ -19,7 +19,7 @@
 	maxOrganisations = 10_000
 	maxHeld          = 1024
 	hashBytes        = 8
-	engineFields     = 8
+	engineFields     = 7
 	percent          = 100
 	maxSlowdown      = 1000
 )
@@ -74,7 +74,6 @@
 	_ = e.EncodeUint(uint64(Hash(l.Incarnation)))
 	_ = e.EncodeUint(uint64(max(0, l.Outstanding)))
 	_ = e.EncodeUint(uint64(max(0, l.Requests)))
-	_ = e.EncodeUint(uint64(max(0, l.Long)))
 	_ = e.EncodeUint(uint64(min(max(l.Slowdown, 0), maxSlowdown) * percent))
 	_ = e.EncodeUint(uint64(max(0, l.Measured)))
 	raw := make([]byte, 0, hashBytes*len(held))
--- a/internal/peerload/codec_test.go
+++ b/internal/peerload/codec_test.go
@@ -33,7 +33,7 @@
 			loads = append(loads, routing.PeerLoad{
 				Endpoint: address, Incarnation: engines[address],
 				Outstanding: rapid.IntRange(0, 1<<20).Draw(t, "outstanding"), Requests: rapid.IntRange(0, 300).Draw(t, "requests"),
-				Long: rapid.IntRange(0, 9).Draw(t, "long"), Slowdown: float64(rapid.IntRange(0, 900).Draw(t, "slowdown")) / 4,
+				Slowdown: float64(rapid.IntRange(0, 900).Draw(t, "slowdown")) / 4,
 				Measured: rapid.IntRange(0, 9).Draw(t, "measured"), Held: rapid.SliceOfN(rapid.Uint64(), 1, 9).Draw(t, "held"),
 			})
 		}
--- a/internal/peerload/decode.go
+++ b/internal/peerload/decode.go
@@ -55,7 +55,7 @@
 	}
 	address := uint32(d.uint(1<<32 - 1))
 	incarnation := uint32(d.uint(1<<32 - 1))
-	l := routing.PeerLoad{Outstanding: d.int(), Requests: d.int(), Long: d.int()}
+	l := routing.PeerLoad{Outstanding: d.int(), Requests: d.int()}
 	l.Slowdown = float64(d.uint(maxSlowdown*percent)) / percent
 	l.Measured = d.int()
 	l.Held = d.hashes()
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -15,7 +15,6 @@
 	// expected is the time to first token at normal speed, without delay.
 	expected time.Duration
 	delay    time.Duration
-	long     bool
 	alone    bool
 	// organisation is the hash of the customer's name.
 	organisation uint64
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -18,8 +18,6 @@
 	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
 	slowIgnored = 1.3
-	// longPart is the part of an engine's slots that long work may hold.
-	longPart = 0.7
 	// deferrablePart is the part of an engine's slots up to which deferrable work starts.
 	deferrablePart = 0.7
 	// maxMarks bounds the levels of a prompt that hints are kept of.
@@ -31,14 +29,12 @@
 	organisation uint64
 	// stay is how long it holds a slot, in seconds.
 	stay float64
-	long bool
 }
 
 func (p *Policy) demand(now time.Time, r *Request) demand {
 	return demand{
 		organisation: p.organisations.arrived(now, r.Organisation, r.Share),
 		stay:         p.learned.outputTokens(r) * p.learned.pace.or(paceStart.Seconds()),
-		long:         p.learned.long(r),
 	}
 }
 
@@ -71,7 +67,7 @@
 		best.any = true
 		uncached := p.uncached(now, e, r, rank)
 		c := p.candidate(now, e, uncached)
-		room := p.room(e, r, d) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
+		room := p.room(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price)
@@ -292,16 +288,13 @@
 const ejectDivisor = 2
 
 // room reports whether the engine may run one more request of this kind.
-func (p *Policy) room(e *engine, r *Request, d *demand) bool {
+func (p *Policy) room(e *engine, r *Request) bool {
 	if p.rules.limits && e.own >= e.limit.Allowed(e.ep.Slots, p.daemons, p.known(e)) {
 		return false
 	}
 	if !p.rules.limits && e.own >= e.ep.Slots {
 		return false
 	}
-	if d.long && p.rules.longShare && e.ownLong+e.peers.long >= max(1, int(longPart*float64(e.ep.Slots))) {
-		return false
-	}
 	if r.Class.Deferrable && p.rules.deferral {
 		return p.taken(e) < max(1, int(deferrablePart*float64(e.ep.Slots)))
 	}
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -117,7 +117,7 @@
 	e := c.engine
 	a := &attempt{
 		request: f.request, engine: e, sent: now, tokens: c.uncached, ahead: p.backlog(now, e),
-		delay: 2 * e.ep.Delay, long: f.demand.long, alone: f.request.Alone, organisation: f.demand.organisation, hinted: -1,
+		delay: 2 * e.ep.Delay, alone: f.request.Alone, organisation: f.demand.organisation, hinted: -1,
 	}
 	a.expected = p.speed.FirstToken(a.ahead + a.tokens)
 	p.noteHint(now, a)
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -20,11 +20,9 @@
 	ep      Endpoint
 	hintKey uint64
 	present bool
-	// own counts the daemon's attempts there, ownLong the long ones among
-	// them, ownAlone those that must run alone, and ownTokens the prompt
-	// tokens that still have to be computed for them.
+	// own counts the daemon's attempts there, ownAlone those that must run
+	// alone, and ownTokens the prompt tokens that still have to be computed.
 	own       int
-	ownLong   int
 	ownAlone  int
 	ownTokens float64
 	// unanswered are the attempts without a first token, in order of sending.
@@ -47,7 +45,6 @@
 type peerSums struct {
 	tokens   int
 	requests int
-	long     int
 	// inferred is the greatest slowdown that peers inferred, 0 when none did.
 	inferred float64
 	// measured is the sum of the slowdowns that peers measured, each times
@@ -85,9 +82,6 @@
 func (e *engine) add(a *attempt) {
 	e.own++
 	e.ownTokens += a.tokens
-	if a.long {
-		e.ownLong++
-	}
 	if a.alone {
 		e.ownAlone++
 	}
@@ -112,9 +106,6 @@
 func (e *engine) remove(a *attempt) {
 	e.answered(a)
 	e.own--
-	if a.long {
-		e.ownLong--
-	}
 	if a.alone {
 		e.ownAlone--
 	}
--- a/internal/routing/learned.go
+++ b/internal/routing/learned.go
@@ -12,8 +12,6 @@
 	outputStart = 200
 	paceStart   = 25 * time.Millisecond
 	stayStart   = 4 * time.Second
-	// longFactor is how many times longer than the mean long work is.
-	longFactor = 2.5
 	// outputBuckets group requests by the power of two of their maximum.
 	outputBuckets = 24
 )
@@ -57,8 +55,3 @@
 func (l *learned) outputTokens(r *Request) float64 {
 	return l.byLimit[bucket(r.MaxOutputTokens)].or(l.output.or(outputStart))
 }
-
-// long reports whether a request is expected to hold a slot for long.
-func (l *learned) long(r *Request) bool {
-	return l.outputTokens(r) > longFactor*l.output.or(outputStart)
-}
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -100,7 +100,6 @@
 	e.peers.tokens += l.Outstanding
 	e.peers.requests += l.Requests
 	p.peerRequests += l.Requests
-	e.peers.long += l.Long
 	if l.Measured > 0 {
 		e.peers.measured += l.Slowdown * float64(l.Measured)
 		e.peers.answers += l.Measured
@@ -122,7 +121,7 @@
 		e.told = tell
 		p.shared = append(p.shared, PeerLoad{
 			Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
-			Outstanding: int(e.ownTokens), Requests: e.own, Long: e.ownLong, Slowdown: slow, Measured: measured, Held: e.held,
+			Outstanding: int(e.ownTokens), Requests: e.own, Slowdown: slow, Measured: measured, Held: e.held,
 		})
 		e.held = nil
 	}
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -38,8 +38,6 @@
 	RulePatience = "patience"
 	// RuleCrowd prices a slot by the wait that holding it causes to others.
 	RuleCrowd = "crowd-price"
-	// RuleLongShare lets long work hold only a part of each engine's slots.
-	RuleLongShare = "long-share"
 	// RuleFairness shares the queue among organisations.
 	RuleFairness = "fairness"
 	// RuleHeadroom keeps a part of each engine's slots from organisations that exceed their share.
@@ -54,10 +52,10 @@
 
 // rules tells which rules are on.
 type rules struct {
-	homes, nested, growth, order, hints, price, loadPrice     bool
-	slowdown, waiting, progress, peerLoad, peerSlow, reports  bool
-	ejection, limits, patience, longShare, fairness, earlyRef bool
-	deferral, hedges, crowd, peerHints, headroom              bool
+	homes, nested, growth, order, hints, price, loadPrice    bool
+	slowdown, waiting, progress, peerLoad, peerSlow, reports bool
+	ejection, limits, patience, fairness, earlyRef           bool
+	deferral, hedges, crowd, peerHints, headroom             bool
 }
 
 func newRules(without []string) rules {
@@ -71,7 +69,7 @@
 		loadPrice: !off[RuleLoadPrice], slowdown: !off[RuleSlowdown], waiting: !off[RuleWaiting],
 		progress: !off[RuleProgress], peerLoad: !off[RulePeerLoad], peerSlow: !off[RulePeerSlowdown],
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
-		patience: !off[RulePatience], longShare: !off[RuleLongShare], fairness: !off[RuleFairness],
+		patience: !off[RulePatience], fairness: !off[RuleFairness],
 		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
 		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges],
 	}
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -117,8 +117,6 @@
 	Outstanding int
 	// Requests is the number of its requests there.
 	Requests int
-	// Long is how many of them hold a slot for long.
-	Long int
 	// Slowdown is the engine's observed time over its expected time; 1 is normal.
 	Slowdown float64
 	// Measured is the number of running answers that Slowdown was measured
--- a/lab/measure/rules.go
+++ b/lab/measure/rules.go
@@ -13,7 +13,7 @@
 		routing.RuleHomes, routing.RuleNestedHomes, routing.RuleHomeGrowth, routing.RuleHomeOrder, routing.RuleHints,
 		routing.RulePrice, routing.RuleLoadPrice, routing.RuleSlowdown, routing.RuleWaiting, routing.RuleProgress,
 		routing.RulePeerLoad, routing.RulePeerSlowdown, routing.RuleReports, routing.RuleEjection, routing.RuleLimits,
-		routing.RulePatience, routing.RuleLongShare, routing.RuleFairness, routing.RuleEarlyRefusal, routing.RuleDeferral,
+		routing.RulePatience, routing.RuleFairness, routing.RuleEarlyRefusal, routing.RuleDeferral,
 		routing.RuleHedges, routing.RuleCrowd, routing.RuleHeadroom, routing.RulePeerHints,
 	}
 }
