--- a/lab/bench/overhead_test.go
+++ b/lab/bench/overhead_test.go
@@ -209,10 +209,38 @@
 	}
 }
 
+// forwarder passes requests on to an engine and copies its answer as it comes:
+// the least that one more hop over net/http can cost.
+func forwarder(engine string, atOnce int) http.HandlerFunc {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: atOnce}}
+	return func(w http.ResponseWriter, r *http.Request) {
+		sent, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		resp, err := client.Post("http://"+engine+"/v1/chat/completions", "application/json", bytes.NewReader(sent))
+		if err != nil {
+			return
+		}
+		defer resp.Body.Close()
+		out := http.NewResponseController(w)
+		buffer := make([]byte, 4<<10)
+		for {
+			n, err := resp.Body.Read(buffer)
+			_, _ = w.Write(buffer[:n])
+			_ = out.Flush()
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
 // BenchmarkOverhead sends requests of 32 events to an engine that answers at
 // once, directly and through the daemon's handler, and reports the
 // difference. The engine and the caller run in the same process, so that the
-// rate is that of all three together.
+// rate is that of all three together. "hop" is what a handler adds that only
+// passes bytes on.
 func BenchmarkOverhead(b *testing.B) {
 	for _, atOnce := range []int{1, 64, 512} {
 		b.Run(fmt.Sprintf("streams=%d", atOnce), func(b *testing.B) {
@@ -223,13 +251,18 @@
 			direct := newCaller(engine, "/v1/chat/completions", atOnce, http.Header{})
 			through := newCaller(daemon, "/services/lamp-bench/v1/chat/completions", atOnce, http.Header{})
 			n := max(b.N, 4*atOnce)
+			bare := newCaller(serve(b, forwarder(engine, atOnce)), "/v1/chat/completions", atOnce, http.Header{})
 			series(b, direct, 4*atOnce, atOnce)
+			series(b, bare, 4*atOnce, atOnce)
 			series(b, through, 4*atOnce, atOnce)
 			b.ResetTimer()
 			own := series(b, direct, n, atOnce)
+			hop := series(b, bare, n, atOnce)
 			all := series(b, through, n, atOnce)
 			b.StopTimer()
 			b.ReportMetric(float64((all.p50 - own.p50).Microseconds()), "added-p50-µs")
+			b.ReportMetric(float64((hop.p50 - own.p50).Microseconds()), "hop-p50-µs")
+			b.ReportMetric(float64((hop.cpu - own.cpu).Microseconds()), "hop-cpu-µs/request")
 			b.ReportMetric(float64((all.p99 - own.p99).Microseconds()), "added-p99-µs")
 			b.ReportMetric(float64((all.cpu - own.cpu).Microseconds()), "added-cpu-µs/request")
 			b.ReportMetric(float64(all.bytes)-float64(own.bytes), "added-B/request")
