Give a settlement that nobody waits for time for each of its calls

Cause: an outcome that the table did not take within the 2 s that a caller waits was tried again later within the same 2 s, though it takes a read and a write (and an object for a large reply), each with a bound of its own. With a platform of 1.5 s a call no outcome was ever recorded: the keys stayed claimed, and a repeat was told may-have-run.

Ruled out: the order of the queue and its pauses; orders and claims worked.

--- a/internal/once/settlement.go
+++ b/internal/once/settlement.go
@@ -22,6 +22,10 @@
 	// settlePause is the pause, before jitter, between two settlements; it
 	// spreads the writes of all daemons after an outage.
 	settlePause = 2 * time.Second
+	// laterTimeout bounds a settlement that no caller waits for: a read, an
+	// object and a write, each within its own bound, so that a table that is
+	// slow but answers in time takes it.
+	laterTimeout = 2*platform.CallTimeout + claimTimeout
 )
 
 // settleBackoff spaces the tries while the table is down.
@@ -173,7 +177,7 @@
 }
 
 func (r *Records) recordBounded(ctx context.Context, s settlement) bool {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, laterTimeout)
 	defer cancel()
 	return r.record(ctx, s)
 }
