Gossip: never send a greater TTL than peers accept

Cause: a writer looks at the clock before it waits for the node's lock. A fact put meanwhile expires its TTL after a later time, so that the frame told of more than its TTL. Documents have the greatest TTL there is (their 30 days are cut to 24 hours), so the peer found the frame malformed, logged event 603 and dropped the connection: seen once in about 60 runs of the demonstration on a busy machine, between daemons of one version.

Ruled out by reading: versions of the protocol, the other fields (their bounds are those of the sender).

Before, 'go test ./internal/gossip -run GreatestTTL': malformed frame. After: it passes, with the package's other tests. Not observed: that the run of the demonstration had this cause and no other; it did not come again.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -183,6 +183,8 @@
 }
 
 // ttlMillis rounds up, so that a fact that still lives is not sent as expired.
+// A writer that waited may reckon with a time before the fact was put, and so
+// with more than the greatest TTL, which peers would reject.
 func ttlMillis(d time.Duration) uint64 {
-	return uint64((max(d, 0) + time.Millisecond - 1) / time.Millisecond)
+	return uint64((min(max(d, 0), maxTTL) + time.Millisecond - 1) / time.Millisecond)
 }
