Let a daemon run on another network than TCP

daemon.NewOn takes a Network: a listen and a dial function, passed on to the three listeners, the platform's client, both upstream clients and gossip, and a limit on the version of the peers' protocol. New is NewOn with none of them, and the paths of production are as before. A gauge tells the facts that gossip holds, since the proof of an outage has to see that they do not grow. go test ./internal/daemon ./internal/platform/... ./internal/docscheck passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 // Daemon is one entry instance.
 type Daemon struct {
 	settings *settings.Settings
+	network  Network
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
 
@@ -73,9 +74,14 @@
 	inFlight   atomic.Int64
 }
 
-// New returns a daemon that listens but does not serve yet. Close it, or run it.
+// New returns a daemon on TCP that listens but does not serve yet. Close it, or run it.
 func New(s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, indexes: map[string]*engineIndex{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
+	return NewOn(Network{}, s, logger)
+}
+
+// NewOn is New on another network.
+func NewOn(network Network, s *settings.Settings, logger hclog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, network: network, log: eventlog.New(s.Name, logger, s.Log.RingEvents), told: map[string]toldEngine{}, indexes: map[string]*engineIndex{}, adopted: make(chan struct{}, 1), metrics: telemetry.New()}
 	d.log.Observe(d.metrics.Event)
 	d.provisionClients()
 	d.provisionMembers()
@@ -94,11 +100,11 @@
 }
 
 func (d *Daemon) provisionClients() {
-	d.client = httpplatform.New(d.settings.Platform.URL, time.Duration(d.settings.Platform.Timeout))
+	d.client = httpplatform.New(d.settings.Platform.URL, time.Duration(d.settings.Platform.Timeout), httpplatform.WithDial(d.network.Dial))
 	d.table = d.client
 	d.instances = d.client
-	d.engines = httpengine.New(nil)
-	d.services = httpservice.New(nil)
+	d.engines = httpengine.New(d.network.Dial)
+	d.services = httpservice.New(d.network.Dial)
 }
 
 func (d *Daemon) provisionMembers() {
@@ -157,10 +163,10 @@
 		Status: d.Status, WriteMetrics: d.metrics.Write,
 	}
 	var err error
-	if d.callers, err = newServer(d.settings.CallerListen, d.countInFlight(callers.Handler()), d.settings.TLS, d.settings.MaxConnections); err != nil {
+	if d.callers, err = newServer(d.network, d.settings.CallerListen, d.countInFlight(callers.Handler()), d.settings.TLS, d.settings.MaxConnections); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if d.operators, err = newServer(d.settings.OperatorListen, operators.Handler(), d.settings.TLS, maxOperatorConnections); err != nil {
+	if d.operators, err = newServer(d.network, d.settings.OperatorListen, operators.Handler(), d.settings.TLS, maxOperatorConnections); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
 	return nil
--- a/internal/daemon/instrument.go
+++ b/internal/daemon/instrument.go
@@ -84,6 +84,7 @@
 	d.metrics.Gauge(telemetry.NamePeers, func() float64 { return float64(len(d.node.Peers())) })
 	d.metrics.Gauge(telemetry.NameGossipSent, func() float64 { return float64(d.node.Stats().SentBytes) })
 	d.metrics.Gauge(telemetry.NameGossipRecv, func() float64 { return float64(d.node.Stats().ReceivedBytes) })
+	d.metrics.Gauge(telemetry.NameGossipFacts, func() float64 { return float64(d.node.Stats().Facts) })
 	d.metrics.Gauge(telemetry.NameOncePending, func() float64 { return float64(d.once.Pending()) })
 	for _, state := range []fleet.State{fleet.Unknown, fleet.Serving, fleet.Leaving, fleet.Down} {
 		name := fmt.Sprintf("%s{state=%q}", telemetry.NameUpstreams, state)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"time"
 
@@ -35,7 +34,7 @@
 )
 
 func (d *Daemon) provisionPeers() error {
-	listener, err := net.Listen("tcp", d.settings.PeerListen)
+	listener, err := d.network.listen(d.settings.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
@@ -47,7 +46,7 @@
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Address: d.settings.PeerAddress, CallerAddress: d.settings.CallerAddress,
 		Keys: keys, Seeds: d.settings.Seeds, Discover: d.members.PeerAddresses,
-		Listener: listener, Events: d.log,
+		Listener: listener, Dial: d.network.dialPeer(), MaxVersion: d.network.PeerVersion, Events: d.log,
 	})
 	if err != nil {
 		listener.Close()
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -36,8 +36,8 @@
 	open     atomic.Int64
 }
 
-func newServer(address string, handler http.Handler, files *settings.TLS, maxConnections int) (*server, error) {
-	listener, err := net.Listen("tcp", address)
+func newServer(network Network, address string, handler http.Handler, files *settings.TLS, maxConnections int) (*server, error) {
+	listener, err := network.listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -44,7 +44,7 @@
 }
 
 func startServer(t *testing.T, handler http.Handler, files *settings.TLS, maxConnections int) *server {
-	s, err := newServer("127.0.0.1:0", handler, files, maxConnections)
+	s, err := newServer(Network{}, "127.0.0.1:0", handler, files, maxConnections)
 	assert.NilError(t, err)
 	done := make(chan error, 1)
 	go func() { done <- s.serve() }()
@@ -91,7 +91,7 @@
 }
 
 func TestMissingCertificateStopsTheStart(t *testing.T) {
-	_, err := newServer("127.0.0.1:0", nil, &settings.TLS{CertificateFile: "none", KeyFile: "none"}, 8)
+	_, err := newServer(Network{}, "127.0.0.1:0", nil, &settings.TLS{CertificateFile: "none", KeyFile: "none"}, 8)
 	assert.ErrorContains(t, err, "certificate")
 }
 
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -45,9 +46,20 @@
 	idleTimeout        = 30 * time.Second
 )
 
+// Option changes how a Client connects.
+type Option func(*http.Transport)
+
+// WithDial connects by dial; nil means TCP.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
 // New returns a client for the platform at base. Each call is bounded by timeout.
-func New(base string, timeout time.Duration) *Client {
+func New(base string, timeout time.Duration, options ...Option) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout}
+	for _, option := range options {
+		option(transport)
+	}
 	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	NamePeers         = "verbenabend_peers"
 	NameGossipSent    = "verbenabend_gossip_sent_bytes_total"
 	NameGossipRecv    = "verbenabend_gossip_received_bytes_total"
+	NameGossipFacts   = "verbenabend_gossip_facts"
 	NameOncePending   = "verbenabend_once_pending_outcomes"
 	resultOK          = "ok"
 	labelledEvent     = NameEvents + `{event="%d"}`
@@ -37,7 +38,7 @@
 // Names lists every metric of a daemon.
 var Names = []string{
 	NameEvents, NameRequests, NameFirstToken, NameDuration, NamePromptTokens, NameCachedTokens, NameInFlight,
-	NameUpstreams, NameRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipRecv, NameOncePending,
+	NameUpstreams, NameRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipRecv, NameGossipFacts, NameOncePending,
 }
 
 // Metrics are the metrics of one daemon. It is safe for concurrent use.
