--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -25,6 +25,12 @@
 type Faults struct {
 	// Down answers 503 to every call.
 	Down bool `json:"down"`
+	// TableDown answers 503 to every call of the table.
+	TableDown bool `json:"table_down"`
+	// ObjectsDown answers 503 to every call of the object store.
+	ObjectsDown bool `json:"objects_down"`
+	// Silent takes every call and never answers.
+	Silent bool `json:"silent"`
 	// Delay is added to every call, in milliseconds.
 	DelayMS int `json:"delay_ms"`
 	// LoseAnswers applies writes and then drops the connection.
@@ -34,6 +40,13 @@
 	LostAfterCommit bool `json:"lost_after_commit"`
 }
 
+// down reports whether a call to path is answered 503.
+func (f Faults) down(path string) bool {
+	table := f.TableDown && strings.HasPrefix(path, "/table/")
+	objects := f.ObjectsDown && strings.HasPrefix(path, "/objects")
+	return f.Down || table || objects
+}
+
 // Server is the stand-in. The zero value is not usable; see New.
 type Server struct {
 	mu        sync.Mutex
@@ -82,7 +95,12 @@
 	if faults.DelayMS > 0 {
 		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
 	}
-	if faults.Down {
+	if faults.Silent {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the caller is noticed only after its body
+		<-r.Context().Done()
+		return
+	}
+	if faults.down(r.URL.Path) {
 		http.Error(w, "platform is down", http.StatusServiceUnavailable)
 		return
 	}
--- a/lab/wholepath/network_test.go
+++ b/lab/wholepath/network_test.go
@@ -74,6 +74,7 @@
 type listener struct {
 	conns  chan net.Conn
 	closed chan struct{}
+	once   sync.Once
 }
 
 func newListener() *listener {
@@ -90,7 +91,7 @@
 }
 
 func (l *listener) Close() error {
-	close(l.closed)
+	l.once.Do(func() { close(l.closed) })
 	return nil
 }
 
