Keep a serving daemon ready while a new service is probed, again

The check now ends when the daemon was named to callers for the first time (opened), /readyz says yes only then, and a planned stop logs event 104 alone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,6 @@
 	listed     atomic.Bool // an instance list was seen, from the platform or a peer
 	synced     atomic.Bool // all documents were read once, from the platform or a peer
 	probes     sync.Map    // failed probes in a row, by address; *atomicCounter
-	served     atomic.Bool // the daemon was ready once
 	draining   atomic.Bool
 	opened     atomic.Bool  // the daemon was ready once
 	contact    atomic.Int64 // when the platform or a peer was last heard, Unix nanoseconds
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -98,7 +98,7 @@
 			d.opened.Store(true)
 			d.announce()
 			d.log.Emit(eventlog.DaemonReady, eventlog.Fields{})
-		} else {
+		} else if !d.draining.Load() { // a planned stop has an event of its own
 			d.log.Emit(eventlog.DaemonNotReady, eventlog.Fields{Detail: reasons})
 		}
 	}
--- a/internal/daemon/ready_test.go
+++ b/internal/daemon/ready_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenabend/verbenabend/internal/docstore"
+	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/platform/platformtest"
 	"github.com/verbenabend/verbenabend/internal/settings"
@@ -34,11 +35,13 @@
 	d.listed.Store(true)
 	d.synced.Store(true)
 	d.fleet.ApplyList([]platform.Instance{{Address: "10.0.0.1:1", Service: "s", DataCentre: "merrimack", State: platform.InstanceLive}})
-	assert.Equal(t, len(d.notReady()), 0, "no document, no promise")
-
 	submitTestDocument(t, d)
 	assert.Equal(t, len(d.notReady()), 1)
-	d.served.Store(true)
+	d.fleet.SetState("10.0.0.1:1", fleet.Serving)
+	assert.Equal(t, len(d.notReady()), 0)
+	d.opened.Store(true)
+	d.fleet.ApplyPeerState("10.0.0.2:1", fleet.PeerState{Service: "s"}, false, time.Now())
+	assert.Equal(t, len(d.unknownServices()), 1)
 	assert.Equal(t, len(d.notReady()), 0)
 	d.draining.Store(true)
 	assert.Equal(t, len(d.notReady()), 1)
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -12,6 +12,9 @@
 func (d *Daemon) Status() entry.Status {
 	self := d.members.Self()
 	reasons := d.notReady()
+	if len(reasons) == 0 && !d.opened.Load() {
+		reasons = []string{"starting: callers are about to be told of this daemon"}
+	}
 	return entry.Status{
 		Daemon: self.Name, DataCentre: self.DataCentre, Ready: len(reasons) == 0, NotReady: reasons,
 		Draining: d.draining.Load(), Isolated: self.Isolated, PlatformUp: d.platformUp.Load(),
@@ -34,7 +37,7 @@
 	if !d.synced.Load() {
 		out = append(out, "documents not read yet: neither the platform nor a peer has given them")
 	}
-	if d.served.Load() {
+	if d.opened.Load() {
 		return out // a service or an upstream that is new holds nothing else up
 	}
 	for _, service := range d.unknownServices() {
