--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -83,7 +83,7 @@
 
 // Tests, scenarios and commands that a page names exist.
 func TestNamedProofsExist(t *testing.T) {
-	out, err := exec.Command("git", "-C", root, "grep", "-hoE", `func (Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9_]+`, "--", "*_test.go").Output()
+	out, err := exec.Command("git", "-C", root, "grep", "--untracked", "-hoE", `func (Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9_]+`, "--", "*_test.go").Output()
 	assert.NilError(t, err)
 	defined := string(out)
 	for _, page := range pages(t) {
--- a/internal/upstream/httpengine/stream.go
+++ b/internal/upstream/httpengine/stream.go
@@ -109,17 +109,11 @@
 	index = -1
 	size := 0
 	for {
-		line, err := s.lines.ReadBytes('\n')
+		line, err := s.readLine(maxEventBytes - size)
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return 0, nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeStreamLost, "stream cut off")
+			return 0, nil, err
 		}
 		size += len(line)
-		if size > maxEventBytes {
-			return 0, nil, s.fail("event too large")
-		}
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) == 0 && data != nil:
@@ -135,6 +129,29 @@
 	}
 }
 
+// readLine reads a line of at most limit bytes. It is valid until the next call.
+func (s *stream) readLine(limit int) ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line = bytes.Clone(line)
+	}
+	for errors.Is(err, bufio.ErrBufferFull) && len(line) <= limit {
+		var more []byte
+		more, err = s.lines.ReadSlice('\n')
+		line = append(line, more...)
+	}
+	switch {
+	case len(line) > limit:
+		return nil, s.fail("event too large")
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeStreamLost, "stream cut off")
+	}
+	return line, nil
+}
+
 func decodeChunk(index int, data []byte) (upstream.Event, error) {
 	var c Chunk
 	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) != 1 {
