Forward opaque requests on the users' platform: the thin path

Cause: the product serves its own interface only. The platform sends opaque requests with headers of its own, keeps desired state and upstreams in a store, and lets callers ask a directory where to connect.

Added: platform/ (settings, store, rows, headers, directory), a mirror of store tables that falls back to peers, a route table, a connection pool with verdicts, forwarding through the same routing.Policy as the product's own interface (its runner moved to internal/schedule), and the gateway that wires them.

Not done: weights, cache knowledge, suspects, tests of the new packages.

--- a/internal/cli/daemoncli/main.go
+++ b/internal/cli/daemoncli/main.go
@@ -21,8 +21,9 @@
 )
 
 type commands struct {
-	Run   runCommand   `cmd:"" help:"Serve until SIGTERM, then drain. A second signal ends the process at once."`
-	Check checkCommand `cmd:"" help:"Check a settings file; every fault is listed."`
+	Run     runCommand     `cmd:"" help:"Serve until SIGTERM, then drain. A second signal ends the process at once."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file; every fault is listed."`
+	Gateway gatewayCommand `cmd:"" help:"Serve on the users' platform, with its settings file, until SIGTERM, then drain."`
 }
 
 type runCommand struct {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -112,7 +112,7 @@
 
 // finish reports the end of an attempt to the scheduler.
 func (t *transfer) finish(a *attempt, outcome routing.Outcome, tokens int) {
-	t.r.do(func(s routing.Scheduler, now time.Time) {
+	t.r.Do(func(s routing.Scheduler, now time.Time) {
 		s.Finished(now, t.req.ID, a.action.Endpoint, outcome, tokens)
 	})
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/schedule"
 	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 )
@@ -48,7 +49,7 @@
 	background background
 
 	mu      sync.Mutex
-	runners map[string]*runner
+	runners map[string]*schedule.Runner
 	// documents holds the model services' documents in force.
 	documents map[string]*servicedoc.Accepted
 	// given holds the endpoints that each scheduler was given last.
@@ -77,7 +78,7 @@
 	if cfg.EngineDown == nil {
 		cfg.EngineDown = func(string) {}
 	}
-	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*runner{}, documents: map[string]*servicedoc.Accepted{}, given: map[string][]routing.Endpoint{}, versions: map[string]map[string]modelVersions{}, adopted: map[string]time.Time{}, peers: 1}
+	return &Dispatcher{cfg: cfg, running: newRunningTable(), closing: make(chan struct{}), runners: map[string]*schedule.Runner{}, documents: map[string]*servicedoc.Accepted{}, given: map[string][]routing.Endpoint{}, versions: map[string]map[string]modelVersions{}, adopted: map[string]time.Time{}, peers: 1}
 }
 
 // Close ends the grace periods of streams whose callers left, waits for what
@@ -90,7 +91,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range d.runners {
-		r.close()
+		r.Close()
 	}
 }
 
@@ -105,7 +106,7 @@
 			continue // most changes of the fleet are load reports
 		}
 		d.give(service, endpoints)
-		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, endpoints) })
+		r.Do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, endpoints) })
 	}
 }
 
@@ -115,7 +116,7 @@
 	defer d.mu.Unlock()
 	d.peers = daemons
 	for _, r := range d.runners {
-		r.do(func(sched routing.Scheduler, now time.Time) { sched.SetPeers(now, daemons) })
+		r.Do(func(sched routing.Scheduler, now time.Time) { sched.SetPeers(now, daemons) })
 	}
 }
 
@@ -130,7 +131,7 @@
 	defer d.mu.Unlock()
 	out := map[string][]routing.PeerLoad{}
 	for service, r := range d.runners {
-		r.do(func(s routing.Scheduler, now time.Time) {
+		r.Do(func(s routing.Scheduler, now time.Time) {
 			if loads := s.Share(now); len(loads) > 0 {
 				out[service] = append([]routing.PeerLoad(nil), loads...)
 			}
@@ -149,7 +150,7 @@
 	r := d.runners[service]
 	d.mu.Unlock()
 	if r != nil {
-		r.do(fn)
+		r.Do(fn)
 	}
 }
 
@@ -164,7 +165,7 @@
 	d.documents[a.Document.Service] = a
 	d.adopted[a.Document.Service] = time.Now()
 	d.give(a.Document.Service, d.endpoints(d.cfg.Fleet.Snapshot(), a.Document.Service))
-	d.runnerOf(a).do(func(s routing.Scheduler, now time.Time) {
+	d.runnerOf(a).Do(func(s routing.Scheduler, now time.Time) {
 		s.SetBudgets(now, *a.Document.Budgets.HedgePercent, *a.Document.Budgets.RetryPercent)
 		s.SetEndpoints(now, d.given[a.Document.Service])
 	})
@@ -182,7 +183,7 @@
 
 // runner returns the runner of a service, which is made at the latest when
 // its first request comes.
-func (d *Dispatcher) runner(a *servicedoc.Accepted) *runner {
+func (d *Dispatcher) runner(a *servicedoc.Accepted) *schedule.Runner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.documents[a.Document.Service] == nil {
@@ -191,14 +192,14 @@
 	return d.runnerOf(a)
 }
 
-func (d *Dispatcher) runnerOf(a *servicedoc.Accepted) *runner {
+func (d *Dispatcher) runnerOf(a *servicedoc.Accepted) *schedule.Runner {
 	service, budgets := a.Document.Service, a.Document.Budgets
 	if r, ok := d.runners[service]; ok {
 		return r
 	}
-	r := newRunner(d.cfg.NewScheduler(routing.Settings{HedgePercent: *budgets.HedgePercent, RetryPercent: *budgets.RetryPercent}))
+	r := schedule.New(d.cfg.NewScheduler(routing.Settings{HedgePercent: *budgets.HedgePercent, RetryPercent: *budgets.RetryPercent}))
 	d.give(service, d.endpoints(d.cfg.Fleet.Snapshot(), service))
-	r.do(func(s routing.Scheduler, now time.Time) {
+	r.Do(func(s routing.Scheduler, now time.Time) {
 		s.SetPeers(now, d.peers)
 		s.SetEndpoints(now, d.given[service])
 	})
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -8,6 +8,7 @@
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/schedule"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -27,7 +28,7 @@
 	return err
 }
 
-func (d *Dispatcher) generate(ctx context.Context, r *runner, req *ModelRequest, sink Sink) error {
+func (d *Dispatcher) generate(ctx context.Context, r *schedule.Runner, req *ModelRequest, sink Sink) error {
 	t := &transfer{d: d, r: r, req: req, sink: sink, earlier: verdict.NotRun}
 	route := routingRequest(req)
 	t.fingerprint = fingerprintOf(req, &route)
@@ -89,7 +90,7 @@
 // transfer is the state of one model request across its attempts.
 type transfer struct {
 	d    *Dispatcher
-	r    *runner
+	r    *schedule.Runner
 	req  *ModelRequest
 	sink Sink
 	// avoid lists the engines that failed the request.
--- a/internal/dispatch/pump.go
+++ b/internal/dispatch/pump.go
@@ -26,7 +26,7 @@
 		return
 	}
 	p.at = now
-	p.t.r.do(func(s routing.Scheduler, now time.Time) {
+	p.t.r.Do(func(s routing.Scheduler, now time.Time) {
 		if o, ok := s.(routing.ProgressObserver); ok {
 			o.Progress(now, p.t.req.ID, p.a.action.Endpoint, p.events)
 		}
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/schedule"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
@@ -24,9 +25,9 @@
 // event came first. Without a winner and without an error, all attempts
 // failed, and another race may be tried.
 func (t *transfer) race(ctx context.Context, route *routing.Request) (*attempt, error) {
-	actions := t.r.submit(route)
-	defer t.r.forget(route.ID, actions)
-	c := &race{t: t, running: map[*attempt]struct{}{}, results: make(chan *attempt, actionBuffer)}
+	actions := t.r.Submit(route)
+	defer t.r.Forget(route.ID, actions)
+	c := &race{t: t, running: map[*attempt]struct{}{}, results: make(chan *attempt, schedule.ActionBuffer)}
 	for {
 		select {
 		case action := <-actions:
@@ -174,7 +175,7 @@
 
 func (t *transfer) firstToken(a *attempt) {
 	t.d.cfg.Log.Emit(eventlog.FirstToken, t.fields(a))
-	t.r.do(func(s routing.Scheduler, now time.Time) {
+	t.r.Do(func(s routing.Scheduler, now time.Time) {
 		s.FirstToken(now, t.req.ID, a.action.Endpoint, a.first.Usage.CachedTokens)
 	})
 }
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -38,6 +38,11 @@
 	DocumentUnknown ID = 404
 	PlatformDown    ID = 501
 	PlatformUp      ID = 502
+	FeedLost        ID = 503
+	FeedRegained    ID = 504
+	RowUnreadable   ID = 505
+	StateAdopted    ID = 506
+	GoalAdopted     ID = 507
 	PeerConnected   ID = 601
 	PeerLost        ID = 602
 	PeerRejected    ID = 603
@@ -88,6 +93,11 @@
 	{DocumentUnknown, hclog.Warn, "document submission unresolved"},
 	{PlatformDown, hclog.Warn, "platform unreachable"},
 	{PlatformUp, hclog.Info, "platform reachable"},
+	{FeedLost, hclog.Warn, "table no longer followed at the store"},
+	{FeedRegained, hclog.Info, "table followed at the store again"},
+	{RowUnreadable, hclog.Warn, "row of another writer skipped"},
+	{StateAdopted, hclog.Info, "desired state adopted"},
+	{GoalAdopted, hclog.Info, "goal for weights adopted"},
 	{PeerConnected, hclog.Info, "peer connected"},
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
--- /dev/null
+++ b/internal/forward/services.go
@@ -0,0 +1,206 @@
+package forward
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/admission"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/routetable"
+	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/schedule"
+)
+
+// RetryLimits bound the retries of all daemons together.
+type RetryLimits struct {
+	// Ratio is the part of the requests, Slack the number that is always allowed.
+	Ratio float64
+	Slack int
+}
+
+// retryMargin is the part of the allowed retries that is used: daemons do not
+// agree on their number at every moment.
+const retryMargin = 0.7
+
+// Services holds a scheduler for each service.
+type Services struct {
+	retries RetryLimits
+	delay   func(dataCentre string) time.Duration
+
+	mu      sync.Mutex
+	byName  map[string]*service
+	daemons int
+}
+
+// service is what decides for the upstreams of one service.
+type service struct {
+	name   string
+	runner *schedule.Runner
+
+	mu        sync.Mutex
+	retries   *admission.Budget
+	endpoints []routing.Endpoint
+}
+
+// NewServices returns Services that know no upstream. delay gives the one-way
+// delay to a data centre.
+func NewServices(retries RetryLimits, delay func(dataCentre string) time.Duration) *Services {
+	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemons: 1}
+}
+
+// Close stops the timers of the schedulers.
+func (s *Services) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.byName {
+		x.runner.Close()
+	}
+}
+
+// View is what the upstreams of all services are known to be.
+type View struct {
+	Table    *routetable.Table
+	Registry *fleet.RegistrySnapshot
+	// Handicap is the price, in time, of work at an upstream because of its
+	// weights; nil means none.
+	Handicap func(u *fleet.Registration) time.Duration
+	// Resting reports whether an upstream must not get work for now.
+	Resting func(u *fleet.Registration) bool
+}
+
+// Update gives the schedulers the upstreams that may get work.
+func (s *Services) Update(v View) {
+	if v.Table == nil {
+		return
+	}
+	for i := range v.Table.Services {
+		def := &v.Table.Services[i]
+		if def.CacheStore != nil {
+			continue
+		}
+		x := s.get(def.Name)
+		endpoints := s.endpoints(def, v)
+		x.mu.Lock()
+		same := slices.EqualFunc(endpoints, x.endpoints, sameEndpoint)
+		x.endpoints = endpoints
+		x.mu.Unlock()
+		if !same {
+			x.runner.Do(func(sched routing.Scheduler, now time.Time) { sched.SetEndpoints(now, endpoints) })
+		}
+	}
+}
+
+func (s *Services) endpoints(def *routetable.Service, v View) []routing.Endpoint {
+	var out []routing.Endpoint
+	for _, u := range v.Registry.ByService[def.Name] {
+		if u.Leaving || v.Resting != nil && v.Resting(u) {
+			continue
+		}
+		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), Slots: u.Slots, Delay: s.delay(u.DataCentre), Hash: u.Hash}
+		if v.Handicap != nil {
+			ep.Handicap = v.Handicap(u)
+		}
+		for _, m := range u.Models {
+			ep.Weights = append(ep.Weights, m.Name)
+		}
+		out = append(out, ep)
+	}
+	return out
+}
+
+func sameEndpoint(a, b routing.Endpoint) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && slices.Equal(a.Weights, b.Weights)
+}
+
+// SetDaemons tells how many daemons share the upstreams, this one included.
+func (s *Services) SetDaemons(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n == s.daemons {
+		return
+	}
+	s.daemons = n
+	for _, x := range s.byName {
+		x.setDaemons(n, s.retryBurst())
+	}
+}
+
+func (s *Services) retryBurst() float64 {
+	return retryMargin * float64(s.retries.Slack) / float64(s.daemons)
+}
+
+func (x *service) setDaemons(n int, burst float64) {
+	x.mu.Lock()
+	x.retries.SetBurst(burst)
+	x.mu.Unlock()
+	x.runner.Do(func(sched routing.Scheduler, now time.Time) { sched.SetPeers(now, n) })
+}
+
+func (s *Services) get(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x := s.byName[name]; x != nil {
+		return x
+	}
+	x := &service{
+		name:   name,
+		runner: schedule.New(routing.New(routing.Settings{RetryPercent: unlimitedPercent})),
+		// A daemon that has just started may have spent its part before.
+		retries: admission.NewShareBudget(retryMargin*s.retries.Ratio, s.retryBurst()/2),
+	}
+	x.setDaemons(s.daemons, s.retryBurst())
+	s.byName[name] = x
+	return x
+}
+
+// unlimitedPercent turns the scheduler's own bound on retries off: the budget
+// of the service decides, which counts only what reached an upstream.
+const unlimitedPercent = 100_000
+
+// earn counts a request for the service.
+func (x *service) earn() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.retries.Earn()
+}
+
+// mayRetry spends one retry and reports whether the budget had it.
+func (x *service) mayRetry() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.retries.Take()
+}
+
+// Share returns, for each service, what peers should learn of its upstreams.
+func (s *Services) Share() map[string][]routing.PeerLoad {
+	out := map[string][]routing.PeerLoad{}
+	for _, x := range s.all() {
+		x.runner.Do(func(sched routing.Scheduler, now time.Time) {
+			if loads := sched.Share(now); len(loads) > 0 {
+				out[x.name] = append([]routing.PeerLoad(nil), loads...)
+			}
+		})
+	}
+	return out
+}
+
+// Learn passes on what a peer shared of a service's upstreams.
+func (s *Services) Learn(name, peer string, loads []routing.PeerLoad) {
+	s.mu.Lock()
+	x := s.byName[name]
+	s.mu.Unlock()
+	if x != nil {
+		x.runner.Do(func(sched routing.Scheduler, now time.Time) { sched.Learn(now, peer, loads) })
+	}
+}
+
+func (s *Services) all() []*service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*service, 0, len(s.byName))
+	for _, x := range s.byName {
+		out = append(out, x)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/forward/transfer.go
@@ -0,0 +1,253 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/routetable"
+	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+// transfer is one request on its way from a caller to an upstream and back.
+type transfer struct {
+	f      *Forwarder
+	w      http.ResponseWriter
+	caller *http.Request
+
+	stated       Stated
+	route        *routetable.Route
+	organisation *routetable.Organisation
+	service      string
+	model        *routetable.Service
+	body         []byte
+	received     time.Time
+	deadline     time.Time
+
+	// sent counts attempts that may have reached an upstream, ran those that
+	// may have run there; avoid names upstreams that failed the request.
+	sent  int
+	ran   int
+	avoid []string
+	// begun says that the head of the answer was passed on, lastEvent is the
+	// last whole event that was.
+	begun     bool
+	lastEvent string
+}
+
+// run tries upstreams until the request has an answer.
+func (t *transfer) run(ctx context.Context) {
+	s := t.f.Services.get(t.service)
+	s.earn()
+	t.lastEvent = t.stated.LastEvent
+	for {
+		err := t.try(ctx, s)
+		if err == nil {
+			return
+		}
+		if t.caller.Context().Err() != nil {
+			t.emit(eventlog.CallerGone, "", nil)
+			panic(http.ErrAbortHandler)
+		}
+		if !t.mayTryAgain(s, err) {
+			t.giveUp(err)
+			return
+		}
+	}
+}
+
+// mayTryAgain reports whether another attempt is safe, allowed and in time.
+func (t *transfer) mayTryAgain(s *service, err error) bool {
+	var refused *refusedError
+	if errors.As(err, &refused) || time.Until(t.deadline) <= 0 {
+		return false
+	}
+	var reached *attemptError
+	if !errors.As(err, &reached) {
+		return false
+	}
+	if !reached.reached {
+		return len(t.avoid) <= maxUnreached
+	}
+	if verdict.Of(err) != verdict.NotRun && (!t.route.Repeatable() || t.ran >= t.route.MaxAttempts) {
+		return false
+	}
+	return s.mayRetry()
+}
+
+// maxUnreached bounds the upstreams that one request finds unreachable.
+const maxUnreached = 5
+
+// refusedError is the scheduler's refusal.
+type refusedError struct{ cause *verdict.Error }
+
+// Error implements error.
+func (e *refusedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause, which carries a verdict.
+func (e *refusedError) Unwrap() error { return e.cause }
+
+// attemptError is the failure of an attempt.
+type attemptError struct {
+	error
+	// reached says that the upstream may have received the request.
+	reached bool
+}
+
+// Unwrap returns the cause, which carries a verdict.
+func (e *attemptError) Unwrap() error { return e.error }
+
+// try makes one attempt. Without an error the request has its answer.
+func (t *transfer) try(ctx context.Context, s *service) error {
+	q := t.question()
+	actions := s.runner.Submit(q)
+	defer s.runner.Forget(q.ID, actions)
+	select {
+	case action := <-actions:
+		if action.Kind == routing.Refuse {
+			e := verdict.New(verdict.NotRun, action.Code, "no upstream can take the request in time")
+			e.RetryAfter = action.RetryAfter
+			return &refusedError{e}
+		}
+		return t.attempt(ctx, s, action)
+	case <-ctx.Done():
+		return &attemptError{error: verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadline, "time was up before an upstream was found")}
+	}
+}
+
+// attempt sends the request to the upstream that the scheduler chose.
+func (t *transfer) attempt(ctx context.Context, s *service, action routing.Action) error {
+	u := t.f.Registry().ByID[action.Endpoint]
+	if u == nil || u.Incarnation() != action.Incarnation {
+		t.finished(s, action, routing.Canceled, 0)
+		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, action.Endpoint+" has just changed")}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.emit(eventlog.AttemptStarted, u.ID, nil)
+	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u))
+	if err != nil {
+		return t.lost(s, action, err)
+	}
+	reply := t.f.Wire.ReadReply(resp.StatusCode, resp.Header)
+	t.sent++
+	t.learn(u, reply)
+	if reply.NotRun && resp.StatusCode != http.StatusBadRequest {
+		resp.Discard()
+		return t.rejected(s, action, resp.StatusCode, reply)
+	}
+	t.ran++
+	s.runner.Do(func(sched routing.Scheduler, now time.Time) {
+		sched.FirstToken(now, t.stated.ID, action.Endpoint, t.expectedCached())
+	})
+	pieces, err := t.relay(resp)
+	if err != nil {
+		resp.Body.Close()
+		t.finished(s, action, outcomeOf(err, t.caller.Context()), pieces)
+		t.avoid = append(t.avoid, u.ID)
+		t.emit(eventlog.AttemptFailed, u.ID, err)
+		return &attemptError{error: err, reached: true}
+	}
+	t.finished(s, action, routing.Completed, pieces)
+	t.emit(eventlog.RequestFinished, u.ID, nil)
+	return nil
+}
+
+// outcomeOf blames the upstream for a broken answer unless the caller left.
+func outcomeOf(err error, caller context.Context) routing.Outcome {
+	if caller.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
+		return routing.Canceled
+	}
+	return routing.Failed
+}
+
+// lost accounts for an attempt without an answer.
+func (t *transfer) lost(s *service, action routing.Action, err error) error {
+	reached := verdict.Of(err) != verdict.NotRun
+	if reached {
+		t.sent++
+		t.ran++
+	}
+	outcome := outcomeOf(err, t.caller.Context())
+	t.finished(s, action, outcome, 0)
+	t.avoid = append(t.avoid, action.Endpoint)
+	t.emit(eventlog.AttemptFailed, action.Endpoint, err)
+	return &attemptError{error: err, reached: reached}
+}
+
+// rejected accounts for an upstream's word that it did not run the request.
+func (t *transfer) rejected(s *service, action routing.Action, status int, reply Reply) error {
+	outcome := routing.Rejected
+	if reply.OtherUpstream {
+		outcome = routing.Canceled
+	}
+	t.finished(s, action, outcome, 0)
+	t.avoid = append(t.avoid, action.Endpoint)
+	err := verdict.New(verdict.NotRun, verdict.CodeOverloaded, http.StatusText(status)+" from "+action.Endpoint)
+	t.emit(eventlog.AttemptFailed, action.Endpoint, err)
+	return &attemptError{error: err, reached: true}
+}
+
+func (t *transfer) finished(s *service, action routing.Action, outcome routing.Outcome, pieces int) {
+	s.runner.Do(func(sched routing.Scheduler, now time.Time) {
+		sched.Finished(now, t.stated.ID, action.Endpoint, outcome, pieces)
+	})
+}
+
+// request is what is sent to an upstream.
+func (t *transfer) request(u *fleet.Registration) *httpconn.Request {
+	d := &Delivery{Upstream: u.ID, TimeLeft: time.Until(t.deadline), LastEvent: t.lastEvent}
+	if t.organisation != nil {
+		d.Organisation = t.organisation.Name
+	}
+	if p := t.stated.Prompt; p != nil && t.model != nil && t.model.Engine != nil {
+		d.Prompted = true
+		d.Priority = min(max(0, t.priority()), maxEnginePriority)
+		d.Version = u.Version(p.Model)
+		d.CacheScope = cacheScope(t.cacheOwner(), d.Version)
+	}
+	id := t.stated.ID
+	return &httpconn.Request{
+		Method: t.caller.Method, URI: t.caller.RequestURI, Host: t.caller.Host, Body: t.body,
+		Header: t.f.Wire.UpstreamHeader(t.caller.Header, d),
+		Answers: func(resp *http.Response) bool {
+			got := t.f.Wire.ReadReply(resp.StatusCode, resp.Header).RequestID
+			return got == "" || got == id
+		},
+	}
+}
+
+// maxEnginePriority is the least urgent rank that engines know.
+const maxEnginePriority = 9
+
+// learn takes in what a response states of its upstream.
+func (t *transfer) learn(u *fleet.Registration, reply Reply) {
+	if p := t.stated.Prompt; p != nil && reply.Version > 0 && !reply.OtherUpstream {
+		t.f.Learned(u, p.Model, reply.Version)
+	}
+}
+
+// expectedCached is the part of the prompt that the engine is presumed to have
+// had; engines do not tell.
+func (t *transfer) expectedCached() int { return 0 }
+
+func (t *transfer) emit(id eventlog.ID, upstream string, err error) {
+	fields := eventlog.Fields{Service: t.service, RequestID: t.stated.ID, Upstream: upstream}
+	if err != nil {
+		fields.Detail = err.Error()
+	}
+	t.f.Log.Emit(id, fields)
+}
+
+// cacheScope separates cached prompts by who may use them and by the weights
+// they were made under: a store of cached prompts keeps those of old weights.
+func cacheScope(owner string, version int) string {
+	return strconv.Itoa(version) + "/" + owner
+}
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+)
+
+const (
+	// drainPoll is how often a draining daemon looks whether its requests have ended.
+	drainPoll = 50 * time.Millisecond
+	// stopReserve is kept of the platform's grace for closing.
+	stopReserve = 700 * time.Millisecond
+	// lastCalls is the end of the grace in which no new connections are taken,
+	// so that what runs can end.
+	lastCalls = 1500 * time.Millisecond
+)
+
+// drain leaves the directory's answers at once and serves on until callers'
+// answers have expired and every request has ended, within the platform's grace.
+func (d *Daemon) drain() {
+	d.draining.Store(true)
+	d.announce()
+	d.log.Emit(eventlog.DaemonDraining, eventlog.Fields{})
+	begun := time.Now()
+	expired := begun.Add(time.Duration(d.settings.EntryLifetimes) * d.entryMaxAge())
+	last := begun.Add(d.settings.StopGrace - stopReserve)
+	quiet := last.Add(-lastCalls)
+	if expired.After(quiet) {
+		expired = quiet
+	}
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	closed := false
+	for now := range tick.C {
+		if now.After(expired) && !closed {
+			closed = true
+			d.callers.stopAccepting()
+		}
+		if now.After(last) || closed && d.inFlight.Load() == 0 {
+			return
+		}
+	}
+}
+
+// countInFlight counts requests, and tells callers of a draining daemon not to
+// use their connection again.
+func (d *Daemon) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.inFlight.Add(1)
+		defer d.inFlight.Add(-1)
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/forward"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/routetable"
+)
+
+// view is what the daemon believes of the deployment. Requests read the table
+// through its atomic pointer; the rest is behind the mutex.
+type view struct {
+	table atomic.Pointer[routetable.Table]
+
+	mu    sync.Mutex
+	goals map[string]int
+	// unreadable are the versions of rows that were logged as unreadable.
+	unreadable map[string]uint64
+	// registered is what the store's table says, before learned versions.
+	registered []fleet.Registration
+	// versions are what engines stated since, by ID, life and model.
+	versions map[versionKey]int
+}
+
+type versionKey struct {
+	id        string
+	startedAt int64
+	model     string
+}
+
+// adoptOperators takes over the desired state and the goals for weights.
+func (d *Daemon) adoptOperators(rows map[string]platform.Change, _ uint64) {
+	goals := map[string]int{}
+	for key, row := range rows {
+		if state, ok, err := d.platform.Rows.State(key, row.Value); ok || err != nil {
+			d.adoptState(row, state, err)
+			continue
+		}
+		model, version, ok, err := d.platform.Rows.VersionGoal(key, row.Value)
+		switch {
+		case err != nil:
+			d.skipRow(row, err)
+		case ok:
+			goals[model] = version
+		}
+	}
+	d.view.mu.Lock()
+	if d.view.goals == nil {
+		d.view.goals = map[string]int{}
+	}
+	for model, version := range goals {
+		if version > d.view.goals[model] {
+			d.view.goals[model] = version
+			d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", model, version)})
+		}
+	}
+	d.view.mu.Unlock()
+	d.updateServices()
+}
+
+// adoptState brings a newer desired state into force; an older one never replaces it.
+func (d *Daemon) adoptState(row platform.Change, state routetable.State, err error) {
+	if err != nil {
+		d.skipRow(row, err)
+		return
+	}
+	if old := d.view.table.Load(); old != nil && state.Revision <= old.Revision {
+		return
+	}
+	table, err := routetable.New(state)
+	if err != nil {
+		d.skipRow(row, err)
+		return
+	}
+	d.view.table.Store(table)
+	d.log.Emit(eventlog.StateAdopted, eventlog.Fields{Detail: fmt.Sprintf("revision %d: %d routes, %d organisations", state.Revision, len(state.Routes), len(state.Organisations))})
+}
+
+// skipRow logs, once for each version, a row that can't be used.
+func (d *Daemon) skipRow(row platform.Change, err error) {
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	if d.view.unreadable == nil {
+		d.view.unreadable = map[string]uint64{}
+	}
+	if _, logged := d.view.unreadable[row.Key]; logged {
+		return
+	}
+	d.view.unreadable[row.Key] = row.Version
+	d.log.Emit(eventlog.RowUnreadable, eventlog.Fields{Upstream: row.Key, Detail: err.Error()})
+}
+
+// adoptUpstreams takes over the list of upstreams.
+func (d *Daemon) adoptUpstreams(rows map[string]platform.Change, _ uint64) {
+	var list []fleet.Registration
+	for key, row := range rows {
+		u, err := d.platform.Rows.Upstream(key, row.Value)
+		if err != nil {
+			d.skipRow(row, err)
+			continue
+		}
+		list = append(list, u)
+	}
+	d.view.mu.Lock()
+	d.view.registered = list
+	d.forgetVersions()
+	d.view.mu.Unlock()
+	d.updateServices()
+}
+
+// forgetVersions drops learned versions of upstreams that are gone, or that
+// have registered as new a version since.
+func (d *Daemon) forgetVersions() {
+	known := map[versionKey]int{}
+	for _, u := range d.view.registered {
+		for _, m := range u.Models {
+			k := versionKey{u.ID, u.StartedAt, m.Name}
+			if v := d.view.versions[k]; v > m.Version {
+				known[k] = v
+			}
+		}
+	}
+	d.view.versions = known
+}
+
+// learnVersion takes in a version that an engine stated in a response.
+func (d *Daemon) learnVersion(u *fleet.Registration, model string, version int) {
+	if version <= u.Version(model) {
+		return
+	}
+	d.view.mu.Lock()
+	k := versionKey{u.ID, u.StartedAt, model}
+	newer := version > d.view.versions[k]
+	if newer {
+		if d.view.versions == nil {
+			d.view.versions = map[versionKey]int{}
+		}
+		d.view.versions[k] = version
+	}
+	d.view.mu.Unlock()
+	if newer {
+		d.updateServices()
+	}
+}
+
+// updateServices gives the schedulers what changed.
+func (d *Daemon) updateServices() {
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	list := make([]fleet.Registration, len(d.view.registered))
+	for i, u := range d.view.registered {
+		models := make([]fleet.LoadedModel, len(u.Models))
+		for j, m := range u.Models {
+			m.Version = max(m.Version, d.view.versions[versionKey{u.ID, u.StartedAt, m.Name}])
+			models[j] = m
+		}
+		u.Models = models
+		list[i] = u
+	}
+	snapshot := d.registry.Replace(list)
+	d.pool.Retain(func(id string) bool { return snapshot.ByID[id] != nil })
+	d.services.Update(forward.View{Table: d.view.table.Load(), Registry: snapshot})
+}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -36,7 +36,12 @@
 
 func (s *Speed) solve() {
 	variance := s.xx*s.n - s.x*s.x
-	if variance <= s.x*s.x*0.01 || s.n < 2 {
+	if s.n < 2 {
+		return
+	}
+	if variance <= s.x*s.x*0.01 {
+		// Equal amounts of work tell nothing of the slope, only of the base.
+		s.base = max(0, (s.y-s.perToken*s.x)/s.n)
 		return
 	}
 	s.perToken = max(perTokenMin.Seconds(), (s.xy*s.n-s.x*s.y)/variance)
--- a/internal/prefix/chain.go
+++ b/internal/prefix/chain.go
@@ -77,3 +77,24 @@
 	_, _ = d.Write(n[:])
 	_, _ = d.WriteString(s)
 }
+
+// Part is one part of a prompt that its caller names and counts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// OfParts returns the chain of a prompt given by its parts; its pieces are
+// tokens. owner separates prompts that must not be shared.
+func OfParts(owner string, parts []Part) Chain {
+	c := Chain{PieceBytes: 1, Levels: make([]uint64, 0, len(parts)), LevelPieces: make([]int, 0, len(parts))}
+	d := xxhash.New()
+	writeField(d, owner)
+	for _, p := range parts {
+		writeField(d, p.ID)
+		c.Bytes += p.Tokens
+		c.Levels = append(c.Levels, d.Sum64())
+		c.LevelPieces = append(c.LevelPieces, c.Bytes)
+	}
+	return c
+}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -70,7 +70,7 @@
 		room := p.room(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
-		cost := c.Cost(price)
+		cost := c.Cost(price) + e.ep.Handicap.Seconds()
 		switch {
 		case !room:
 			best.busyCost = min(best.busyCost, cost)
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -25,6 +25,9 @@
 	Delay time.Duration
 	// Hash is the hash of ID for rendezvous hashing.
 	Hash uint64
+	// Handicap is added to the predicted cost of work here, for reasons that
+	// the scheduler does not know, such as weights that are to be replaced.
+	Handicap time.Duration
 }
 
 // Class is the class of a request.
