Switch weights in place under a lease

A holder tells peers 90 ms before each order, so that no daemon sends work to an engine that will refuse it; orders carry fence and the count of accepted orders.

--- a/internal/cli/daemoncli/gateway.go
+++ b/internal/cli/daemoncli/gateway.go
@@ -49,7 +49,9 @@
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Gateway.Name, Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: os.Stdout})
 	store := platform.NewStore(s.Store.Address, httpconn.Dialer{Timeout: storeDialTimeout, Silence: storeSilence}.DialContext)
 	defer store.Close()
-	d, err := gateway.New(s.Gateway, platform.Provision(store), gateway.Network{}, logger)
+	network := gateway.Network{}.WithDefaults()
+	pool := httpconn.NewPool(network.Dial)
+	d, err := gateway.New(s.Gateway, platform.Provision(store, pool), pool, network, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -34,8 +34,6 @@
 	ColdFor time.Duration
 	// Models is empty for plain services.
 	Models []LoadedModel
-	// Orders counts the orders that the engine has accepted in this life.
-	Orders int
 	// Hash is the hash of ID for rendezvous hashing; Registry sets it.
 	Hash uint64
 
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -172,6 +172,19 @@
 	return x.retries.Take()
 }
 
+// Requests returns how many requests an upstream is known to run.
+func (s *Services) Requests(id string) int {
+	n := 0
+	for _, x := range s.all() {
+		x.runner.Do(func(sched routing.Scheduler, _ time.Time) {
+			if c, ok := sched.(routing.Counter); ok {
+				n += c.Requests(id)
+			}
+		})
+	}
+	return n
+}
+
 // Share returns, for each service, what peers should learn of its upstreams.
 func (s *Services) Share() map[string][]routing.PeerLoad {
 	out := map[string][]routing.PeerLoad{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
+	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
 )
 
@@ -45,6 +46,8 @@
 	UpstreamTable string
 	Rows          Rows
 	Wire          forward.Wire
+	// Switches gives orders for weights to engines, over the daemon's connections.
+	Switches upstream.Switches
 	// Directory serves callers that ask where to connect.
 	Directory func(entries func(dataCentre string) []string, maxAge time.Duration) http.Handler
 	// Ready serves the platform's question whether the daemon takes callers.
@@ -98,12 +101,13 @@
 	indexes     map[string]*engineIndex // used by hearLoad only
 }
 
-// New returns a daemon that listens but does not serve yet.
-func New(s Settings, p Platform, network Network, logger hclog.Logger) (*Daemon, error) {
-	network = network.withDefaults()
+// New returns a daemon that listens but does not serve yet. pool has the
+// connections to upstreams.
+func New(s Settings, p Platform, pool *httpconn.Pool, network Network, logger hclog.Logger) (*Daemon, error) {
+	network = network.WithDefaults()
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, ringEvents),
-		pool: httpconn.NewPool(network.Dial), registry: fleet.NewRegistry(), indexes: map[string]*engineIndex{},
+		pool: pool, registry: fleet.NewRegistry(), indexes: map[string]*engineIndex{},
 	}
 	d.log.Observe(d.metrics.Event)
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
@@ -178,7 +182,7 @@
 	group, work := errgroup.WithContext(work)
 	d.node.Start()
 	for _, loop := range []func(context.Context) error{
-		d.operators.Run, d.upstreams.Run, d.watchReadiness,
+		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights,
 		every(loadInterval, d.tellLoad), every(memberInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peers, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operators, d.platform.UpstreamTable: d.upstreams})
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -31,7 +31,8 @@
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-func (n Network) withDefaults() Network {
+// WithDefaults fills in TCP.
+func (n Network) WithDefaults() Network {
 	if n.Listen == nil {
 		n.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -63,6 +63,7 @@
 	d.node = node
 	node.Subscribe(gossip.KindDaemon, func(gossip.Fact) { d.refreshMembers() })
 	node.Subscribe(gossip.KindLoad, d.hearLoad)
+	node.Subscribe(gossip.KindSwitch, d.hearSwitch)
 	return nil
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,11 +4,12 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
-	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
@@ -18,7 +19,13 @@
 	table atomic.Pointer[routetable.Table]
 
 	mu    sync.Mutex
-	goals map[string]int
+	goals map[string]goal
+	notes map[string]note // by engine
+	// orders are the newest notices by engine; they count accepted orders.
+	orders map[string]rollout.SwitchNotice
+	// orderer is the daemon that gave the last orders for weights.
+	orderer   string
+	orderedAt time.Time
 	// unreadable are the versions of rows that were logged as unreadable.
 	unreadable map[string]uint64
 	// registered is what the store's table says, before learned versions.
@@ -51,11 +58,11 @@
 	}
 	d.view.mu.Lock()
 	if d.view.goals == nil {
-		d.view.goals = map[string]int{}
+		d.view.goals = map[string]goal{}
 	}
 	for model, version := range goals {
-		if version > d.view.goals[model] {
-			d.view.goals[model] = version
+		if version > d.view.goals[model].version {
+			d.view.goals[model] = goal{version, time.Now()}
 			d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", model, version)})
 		}
 	}
@@ -134,20 +141,25 @@
 		return
 	}
 	d.view.mu.Lock()
-	k := versionKey{u.ID, u.StartedAt, model}
-	newer := version > d.view.versions[k]
-	if newer {
-		if d.view.versions == nil {
-			d.view.versions = map[versionKey]int{}
-		}
-		d.view.versions[k] = version
-	}
+	newer := d.noteVersion(versionKey{u.ID, u.StartedAt, model}, version)
 	d.view.mu.Unlock()
 	if newer {
 		d.updateServices()
 	}
 }
 
+// noteVersion keeps a version that is newer than known. The view is locked.
+func (d *Daemon) noteVersion(k versionKey, version int) bool {
+	if version <= d.view.versions[k] {
+		return false
+	}
+	if d.view.versions == nil {
+		d.view.versions = map[versionKey]int{}
+	}
+	d.view.versions[k] = version
+	return true
+}
+
 // updateServices gives the schedulers what changed.
 func (d *Daemon) updateServices() {
 	d.view.mu.Lock()
@@ -164,5 +176,5 @@
 	}
 	snapshot := d.registry.Replace(list)
 	d.pool.Retain(func(id string) bool { return snapshot.ByID[id] != nil })
-	d.services.Update(forward.View{Table: d.view.table.Load(), Registry: snapshot})
+	d.services.Update(d.servicesView(snapshot))
 }
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -6,7 +6,8 @@
 type priority uint8
 
 const (
-	// priorityUrgent facts are sent at once: documents and suspects.
+	// priorityUrgent facts are sent at once: documents, suspects and engines
+	// that must not get work.
 	priorityUrgent priority = iota
 	// priorityDaemon is for what daemons say of themselves: without it the
 	// overlay falls apart, and its rate is bounded by the number of daemons.
@@ -27,7 +28,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect:
+	case KindDocument, KindSuspect, KindSwitch:
 		if valueBytes > bodyBytes {
 			return priorityBody
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -20,6 +20,8 @@
 	KindLoad Kind = 4
 	// KindSuspect counts the upstreams that died under a request. ID is its fingerprint.
 	KindSuspect Kind = 5
+	// KindSwitch tells that an engine takes new weights. ID is the engine's.
+	KindSwitch Kind = 6
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -51,6 +51,9 @@
 	Duration time.Duration
 	// Settle is how long the previous holder's last action may still take effect.
 	Settle time.Duration
+	// TurnPause is how long a lease that another holder released is left
+	// alone, so that holders do not take turns in quick succession.
+	TurnPause time.Duration
 }
 
 // Keeper competes for one lease.
@@ -148,8 +151,10 @@
 	switch {
 	case old.Fence == 0:
 		return 0
-	case old.Released:
+	case old.Released && old.Holder == k.settings.Holder:
 		return k.settings.Settle
+	case old.Released:
+		return max(k.settings.Settle, k.settings.TurnPause)
 	default:
 		return old.duration() + old.duration()/driftShare + k.settings.Settle
 	}
--- /dev/null
+++ b/internal/rollout/switcher.go
@@ -0,0 +1,308 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/lease"
+	"github.com/verbenabend/verbenabend/internal/upstream"
+)
+
+const (
+	// switchNotice is how long before an order the daemons are told, so that
+	// none still sends work to the engine.
+	switchNotice = 90 * time.Millisecond
+	// switchTimeout bounds one order, reportTimeout one question for its progress.
+	switchTimeout = 700 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	// firstReport is when an engine is first asked for its progress; loads
+	// take about a second. reportInterval is the pause between two questions.
+	firstReport    = 900 * time.Millisecond
+	reportInterval = 200 * time.Millisecond
+	// unansweredLife is how long an order without an answer may still be carried out.
+	unansweredLife = 3 * time.Second
+	// switchInterval is the pause between two looks.
+	switchInterval = 30 * time.Millisecond
+	// refusedPause is how long an engine that refused an order is left alone.
+	refusedPause = 300 * time.Millisecond
+)
+
+// Goal is a version that operators want all engines of a model to have.
+type Goal struct {
+	Model   string
+	Version int
+}
+
+// SwitchNotice tells daemons that an engine is about to take new weights.
+type SwitchNotice struct {
+	Engine    string
+	StartedAt int64
+	Model     string
+	Version   int
+	// Done says that the engine has the weights.
+	Done bool
+	// Orders is how many orders the engine is known to have accepted.
+	Orders int
+}
+
+// SwitchWorld is what a Switcher sees and does beyond the engines.
+type SwitchWorld interface {
+	// Goals returns what operators want.
+	Goals() []Goal
+	// Engines returns the engines of a model that serve and do not leave.
+	Engines(model string) []*fleet.Registration
+	// Requests returns how many requests an engine is known to run.
+	Requests(id string) int
+	// Orders returns how many orders an engine is known to have accepted in
+	// the life that began at startedAt.
+	Orders(id string, startedAt int64) int
+	// Tell spreads a notice to all daemons, this one included.
+	Tell(n SwitchNotice)
+}
+
+// Switcher brings engines to the versions that operators want, while its
+// daemon holds the lease.
+type Switcher struct {
+	Orders upstream.Switches
+	World  SwitchWorld
+	Limits SwitchLimits
+	// Holder is the daemon's name.
+	Holder string
+	Log    *eventlog.Log
+}
+
+// Pending reports whether an engine has older weights than operators want.
+func Pending(w SwitchWorld) bool {
+	for _, goal := range w.Goals() {
+		for _, u := range w.Engines(goal.Model) {
+			if u.Version(goal.Model) < goal.Version {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// engineKey is one life of an engine.
+type engineKey struct {
+	id        string
+	startedAt int64
+}
+
+// switching is an engine that was told of, or ordered, to take new weights.
+type switching struct {
+	version  int
+	model    string
+	ordered  bool
+	at       time.Time // of the notice, then of the order
+	askAt    time.Time
+	answered bool
+	asking   bool
+	done     bool
+}
+
+// switchTenure is what a Switcher knows during one lease.
+type switchTenure struct {
+	*Switcher
+	held *lease.Held
+
+	mu     sync.Mutex
+	active map[engineKey]*switching
+	// orders counts accepted orders by engine, as seen by this holder.
+	orders map[engineKey]int
+	// rest is until when an engine that refused is left alone.
+	rest       map[engineKey]time.Time
+	superseded bool
+	wg         sync.WaitGroup
+}
+
+// Work gives orders until every engine has the wanted weights, or the lease or
+// ctx ends. It is the work of a lease.Keeper.
+func (s *Switcher) Work(ctx context.Context, held *lease.Held) {
+	t := &switchTenure{Switcher: s, held: held, active: map[engineKey]*switching{}, orders: map[engineKey]int{}, rest: map[engineKey]time.Time{}}
+	defer t.wg.Wait()
+	for held.Valid() && ctx.Err() == nil && !t.isSuperseded() {
+		if !t.round(ctx) {
+			return
+		}
+		if backoff.Sleep(ctx, switchInterval) != nil {
+			return
+		}
+	}
+}
+
+func (t *switchTenure) isSuperseded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.superseded
+}
+
+// round does what is due and reports whether anything is left to do.
+func (t *switchTenure) round(ctx context.Context) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	left := false
+	for _, goal := range t.World.Goals() {
+		engines := t.World.Engines(goal.Model)
+		if t.follow(ctx, now, engines) {
+			left = true
+		}
+		var list []VersionEngine
+		byID := map[string]*fleet.Registration{}
+		for _, u := range engines {
+			k := engineKey{u.ID, u.StartedAt}
+			_, active := t.active[k]
+			left = left || u.Version(goal.Model) < goal.Version
+			if now.Before(t.rest[k]) {
+				continue
+			}
+			byID[u.ID] = u
+			list = append(list, VersionEngine{ID: u.ID, Version: u.Version(goal.Model), Switching: active, Requests: t.World.Requests(u.ID)})
+		}
+		for _, id := range PlanSwitches(goal.Version, list, t.Limits) {
+			u := byID[id]
+			t.active[engineKey{u.ID, u.StartedAt}] = &switching{version: goal.Version, model: goal.Model, at: now}
+			t.World.Tell(SwitchNotice{Engine: u.ID, StartedAt: u.StartedAt, Model: goal.Model, Version: goal.Version, Orders: t.accepted(engineKey{u.ID, u.StartedAt})})
+		}
+	}
+	return left || len(t.active) > 0
+}
+
+// follow takes each active switch one step further.
+func (t *switchTenure) follow(ctx context.Context, now time.Time, engines []*fleet.Registration) bool {
+	present := map[engineKey]*fleet.Registration{}
+	for _, u := range engines {
+		present[engineKey{u.ID, u.StartedAt}] = u
+	}
+	for k, x := range t.active {
+		u := present[k]
+		switch {
+		case u == nil || x.done:
+			delete(t.active, k)
+		case u.Version(x.model) >= x.version:
+			t.finish(k, x)
+		case x.asking:
+		case !x.ordered:
+			if now.Sub(x.at) >= switchNotice {
+				t.start(x, func() { t.order(ctx, u, k, x) })
+			}
+		case !now.Before(x.askAt):
+			t.start(x, func() { t.ask(ctx, u, k, x) })
+		}
+	}
+	return len(t.active) > 0
+}
+
+func (t *switchTenure) start(x *switching, fn func()) {
+	x.asking = true
+	t.wg.Go(fn)
+}
+
+// finish ends a switch that was carried out.
+func (t *switchTenure) finish(k engineKey, x *switching) {
+	x.done = true
+	delete(t.active, k)
+	t.World.Tell(SwitchNotice{Engine: k.id, StartedAt: k.startedAt, Model: x.model, Version: x.version, Done: true, Orders: t.accepted(k)})
+}
+
+// accepted is how many orders an engine is known to have accepted.
+func (t *switchTenure) accepted(k engineKey) int {
+	return max(t.orders[k], t.World.Orders(k.id, k.startedAt))
+}
+
+// order sends the order under the lease.
+func (t *switchTenure) order(ctx context.Context, u *fleet.Registration, k engineKey, x *switching) {
+	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	defer cancel()
+	t.mu.Lock()
+	count := t.accepted(k)
+	t.mu.Unlock()
+	if !t.held.Valid() {
+		t.settle(x, func() { delete(t.active, k) })
+		return
+	}
+	o := upstream.SwitchOrder{Engine: u.ID, Address: u.Address, Model: x.model, Version: x.version, Holder: t.Holder, Fence: t.held.Fence, AfterOrders: count}
+	result, err := t.Orders.Switch(ctx, o)
+	f := eventlog.Fields{Service: u.Service, Upstream: u.ID, Detail: fmt.Sprintf("%s version %d, fence %d, after %d orders: %s", o.Model, o.Version, o.Fence, o.AfterOrders, result)}
+	if err != nil {
+		f.Detail += ": " + err.Error()
+	}
+	event := eventlog.OrderSent
+	if result == upstream.SwitchRefused || result == upstream.SwitchSuperseded {
+		event = eventlog.OrderRefused
+	}
+	t.Log.Emit(event, f)
+	t.settle(x, func() { t.ordered(k, x, count, result) })
+}
+
+// settle ends a question or an order, whose outcome fn takes in.
+func (t *switchTenure) settle(x *switching, fn func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.asking = false
+	if !x.done {
+		fn()
+	}
+}
+
+// ordered takes in the outcome of an order.
+func (t *switchTenure) ordered(k engineKey, x *switching, count int, result upstream.SwitchResult) {
+	now := time.Now()
+	switch result {
+	case upstream.SwitchHolds:
+		t.finish(k, x)
+	case upstream.SwitchAccepted:
+		t.orders[k] = count + 1
+		x.ordered, x.answered, x.at, x.askAt = true, true, now, now.Add(firstReport)
+	case upstream.SwitchUnanswered:
+		x.ordered, x.at, x.askAt = true, now, now.Add(reportInterval)
+	case upstream.SwitchSuperseded:
+		t.superseded = true
+	case upstream.SwitchConflict:
+		// Another order is in progress, or the count of orders is not what was
+		// registered: the engine's report tells.
+		x.ordered, x.at, x.askAt = true, now.Add(-unansweredLife), now
+	default:
+		t.rest[k] = now.Add(refusedPause)
+		delete(t.active, k)
+	}
+}
+
+// ask reads an engine's progress.
+func (t *switchTenure) ask(ctx context.Context, u *fleet.Registration, k engineKey, x *switching) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := t.Orders.Report(ctx, u.ID, u.Address)
+	if err != nil {
+		t.Log.Emit(eventlog.OrderRefused, eventlog.Fields{Service: u.Service, Upstream: u.ID, Detail: "no report: " + err.Error()})
+	}
+	t.settle(x, func() { t.reported(k, x, report, err) })
+}
+
+func (t *switchTenure) reported(k engineKey, x *switching, report upstream.SwitchReport, err error) {
+	now := time.Now()
+	x.askAt = now.Add(reportInterval)
+	if err != nil {
+		if now.Sub(x.at) > unansweredLife {
+			t.rest[k] = now.Add(refusedPause)
+			delete(t.active, k)
+		}
+		return
+	}
+	t.orders[k] = max(t.orders[k], report.Orders)
+	switch {
+	case report.Versions[x.model] >= x.version && !report.Busy:
+		t.finish(k, x)
+	case report.Busy:
+	case !x.answered && now.Sub(x.at) > reportInterval || x.answered && now.Sub(x.at) > unansweredLife:
+		// It was not carried out: it is planned again.
+		t.rest[k] = now.Add(refusedPause)
+		delete(t.active, k)
+	}
+}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -365,6 +365,14 @@
 	}
 }
 
+// Requests implements Counter.
+func (p *Policy) Requests(endpoint string) int {
+	if e := p.byID[endpoint]; e != nil {
+		return p.taken(e)
+	}
+	return 0
+}
+
 // Share implements Scheduler.
 func (p *Policy) Share(now time.Time) []PeerLoad {
 	p.tick(now)
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -181,6 +181,13 @@
 	Progress(now time.Time, id, endpoint string, outputTokens int)
 }
 
+// Counter is implemented by a Scheduler that knows what engines run.
+type Counter interface {
+	// Requests returns how many requests an engine is known to run, here and
+	// for peers; 0 for engines that are not known.
+	Requests(endpoint string) int
+}
+
 // ProgressInterval is the least time between two reports of an attempt's progress.
 const ProgressInterval = 100 * time.Millisecond
 
