Let engines fetch cached prompts from one another

Cause: prompts are read again at engines that others could have given them. The scheduler names the engine that is believed to hold most of a prompt; the price of what is lacking is then the transfer, not the computation.

--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -97,7 +97,10 @@
 		if u.Leaving || v.Resting != nil && v.Resting(u) {
 			continue
 		}
-		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), Slots: u.Slots, Delay: s.delay(u.DataCentre), Hash: u.Hash}
+		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), Slots: u.Slots, DataCentre: u.DataCentre, Delay: s.delay(u.DataCentre), Hash: u.Hash}
+		if def.Engine != nil {
+			ep.TransferPerToken = transferPerToken(def.Engine)
+		}
 		if v.Handicap != nil {
 			ep.Handicap = v.Handicap(u)
 		}
@@ -109,6 +112,16 @@
 	return out
 }
 
+// transferPerToken returns the time to move one cached token between engines.
+func transferPerToken(e *routetable.EngineLimits) time.Duration {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	const bitsPerByte, bitsPerMegabit = 8, 1e6
+	seconds := float64(e.BytesPerToken) * bitsPerByte / (e.LinkMbps * bitsPerMegabit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func sameEndpoint(a, b routing.Endpoint) bool {
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && slices.Equal(a.Weights, b.Weights)
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.emit(eventlog.AttemptStarted, u.ID, nil)
-	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u))
+	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u, action.Source))
 	if err != nil {
 		return t.lost(s, action, err)
 	}
@@ -145,7 +145,7 @@
 	}
 	t.ran++
 	s.runner.Do(func(sched routing.Scheduler, now time.Time) {
-		sched.FirstToken(now, t.stated.ID, action.Endpoint, t.expectedCached())
+		sched.FirstToken(now, t.stated.ID, action.Endpoint, routing.CachedUnknown)
 	})
 	pieces, err := t.relay(resp)
 	if err != nil {
@@ -201,8 +201,8 @@
 	})
 }
 
-// request is what is sent to an upstream.
-func (t *transfer) request(u *fleet.Registration) *httpconn.Request {
+// request is what is sent to an upstream, which fetches cached prompts from source.
+func (t *transfer) request(u *fleet.Registration, source string) *httpconn.Request {
 	d := &Delivery{Upstream: u.ID, TimeLeft: time.Until(t.deadline), LastEvent: t.lastEvent}
 	if t.organisation != nil {
 		d.Organisation = t.organisation.Name
@@ -212,6 +212,9 @@
 		d.Priority = min(max(0, t.priority()), maxEnginePriority)
 		d.Version = u.Version(p.Model)
 		d.CacheScope = cacheScope(t.cacheOwner(), d.Version)
+		if from := t.f.Registry().ByID[source]; from != nil && from.Version(p.Model) == d.Version {
+			d.FetchFrom = from.Address
+		}
 	}
 	id := t.stated.ID
 	return &httpconn.Request{
@@ -234,10 +237,6 @@
 	}
 }
 
-// expectedCached is the part of the prompt that the engine is presumed to have
-// had; engines do not tell.
-func (t *transfer) expectedCached() int { return 0 }
-
 func (t *transfer) emit(id eventlog.ID, upstream string, err error) {
 	fields := eventlog.Fields{Service: t.service, RequestID: t.stated.ID, Upstream: upstream}
 	if err != nil {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -37,6 +37,8 @@
 	// Recompute is the time to compute what the engine is not known to hold,
 	// at normal speed.
 	Recompute time.Duration
+	// Transfer is the time to fetch what another engine holds.
+	Transfer time.Duration
 	// Slowdown is the engine's observed time over its normal time.
 	Slowdown float64
 	// Delay is the network delay both ways.
@@ -47,10 +49,10 @@
 
 // Cost returns the predicted cost of a candidate in seconds.
 func (c *Candidate) Cost(price float64) float64 {
-	return (c.Delay + c.Overrun + c.Crowd).Seconds() + c.Slowdown*((c.Wait+c.Slot).Seconds()+price*c.Recompute.Seconds())
+	return (c.Delay + c.Overrun + c.Crowd + c.Transfer).Seconds() + c.Slowdown*((c.Wait+c.Slot).Seconds()+price*c.Recompute.Seconds())
 }
 
 // FirstToken returns the predicted time to first token.
 func (c *Candidate) FirstToken() time.Duration {
-	return c.Delay + c.Overrun + time.Duration(c.Slowdown*float64(c.Wait+c.Slot+c.Recompute))
+	return c.Delay + c.Overrun + c.Transfer + time.Duration(c.Slowdown*float64(c.Wait+c.Slot+c.Recompute))
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -43,6 +43,7 @@
 	engine    *engine // nil when no home has room
 	cost      float64
 	uncached  float64 // tokens
+	source    *engine // that the engine fetches from, nil for none
 	candidate placement.Candidate
 	// busyCost is the least cost of a home without room, infinite when there is none.
 	busyCost float64
@@ -53,32 +54,34 @@
 // choose returns the best home for a request. exclude, if not nil, is left out.
 func (p *Policy) choose(now time.Time, r *Request, homes []int, d *demand, exclude *engine) choice {
 	price := p.price(r)
+	best, found := p.bestHolder(now, r)
 	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
-	best := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
+	out := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
 	full := p.rules.loadPrice && p.load() >= fullLoad
 	for rank, i := range homes {
-		if full && rank >= fullHomes && best.any {
+		if full && rank >= fullHomes && out.any {
 			break
 		}
 		e := p.engines[i]
 		if e == exclude || p.barred(now, e, r) {
 			continue
 		}
-		best.any = true
-		uncached := p.uncached(now, e, r, rank)
-		c := p.candidate(now, e, uncached)
+		out.any = true
+		n := p.need(now, e, r, rank, best, found)
+		c := p.candidate(now, e, n.compute)
+		c.Transfer = n.transfer
 		room := p.room(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price) + e.ep.Handicap.Seconds()
 		switch {
 		case !room:
-			best.busyCost = min(best.busyCost, cost)
-		case cost < best.cost:
-			best.engine, best.cost, best.uncached, best.candidate = e, cost, uncached, c
+			out.busyCost = min(out.busyCost, cost)
+		case cost < out.cost:
+			out.engine, out.cost, out.uncached, out.candidate, out.source = e, cost, n.compute, c, n.source
 		}
 	}
-	return best
+	return out
 }
 
 // crowdWeight scales the price of a slot.
@@ -209,23 +212,77 @@
 	return s, 0
 }
 
-// uncached predicts the prompt tokens that the engine must compute for r.
-func (p *Policy) uncached(now time.Time, e *engine, r *Request, rank int) float64 {
+// need is what an engine lacks of a prompt.
+type need struct {
+	// compute is the number of prompt tokens that it has to compute.
+	compute float64
+	// transfer is the time to fetch the rest from source.
+	transfer time.Duration
+	source   *engine
+}
+
+// need predicts what the engine lacks of r's prompt. best is the engine that
+// holds most of it, which found tells.
+func (p *Policy) need(now time.Time, e *engine, r *Request, rank int, best *engine, found int) need {
 	c := &r.Chain
 	if len(c.LevelPieces) == 0 || c.Bytes == 0 {
-		return float64(r.PromptTokens)
+		return need{compute: float64(r.PromptTokens)}
 	}
-	shared := c.LevelPieces[max(0, len(c.LevelPieces)-2)]
 	held := 0
 	if p.rules.hints {
 		held = p.held(now, e, r)
 	}
+	if p.rules.transfers && e.ep.TransferPerToken > 0 && best != nil && best != e && found > held {
+		return p.fetched(e, r, best, held, found)
+	}
+	shared := c.LevelPieces[max(0, len(c.LevelPieces)-2)]
 	expected := float64(held)
 	if shared > held && p.rules.order {
 		expected += p.prior(now, rank) * float64(shared-held)
 	}
 	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
-	return float64(r.PromptTokens) * max(0, 1-share)
+	return need{compute: float64(r.PromptTokens) * max(0, 1-share)}
+}
+
+// fetched is the need of an engine that fetches from another one.
+func (p *Policy) fetched(e *engine, r *Request, from *engine, held, found int) need {
+	c := &r.Chain
+	tokens := float64(r.PromptTokens) * float64(c.PieceBytes) / float64(c.Bytes)
+	perToken := e.ep.TransferPerToken
+	if from.ep.DataCentre != e.ep.DataCentre {
+		perToken *= farTransfer
+	}
+	return need{
+		compute:  max(0, float64(r.PromptTokens)-float64(found)*tokens),
+		transfer: transferSetup + time.Duration(float64(found-held)*tokens)*perToken,
+		source:   from,
+	}
+}
+
+const (
+	// transferSetup is the time to begin a transfer between engines.
+	transferSetup = 5 * time.Millisecond
+	// farTransfer is how many times longer a transfer takes between data centres.
+	farTransfer = 2
+)
+
+// bestHolder returns the engine that holds most of r's prompt and how many
+// pieces it holds, nil when none was seen to hold any.
+func (p *Policy) bestHolder(now time.Time, r *Request) (*engine, int) {
+	if !p.rules.transfers || !p.rules.hints || len(r.Chain.Levels) == 0 {
+		return nil, 0
+	}
+	var best *engine
+	most := 0
+	for _, e := range p.engines {
+		if e.ep.TransferPerToken == 0 {
+			return nil, 0
+		}
+		if n := p.held(now, e, r); n > most {
+			best, most = e, n
+		}
+	}
+	return best, most
 }
 
 // prior returns the presumed share of the shared levels that a home holds
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -119,7 +119,7 @@
 		request: f.request, engine: e, sent: now, tokens: c.uncached, ahead: p.backlog(now, e),
 		delay: 2 * e.ep.Delay, alone: f.request.Alone, organisation: f.demand.organisation, hinted: -1,
 	}
-	a.expected = p.speed.FirstToken(a.ahead + a.tokens)
+	a.expected = p.speed.FirstToken(a.ahead+a.tokens) + c.candidate.Transfer
 	p.noteHint(now, a)
 	if e.failures > 0 {
 		e.probing = true
@@ -128,7 +128,11 @@
 	p.own++
 	p.organisations.get(a.organisation).own++
 	f.attempts = append(f.attempts, a)
-	p.actions = append(p.actions, Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation})
+	action := Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation}
+	if c.source != nil {
+		action.Source = c.source.ep.ID
+	}
+	p.actions = append(p.actions, action)
 	if kind == Start {
 		p.planHedge(f, a)
 	}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -252,7 +252,10 @@
 	a.engine.healthy()
 	p.countResting(now)
 	observed := now.Sub(a.sent) - a.delay
-	tokens := a.ahead + max(0, float64(a.request.PromptTokens-cachedTokens))
+	tokens := a.ahead + a.tokens
+	if cachedTokens != CachedUnknown {
+		tokens = a.ahead + max(0, float64(a.request.PromptTokens-cachedTokens))
+	}
 	a.engine.slow.Observe(now, placement.Ratio(observed, p.speed.FirstToken(tokens)))
 	if p.slowdown(now, a.engine) < slowIgnored {
 		p.speed.Observe(tokens, observed)
@@ -265,7 +268,7 @@
 // judgeHint compares the hint that an attempt relied on with what was cached.
 func (p *Policy) judgeHint(a *attempt, cachedTokens int) {
 	c := &a.request.Chain
-	if a.hinted < 0 || c.Bytes == 0 {
+	if a.hinted < 0 || c.Bytes == 0 || cachedTokens == CachedUnknown {
 		return
 	}
 	predicted := float64(a.hintedPieces*c.PieceBytes) / float64(c.Bytes) * float64(a.request.PromptTokens)
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -14,6 +14,8 @@
 	RuleHints = "hints"
 	// RulePeerHints shares among daemons what engines were seen to hold.
 	RulePeerHints = "peer-hints"
+	// RuleTransfers lets engines fetch from one another what one of them holds.
+	RuleTransfers = "transfers"
 	// RulePrice prices recomputation above waiting.
 	RulePrice = "recompute-price"
 	// RuleLoadPrice raises that price with the fleet's load.
@@ -55,7 +57,7 @@
 	homes, nested, growth, order, hints, price, loadPrice    bool
 	slowdown, waiting, progress, peerLoad, peerSlow, reports bool
 	ejection, limits, patience, fairness, earlyRef           bool
-	deferral, hedges, crowd, peerHints, headroom             bool
+	deferral, hedges, crowd, peerHints, headroom, transfers  bool
 }
 
 func newRules(without []string) rules {
@@ -71,6 +73,6 @@
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], fairness: !off[RuleFairness],
 		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
-		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges],
+		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -21,6 +21,8 @@
 	Weights []string
 	// Slots is how many requests the engine runs at once.
 	Slots int
+	// DataCentre is the engine's data centre.
+	DataCentre string
 	// Delay is the one-way network delay to the engine.
 	Delay time.Duration
 	// Hash is the hash of ID for rendezvous hashing.
@@ -28,6 +30,9 @@
 	// Handicap is added to the predicted cost of work here, for reasons that
 	// the scheduler does not know, such as weights that are to be replaced.
 	Handicap time.Duration
+	// TransferPerToken is the time to fetch one cached token from another
+	// engine of the same data centre; 0 means that engines can't fetch.
+	TransferPerToken time.Duration
 }
 
 // Class is the class of a request.
@@ -83,6 +88,9 @@
 	// Endpoint and Incarnation are set for Start and Hedge.
 	Endpoint    string
 	Incarnation string
+	// Source is another engine that is believed to hold more of the prompt,
+	// empty when none is or when engines can't fetch.
+	Source string
 	// Code and RetryAfter are set for Refuse.
 	Code       verdict.Code
 	RetryAfter time.Duration
@@ -155,7 +163,7 @@
 	// Withdraw takes back a request that has not started.
 	Withdraw(now time.Time, id string)
 	// FirstToken reports the first token of an attempt and the prompt tokens
-	// that the engine took from its cache.
+	// that the engine took from its cache, CachedUnknown if it does not tell.
 	FirstToken(now time.Time, id, endpoint string, cachedTokens int)
 	// Finished reports the end of an attempt.
 	Finished(now time.Time, id, endpoint string, outcome Outcome, outputTokens int)
@@ -173,6 +181,9 @@
 	NextWake(now time.Time) time.Time
 }
 
+// CachedUnknown is the count of cached tokens of engines that do not tell.
+const CachedUnknown = -1
+
 // ProgressObserver is implemented by a Scheduler that learns from answers as
 // they come. A caller that streams tells it, for each attempt that generates,
 // at most every ProgressInterval.
