--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -30,6 +30,9 @@
 	// startRetryAfter is the time to come back while the daemon knows no
 	// desired state.
 	startRetryAfter = 300 * time.Millisecond
+	// drainRetryAfter is the time to come back, to another daemon, from one
+	// that stops.
+	drainRetryAfter = 20 * time.Millisecond
 	// queuePart is the part of a route's goal that a request may wait in the daemon.
 	queuePart = 1.0 / 8
 	// defaultGoal applies to routes that state none.
@@ -56,6 +59,13 @@
 type Forwarder struct {
 	Config
 	held atomic.Int64 // bytes of bodies in memory
+	// stopAt is when the daemon stops; nil means that it does not.
+	stopAt atomic.Pointer[time.Time]
+	// closed says that no more requests are taken.
+	closed atomic.Bool
+	// ended ends when requests that still run have to be given up.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a Forwarder.
@@ -63,9 +73,21 @@
 	if c.Learned == nil {
 		c.Learned = func(*fleet.Registration, string, int) {}
 	}
-	return &Forwarder{Config: c}
+	f := &Forwarder{Config: c}
+	f.ended, f.end = context.WithCancel(context.Background())
+	return f
 }
 
+// StopAt tells that the daemon stops at a time: requests that come from now on
+// get no longer than that.
+func (f *Forwarder) StopAt(at time.Time) { f.stopAt.Store(&at) }
+
+// Refuse makes the Forwarder refuse every request that comes from now on.
+func (f *Forwarder) Refuse() { f.closed.Store(true) }
+
+// End gives up the requests that still run; each gets its answer.
+func (f *Forwarder) End() { f.end() }
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t, err := f.accept(w, r)
@@ -76,12 +98,19 @@
 	defer f.held.Add(-int64(len(t.body)))
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(answerSlack))
 	defer cancel()
+	defer context.AfterFunc(f.ended, cancel)()
 	t.run(ctx)
 }
 
 // accept finds out what is asked for, by whom, and reads the body.
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*transfer, error) {
 	t := &transfer{f: f, w: w, caller: r, received: time.Now()}
+	if f.closed.Load() {
+		w.Header().Set("Connection", "close")
+		e := verdict.New(verdict.NotRun, verdict.CodeDraining, "this daemon is about to stop")
+		e.RetryAfter = drainRetryAfter
+		return nil, e
+	}
 	table := f.Table()
 	if table == nil {
 		e := verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "this daemon does not know the desired state yet")
@@ -108,6 +137,9 @@
 	t.service = t.route.Choose(t.stated.ID)
 	t.model = table.Service(t.service)
 	t.deadline = t.received.Add(t.patience())
+	if stop := f.stopAt.Load(); stop != nil && stop.Before(t.deadline) {
+		t.deadline = *stop
+	}
 	return t, t.readBody(table.Limits.BodyBytes)
 }
 
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -138,7 +138,7 @@
 	}
 	reply := t.f.Wire.ReadReply(resp.StatusCode, resp.Header)
 	t.sent++
-	t.learn(u, reply)
+	t.learn(s, u, reply)
 	if reply.NotRun && resp.StatusCode != http.StatusBadRequest {
 		resp.Discard()
 		return t.rejected(s, action, resp.StatusCode, reply)
@@ -231,7 +231,12 @@
 const maxEnginePriority = 9
 
 // learn takes in what a response states of its upstream.
-func (t *transfer) learn(u *fleet.Registration, reply Reply) {
+func (t *transfer) learn(s *service, u *fleet.Registration, reply Reply) {
+	if l := reply.Load; l != nil {
+		s.runner.Do(func(sched routing.Scheduler, now time.Time) {
+			sched.Report(now, routing.LoadReport{Endpoint: u.ID, At: now, Running: l.Running, Queued: l.Waiting})
+		})
+	}
 	if p := t.stated.Prompt; p != nil && reply.Version > 0 && !reply.OtherUpstream {
 		t.f.Learned(u, p.Model, reply.Version)
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -10,11 +10,16 @@
 const (
 	// drainPoll is how often a draining daemon looks whether its requests have ended.
 	drainPoll = 50 * time.Millisecond
-	// stopReserve is kept of the platform's grace for closing.
-	stopReserve = 700 * time.Millisecond
-	// lastCalls is the end of the grace in which no new connections are taken,
-	// so that what runs can end.
-	lastCalls = 1500 * time.Millisecond
+	// stopReserve is kept of the platform's grace for closing, lastAnswers for
+	// the answers of requests that are given up.
+	stopReserve = 600 * time.Millisecond
+	lastAnswers = 300 * time.Millisecond
+	// overstay is how long after their lifetime answers of the directory are
+	// still served.
+	overstay = 200 * time.Millisecond
+	// lastCalls is the end of the grace in which no requests are taken, so that
+	// what runs can end.
+	lastCalls = 4 * time.Second
 )
 
 // drain leaves the directory's answers at once and serves on until callers'
@@ -24,8 +29,9 @@
 	d.announce()
 	d.log.Emit(eventlog.DaemonDraining, eventlog.Fields{})
 	begun := time.Now()
-	expired := begun.Add(time.Duration(d.settings.EntryLifetimes) * d.entryMaxAge())
+	expired := begun.Add(time.Duration(d.settings.EntryLifetimes)*d.entryMaxAge() + overstay)
 	last := begun.Add(d.settings.StopGrace - stopReserve)
+	d.forwarder.StopAt(last.Add(-lastAnswers))
 	quiet := last.Add(-lastCalls)
 	if expired.After(quiet) {
 		expired = quiet
@@ -36,8 +42,12 @@
 	for now := range tick.C {
 		if now.After(expired) && !closed {
 			closed = true
+			d.forwarder.Refuse()
 			d.callers.stopAccepting()
 		}
+		if now.After(last.Add(-lastAnswers)) {
+			d.forwarder.End()
+		}
 		if now.After(last) || closed && d.inFlight.Load() == 0 {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	bodyPart = 0.2
 	// entryMaxAge is how long callers may keep an answer of the directory,
 	// where the platform allows as long.
-	entryMaxAge = 2 * time.Second
+	entryMaxAge = time.Second
 	// upstreamPause is the least time between two reads of the upstreams'
 	// table, which changes with each heartbeat of each upstream.
 	upstreamPause = 400 * time.Millisecond
--- /dev/null
+++ b/lab/sitepath/forward_test.go
@@ -0,0 +1,162 @@
+package sitepath
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/lab/site"
+)
+
+// wholeStream is the body of a stream from an upstream's first event on.
+func wholeStream(events int) string {
+	var b strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestRequestsReachTheirService(t *testing.T) {
+	run(t, func(d *deployment) {
+		p := d.processes[0]
+		a := d.ask(p, http.MethodPost, plainHost, "/order/7?x=1", func(r *http.Request) {
+			r.Header.Set("X-Tenant", "someone else")
+			r.Header.Set("X-Hold", "forged")
+			r.Header.Set("X-Custom", "kept")
+		})
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Assert(t, strings.HasPrefix(a.body, "answer from ledger-"), a.body)
+		assert.Assert(t, strings.HasPrefix(a.header.Get("X-Response-Stamp"), "proof-ledger-"))
+		runs := d.runs("request-1")
+		assert.Equal(t, len(runs), 1)
+		assert.Equal(t, runs[0].Path, "/order/7?x=1")
+		h := runs[0].Header
+		assert.Equal(t, h.Get("X-Tenant"), "trust")
+		assert.Equal(t, h.Get("X-Hold"), "")
+		assert.Equal(t, h.Get("X-Key"), "")
+		assert.Equal(t, h.Get("X-Custom"), "kept")
+		left, err := strconv.Atoi(h.Get("X-Deadline-Ms"))
+		assert.NilError(t, err)
+		assert.Assert(t, left <= 1500, "the route's time-out bounds what is left: %d", left)
+
+		a = d.ask(p, http.MethodPost, modelHost, "/chat/1", nil)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, wholeStream(10))
+
+		assert.Equal(t, d.ask(p, http.MethodGet, "elsewhere.example", "/read/1", nil).status, http.StatusNotFound)
+		assert.Equal(t, d.ask(p, http.MethodGet, plainHost, "/reading", nil).status, http.StatusNotFound)
+		unknown := func(r *http.Request) { r.Header.Set("X-Key", "unknown") }
+		assert.Equal(t, d.ask(p, http.MethodGet, plainHost, "/read/1", unknown).status, http.StatusUnauthorized)
+	})
+}
+
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	for _, b := range []site.Behaviour{site.LoseAnswer, site.Break, site.Hang} {
+		run(t, func(d *deployment) {
+			d.firstRequest(b)
+			a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
+			assert.NilError(t, a.err)
+			assert.Assert(t, a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout, "status %d promises nothing", a.status)
+			assert.Equal(t, len(d.runs("request-1")), 1)
+		})
+	}
+}
+
+func TestRequestThatWasNotRunGoesElsewhere(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Shed)
+		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, len(d.runs("request-1")), 1)
+	})
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	run(t, func(d *deployment) {
+		for _, u := range d.ledgers {
+			u.Behave = func(*http.Request) site.Behaviour { return site.Shed }
+		}
+		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > 0 && after <= 0.5, "a third of the 1.5 s that the route allows: %g", after)
+		assert.Equal(t, len(d.runs("request-1")), 0)
+	})
+}
+
+func TestSafeRequestIsTriedAgain(t *testing.T) {
+	for _, b := range []site.Behaviour{site.LoseAnswer, site.Break, site.Fail} {
+		run(t, func(d *deployment) {
+			d.firstRequest(b)
+			a := d.ask(d.processes[0], http.MethodGet, plainHost, "/read/1", nil)
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, http.StatusOK)
+			assert.Equal(t, len(d.runs("request-1")), 2)
+		})
+	}
+}
+
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Stray)
+		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, a.body, "answer to request-1")
+	})
+}
+
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Break)
+		a := d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, wholeStream(10))
+		runs := d.runs("request-1")
+		assert.Equal(t, len(runs), 2)
+	})
+}
+
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Break)
+		a := d.ask(d.processes[0], http.MethodPost, modelHost, "/once/1", nil)
+		assert.Assert(t, a.err != nil)
+		assert.Assert(t, strings.HasPrefix(wholeStream(10), a.body), "whole events in order: %q", a.body)
+		assert.Equal(t, len(d.runs("request-1")), 1)
+	})
+}
+
+func TestCallerGoneEndsWork(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Hang)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan answer)
+		go func() {
+			done <- d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		}()
+		d.eventually("the request runs", time.Second, func() bool { return len(d.runs("request-1")) == 1 })
+		cancel()
+		<-done
+		d.eventually("the run ends", 500*time.Millisecond, func() bool { return !d.runs("request-1")[0].Ended.IsZero() })
+	})
+}
+
+func TestIsolatedOrganisationsShareNoCache(t *testing.T) {
+	run(t, func(d *deployment) {
+		p := d.processes[0]
+		d.ask(p, http.MethodPost, modelHost, "/chat/1", func(r *http.Request) { r.Header.Set("X-Cache-Salt", "forged") })
+		d.ask(p, http.MethodPost, modelHost, "/chat/1", func(r *http.Request) { r.Header.Set("X-Key", otherKey) })
+		shared := d.runs("request-1")[0].Header.Get("X-Cache-Salt")
+		isolated := d.runs("request-2")[0].Header.Get("X-Cache-Salt")
+		assert.Assert(t, shared != isolated && shared != "forged" && isolated != "", "%q, %q", shared, isolated)
+	})
+}
--- /dev/null
+++ b/lab/sitepath/state_test.go
@@ -0,0 +1,206 @@
+package sitepath
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/lab/site"
+)
+
+const (
+	drainWithin  = 2 * time.Second
+	stateWithin  = 2 * time.Second
+	peersWithin  = 4 * time.Second
+	switchWithin = 8 * time.Second
+)
+
+// revoke removes the second organisation's key.
+func (d *deployment) revoke() {
+	d.state["tenants"] = []map[string]any{{"name": "trust", "apiKeys": []string{key}}, {"name": "other", "apiKeys": []string{}}}
+	d.publish()
+}
+
+func (d *deployment) accepts(p *process, key string) bool {
+	return d.ask(p, http.MethodGet, plainHost, "/read/1", func(r *http.Request) { r.Header.Set("X-Key", key) }).status == http.StatusOK
+}
+
+func TestRevokedKeyIsRefusedEverywhere(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.revoke()
+		time.Sleep(stateWithin)
+		for _, p := range d.processes {
+			assert.Assert(t, !d.accepts(p, otherKey))
+			assert.Assert(t, d.accepts(p, key))
+		}
+	})
+}
+
+// A daemon that the store turns away learns of changes from peers, also one
+// that starts meanwhile, and takes no older state afterwards.
+func TestPeersTellWhatTheStoreDoesNot(t *testing.T) {
+	for name, fault := range map[string]site.Fault{"busy": {Status: http.StatusServiceUnavailable}, "many": {Status: http.StatusTooManyRequests}, "silent": {Silent: true}} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(d *deployment) {
+				turnedAway := d.processes[2]
+				d.store.SetFault(turnedAway.name, fault)
+				d.store.SetFault("daemon-3", fault)
+				started := d.start(3)
+				d.revoke()
+				d.engines[0].Drain(d.store)
+				time.Sleep(peersWithin)
+				for _, p := range []*process{turnedAway, started} {
+					assert.Assert(t, d.accepts(p, key), p.name)
+					assert.Assert(t, !d.accepts(p, otherKey), p.name)
+				}
+				before := len(d.engines[0].Runs())
+				for range 12 {
+					d.ask(turnedAway, http.MethodPost, modelHost, "/chat/1", nil)
+				}
+				assert.Equal(t, len(d.engines[0].Runs()), before, "a leaving engine gets no work")
+			})
+		})
+	}
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	run(t, func(d *deployment) {
+		for _, p := range d.processes {
+			d.store.SetFault(p.name, site.Fault{Status: http.StatusServiceUnavailable})
+		}
+		time.Sleep(time.Second)
+		d.revoke()
+		d.store.Drop("servers", d.engines[0].ID)
+		d.store.Forget()
+		for _, p := range d.processes {
+			d.store.SetFault(p.name, site.Fault{})
+		}
+		time.Sleep(peersWithin + drainWithin)
+		before := len(d.engines[0].Runs())
+		for _, p := range d.processes {
+			assert.Assert(t, !d.accepts(p, otherKey))
+			for range 6 {
+				d.ask(p, http.MethodPost, modelHost, "/chat/1", nil)
+			}
+		}
+		assert.Equal(t, len(d.engines[0].Runs()), before)
+	})
+}
+
+func TestLeavingEngineGetsNoWork(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.engines[1].Drain(d.store)
+		time.Sleep(drainWithin)
+		before := len(d.engines[1].Runs())
+		for i := range 30 {
+			d.ask(d.processes[i%daemons], http.MethodPost, modelHost, "/chat/1", nil)
+		}
+		assert.Equal(t, len(d.engines[1].Runs()), before)
+	})
+}
+
+func TestUnreadableRowsNameNoEngine(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.store.PutBytes("servers", "garbage", []byte("\xff not JSON"))
+		d.store.Put("servers", "odd", map[string]any{"service": "bench", "addr": 7, "state": "ready", "slots": "many"})
+		d.store.Put("servers", "strange", map[string]any{"service": "bench", "addr": "10.8.9.9:80", "state": "sleeping", "slots": 8, "born": 1})
+		time.Sleep(time.Second)
+		assert.Equal(t, d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil).status, http.StatusOK)
+	})
+}
+
+// Engines take new weights, at most two at a time, by the orders of one holder
+// at a time, and no request meets an engine that loads.
+func TestWeightsAreSwitched(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.nameVersion(2)
+		d.eventually("all engines have version 2", switchWithin, func() bool {
+			assert.Equal(t, d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil).status, http.StatusOK)
+			for _, e := range d.engines {
+				if e.Version() != 2 {
+					return false
+				}
+			}
+			return true
+		})
+		holders := map[string]bool{}
+		for _, e := range d.engines {
+			orders := e.Orders()
+			assert.Equal(t, len(orders), 1)
+			holder, _, _ := strings.Cut(orders[0], " ")
+			holders[holder] = true
+		}
+		assert.Equal(t, len(holders), 1)
+	})
+}
+
+// When the holder can't reach the store any longer, another daemon takes over
+// in time.
+func TestOrdersGoOnWithoutTheirHolder(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.nameVersion(2)
+		var holder string
+		d.eventually("somebody gives orders", switchWithin, func() bool {
+			for _, e := range d.engines {
+				for _, o := range e.Orders() {
+					holder, _, _ = strings.Cut(o, " ")
+				}
+			}
+			return holder != ""
+		})
+		d.store.SetFault(holder, site.Fault{Silent: true})
+		d.nameVersion(3)
+		d.eventually("all engines have version 3", 2*switchWithin, func() bool {
+			for _, e := range d.engines {
+				if e.Version() != 3 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// A daemon that is stopped leaves the directory's answers at once, serves every
+// request of callers whose answers have not expired, and cuts none.
+func TestStopCutsNothing(t *testing.T) {
+	const answersLive = 3 * time.Second // three times the age that answers state
+	run(t, func(d *deployment) {
+		stopped := d.processes[1]
+		for _, e := range d.engines {
+			e.Events, e.Pause = 30, 70*time.Millisecond
+		}
+		type result struct {
+			answer
+			sentAfter time.Duration
+		}
+		results := make(chan result)
+		sent := 0
+		stopped.stop()
+		begun := time.Now()
+		for time.Since(begun) < stopGrace/2 {
+			after := time.Since(begun)
+			sent++
+			go func() { results <- result{d.ask(stopped, http.MethodPost, modelHost, "/once/1", nil), after} }()
+			time.Sleep(100 * time.Millisecond)
+			if after > time.Second {
+				for _, a := range d.resolve(d.processes[0]) {
+					assert.Assert(t, !strings.Contains(a, stopped.host), "a stopping daemon is not named")
+				}
+			}
+		}
+		for range sent {
+			r := <-results
+			if r.sentAfter < answersLive || r.status == http.StatusOK {
+				assert.NilError(t, r.err, "sent %s after the stop", r.sentAfter)
+				assert.Equal(t, r.status, http.StatusOK, "sent %s after the stop", r.sentAfter)
+				continue
+			}
+			assert.Assert(t, r.err != nil || r.status == http.StatusServiceUnavailable, "status %d", r.status)
+		}
+		assert.Assert(t, time.Since(begun) < stopGrace)
+	})
+}
--- a/lab/wholepath/cluster_test.go
+++ b/lab/wholepath/cluster_test.go
@@ -23,6 +23,7 @@
 	"github.com/verbenabend/verbenabend/internal/settings"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/fabric"
 	"github.com/verbenabend/verbenabend/lab/platform"
 	"github.com/verbenabend/verbenabend/lab/service"
 )
@@ -48,7 +49,7 @@
 // cluster is a whole system: platform, engines, a plain service and daemons.
 type cluster struct {
 	t         *testing.T
-	net       *fabric
+	net       *fabric.Fabric
 	platform  *platform.Server
 	engines   []*engine.Server
 	ledger    *service.Server
@@ -75,8 +76,8 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, net: newFabric(), platform: platform.New(nil), ledger: service.New()}
-	c.http = &http.Client{Transport: &http.Transport{DialContext: c.net.dialer("caller"), DisableKeepAlives: true}}
+	c := &cluster{t: t, net: fabric.New(), platform: platform.New(nil), ledger: service.New()}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: c.net.Dialer("caller"), DisableKeepAlives: true}}
 	c.serve(platformAddress, c.platform)
 	for _, address := range engineAddresses {
 		e := engine.New(engine.Config{Weights: []string{weights}})
@@ -124,7 +125,7 @@
 }
 
 func (c *cluster) serve(address string, h http.Handler) {
-	l, _ := c.net.listen(address)
+	l, _ := c.net.Listen(address)
 	server := &http.Server{Handler: h}
 	c.servers = append(c.servers, server)
 	go func() { _ = server.Serve(l) }()
@@ -136,7 +137,7 @@
 		"operator_key":%q,"fleet_key":"whole-path-fleet-key","platform":{"url":"http://%s"},"log":{"ring_events":512}}`,
 		name(i), callers(i), operators(i), peers(i), operatorKey, platformAddress))
 	assert.NilError(c.t, err)
-	network := daemon.Network{Listen: c.net.listen, Dial: c.net.dialer(name(i)), PeerVersion: c.version}
+	network := daemon.Network{Listen: c.net.Listen, Dial: c.net.Dialer(name(i)), PeerVersion: c.version}
 	d, err := daemon.NewOn(network, set, hclog.NewNullLogger())
 	assert.NilError(c.t, err)
 	ctx, kill := context.WithCancel(context.Background())
--- a/lab/wholepath/documents_test.go
+++ b/lab/wholepath/documents_test.go
@@ -39,11 +39,11 @@
 		{name: "nothing fails"},
 		{name: "platform down after the yes", after: func(c *cluster) { c.platform.SetFaults(platform.Faults{Down: true}) }},
 		{name: "platform silent after the yes", after: func(c *cluster) { c.platform.SetFaults(platform.Faults{Silent: true}) }},
-		{name: "one cut off from its peers", before: func(c *cluster) { c.net.setCut(fromPeers(2)) }},
-		{name: "one cut off from the platform", before: func(c *cluster) { c.net.setCut(fromPlatform(2)) }},
+		{name: "one cut off from its peers", before: func(c *cluster) { c.net.SetCut(fromPeers(2)) }},
+		{name: "one cut off from the platform", before: func(c *cluster) { c.net.SetCut(fromPlatform(2)) }},
 		{name: "one cut off from its peers, another from the platform", before: func(c *cluster) {
 			peers, platform := fromPeers(2), fromPlatform(1)
-			c.net.setCut(func(from, to string) bool { return peers(from, to) || platform(from, to) })
+			c.net.SetCut(func(from, to string) bool { return peers(from, to) || platform(from, to) })
 		}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
--- a/lab/wholepath/faults_test.go
+++ b/lab/wholepath/faults_test.go
@@ -32,6 +32,7 @@
 	"github.com/verbenabend/verbenabend/internal/upstream/httpengine"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 	"github.com/verbenabend/verbenabend/lab/engine"
+	"github.com/verbenabend/verbenabend/lab/fabric"
 )
 
 const (
@@ -91,7 +92,7 @@
 }
 
 func newSystem(t *testing.T, conns []plannedConn) *system {
-	s := &system{net: &network{servers: map[string]*listener{}}, fleet: fleet.New(nil)}
+	s := &system{net: &network{servers: map[string]*fabric.Listener{}}, fleet: fleet.New(nil)}
 	var list []platform.Instance
 	for _, a := range engineAddresses {
 		e := engine.New(engine.Config{Weights: []string{weights}, TokenInterval: 20 * time.Millisecond})
--- a/lab/wholepath/leaving_test.go
+++ b/lab/wholepath/leaving_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/lab/fabric"
 )
 
 // TestLeavingEngineGetsNoNewWork lets an engine start to leave while the
@@ -43,7 +44,7 @@
 		}
 		everywhere := func(want bool) bool { return named(0, 2) == want && named(1, 2) == want && named(2, 2) == want }
 		c.await(bound, "all daemons are named everywhere", func() bool { return everywhere(true) })
-		c.net.setCut(func(from, to string) bool {
+		c.net.SetCut(func(from, to string) bool {
 			return from == name(2) && (to == platformAddress || to == peers(0) || to == peers(1)) || to == peers(2)
 		})
 		t.Logf("left after %v", c.await(bound, "entry-3 left the answers everywhere", func() bool { return everywhere(false) }))
@@ -53,7 +54,7 @@
 		assert.NilError(t, err) // who still has its address is served
 		time.Sleep(time.Minute)
 		assert.Assert(t, everywhere(false))
-		c.net.setCut(nothingCut)
+		c.net.SetCut(fabric.NothingCut)
 		// Peers that were lost are dialled again within the greatest pause of 30 s.
 		t.Logf("back after %v", c.await(45*time.Second, "entry-3 is back", func() bool { return everywhere(true) }))
 	})
--- a/lab/wholepath/network_test.go
+++ b/lab/wholepath/network_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/verbenabend/verbenabend/internal/testseed"
+	"github.com/verbenabend/verbenabend/lab/fabric"
 )
 
 func TestMain(m *testing.M) { testseed.Main(m) }
@@ -37,7 +38,7 @@
 // engine the next fault of the plan.
 type network struct {
 	mu      sync.Mutex
-	servers map[string]*listener
+	servers map[string]*fabric.Listener
 	plan    []plannedConn
 }
 
@@ -58,7 +59,7 @@
 	if p.fault == connRefused {
 		return nil, syscall.EHOSTUNREACH
 	}
-	conn, err := n.servers[address].dial(ctx)
+	conn, err := n.servers[address].Dial(ctx)
 	if err != nil || p.fault == connGood {
 		return conn, err
 	}
@@ -67,46 +68,7 @@
 
 // dialGood connects to the daemon.
 func (n *network) dialGood(ctx context.Context, _, address string) (net.Conn, error) {
-	return n.servers[address].dial(ctx)
-}
-
-// listener accepts in-memory connections.
-type listener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newListener() *listener {
-	return &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l *listener) dial(ctx context.Context) (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case l.conns <- server:
-		return client, nil
-	case <-l.closed:
-		return nil, syscall.ECONNREFUSED
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return n.servers[address].Dial(ctx)
 }
 
 // faultyConn breaks or falls silent after a number of bytes read.
@@ -141,7 +103,7 @@
 
 // serve runs a handler at an address; the returned function stops it.
 func (n *network) serve(address string, h http.Handler) (stop func()) {
-	l := newListener()
+	l := fabric.NewListener()
 	n.servers[address] = l
 	server := &http.Server{Handler: h}
 	done := make(chan struct{})
--- a/lab/wholepath/versions_test.go
+++ b/lab/wholepath/versions_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/entry"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/lab/fabric"
 )
 
 // TestDocumentsAcrossVersions replaces daemons of the older version of the
@@ -22,9 +23,9 @@
 				return c.all(func(s *entry.Status) bool { return s.Ready && len(s.Peers) == clusterDaemons-1 })
 			})
 			for at := range clusterDaemons {
-				c.net.setCut(func(from, to string) bool { return from != name(at) && to == platformAddress })
+				c.net.SetCut(func(from, to string) bool { return from != name(at) && to == platformAddress })
 				c.accept(at, 10*(i+1)+at, nothing)
-				c.net.setCut(nothingCut)
+				c.net.SetCut(fabric.NothingCut)
 				time.Sleep(2 * time.Second)
 			}
 		}
