Know engines' caches from their events; take slowdown from their load figures

The scheduler inferred slowdowns of 5 to 30 at healthy engines from times to first token that hid others' work, so that prompts roamed and copies pushed each other out.

--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -31,22 +31,32 @@
 	}
 	var out []string
 	for _, address := range addresses {
-		if outscored(prefix.NodeHash(address), own, hashes) < WatchersPerEngine {
+		if outscored(prefix.NodeHash(address), own, hashes, WatchersPerEngine) < WatchersPerEngine {
 			out = append(out, address)
 		}
 	}
 	return out
 }
 
-// outscored counts the peers before own for key, up to WatchersPerEngine.
-func outscored(key, own uint64, peers []uint64) int {
+// Among reports whether self is among the first n daemons for a key, by
+// rendezvous hashing over self and its live peers.
+func Among(self string, peers []string, key string, n int) bool {
+	hashes := make([]uint64, len(peers))
+	for i, p := range peers {
+		hashes[i] = prefix.NodeHash(p)
+	}
+	return outscored(prefix.NodeHash(key), prefix.NodeHash(self), hashes, n) < n
+}
+
+// outscored counts the peers before own for key, up to most.
+func outscored(key, own uint64, peers []uint64, most int) int {
 	score := prefix.Score(key, own)
 	before := 0
 	for _, p := range peers {
 		if prefix.Score(key, p) > score {
 			before++
 		}
-		if before == WatchersPerEngine {
+		if before == most {
 			break
 		}
 	}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -185,6 +185,42 @@
 	return x.retries.Take()
 }
 
+// CachedPart is a part of a prompt that an engine stores; Tokens is 0 when it
+// does not any longer.
+type CachedPart struct {
+	// Key is as prefix.PartKey gives it.
+	Key    uint64
+	Tokens int
+}
+
+// Cached passes on what an engine says that it caches.
+func (s *Services) Cached(u *fleet.Registration, parts []CachedPart) {
+	s.observeCache(u.Service, func(o routing.CacheObserver, now time.Time) {
+		for _, p := range parts {
+			o.Cached(now, u.ID, u.Incarnation(), p.Key, p.Tokens)
+		}
+	})
+}
+
+// CacheLost passes on that an engine's cache is not known any more.
+func (s *Services) CacheLost(service, engine string) {
+	s.observeCache(service, func(o routing.CacheObserver, now time.Time) { o.CacheLost(now, engine) })
+}
+
+func (s *Services) observeCache(service string, fn func(routing.CacheObserver, time.Time)) {
+	s.mu.Lock()
+	x := s.byName[service]
+	s.mu.Unlock()
+	if x == nil {
+		return
+	}
+	x.runner.Do(func(sched routing.Scheduler, now time.Time) {
+		if o, ok := sched.(routing.CacheObserver); ok {
+			fn(o, now)
+		}
+	})
+}
+
 // Requests returns how many requests an upstream is known to run.
 func (s *Services) Requests(id string) int {
 	n := 0
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +31,7 @@
 	model        *routetable.Service
 	body         []byte
 	received     time.Time
+	firstByte    time.Time // of the upstream's newest answer
 	deadline     time.Time
 
 	// sent counts attempts that may have reached an upstream, ran those that
@@ -144,6 +147,7 @@
 		return t.rejected(s, action, resp.StatusCode, reply)
 	}
 	t.ran++
+	t.firstByte = time.Now()
 	s.runner.Do(func(sched routing.Scheduler, now time.Time) {
 		sched.FirstToken(now, t.stated.ID, action.Endpoint, routing.CachedUnknown)
 	})
@@ -156,10 +160,20 @@
 		return &attemptError{error: err, reached: true}
 	}
 	t.finished(s, action, routing.Completed, pieces)
-	t.emit(eventlog.RequestFinished, u.ID, nil)
+	t.finishedWell(action, resp.StatusCode, pieces)
 	return nil
 }
 
+// finishedWell logs how a request was served and why there.
+func (t *transfer) finishedWell(action routing.Action, status, pieces int) {
+	detail := fmt.Sprintf("route %s, status %d, attempt %d, first byte after %s, whole after %s, %d events; %s",
+		t.route.Name, status, t.sent, t.firstByte.Sub(t.received).Round(time.Millisecond), time.Since(t.received).Round(time.Millisecond), pieces, action.Why)
+	if action.Source != "" {
+		detail += ", fetched from " + action.Source
+	}
+	t.f.Log.Emit(eventlog.RequestFinished, eventlog.Fields{Service: t.service, RequestID: t.stated.ID, Upstream: action.Endpoint, Detail: detail})
+}
+
 // outcomeOf blames the upstream for a broken answer unless the caller left.
 func outcomeOf(err error, caller context.Context) routing.Outcome {
 	if caller.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
@@ -234,7 +248,7 @@
 func (t *transfer) learn(s *service, u *fleet.Registration, reply Reply) {
 	if l := reply.Load; l != nil {
 		s.runner.Do(func(sched routing.Scheduler, now time.Time) {
-			sched.Report(now, routing.LoadReport{Endpoint: u.ID, At: now, Running: l.Running, Queued: l.Waiting})
+			sched.Report(now, routing.LoadReport{Endpoint: u.ID, At: now, Running: l.Running, Queued: l.Waiting, Slowdown: l.Slowdown})
 		})
 	}
 	if p := t.stated.Prompt; p != nil && reply.Version > 0 && !reply.OtherUpstream {
@@ -255,3 +269,9 @@
 func cacheScope(owner string, version int) string {
 	return strconv.Itoa(version) + "/" + owner
 }
+
+// ScopeOwner returns the owner in a cache scope, and whether the scope is that
+// of a version.
+func ScopeOwner(scope string, version int) (owner string, ok bool) {
+	return strings.CutPrefix(scope, strconv.Itoa(version)+"/")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Wire          forward.Wire
 	// Switches gives orders for weights to engines, over the daemon's connections.
 	Switches upstream.Switches
+	// CacheEvents reads what engines cache, over the daemon's connections.
+	CacheEvents upstream.CacheEvents
 	// Directory serves callers that ask where to connect.
 	Directory func(entries func(dataCentre string) []string, maxAge time.Duration) http.Handler
 	// Ready serves the platform's question whether the daemon takes callers.
@@ -182,7 +184,7 @@
 	group, work := errgroup.WithContext(work)
 	d.node.Start()
 	for _, loop := range []func(context.Context) error{
-		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights,
+		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights, d.followCaches,
 		every(loadInterval, d.tellLoad), every(memberInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peers, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operators, d.platform.UpstreamTable: d.upstreams})
--- a/internal/prefix/chain.go
+++ b/internal/prefix/chain.go
@@ -29,6 +29,9 @@
 	Bytes int
 	// PieceBytes is the size of a piece.
 	PieceBytes int
+	// Parts holds, for each level, the key of the level's own part, as PartKey
+	// gives it; nil for prompts that are not given by parts.
+	Parts []uint64
 }
 
 // New computes the chain of a prompt given by its levels. Work is linear in
@@ -87,7 +90,7 @@
 // OfParts returns the chain of a prompt given by its parts; its pieces are
 // tokens. owner separates prompts that must not be shared.
 func OfParts(owner string, parts []Part) Chain {
-	c := Chain{PieceBytes: 1, Levels: make([]uint64, 0, len(parts)), LevelPieces: make([]int, 0, len(parts))}
+	c := Chain{PieceBytes: 1, Levels: make([]uint64, 0, len(parts)), LevelPieces: make([]int, 0, len(parts)), Parts: make([]uint64, 0, len(parts))}
 	d := xxhash.New()
 	writeField(d, owner)
 	for _, p := range parts {
@@ -95,6 +98,15 @@
 		c.Bytes += p.Tokens
 		c.Levels = append(c.Levels, d.Sum64())
 		c.LevelPieces = append(c.LevelPieces, c.Bytes)
+		c.Parts = append(c.Parts, PartKey(owner, p.ID))
 	}
 	return c
 }
+
+// PartKey returns the key of one part of a prompt, whatever stands before it.
+func PartKey(owner, id string) uint64 {
+	d := xxhash.New()
+	writeField(d, owner)
+	writeField(d, id)
+	return d.Sum64()
+}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -13,7 +13,7 @@
 	// levels that the first home holds when no hint tells: a daemon that has
 	// just started knows nothing, later one it has most hints.
 	priorAtStart = 0.9
-	priorLater   = 0.2
+	priorLater   = 0.9
 	// priorFade is the time constant from the one to the other.
 	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
@@ -44,6 +44,9 @@
 	cost      float64
 	uncached  float64 // tokens
 	source    *engine // that the engine fetches from, nil for none
+	rank      int
+	homes     int
+	held      float64 // tokens
 	candidate placement.Candidate
 	// busyCost is the least cost of a home without room, infinite when there is none.
 	busyCost float64
@@ -70,6 +73,7 @@
 		n := p.need(now, e, r, rank, best, found)
 		c := p.candidate(now, e, n.compute)
 		c.Transfer = n.transfer
+		c.Recompute += time.Duration(copyShare * float64(p.speed.Tokens(n.copied)))
 		room := p.room(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
@@ -79,6 +83,7 @@
 			out.busyCost = min(out.busyCost, cost)
 		case cost < out.cost:
 			out.engine, out.cost, out.uncached, out.candidate, out.source = e, cost, n.compute, c, n.source
+			out.rank, out.homes, out.held = rank, len(homes), n.held
 		}
 	}
 	return out
@@ -180,6 +185,9 @@
 	if !p.rules.slowdown {
 		return 1
 	}
+	if s, ok := e.stated(now); ok {
+		return max(s, e.overdue(now))
+	}
 	s, answers := p.ownSlowdown(now, e)
 	if p.rules.peerSlow {
 		s = withPeers(s, answers, &e.peers)
@@ -190,6 +198,19 @@
 	return s
 }
 
+// overdueFrom is how many times its prediction an attempt must have waited
+// before it counts against an engine that states no slowdown.
+const overdueFrom = 3
+
+// overdue returns the slowdown that unanswered attempts prove, 1 while they
+// may have waited behind work that the daemon does not know of.
+func (e *engine) overdue(now time.Time) float64 {
+	if s := e.waitingSlowdown(now); s >= overdueFrom {
+		return s
+	}
+	return 1
+}
+
 func withPeers(own float64, answers int, peers *peerSums) float64 {
 	if answers+peers.answers == 0 {
 		return max(own, peers.inferred)
@@ -219,8 +240,16 @@
 	// transfer is the time to fetch the rest from source.
 	transfer time.Duration
 	source   *engine
+	// held is the number of tokens that it is believed to hold.
+	held float64
+	// copied is the number of tokens that the fetch stores a second time.
+	copied float64
 }
 
+// copyShare is the part of the time to compute tokens that a second copy of
+// them costs: it pushes out what others need.
+const copyShare = 1.0
+
 // need predicts what the engine lacks of r's prompt. best is the engine that
 // holds most of it, which found tells.
 func (p *Policy) need(now time.Time, e *engine, r *Request, rank int, best *engine, found int) need {
@@ -241,13 +270,12 @@
 		expected += p.prior(now, rank) * float64(shared-held)
 	}
 	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
-	return need{compute: float64(r.PromptTokens) * max(0, 1-share)}
+	return need{compute: float64(r.PromptTokens) * max(0, 1-share), held: float64(held) * tokensPerPiece(r)}
 }
 
 // fetched is the need of an engine that fetches from another one.
 func (p *Policy) fetched(e *engine, r *Request, from *engine, held, found int) need {
-	c := &r.Chain
-	tokens := float64(r.PromptTokens) * float64(c.PieceBytes) / float64(c.Bytes)
+	tokens := tokensPerPiece(r)
 	perToken := e.ep.TransferPerToken
 	if from.ep.DataCentre != e.ep.DataCentre {
 		perToken *= farTransfer
@@ -256,9 +284,16 @@
 		compute:  max(0, float64(r.PromptTokens)-float64(found)*tokens),
 		transfer: transferSetup + time.Duration(float64(found-held)*tokens)*perToken,
 		source:   from,
+		held:     float64(held) * tokens,
+		copied:   float64(found-held) * tokens,
 	}
 }
 
+// tokensPerPiece returns the number of prompt tokens in a piece.
+func tokensPerPiece(r *Request) float64 {
+	return float64(r.PromptTokens) * float64(r.Chain.PieceBytes) / float64(r.Chain.Bytes)
+}
+
 const (
 	// transferSetup is the time to begin a transfer between engines.
 	transferSetup = 5 * time.Millisecond
@@ -298,9 +333,13 @@
 	return priorLater + (priorAtStart-priorLater)*fade
 }
 
-// held returns the number of leading pieces that the engine was seen to hold.
+// held returns the number of leading pieces that the engine says it holds, or
+// was seen to hold.
 func (p *Policy) held(now time.Time, e *engine, r *Request) int {
 	c := &r.Chain
+	if e.cached != nil && c.Parts != nil {
+		return e.holds(c)
+	}
 	for level := len(c.Levels) - 1; level >= max(0, len(c.Levels)-maxMarks); level-- {
 		if p.hints.Holds(now, c.Levels[level], e.hintKey) {
 			return c.LevelPieces[level]
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -128,7 +128,10 @@
 	p.own++
 	p.organisations.get(a.organisation).own++
 	f.attempts = append(f.attempts, a)
-	action := Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation}
+	action := Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation, Why: Reasons{
+		Rank: c.rank, Homes: c.homes, Held: int(c.held), Compute: int(c.uncached), Wait: c.candidate.Wait + c.candidate.Slot,
+		Cost: time.Duration(c.cost * float64(time.Second)), Slowdown: c.candidate.Slowdown, Running: p.taken(e) - 1,
+	}}
 	if c.source != nil {
 		action.Source = c.source.ep.ID
 	}
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -34,6 +34,9 @@
 	report     LoadReport
 	// held are prompt levels that peers should learn of.
 	held []uint64
+	// cached are the tokens of the parts that the engine says it stores; nil
+	// while it is not followed.
+	cached map[uint64]int
 	// told is set while peers believe that the daemon has something here.
 	told     bool
 	failures int
@@ -57,6 +60,22 @@
 	return &engine{ep: ep, hintKey: placement.EngineKey(ep.ID, ep.Incarnation)}
 }
 
+// statedLife is how long an engine's own word on its slowdown is used; it
+// changes many times a second.
+const statedLife = 400 * time.Millisecond
+
+// stated returns the slowdown that the engine itself states, 1 when its word
+// is old; ok is false for engines that never did.
+func (e *engine) stated(now time.Time) (s float64, ok bool) {
+	if e.report.Slowdown == 0 {
+		return 1, false
+	}
+	if now.Sub(e.report.At) > statedLife {
+		return 1, true
+	}
+	return max(1, e.report.Slowdown), true
+}
+
 // waitingSlowdown returns the slowdown that the longest unanswered attempt proves.
 func (e *engine) waitingSlowdown(now time.Time) float64 {
 	worst := 1.0
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -6,6 +6,7 @@
 package routing
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/prefix"
@@ -91,11 +92,34 @@
 	// Source is another engine that is believed to hold more of the prompt,
 	// empty when none is or when engines can't fetch.
 	Source string
+	// Why is set for Start and Hedge.
+	Why Reasons
 	// Code and RetryAfter are set for Refuse.
 	Code       verdict.Code
 	RetryAfter time.Duration
 }
 
+// Reasons are the figures behind a choice, for the log.
+type Reasons struct {
+	// Rank is the engine's place among the prompt's homes, from 0; Homes is their number.
+	Rank, Homes int
+	// Held is the number of prompt tokens that the engine is believed to hold,
+	// Compute the number that it has to compute.
+	Held, Compute int
+	// Wait is the predicted time before it begins, Cost the predicted cost.
+	Wait, Cost time.Duration
+	// Slowdown is the engine's observed time over its normal time.
+	Slowdown float64
+	// Running is how many requests the engine is known to run.
+	Running int
+}
+
+// String implements fmt.Stringer.
+func (r Reasons) String() string {
+	return fmt.Sprintf("home %d of %d, holds %d, computes %d tokens, wait %s, cost %s, slowdown %.1f, runs %d",
+		r.Rank, r.Homes, r.Held, r.Compute, r.Wait.Round(time.Millisecond), r.Cost.Round(time.Millisecond), r.Slowdown, r.Running)
+}
+
 // Outcome says how an attempt at an engine ended.
 type Outcome int8
 
@@ -117,6 +141,9 @@
 	At      time.Time
 	Running int
 	Queued  int
+	// Slowdown is how many times longer than usual work takes there now, as
+	// the engine's host knows it; 0 when it does not say.
+	Slowdown float64
 }
 
 // PeerLoad is what one daemon tells the others of an engine.
@@ -192,6 +219,16 @@
 	Progress(now time.Time, id, endpoint string, outputTokens int)
 }
 
+// CacheObserver is implemented by a Scheduler that can be told what engines
+// cache, as the engines themselves say.
+type CacheObserver interface {
+	// Cached reports that an incarnation of an engine stores tokens of a part,
+	// 0 for none any longer. part is a key as prefix.PartKey gives it.
+	Cached(now time.Time, endpoint, incarnation string, part uint64, tokens int)
+	// CacheLost reports that nothing is known any more of what an engine stores.
+	CacheLost(now time.Time, endpoint string)
+}
+
 // Counter is implemented by a Scheduler that knows what engines run.
 type Counter interface {
 	// Requests returns how many requests an engine is known to run, here and
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -134,6 +134,8 @@
 		u.order(w, r)
 	case "/report":
 		u.report(w)
+	case "/kv-events":
+		u.events(w, r)
 	default:
 		u.serve(w, r)
 	}
@@ -276,6 +278,33 @@
 	}
 }
 
+// events tells of the parts of every prompt that the upstream ran.
+func (u *Upstream) events(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	if wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms")); wait > 0 {
+		select {
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	events := []any{}
+	n := 0
+	for _, run := range u.runs {
+		for _, part := range strings.Split(run.Header.Get("X-Prompt-Prefix"), ",") {
+			id, tokens, _ := strings.Cut(part, ":")
+			size, _ := strconv.Atoi(tokens)
+			if n++; n > since {
+				events = append(events, []any{n, "+", run.Header.Get("X-Cache-Salt"), id, size, u.Model})
+			}
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 7, "next": n, "lost": false, "events": events})
+}
+
 func (u *Upstream) report(w http.ResponseWriter) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
