Keep short prompts from waiting behind long ones; fresher load figures

Cause: at steady load short requests waited behind long prompts that their daemon did not know of. A quarter of the engines is kept for short prompts by rendezvous hashing, load figures of peers are at most some 0.1 s old (24 KB/s a daemon in a small fleet instead of 4), and each running request counts as 3 ms of wait. Ruled out: 2 and 5 ms instead of 3 (within noise).

--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -157,8 +157,10 @@
 		return x
 	}
 	x := &service{
-		name:   name,
-		runner: schedule.New(routing.New(routing.Settings{RetryPercent: unlimitedPercent})),
+		name: name,
+		runner: schedule.New(routing.New(routing.Settings{
+			RetryPercent: unlimitedPercent, RecomputePrice: recomputePrice, HomePrior: homePrior, BatchDelay: batchDelay,
+		})),
 		// A daemon that has just started may have spent its part before.
 		retries: admission.NewShareBudget(retryMargin*s.retries.Ratio, s.retryBurst()/2),
 	}
@@ -167,6 +169,16 @@
 	return x
 }
 
+const (
+	// recomputePrice and homePrior keep prompts at one engine: measured on the
+	// platform's engines, whose memory holds few long prompts (docs/design/0105).
+	recomputePrice = 3
+	homePrior      = 0.9
+	// batchDelay is measured: engines that run 32 requests and more answer
+	// some 0.1 s later than idle ones.
+	batchDelay = 3 * time.Millisecond
+)
+
 // unlimitedPercent turns the scheduler's own bound on retries off: the budget
 // of the service decides, which counts only what reached an upstream.
 const unlimitedPercent = 100_000
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,8 +20,11 @@
 const (
 	// memberInterval is the pause between two looks at who is heard from.
 	memberInterval = 500 * time.Millisecond
-	// loadInterval is the pause between two looks at the daemon's own load.
-	loadInterval = 250 * time.Millisecond
+	// loadInterval is the pause between load figures in a small fleet: a long
+	// prompt that peers do not know of holds others up for some 0.3 s.
+	loadInterval = 50 * time.Millisecond
+	// gossipBytes bounds what a daemon sends to peers, in bytes a second.
+	gossipBytes = 24 << 10
 	// loadLife is how long a peer's load figures are believed.
 	loadLife = 3 * time.Second
 	// readinessInterval is the pause between two looks at the daemon's readiness.
@@ -51,7 +54,7 @@
 	}
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
-		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log,
+		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytes, LoadInterval: loadInterval, FlushInterval: loadInterval,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
 		},
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -32,6 +32,7 @@
 	DefaultIdleTimeout      = 3500 * time.Millisecond
 	DefaultHandshakeTimeout = 3 * time.Second
 	DefaultFlushInterval    = 500 * time.Millisecond
+	DefaultLoadInterval     = 250 * time.Millisecond
 	DefaultSummaryInterval  = 10 * time.Second
 	DefaultRotateInterval   = 10 * time.Minute
 	DefaultMinBackoff       = 200 * time.Millisecond
@@ -84,6 +85,8 @@
 	HandshakeTimeout time.Duration
 	// FlushInterval batches facts that are not urgent.
 	FlushInterval time.Duration
+	// LoadInterval is the least pause between a daemon's load figures.
+	LoadInterval time.Duration
 	// SummaryInterval is the pause between two comparisons of what both ends know.
 	SummaryInterval time.Duration
 	// RotateInterval is how long the choice of peers holds.
@@ -105,6 +108,7 @@
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
 	setDefault(&c.FlushInterval, DefaultFlushInterval)
+	setDefault(&c.LoadInterval, DefaultLoadInterval)
 	setDefault(&c.SummaryInterval, DefaultSummaryInterval)
 	setDefault(&c.RotateInterval, DefaultRotateInterval)
 	setDefault(&c.MinBackoff, DefaultMinBackoff)
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -3,8 +3,6 @@
 import "time"
 
 const (
-	// minLoadInterval is the pause between load figures in a small fleet.
-	minLoadInterval = 250 * time.Millisecond
 	// maxLoadInterval is the age past which load figures mislead; if the
 	// budget allows none that often, none are sent.
 	maxLoadInterval = 5 * time.Second
@@ -18,11 +16,11 @@
 // LoadInterval returns the pause between a daemon's load figures of the given
 // size in a fleet of so many daemons, and false if they can't be sent often
 // enough to be of use. Each daemon passes each figure on about once, so the
-// cost is daemons*bytes/interval and the interval grows with both.
-func LoadInterval(daemons, bytes, bytesPerSecond int) (time.Duration, bool) {
+// cost is daemons*bytes/interval and the interval grows with both, from least on.
+func LoadInterval(daemons, bytes, bytesPerSecond int, least time.Duration) (time.Duration, bool) {
 	room := max(bytesPerSecond-daemons*daemonBytesPerSecond, bytesPerSecond/leastLoadShare, 1)
 	need := time.Duration(daemons) * time.Duration(bytes) * time.Second / time.Duration(room)
-	return max(need, minLoadInterval), need <= maxLoadInterval
+	return max(need, least), need <= maxLoadInterval
 }
 
 const (
--- a/internal/gossip/maintain.go
+++ b/internal/gossip/maintain.go
@@ -69,7 +69,7 @@
 			size += factBytes + len(k.id) + len(e.fact.Origin) + len(e.fact.Value)
 		}
 	}
-	interval, useful := LoadInterval(n.daemons(now), size, n.cfg.BytesPerSecond)
+	interval, useful := LoadInterval(n.daemons(now), size, n.cfg.BytesPerSecond, n.cfg.LoadInterval)
 	if useful {
 		n.loadAt = now.Add(interval)
 	} else {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -12,7 +12,7 @@
 const (
 	// priceIdle and priceFull are the prices of recomputation, in units of
 	// waiting time, at an idle and at a full fleet.
-	priceIdle = 12.0
+	priceIdle = 4.0
 	priceFull = 40.0
 	// priceSteepness is the power of the load by which the price rises.
 	priceSteepness = 8
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/placement"
+	"github.com/verbenabend/verbenabend/internal/prefix"
 )
 
 const (
@@ -13,7 +14,7 @@
 	// levels that the first home holds when no hint tells: a daemon that has
 	// just started knows nothing, later one it has most hints.
 	priorAtStart = 0.9
-	priorLater   = 0.9
+	priorLater   = 0.2
 	// priorFade is the time constant from the one to the other.
 	priorFade = 3 * time.Second
 	// slowIgnored is the slowdown taken as chance.
@@ -77,7 +78,7 @@
 		room := p.room(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
-		cost := c.Cost(price) + e.ep.Handicap.Seconds()
+		cost := c.Cost(price) + e.ep.Handicap.Seconds() + p.segregation(e, r).Seconds()
 		switch {
 		case !room:
 			out.busyCost = min(out.busyCost, cost)
@@ -89,6 +90,51 @@
 	return out
 }
 
+const (
+	// longPrompt is the number of tokens from which a prompt is long: computing
+	// it holds up the short ones beside it.
+	longPrompt = 4000
+	// shortPercent is the part of the engines, in percent, kept for short prompts.
+	shortPercent = 25
+	// reservedPrice and sharedPrice are the handicaps of an engine kept for
+	// short prompts to long ones, and of the others to short ones.
+	reservedPrice = 2 * time.Second
+	sharedPrice   = 60 * time.Millisecond
+)
+
+// segregation is the handicap that keeps short prompts from waiting behind
+// long ones.
+func (p *Policy) segregation(e *engine, r *Request) time.Duration {
+	if !p.rules.segregation || r.PromptTokens == 0 || e.ep.TransferPerToken == 0 {
+		return 0
+	}
+	long := r.PromptTokens >= longPrompt
+	switch {
+	case long && e.reserved:
+		return reservedPrice
+	case !long && !e.reserved:
+		return sharedPrice
+	}
+	return 0
+}
+
+// reserve chooses the engines that are kept for short prompts.
+func (p *Policy) reserve() {
+	var able []prefix.Scored
+	for i, e := range p.engines {
+		e.reserved = false
+		if e.ep.Handicap == 0 {
+			able = append(able, prefix.Scored{Index: i, Score: prefix.Score(reserveKey, e.ep.Hash)})
+		}
+	}
+	for _, s := range prefix.Top(able, len(able)*shortPercent/100) {
+		p.engines[s.Index].reserved = true
+	}
+}
+
+// reserveKey is the key by which rendezvous hashing chooses reserved engines.
+const reserveKey = 0x5eed_0f_5407
+
 // crowdWeight scales the price of a slot.
 const crowdWeight = 0.2
 
@@ -142,6 +188,9 @@
 		load = p.load()
 	}
 	price := placement.Price(load)
+	if p.tuning.RecomputePrice > 0 {
+		price *= p.tuning.RecomputePrice
+	}
 	if r.Class.Deferrable && p.rules.deferral {
 		price *= deferrablePrice
 	}
@@ -163,6 +212,7 @@
 		Slowdown:  p.slowdown(now, e),
 		Delay:     2 * e.ep.Delay,
 	}
+	c.Wait += time.Duration(p.taken(e)) * p.tuning.BatchDelay
 	if p.rules.waiting {
 		c.Overrun = e.overrun(now, c.Slowdown)
 	}
@@ -326,6 +376,8 @@
 	switch {
 	case rank > 0:
 		return 0
+	case p.tuning.HomePrior > 0:
+		return p.tuning.HomePrior
 	case !p.rules.peerHints || !p.rules.hints:
 		return priorAtStart
 	}
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -20,6 +20,8 @@
 	ep      Endpoint
 	hintKey uint64
 	present bool
+	// reserved engines are kept for short prompts.
+	reserved bool
 	// own counts the daemon's attempts there, ownAlone those that must run
 	// alone, and ownTokens the prompt tokens that still have to be computed.
 	own       int
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -29,6 +29,7 @@
 // organisation, or is refused.
 type Policy struct {
 	rules   rules
+	tuning  Settings
 	now     time.Time
 	started time.Time
 	daemons int
@@ -87,7 +88,7 @@
 // New returns a Policy.
 func New(s Settings) *Policy {
 	p := &Policy{
-		rules: newRules(s.Without), daemons: 1,
+		rules: newRules(s.Without), tuning: s, daemons: 1,
 		byID: map[string]*engine{}, pools: map[string]*placement.Pool{},
 		flights: map[string]*flight{}, peers: map[string]*peerView{},
 		speed:       placement.NewSpeed(),
@@ -124,6 +125,7 @@
 	p.keepBusy(old)
 	p.sizeTables(now)
 	p.countResting(now)
+	p.reserve()
 	p.sumPeers()
 	p.generation++
 	p.dirty = true
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -16,6 +16,8 @@
 	RulePeerHints = "peer-hints"
 	// RuleTransfers lets engines fetch from one another what one of them holds.
 	RuleTransfers = "transfers"
+	// RuleSegregation keeps some engines for short prompts.
+	RuleSegregation = "segregation"
 	// RulePrice prices recomputation above waiting.
 	RulePrice = "recompute-price"
 	// RuleLoadPrice raises that price with the fleet's load.
@@ -58,6 +60,7 @@
 	slowdown, waiting, progress, peerLoad, peerSlow, reports bool
 	ejection, limits, patience, fairness, earlyRef           bool
 	deferral, hedges, crowd, peerHints, headroom, transfers  bool
+	segregation                                              bool
 }
 
 func newRules(without []string) rules {
@@ -73,6 +76,6 @@
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], fairness: !off[RuleFairness],
 		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
-		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers],
+		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers], segregation: !off[RuleSegregation],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -245,6 +245,15 @@
 	HedgePercent int
 	// RetryPercent bounds retries, in percent of requests.
 	RetryPercent int
+	// RecomputePrice multiplies the price of recomputation; 0 means 1.
+	RecomputePrice float64
+	// HomePrior is the part of its shared levels that a prompt's first home is
+	// presumed to hold when nothing is known; 0 means the default, which falls
+	// soon after the start.
+	HomePrior float64
+	// BatchDelay is how much longer a first token takes for each request that
+	// the engine runs beside it; 0 when engines run them apart.
+	BatchDelay time.Duration
 	// Seed fixes the tie-breaking of a Scheduler.
 	Seed uint64
 	// Without turns single rules off, by name, to measure what they earn.
--- a/lab/measure/messages.go
+++ b/lab/measure/messages.go
@@ -34,7 +34,7 @@
 	if len(loads) > 0 {
 		size = len(peerload.Encode(loads)) + gossipOverhead
 	}
-	interval, _ := gossip.LoadInterval(len(w.daemons), size, gossip.DefaultBytesPerSecond)
+	interval, _ := gossip.LoadInterval(len(w.daemons), size, gossip.DefaultBytesPerSecond, gossip.DefaultLoadInterval)
 	w.after(max(interval, gossipInterval), func() { w.gossip(d) })
 	from := fmt.Sprintf("daemon-%d/%d", d.index, d.generation)
 	for _, peer := range w.daemons {
