--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -44,6 +44,7 @@
 	Wire     Wire
 	Pool     *httpconn.Pool
 	Services *Services
+	Liveness *Liveness
 	// Table returns the desired state in force, nil when none is known.
 	Table func() *routetable.Table
 	// Registry returns the registered upstreams.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -95,6 +95,7 @@
 		if err != nil {
 			return passed, verdict.Wrap(err, verdict.Ran, verdict.CodeStreamLost, "the stream broke off")
 		}
+		t.heard()
 		if t.passedBefore(e.id) {
 			continue
 		}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -39,6 +39,8 @@
 	sent  int
 	ran   int
 	avoid []string
+	// heard notes that a byte of the upstream came.
+	heard func()
 	// begun says that the head of the answer was passed on, lastEvent is the
 	// last whole event that was.
 	begun     bool
@@ -134,11 +136,15 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	heard, end := t.f.Liveness.begin(u, t, cancel)
+	defer end()
+	t.heard = heard
 	t.emit(eventlog.AttemptStarted, u.ID, nil)
 	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u, action.Source))
 	if err != nil {
 		return t.lost(s, action, err)
 	}
+	heard()
 	reply := t.f.Wire.ReadReply(resp.StatusCode, resp.Header)
 	t.sent++
 	t.learn(s, u, reply)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 
 	pool      *httpconn.Pool
 	services  *forward.Services
+	liveness  *forward.Liveness
 	forwarder *forward.Forwarder
 	members   *membership.Members
 	node      *gossip.Node
@@ -113,8 +114,9 @@
 	}
 	d.log.Observe(d.metrics.Event)
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
+	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
 	d.forwarder = forward.New(forward.Config{
-		Wire: p.Wire, Pool: d.pool, Services: d.services, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot,
+		Wire: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot,
 		Learned: d.learnVersion, MaxBodyBytes: int64(bodyPart * float64(s.MemoryBytes)),
 	})
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
@@ -184,7 +186,7 @@
 	group, work := errgroup.WithContext(work)
 	d.node.Start()
 	for _, loop := range []func(context.Context) error{
-		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights, d.followCaches,
+		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run,
 		every(loadInterval, d.tellLoad), every(memberInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peers, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operators, d.platform.UpstreamTable: d.upstreams})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -67,6 +67,7 @@
 	node.Subscribe(gossip.KindDaemon, func(gossip.Fact) { d.refreshMembers() })
 	node.Subscribe(gossip.KindLoad, d.hearLoad)
 	node.Subscribe(gossip.KindSwitch, d.hearSwitch)
+	node.Subscribe(gossip.KindSilent, d.hearSilent)
 	return nil
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routetable"
@@ -175,6 +176,27 @@
 		list[i] = u
 	}
 	snapshot := d.registry.Replace(list)
-	d.pool.Retain(func(id string) bool { return snapshot.ByID[id] != nil })
+	registered := func(id string) bool { return snapshot.ByID[id] != nil }
+	d.pool.Retain(registered)
+	d.liveness.Forget(registered)
 	d.services.Update(d.servicesView(snapshot))
 }
+
+// livenessChanged takes an upstream out of use, or back into it, and tells peers.
+func (d *Daemon) livenessChanged(id string, down bool) {
+	if down {
+		d.pool.Drop(id)
+		d.node.Publish(gossip.Fact{Kind: gossip.KindSilent, ID: id, TTL: silentLife, Value: []byte(d.settings.Name)})
+	}
+	d.updateServices()
+}
+
+// silentLife is how long a peer's word that an upstream is silent is passed on.
+const silentLife = 2 * time.Second
+
+// hearSilent tries an upstream that a peer found silent.
+func (d *Daemon) hearSilent(f gossip.Fact) {
+	if u := d.registry.Snapshot().ByID[f.ID]; u != nil {
+		d.liveness.Suspect(u)
+	}
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -169,7 +169,7 @@
 			return 0
 		},
 		Resting: func(u *fleet.Registration) bool {
-			if d.resting(u, now) {
+			if d.resting(u, now) || d.liveness.Down(u.ID) {
 				return true
 			}
 			a, old := age(u)
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -28,7 +28,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect, KindSwitch:
+	case KindDocument, KindSuspect, KindSwitch, KindSilent:
 		if valueBytes > bodyBytes {
 			return priorityBody
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -22,6 +22,8 @@
 	KindSuspect Kind = 5
 	// KindSwitch tells that an engine takes new weights. ID is the engine's.
 	KindSwitch Kind = 6
+	// KindSilent tells that an upstream does not answer. ID is the upstream's.
+	KindSilent Kind = 7
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
