--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -228,14 +228,21 @@
 	return ""
 }
 
-// priority is the request's rank; 0 is served first.
+// priority is the request's rank; 0 is served first. The organisation's rank
+// goes before the route's, which decides among equals.
 func (t *transfer) priority() int {
+	rank := t.route.Priority
 	if t.organisation != nil && t.organisation.Priority != nil {
-		return *t.organisation.Priority
+		rank = *t.organisation.Priority
 	}
-	return t.route.Priority
+	return rankSteps*clampRank(rank) + clampRank(t.route.Priority)
 }
 
+// rankSteps is the number of ranks that are told apart; engines know ten priorities.
+const rankSteps = 3
+
+func clampRank(rank int) int { return min(max(0, rank), rankSteps-1) }
+
 func (t *transfer) queueWait() time.Duration {
 	goal := t.route.Goal
 	if goal == 0 {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -229,7 +229,7 @@
 	}
 	if p := t.stated.Prompt; p != nil && t.model != nil && t.model.Engine != nil {
 		d.Prompted = true
-		d.Priority = min(max(0, t.priority()), maxEnginePriority)
+		d.Priority = t.priority()
 		d.Version = u.Version(p.Model)
 		d.CacheScope = cacheScope(t.cacheOwner(), d.Version)
 		if from := t.f.Registry().ByID[source]; from != nil && from.Version(p.Model) == d.Version {
@@ -247,9 +247,6 @@
 	}
 }
 
-// maxEnginePriority is the least urgent rank that engines know.
-const maxEnginePriority = 9
-
 // learn takes in what a response states of its upstream.
 func (t *transfer) learn(s *service, u *fleet.Registration, reply Reply) {
 	if l := reply.Load; l != nil {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -95,11 +95,11 @@
 	// it holds up the short ones beside it.
 	longPrompt = 4000
 	// shortPercent is the part of the engines, in percent, kept for short prompts.
-	shortPercent = 25
+	shortPercent = 34
 	// reservedPrice and sharedPrice are the handicaps of an engine kept for
 	// short prompts to long ones, and of the others to short ones.
 	reservedPrice = 2 * time.Second
-	sharedPrice   = 60 * time.Millisecond
+	sharedPrice   = 100 * time.Millisecond
 )
 
 // segregation is the handicap that keeps short prompts from waiting behind
