Keep long prompts off reserved engines; bound what waits before them

Ruled out: the share of reserved engines alone (25 to 45 percent: no difference), a handicap of 200 or 600 ms for shorts elsewhere, a bound of 0.4 and 0.8 of the goal.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -198,7 +198,7 @@
 func (t *transfer) question() *routing.Request {
 	q := &routing.Request{
 		ID: t.stated.ID, Share: 1, Class: routing.Class{Name: t.route.Name, Priority: -t.priority(), MaxWait: t.queueWait()},
-		Deadline: t.deadline, Repeatable: t.route.Repeatable(), Avoid: t.avoid, Attempt: t.sent,
+		Deadline: t.deadline, Goal: t.route.Goal, Repeatable: t.route.Repeatable(), Avoid: t.avoid, Attempt: t.sent,
 	}
 	if t.organisation != nil {
 		q.Organisation = t.organisation.Name
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -75,7 +75,7 @@
 		c := p.candidate(now, e, n.compute)
 		c.Transfer = n.transfer
 		c.Recompute += time.Duration(copyShare * float64(p.speed.Tokens(n.copied)))
-		room := p.room(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
+		room := p.room(e, r) && !p.crowded(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price) + e.ep.Handicap.Seconds() + p.segregation(e, r).Seconds()
@@ -95,40 +95,64 @@
 	// it holds up the short ones beside it.
 	longPrompt = 4000
 	// shortPercent is the part of the engines, in percent, kept for short prompts.
-	shortPercent = 34
-	// reservedPrice and sharedPrice are the handicaps of an engine kept for
-	// short prompts to long ones, and of the others to short ones.
-	reservedPrice = 2 * time.Second
-	sharedPrice   = 100 * time.Millisecond
+	shortPercent = 28
+	// sharedPrice is the handicap for a short prompt of an engine that is not
+	// kept for short ones.
+	sharedPrice = 100 * time.Millisecond
 )
 
 // segregation is the handicap that keeps short prompts from waiting behind
 // long ones.
 func (p *Policy) segregation(e *engine, r *Request) time.Duration {
-	if !p.rules.segregation || r.PromptTokens == 0 || e.ep.TransferPerToken == 0 {
+	if p.split(r) == nil || r.PromptTokens >= longPrompt || e.reserved {
 		return 0
 	}
-	long := r.PromptTokens >= longPrompt
-	switch {
-	case long && e.reserved:
-		return reservedPrice
-	case !long && !e.reserved:
-		return sharedPrice
+	return sharedPrice
+}
+
+// splitPool is a pool divided by what its engines are kept for.
+type splitPool struct {
+	reserved placement.Pool // for short prompts
+	others   placement.Pool
+}
+
+// split returns the divided pool of a request; nil when it is not divided.
+func (p *Policy) split(r *Request) *splitPool {
+	if !p.rules.segregation || r.PromptTokens == 0 {
+		return nil
 	}
-	return 0
+	s := p.splits[r.Weights]
+	if s == nil || len(s.reserved.Members) == 0 || len(s.others.Members) == 0 {
+		return nil
+	}
+	return s
 }
 
-// reserve chooses the engines that are kept for short prompts.
+// reserve chooses the engines that are kept for short prompts: some of those
+// that may be used without a handicap.
 func (p *Policy) reserve() {
-	var able []prefix.Scored
-	for i, e := range p.engines {
-		e.reserved = false
-		if e.ep.Handicap == 0 {
-			able = append(able, prefix.Scored{Index: i, Score: prefix.Score(reserveKey, e.ep.Hash)})
+	p.splits = map[string]*splitPool{}
+	for weights, pool := range p.pools {
+		var able []prefix.Scored
+		for _, i := range pool.Members {
+			e := p.engines[i]
+			e.reserved = false
+			if e.ep.Handicap == 0 && e.ep.TransferPerToken > 0 {
+				able = append(able, prefix.Scored{Index: i, Score: prefix.Score(reserveKey, e.ep.Hash)})
+			}
 		}
-	}
-	for _, s := range prefix.Top(able, len(able)*shortPercent/100) {
-		p.engines[s.Index].reserved = true
+		for _, s := range prefix.Top(able, len(able)*shortPercent/100) {
+			p.engines[s.Index].reserved = true
+		}
+		split := &splitPool{}
+		for _, i := range pool.Members {
+			if e := p.engines[i]; e.reserved {
+				addToPool(&split.reserved, i, e)
+			} else {
+				addToPool(&split.others, i, e)
+			}
+		}
+		p.splits[weights] = split
 	}
 }
 
@@ -449,6 +473,19 @@
 	return true
 }
 
+// crowded reports whether a long prompt would have to wait for others at the
+// engine for too long: each prompt that is computed there holds up the answers
+// that the engine generates.
+func (p *Policy) crowded(e *engine, r *Request) bool {
+	if !p.rules.prefill || r.Goal == 0 || r.PromptTokens < longPrompt {
+		return false
+	}
+	return p.speed.Tokens(p.backlog(p.now, e)) > time.Duration(prefillPart*float64(r.Goal))
+}
+
+// prefillPart is the part of a long prompt's goal that prompts before it may take.
+const prefillPart = 0.1
+
 // known returns how many requests others run at the engine, -1 when unknown.
 func (p *Policy) known(e *engine) int {
 	if p.rules.peerLoad && (len(p.peers) > 0 || p.daemons == 1) {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -189,6 +189,15 @@
 	if pool == nil {
 		return nil
 	}
+	if split := p.split(r); split != nil {
+		if r.PromptTokens < longPrompt {
+			// A short prompt gains little from its home: any reserved engine may
+			// take it, and the others when those are busy.
+			p.candidates = append(append(p.candidates[:0], split.reserved.Members...), split.others.Members...)
+			return p.candidates
+		}
+		pool = &split.others
+	}
 	switch {
 	case !p.rules.homes:
 		return pool.Members
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -38,7 +38,10 @@
 	byID    map[string]*engine
 	pools   map[string]*placement.Pool
 	all     placement.Pool
-	resting int
+	// splits are the pools divided by what their engines are kept for.
+	splits     map[string]*splitPool
+	candidates []int
+	resting    int
 	// generation counts changes of the engines.
 	generation int
 
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -18,6 +18,8 @@
 	RuleTransfers = "transfers"
 	// RuleSegregation keeps some engines for short prompts.
 	RuleSegregation = "segregation"
+	// RulePrefill bounds the prompts that wait at one engine.
+	RulePrefill = "prefill-limit"
 	// RulePrice prices recomputation above waiting.
 	RulePrice = "recompute-price"
 	// RuleLoadPrice raises that price with the fleet's load.
@@ -60,7 +62,7 @@
 	slowdown, waiting, progress, peerLoad, peerSlow, reports bool
 	ejection, limits, patience, fairness, earlyRef           bool
 	deferral, hedges, crowd, peerHints, headroom, transfers  bool
-	segregation                                              bool
+	segregation, prefill                                     bool
 }
 
 func newRules(without []string) rules {
@@ -76,6 +78,6 @@
 		reports: !off[RuleReports], ejection: !off[RuleEjection], limits: !off[RuleLimits],
 		patience: !off[RulePatience], fairness: !off[RuleFairness],
 		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
-		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers], segregation: !off[RuleSegregation],
+		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers], segregation: !off[RuleSegregation], prefill: !off[RulePrefill],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -60,6 +60,8 @@
 	MaxOutputTokens int
 	// Deadline is the time by which the first token must come; zero means none.
 	Deadline time.Time
+	// Goal is the time to the first token that operators aim at; 0 when not stated.
+	Goal time.Duration
 	// Repeatable requests may be hedged and tried again.
 	Repeatable bool
 	// Alone requires that no other request with Alone runs at the same engine.
