Let long prompts go to more homes; never refuse for patience alone while the fleet is idle

Cause: a test of a crest of long prompts found requests refused beside idle engines: five homes only, and a request that waited for a better home was refused when its wait ended.

--- /dev/null
+++ b/internal/rollout/versions_test.go
@@ -0,0 +1,54 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Whatever the engines' state, no more switch at once than the limits allow,
+// none that is up to date is ordered, and something is done while it may be.
+func TestPlanSwitches(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []VersionEngine
+		behind, switching := 0, 0
+		for i := range rapid.IntRange(1, 20).Draw(t, "engines") {
+			e := VersionEngine{ID: fmt.Sprint(i), Version: rapid.IntRange(1, 4).Draw(t, "version"), Requests: rapid.IntRange(0, 9).Draw(t, "requests")}
+			if e.Version < 3 {
+				behind++
+				if e.Switching = rapid.Bool().Draw(t, "switching"); e.Switching {
+					switching++
+				}
+			}
+			engines = append(engines, e)
+		}
+		limits := SwitchLimits{Concurrent: 2, OutPercent: 25}
+		room := min(2, max(1, len(engines)/4))
+		plan := PlanSwitches(3, engines, limits)
+		assert.Equal(t, len(plan), max(0, min(room-switching, behind-switching)))
+		seen := map[string]bool{}
+		for _, id := range plan {
+			assert.Assert(t, !seen[id])
+			seen[id] = true
+			for _, e := range engines {
+				assert.Assert(t, e.ID != id || e.Version < 3 && !e.Switching)
+			}
+		}
+	})
+}
+
+func TestStaleness(t *testing.T) {
+	s := Staleness{Free: time.Second, Price: 400 * time.Millisecond, Last: 8 * time.Second}
+	for _, x := range []struct {
+		age     time.Duration
+		price   time.Duration
+		expired bool
+	}{{0, 0, false}, {2 * time.Second, s.Price, false}, {9 * time.Second, s.Price, true}} {
+		price, expired := s.Handicap(x.age)
+		assert.Equal(t, price, x.price)
+		assert.Equal(t, expired, x.expired)
+	}
+}
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -152,6 +152,11 @@
 	}
 }
 
+// idleLoad is the load of the fleet below which nothing is refused for having
+// waited for a better engine. Above it, computing the prompt anew elsewhere
+// would take what others need.
+const idleLoad = 0.1
+
 // expire refuses what has waited as long as it may.
 func (p *Policy) expire(now time.Time) {
 	for {
@@ -159,6 +164,11 @@
 		if it == nil {
 			return
 		}
+		deadline := it.Value.request.Deadline
+		if p.load() < idleLoad && (deadline.IsZero() || deadline.After(now)) && p.tryStart(now, it) {
+			p.queue.Charge(it)
+			continue
+		}
 		p.refuseNow(it, defaultRetryAfter)
 	}
 }
@@ -196,7 +206,7 @@
 			p.candidates = append(append(p.candidates[:0], split.reserved.Members...), split.others.Members...)
 			return p.candidates
 		}
-		pool = &split.others
+		return p.picker.PickFlat(&r.Chain, &split.others, longHomes)
 	}
 	switch {
 	case !p.rules.homes:
@@ -211,6 +221,10 @@
 	return p.picker.Pick(&r.Chain, pool, p.widths)
 }
 
+// longHomes is how many engines a long prompt may go to, where engines fetch
+// from one another what its first home holds.
+const longHomes = 16
+
 // width returns the number of homes for a key at its measured rate.
 func (p *Policy) width(now time.Time, key uint64) int {
 	if !p.rules.growth || len(p.engines) == 0 {
