--- a/internal/cli/daemoncli/main.go
+++ b/internal/cli/daemoncli/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/daemon"
 	"github.com/verbenabend/verbenabend/internal/settings"
+	"github.com/verbenabend/verbenabend/platform"
 )
 
 // exitUsage is the exit code for wrong usage, exitFailed for a failure.
@@ -31,7 +32,8 @@
 }
 
 type checkCommand struct {
-	Settings string `required:"" placeholder:"FILE" help:"Settings in JSON."`
+	Settings string `required:"" placeholder:"FILE" help:"Settings in JSON, or in the platform's format with --gateway."`
+	Gateway  bool   `help:"Check settings in the users' platform's format."`
 }
 
 // Run serves.
@@ -61,6 +63,14 @@
 
 // Run checks.
 func (c *checkCommand) Run() error {
+	if c.Gateway {
+		s, err := platform.LoadSettings(c.Settings)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("yes: %s would run as %s in %s\n", c.Settings, s.Gateway.Name, s.Gateway.DataCentre)
+		return nil
+	}
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
