--- a/internal/cli/daemoncli/gateway.go
+++ b/internal/cli/daemoncli/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/verbenabend/verbenabend/internal/gateway"
+	"github.com/verbenabend/verbenabend/internal/logsink"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
 	"github.com/verbenabend/verbenabend/platform"
 )
@@ -46,7 +47,9 @@
 		}
 		s.Gateway.MetricsListen = net.JoinHostPort(host, strconv.Itoa(c.MetricsPort))
 	}
-	logger := hclog.New(&hclog.LoggerOptions{Name: s.Gateway.Name, Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: os.Stdout})
+	sink := logsink.New(os.Stdout, logsink.DefaultLines)
+	defer closeLog(sink)
+	logger := hclog.New(&hclog.LoggerOptions{Name: s.Gateway.Name, Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: sink})
 	store := platform.NewStore(s.Store.Address, httpconn.Dialer{Timeout: storeDialTimeout, Silence: storeSilence}.DialContext)
 	defer store.Close()
 	network := gateway.Network{}.WithDefaults()
@@ -62,3 +65,13 @@
 	signal.Ignore(syscall.SIGHUP)
 	return d.Run(ctx)
 }
+
+// closeLog writes the last lines, unless the output takes none for logTimeout.
+func closeLog(sink *logsink.Sink) {
+	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
+	defer cancel()
+	sink.Close(ctx.Done())
+}
+
+// logTimeout bounds the writing of the last log lines.
+const logTimeout = 200 * time.Millisecond
