--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -50,6 +50,8 @@
 	running map[*transfer]context.CancelFunc
 	down    bool
 	probing bool
+	// suspected is set when a peer found the upstream silent.
+	suspected bool
 	alive   time.Time // when a connection was made last
 }
 
@@ -71,11 +73,7 @@
 func (l *Liveness) begin(u *fleet.Registration, t *transfer, cancel context.CancelFunc) (heard, end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.known[u.ID]
-	if p == nil || p.address != u.Address {
-		p = &pulse{address: u.Address, service: u.Service, running: map[*transfer]context.CancelFunc{}}
-		l.known[u.ID] = p
-	}
+	p := l.pulse(u)
 	if len(p.running) == 0 {
 		p.sent = time.Now()
 	}
@@ -97,16 +95,17 @@
 func (l *Liveness) Suspect(u *fleet.Registration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.pulse(u).suspected = true
+}
+
+// pulse returns what is known of an upstream. The Liveness is locked.
+func (l *Liveness) pulse(u *fleet.Registration) *pulse {
 	p := l.known[u.ID]
 	if p == nil || p.address != u.Address {
 		p = &pulse{address: u.Address, service: u.Service, running: map[*transfer]context.CancelFunc{}}
 		l.known[u.ID] = p
 	}
-	if !p.down {
-		p.alive = time.Time{}
-		p.heard, p.sent = time.Time{}, time.Time{}
-		p.running[nil] = func() {} // no request of this daemon's waits there
-	}
+	return p
 }
 
 // Forget drops upstreams that keep does not name.
@@ -144,7 +143,7 @@
 			continue
 		}
 		silent := len(p.running) > 0 && now.Sub(p.heard) > suspectAfter && now.Sub(p.sent) > suspectAfter && now.Sub(p.alive) > aliveFor
-		if silent || p.down && now.Sub(p.alive) > downPause {
+		if silent || p.suspected && !p.down || p.down && now.Sub(p.alive) > downPause {
 			p.probing = true
 			out[id] = p
 		}
@@ -180,8 +179,8 @@
 func (l *Liveness) conclude(id string, p *pulse, answers bool) {
 	l.mu.Lock()
 	p.probing = false
+	p.suspected = false
 	p.alive = time.Now()
-	delete(p.running, nil)
 	changed := p.down == answers
 	p.down = !answers
 	var stranded []context.CancelFunc
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/placement"
-	"github.com/verbenabend/verbenabend/internal/prefix"
 )
 
 const (
@@ -90,75 +89,6 @@
 	return out
 }
 
-const (
-	// longPrompt is the number of tokens from which a prompt is long: computing
-	// it holds up the short ones beside it.
-	longPrompt = 4000
-	// shortPercent is the part of the engines, in percent, kept for short prompts.
-	shortPercent = 28
-	// sharedPrice is the handicap for a short prompt of an engine that is not
-	// kept for short ones.
-	sharedPrice = 100 * time.Millisecond
-)
-
-// segregation is the handicap that keeps short prompts from waiting behind
-// long ones.
-func (p *Policy) segregation(e *engine, r *Request) time.Duration {
-	if p.split(r) == nil || r.PromptTokens >= longPrompt || e.reserved {
-		return 0
-	}
-	return sharedPrice
-}
-
-// splitPool is a pool divided by what its engines are kept for.
-type splitPool struct {
-	reserved placement.Pool // for short prompts
-	others   placement.Pool
-}
-
-// split returns the divided pool of a request; nil when it is not divided.
-func (p *Policy) split(r *Request) *splitPool {
-	if !p.rules.segregation || r.PromptTokens == 0 {
-		return nil
-	}
-	s := p.splits[r.Weights]
-	if s == nil || len(s.reserved.Members) == 0 || len(s.others.Members) == 0 {
-		return nil
-	}
-	return s
-}
-
-// reserve chooses the engines that are kept for short prompts: some of those
-// that may be used without a handicap.
-func (p *Policy) reserve() {
-	p.splits = map[string]*splitPool{}
-	for weights, pool := range p.pools {
-		var able []prefix.Scored
-		for _, i := range pool.Members {
-			e := p.engines[i]
-			e.reserved = false
-			if e.ep.Handicap == 0 && e.ep.TransferPerToken > 0 {
-				able = append(able, prefix.Scored{Index: i, Score: prefix.Score(reserveKey, e.ep.Hash)})
-			}
-		}
-		for _, s := range prefix.Top(able, len(able)*shortPercent/100) {
-			p.engines[s.Index].reserved = true
-		}
-		split := &splitPool{}
-		for _, i := range pool.Members {
-			if e := p.engines[i]; e.reserved {
-				addToPool(&split.reserved, i, e)
-			} else {
-				addToPool(&split.others, i, e)
-			}
-		}
-		p.splits[weights] = split
-	}
-}
-
-// reserveKey is the key by which rendezvous hashing chooses reserved engines.
-const reserveKey = 0x5eed_0f_5407
-
 // crowdWeight scales the price of a slot.
 const crowdWeight = 0.2
 
@@ -307,93 +237,6 @@
 	return s, 0
 }
 
-// need is what an engine lacks of a prompt.
-type need struct {
-	// compute is the number of prompt tokens that it has to compute.
-	compute float64
-	// transfer is the time to fetch the rest from source.
-	transfer time.Duration
-	source   *engine
-	// held is the number of tokens that it is believed to hold.
-	held float64
-	// copied is the number of tokens that the fetch stores a second time.
-	copied float64
-}
-
-// copyShare is the part of the time to compute tokens that a second copy of
-// them costs: it pushes out what others need.
-const copyShare = 1.0
-
-// need predicts what the engine lacks of r's prompt. best is the engine that
-// holds most of it, which found tells.
-func (p *Policy) need(now time.Time, e *engine, r *Request, rank int, best *engine, found int) need {
-	c := &r.Chain
-	if len(c.LevelPieces) == 0 || c.Bytes == 0 {
-		return need{compute: float64(r.PromptTokens)}
-	}
-	held := 0
-	if p.rules.hints {
-		held = p.held(now, e, r)
-	}
-	if p.rules.transfers && e.ep.TransferPerToken > 0 && best != nil && best != e && found > held {
-		return p.fetched(e, r, best, held, found)
-	}
-	shared := c.LevelPieces[max(0, len(c.LevelPieces)-2)]
-	expected := float64(held)
-	if shared > held && p.rules.order {
-		expected += p.prior(now, rank) * float64(shared-held)
-	}
-	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
-	return need{compute: float64(r.PromptTokens) * max(0, 1-share), held: float64(held) * tokensPerPiece(r)}
-}
-
-// fetched is the need of an engine that fetches from another one.
-func (p *Policy) fetched(e *engine, r *Request, from *engine, held, found int) need {
-	tokens := tokensPerPiece(r)
-	perToken := e.ep.TransferPerToken
-	if from.ep.DataCentre != e.ep.DataCentre {
-		perToken *= farTransfer
-	}
-	return need{
-		compute:  max(0, float64(r.PromptTokens)-float64(found)*tokens),
-		transfer: transferSetup + time.Duration(float64(found-held)*tokens)*perToken,
-		source:   from,
-		held:     float64(held) * tokens,
-		copied:   float64(found-held) * tokens,
-	}
-}
-
-// tokensPerPiece returns the number of prompt tokens in a piece.
-func tokensPerPiece(r *Request) float64 {
-	return float64(r.PromptTokens) * float64(r.Chain.PieceBytes) / float64(r.Chain.Bytes)
-}
-
-const (
-	// transferSetup is the time to begin a transfer between engines.
-	transferSetup = 5 * time.Millisecond
-	// farTransfer is how many times longer a transfer takes between data centres.
-	farTransfer = 2
-)
-
-// bestHolder returns the engine that holds most of r's prompt and how many
-// pieces it holds, nil when none was seen to hold any.
-func (p *Policy) bestHolder(now time.Time, r *Request) (*engine, int) {
-	if !p.rules.transfers || !p.rules.hints || len(r.Chain.Levels) == 0 {
-		return nil, 0
-	}
-	var best *engine
-	most := 0
-	for _, e := range p.engines {
-		if e.ep.TransferPerToken == 0 {
-			return nil, 0
-		}
-		if n := p.held(now, e, r); n > most {
-			best, most = e, n
-		}
-	}
-	return best, most
-}
-
 // prior returns the presumed share of the shared levels that a home holds
 // though no hint tells.
 func (p *Policy) prior(now time.Time, rank int) float64 {
@@ -473,19 +316,6 @@
 	return true
 }
 
-// crowded reports whether a long prompt would have to wait for others at the
-// engine for too long: each prompt that is computed there holds up the answers
-// that the engine generates.
-func (p *Policy) crowded(e *engine, r *Request) bool {
-	if !p.rules.prefill || r.Goal == 0 || r.PromptTokens < longPrompt {
-		return false
-	}
-	return p.speed.Tokens(p.backlog(p.now, e)) > time.Duration(prefillPart*float64(r.Goal))
-}
-
-// prefillPart is the part of a long prompt's goal that prompts before it may take.
-const prefillPart = 0.1
-
 // known returns how many requests others run at the engine, -1 when unknown.
 func (p *Policy) known(e *engine) int {
 	if p.rules.peerLoad && (len(p.peers) > 0 || p.daemons == 1) {
