--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -52,7 +52,7 @@
 	probing bool
 	// suspected is set when a peer found the upstream silent.
 	suspected bool
-	alive   time.Time // when a connection was made last
+	alive     time.Time // when a connection was made last
 }
 
 // NewLiveness returns a Liveness that connects by dial.
