Make no timer that is due at once in code tested in synctest bubbles

A fake timer that is due when it is set runs at once in the goroutine that sets it (runtime/time.go, modify), with the one race context of the bubble; two goroutines doing so at the same time corrupt it. The at-most-once tests do it through late effects without delay (platformtest) and pauses of no length (backoff.Sleep).

Ruled out: the garbage collector, asynchronous preemption, a leak of race contexts; a bare bubble with AfterFunc(0) in 8 goroutines crashes 3 of 3 times, with AfterFunc(1) 0 of 3.

--- a/internal/backoff/policy.go
+++ b/internal/backoff/policy.go
@@ -43,6 +43,9 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	if d <= 0 {
+		return nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/dispatch/engines_test.go
+++ b/internal/dispatch/engines_test.go
@@ -362,7 +362,7 @@
 }
 
 func (s *fakeStream) wait(d time.Duration) error {
-	timer := time.NewTimer(d)
+	timer := time.NewTimer(max(d, time.Nanosecond))
 	defer timer.Stop()
 	select {
 	case <-s.closed:
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -142,7 +142,7 @@
 // write sends frames until the connection ends.
 func (c *conn) write() {
 	defer c.shut()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(time.Nanosecond)
 	defer timer.Stop()
 	for {
 		payload, wait, stop := c.node.next(c, time.Now())
@@ -155,7 +155,7 @@
 			}
 			continue
 		}
-		timer.Reset(wait)
+		timer.Reset(max(wait, time.Nanosecond))
 		select {
 		case <-c.done:
 			return
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -125,7 +125,7 @@
 		select {
 		case <-c.done:
 		case <-timeout.C:
-			timeout.Reset(0)
+			timeout.Reset(time.Nanosecond)
 		}
 	}
 	n.cancel()
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -61,7 +61,7 @@
 	w.mu.Unlock()
 	for n := 0; ctx.Err() == nil && n < 40; n++ {
 		if h.Valid() && !c.client.Killed() {
-			time.AfterFunc(w.settle*time.Duration(n%3)/2-time.Millisecond, func() { w.arrive(h.Fence) })
+			time.AfterFunc(max(w.settle*time.Duration(n%3)/2-time.Millisecond, time.Nanosecond), func() { w.arrive(h.Fence) })
 		}
 		// Half of the holders do not notice the end of their context in time.
 		time.Sleep(500 * time.Millisecond)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -275,7 +275,7 @@
 // ReadChanges implements platform.Feed for peers: it returns the whole table
 // as soon as the copy is newer than after.
 func (m *Mirror) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(max(wait, time.Nanosecond))
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -164,7 +164,7 @@
 		return noAnswer()
 	case LateEffect:
 		c.mu.Lock()
-		time.AfterFunc(c.lateDelay, func() { _ = effect() })
+		time.AfterFunc(max(c.lateDelay, time.Nanosecond), func() { _ = effect() })
 		c.mu.Unlock()
 		return noAnswer()
 	case KillBefore:
--- /dev/null
+++ b/internal/platform/platformtest/client_test.go
@@ -0,0 +1,39 @@
+package platformtest
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/platform"
+)
+
+// Effects that arrive late by nothing, on several goroutines: a timer due at
+// once in a synctest bubble crashed the race detector (Go 1.26) in some runs
+// of the at-most-once tests.
+func TestLateEffectsWithoutDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New()
+		const writers, writes = 8, 500
+		var calls sync.WaitGroup
+		for i := range writers {
+			c := p.Client()
+			c.SetLateDelay(0)
+			calls.Go(func() {
+				for j := range writes {
+					c.Plan(LateEffect)
+					err := c.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: fmt.Sprintf("k/%d/%d", i, j), Value: []byte("v")}}})
+					assert.Check(t, err != nil, "a late effect is not answered")
+				}
+			})
+		}
+		calls.Wait()
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, p.Rows("k/"), writers*writes)
+	})
+}
--- a/internal/schedule/runner.go
+++ b/internal/schedule/runner.go
@@ -41,7 +41,7 @@
 		}
 	}
 	if wake := r.scheduler.NextWake(now); !wake.IsZero() {
-		r.timer.Reset(max(0, wake.Sub(now)))
+		r.timer.Reset(max(time.Nanosecond, wake.Sub(now)))
 	}
 }
 
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -311,7 +311,7 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
+	t := time.NewTimer(max(d, time.Nanosecond))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/lab/engine/stream.go
+++ b/lab/engine/stream.go
@@ -168,7 +168,7 @@
 		s.weights = slices.DeleteFunc(s.weights, func(x string) bool { return x == o.Weights })
 	case upstream.OrderLoad:
 		s.loading = true
-		time.AfterFunc(s.config.LoadTime, func() { s.loaded(life, o.Weights) })
+		time.AfterFunc(max(s.config.LoadTime, time.Nanosecond), func() { s.loaded(life, o.Weights) })
 	}
 	s.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -214,7 +214,7 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= u.Events; i++ {
 		select {
-		case <-time.After(u.Pause):
+		case <-time.After(max(u.Pause, time.Nanosecond)):
 		case <-r.Context().Done():
 			return
 		}
@@ -269,7 +269,7 @@
 		u.fence, u.busy = o.Fence, true
 		u.seq++
 		u.orders = append(u.orders, strings.Join([]string{o.Holder, strconv.FormatUint(o.Fence, 10), strconv.Itoa(o.Version)}, " "))
-		time.AfterFunc(u.SwitchTime, func() {
+		time.AfterFunc(max(u.SwitchTime, time.Nanosecond), func() {
 			u.mu.Lock()
 			defer u.mu.Unlock()
 			u.version, u.busy = o.Version, false
--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -186,7 +186,7 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	timer := time.NewTimer(max(time.Duration(wait)*time.Millisecond, time.Nanosecond))
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
