Probe an ending engine again until its death is certain

Cause of KNOWN-RED TestScenarios/crashing-request: a prompt that ends an engine's process before the answer's head is followed at once by a probe. While the process ends, its socket still accepts and then resets; only a refused connection counted as a death, so the first death was not recorded, the request stayed free to run, and a third engine was lost.

Ruled out: late gossip (a request waits a second after a death it saw; the death was not seen at all).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -127,6 +128,12 @@
 	if !errors.Is(err, errUnreachable) && !errors.Is(err, errRestarted) {
 		err = t.d.probe(ctx, a.action.Endpoint, a.action.Incarnation)
 	}
+	for try := 1; err != nil && isConnectionBroken(err) && try < maxEndProbes; try++ {
+		if backoff.Sleep(ctx, endProbePause) != nil {
+			break
+		}
+		err = t.d.probe(ctx, a.action.Endpoint, a.action.Incarnation)
+	}
 	if err == nil {
 		return routing.Canceled
 	}
--- a/internal/dispatch/engines_test.go
+++ b/internal/dispatch/engines_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,7 @@
 	testPrefill  = 200 * time.Millisecond
 	testPoison   = "crash the engine"
 	testIdle     = 3 * time.Second
+	testClosing  = 20 * time.Millisecond
 	testTimeout  = 5 * time.Second
 	testWeights  = "opal@1"
 	testCustomer = "trust"
@@ -64,9 +66,13 @@
 	steps   []step // consumed by Generate and Resume, in order
 	runs    map[string]int
 	crashes int
+	// exits makes a crash the end of an engine's process.
+	exits bool
 }
 
 type fakeEngine struct {
+	closing time.Time // until then a process that ends breaks what it accepts
+	ended   bool
 	life    int
 	streams map[string]*fakeRun
 	down    time.Time // unreachable until then
@@ -110,11 +116,21 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, message)
 }
 
+// endedProcess is what a connection to the address of an ended process meets:
+// while the process ends, its socket may still accept.
+func endedProcess(closing bool) error {
+	cause := syscall.ECONNREFUSED
+	if closing {
+		cause = syscall.ECONNRESET
+	}
+	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "no answer")
+}
+
 // Generate implements upstream.Engines.
 func (f *fakeEngines) Generate(_ context.Context, address string, g *upstream.Generation) (upstream.Stream, error) {
 	f.mu.Lock()
 	e, s := f.engines[address], f.step()
-	if s.fault == faultDial || time.Now().Before(e.down) {
+	if s.fault == faultDial || e.ended || time.Now().Before(e.down) {
 		f.mu.Unlock()
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "no connection")
 	}
@@ -132,7 +148,13 @@
 		start: time.Now().Add(testToken), gone: make(chan struct{}),
 	}
 	e.streams[run.id] = run
-	if strings.Contains(g.Messages[0].Content, testPoison) {
+	poison := strings.Contains(g.Messages[0].Content, testPoison)
+	if poison && f.exits {
+		f.crash(address)
+		f.mu.Unlock()
+		return nil, broken("no answer")
+	}
+	if poison {
 		time.AfterFunc(testPrefill, func() { f.crashLife(address, run.life) })
 		run.start = run.start.Add(2 * testPrefill)
 	}
@@ -223,7 +245,11 @@
 	e := f.engines[address]
 	life, silent := e.life, time.Now().Before(e.frozen)
 	down := time.Now().Before(e.down)
+	ended, closing := e.ended, time.Now().Before(e.closing)
 	f.mu.Unlock()
+	if ended {
+		return upstream.EngineState{}, endedProcess(closing)
+	}
 	if silent {
 		time.Sleep(cancelTimeout)
 	}
@@ -252,6 +278,9 @@
 func (f *fakeEngines) crash(address string) {
 	e := f.engines[address]
 	e.life++
+	if f.exits {
+		e.ended, e.closing = true, time.Now().Add(testClosing)
+	}
 	f.crashes++
 	for _, run := range e.streams {
 		close(run.gone)
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strconv"
 	"syscall"
 	"time"
@@ -57,6 +58,10 @@
 	// unresolvedLife is how long a request that was at an engine which can't
 	// be reached is held ready to become a suspect.
 	unresolvedLife = time.Minute
+	// maxEndProbes bounds the probes of an engine that breaks each connection
+	// as a process does that is ending; endProbePause lies between them.
+	maxEndProbes  = 10
+	endProbePause = 50 * time.Millisecond
 	// claimWait bounds the wait of a suspect for its turn.
 	claimWait = 30 * time.Second
 )
@@ -124,6 +129,12 @@
 	return errors.Is(err, errRestarted) || errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// isConnectionBroken reports whether a probe's connection was accepted and then
+// broken, which a process does that is ending, before it refuses connections.
+func isConnectionBroken(err error) bool {
+	return errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF)
+}
+
 // died makes suspects of the requests that an engine ran when its life ended.
 func (d *Dispatcher) died(engine, id string) {
 	seen := map[Fingerprint]bool{}
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -246,6 +246,30 @@
 	}
 }
 
+// A prompt that ends the processes of engines, which accept connections for a
+// moment longer: the first death counts though the first probe after it does
+// not tell a dead engine from a bad connection.
+func TestPoisonousRequestEndsProcesses(t *testing.T) {
+	for _, retryPercent := range []int{100, 0} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPoisonFleet(t, 2, 4, retryPercent)
+			f.engines.exits = true
+			for i := range 4 {
+				assert.Check(t, f.sendPoison(i%2, fmt.Sprint(i)) != nil)
+			}
+			f.engines.mu.Lock()
+			crashes := f.engines.crashes
+			f.engines.mu.Unlock()
+			assert.Check(t, crashes <= 2, "%d engines were lost", crashes)
+			close(f.stop)
+			<-f.stopped
+			for _, d := range f.daemons {
+				d.Close()
+			}
+		})
+	}
+}
+
 func codeOf(err error) verdict.Code {
 	e, _ := verdict.As(err)
 	if e == nil {
