Bound callers by the desired state's limits; pass on no unproven success

The daemon had constants for a head's size and time and for idle connections, and no bound on the time of a body; Settings.MaxDescriptors and Reply.Proven were decoded and not used.

A listener now hands each connection to the http.Server of the limits in force when it was made. A body that does not come by the request's deadline is refused as not run. A 2xx without the proof of an upstream counts as a broken answer: asked for again where that is allowed, else 502.

Before: TestUnprovenSuccessIsBroken got 200, TestBodyInTime waited for an hour, the limits' tests had nothing to call. After: all pass.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -5,10 +5,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/prefix"
@@ -173,6 +176,10 @@
 	if most > 0 {
 		source = http.MaxBytesReader(t.w, r.Body, int64(most))
 	}
+	conn := http.NewResponseController(t.w)
+	if err := conn.SetReadDeadline(t.deadline); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "the time to read the body can't be bounded")
+	}
 	var err error
 	if r.ContentLength > 0 {
 		t.body = make([]byte, r.ContentLength)
@@ -180,9 +187,15 @@
 	} else {
 		t.body, err = io.ReadAll(source)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeDeadline, "the body did not come in time")
+	}
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the body can't be read")
 	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "the time to read the body can't be bounded")
+	}
 	t.f.held.Add(int64(len(t.body)))
 	return nil
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -146,12 +146,17 @@
 	}
 	heard()
 	reply := t.f.Wire.ReadReply(resp.StatusCode, resp.Header)
-	t.sent++
 	t.learn(s, u, reply)
 	if reply.NotRun && resp.StatusCode != http.StatusBadRequest {
+		t.sent++
 		resp.Discard()
 		return t.rejected(s, action, resp.StatusCode, reply)
 	}
+	if !reply.Proven && resp.StatusCode/100 == 2 {
+		resp.Body.Close()
+		return t.lost(s, action, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "a success without the proof of an upstream"))
+	}
+	t.sent++
 	t.ran++
 	t.firstByte = time.Now()
 	s.runner.Do(func(sched routing.Scheduler, now time.Time) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	memoryPart = 0.7
 	// bodyPart is the part of the memory that callers' bodies may take.
 	bodyPart = 0.2
+	// callerConnPart is the part of the descriptors that callers' connections
+	// may take; the rest is for upstreams, peers, the store and files.
+	callerConnPart = 0.7
 	// entryMaxAge is how long callers may keep an answer of the directory,
 	// where the platform allows as long.
 	entryMaxAge = time.Second
@@ -162,6 +165,7 @@
 			return errors.Wrapf(err, "listen on %s", x.address)
 		}
 	}
+	d.callers.maxConns = int64(callerConnPart * float64(s.MaxDescriptors))
 	d.peers, err = d.network.Listen(s.PeerListen)
 	return errors.Wrapf(err, "listen on %s", s.PeerListen)
 }
--- /dev/null
+++ b/internal/gateway/server_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/routetable"
+)
+
+// servers is a server on connections in memory.
+type servers struct {
+	*server
+	listener *feed
+}
+
+func newTestServer(t *testing.T) *servers {
+	listener := newFeed(&net.TCPAddr{})
+	network := Network{Listen: func(string) (net.Listener, error) { return listener, nil }}
+	s, err := newServer(network, "", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+	assert.NilError(t, err)
+	go func() { assert.Check(t, s.serve()) }()
+	return &servers{s, listener}
+}
+
+func (s *servers) dial(t *testing.T) net.Conn {
+	client, accepted := net.Pipe()
+	assert.Assert(t, s.listener.offer(accepted))
+	return client
+}
+
+// ask sends a request and returns the status, 0 when the connection is closed.
+func ask(conn net.Conn, header string) int {
+	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: x\r\n%s\r\n", header); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func TestIdleLimitFollowsTheDesiredState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t)
+		defer s.close()
+		early := s.dial(t)
+		assert.Equal(t, ask(early, ""), http.StatusOK)
+		s.limit(routetable.Limits{IdleTimeout: 15 * time.Second})
+		late := s.dial(t)
+		for range 3 {
+			assert.Equal(t, ask(late, ""), http.StatusOK)
+			time.Sleep(15 * time.Second)
+		}
+		assert.Equal(t, ask(late, ""), http.StatusOK, "a connection idle for as long as allowed is kept")
+		time.Sleep(17 * time.Second)
+		assert.Equal(t, ask(late, ""), 0, "a connection idle for longer is closed")
+		assert.Equal(t, ask(early, ""), http.StatusOK, "a connection keeps the limits it was made under")
+	})
+}
+
+func TestHeaderLimitsFollowTheDesiredState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t)
+		defer s.close()
+		const slop = 4 << 10 // net/http reads this much more
+		long := "X-Long: " + strings.Repeat("x", 16<<10+slop) + "\r\n"
+		assert.Equal(t, ask(s.dial(t), long), http.StatusOK)
+		s.limit(routetable.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second})
+		assert.Equal(t, ask(s.dial(t), "X-Long: "+strings.Repeat("x", 15<<10)+"\r\n"), http.StatusOK)
+		conn := s.dial(t)
+		go ask(conn, long) // net.Pipe has no buffer: the server answers before it has read all
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+
+		slow := s.dial(t)
+		_, err = fmt.Fprint(slow, "GET / HTTP/1.1\r\n")
+		assert.NilError(t, err)
+		time.Sleep(4 * time.Second)
+		_, err = fmt.Fprint(slow, "Host: x\r\n\r\n")
+		assert.Assert(t, err != nil, "a head that takes longer than allowed ends the connection")
+	})
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t)
+		defer s.close()
+		s.maxConns = 2
+		first, second := s.dial(t), s.dial(t)
+		assert.Equal(t, ask(first, ""), http.StatusOK)
+		assert.Equal(t, ask(second, ""), http.StatusOK)
+		assert.Equal(t, ask(s.dial(t), ""), 0)
+		first.Close()
+		synctest.Wait()
+		assert.Equal(t, ask(s.dial(t), ""), http.StatusOK)
+	})
+}
+
+// A server whose limits changed several times closes all connections.
+func TestCloseEndsAllLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t)
+		var conns []net.Conn
+		for i := range 4 {
+			s.limit(routetable.Limits{IdleTimeout: time.Duration(i%2) * time.Second})
+			conns = append(conns, s.dial(t))
+			assert.Equal(t, ask(conns[i], ""), http.StatusOK)
+		}
+		s.close()
+		for _, c := range conns {
+			assert.Equal(t, ask(c, ""), 0)
+		}
+	})
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -86,6 +86,7 @@
 		return
 	}
 	d.view.table.Store(table)
+	d.callers.limit(state.Limits)
 	d.log.Emit(eventlog.StateAdopted, eventlog.Fields{Detail: fmt.Sprintf("revision %d: %d routes, %d organisations", state.Revision, len(state.Routes), len(state.Organisations))})
 }
 
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -33,6 +33,8 @@
 	Stray
 	// Fail answers with status 500.
 	Fail
+	// Unproven answers whole, without the proof that the upstream made the answer.
+	Unproven
 )
 
 // Run is a request that an upstream began to work on.
@@ -181,7 +183,9 @@
 		run.Ended = time.Now()
 		u.mu.Unlock()
 	}()
-	h.Set("X-Response-Stamp", "proof-"+u.ID)
+	if behaviour != Unproven {
+		h.Set("X-Response-Stamp", "proof-"+u.ID)
+	}
 	if u.Model != "" {
 		h.Set("X-Weight-Versions", strconv.Itoa(version))
 	}
--- a/lab/sitepath/forward_test.go
+++ b/lab/sitepath/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,6 +71,26 @@
 	}
 }
 
+// A success without the proof of an upstream is passed on to nobody: a request
+// that may run again does, another gets no promise.
+func TestUnprovenSuccessIsBroken(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Unproven)
+		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusBadGateway)
+		assert.Equal(t, len(d.runs("request-1")), 1)
+	})
+	run(t, func(d *deployment) {
+		d.firstRequest(site.Unproven)
+		a := d.ask(d.processes[0], http.MethodGet, plainHost, "/read/1", nil)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Assert(t, a.header.Get("X-Response-Stamp") != "")
+		assert.Equal(t, len(d.runs("request-1")), 2)
+	})
+}
+
 func TestRequestThatWasNotRunGoesElsewhere(t *testing.T) {
 	run(t, func(d *deployment) {
 		d.firstRequest(site.Shed)
@@ -160,3 +181,36 @@
 		assert.Assert(t, shared != isolated && shared != "forged" && isolated != "", "%q, %q", shared, isolated)
 	})
 }
+
+// A body that stops on its way is answered when the request's time is up, and
+// nothing runs; one that is slow but in time is served.
+func TestBodyInTime(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		want  int
+	}{{time.Second, http.StatusOK}, {time.Hour, http.StatusServiceUnavailable}} {
+		run(t, func(d *deployment) {
+			reader, writer := io.Pipe()
+			defer reader.Close()
+			ended := make(chan struct{})
+			defer close(ended)
+			go func() {
+				_, _ = io.WriteString(writer, "half")
+				select {
+				case <-time.After(c.pause):
+				case <-ended:
+				}
+				_, _ = io.WriteString(writer, "rest")
+				writer.Close()
+			}()
+			start := time.Now()
+			a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", func(r *http.Request) {
+				r.Body, r.ContentLength = reader, 8
+			})
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, c.want)
+			assert.Assert(t, time.Since(start) < 1600*time.Millisecond, "the route's time-out is 1.5 s")
+			assert.Equal(t, len(d.runs("request-1")) == 1, c.want == http.StatusOK)
+		})
+	}
+}
