Let runs go on under new weights instead of waiting for them

Ruled out: the holder of orders (one lease held throughout), refused orders (two, of engines that were down), lost notices.

Engines are now ordered to load at once; their runs go on under the new weights.

TestWeightsAreSwitchedUnderStreams: three engines under streams of 2.5 s did not have the weights within 4.8 s, now have.

--- a/internal/rollout/switcher.go
+++ b/internal/rollout/switcher.go
@@ -28,6 +28,8 @@
 	unansweredLife = 3 * time.Second
 	// switchInterval is the pause between two looks.
 	switchInterval = 30 * time.Millisecond
+	// runsAtSwitch keeps long runs from holding up new weights.
+	runsAtSwitch = upstream.RunsGoOn
 	// refusedPause is how long an engine that refused an order is left alone.
 	refusedPause = 300 * time.Millisecond
 )
@@ -227,7 +229,7 @@
 		t.settle(x, func() { delete(t.active, k) })
 		return
 	}
-	o := upstream.SwitchOrder{Engine: u.ID, Address: u.Address, Model: x.model, Version: x.version, Holder: t.Holder, Fence: t.held.Fence, AfterOrders: count}
+	o := upstream.SwitchOrder{Engine: u.ID, Address: u.Address, Model: x.model, Version: x.version, Runs: runsAtSwitch, Holder: t.Holder, Fence: t.held.Fence, AfterOrders: count}
 	result, err := t.Orders.Switch(ctx, o)
 	f := eventlog.Fields{Service: u.Service, Upstream: u.ID, Detail: fmt.Sprintf("%s version %d, fence %d, after %d orders: %s", o.Model, o.Version, o.Fence, o.AfterOrders, result)}
 	if err != nil {
--- a/internal/upstream/switch.go
+++ b/internal/upstream/switch.go
@@ -9,6 +9,8 @@
 	Address string
 	Model   string
 	Version int
+	// Runs says what becomes of the requests that run.
+	Runs RunsAtSwitch
 	// Holder and Fence are those of the lease under which the order is given.
 	Holder string
 	Fence  uint64
@@ -17,6 +19,17 @@
 	AfterOrders int
 }
 
+// RunsAtSwitch says what becomes of the requests that run at an engine when it
+// is ordered to take new weights.
+type RunsAtSwitch int8
+
+const (
+	// RunsGoOn go on under the new weights.
+	RunsGoOn RunsAtSwitch = iota
+	// RunsFinish end before the engine takes the new weights.
+	RunsFinish
+)
+
 // SwitchResult says what became of an order.
 type SwitchResult int8
 
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -154,15 +155,9 @@
 	}
 	u.mu.Lock()
 	version, busy := u.version, u.busy
-	running := 0
-	for _, run := range u.runs {
-		if run.Ended.IsZero() {
-			running++
-		}
-	}
 	u.mu.Unlock()
 	h := w.Header()
-	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", running+1, slots))
+	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", u.running()+1, slots))
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	expected := r.Header.Get("X-Expected-Version")
 	if expected != "" && expected != strconv.Itoa(version) {
@@ -254,8 +249,10 @@
 		Holder      string `json:"holder"`
 		Fence       uint64 `json:"fence"`
 		ExpectedRev *int   `json:"expectedRev"`
+		Mode        string `json:"mode"`
 	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "version" || o.Holder == "" || o.Model != u.Model {
+	modes := []string{"queue", "hot_swap"}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "version" || o.Holder == "" || o.Model != u.Model || !slices.Contains(modes, o.Mode) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -273,15 +270,38 @@
 		u.fence, u.busy = o.Fence, true
 		u.seq++
 		u.orders = append(u.orders, strings.Join([]string{o.Holder, strconv.FormatUint(o.Fence, 10), strconv.Itoa(o.Version)}, " "))
-		time.AfterFunc(max(u.SwitchTime, time.Nanosecond), func() {
-			u.mu.Lock()
-			defer u.mu.Unlock()
-			u.version, u.busy = o.Version, false
-		})
+		go u.load(o.Version, o.Mode == "queue")
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
+// load takes new weights, first waiting for what runs where idle is set.
+func (u *Upstream) load(version int, idle bool) {
+	for idle && u.running() > 0 {
+		time.Sleep(loadLook)
+	}
+	time.Sleep(u.SwitchTime)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.version, u.busy = version, false
+}
+
+// loadLook is the pause between two looks whether anything runs.
+const loadLook = 50 * time.Millisecond
+
+// running returns how many requests the upstream works on.
+func (u *Upstream) running() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, run := range u.runs {
+		if run.Ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // events tells of the parts of every prompt that the upstream ran.
 func (u *Upstream) events(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -137,6 +138,33 @@
 	})
 }
 
+// Streams that run all the time hold up no new weights, and come whole.
+func TestWeightsAreSwitchedUnderStreams(t *testing.T) {
+	run(t, func(d *deployment) {
+		const streams, events, every = 16, 20, 300 * time.Millisecond
+		for _, e := range d.engines {
+			e.Events, e.Pause = events, 2500*time.Millisecond/events
+		}
+		answers := make(chan answer, streams)
+		go func() {
+			for range streams {
+				go func() { answers <- d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil) }()
+				time.Sleep(every)
+			}
+		}()
+		time.Sleep(time.Second)
+		d.nameVersion(2)
+		d.eventually("all engines have version 2", streams*every, func() bool {
+			return !slices.ContainsFunc(d.engines, func(e *site.Upstream) bool { return e.Version() != 2 })
+		})
+		for range streams {
+			a := <-answers
+			assert.Check(t, a.err)
+			assert.Check(t, a.status == http.StatusOK && a.body == wholeStream(events), "status %d: %s", a.status, a.body)
+		}
+	})
+}
+
 // When the holder can't reach the store any longer, another daemon takes over
 // in time.
 func TestOrdersGoOnWithoutTheirHolder(t *testing.T) {
