Tell each request's end in one log line and in metrics; read logs from files

A success was told at debug level only, a request refused before a route was found (401, 404, 413, no desired state) by no line, a refusal under load without its figures; the gateway counted events only; a time line could be had from running daemons alone.

Now: successes at info, ten lines a second of a daemon, with the number left out (the line's text is built only for those); all other ends always, with route, organisation, revision and attempt; refusals with waited, engines, resting, queued, load. Counters by route, class, verdict and result; histograms of queue, first byte, whole time and store calls; gauges of beliefs.

Ruled out: a sampling by share (unbounded under load).

Tests: TestOutcomesAreExplained, TestSampledLinesAreBounded, TestLinesAreReadBack, scenario timeline-from.

--- a/internal/cli/operatorcli/timeline.go
+++ b/internal/cli/operatorcli/timeline.go
@@ -15,6 +15,7 @@
 
 type timelineCmd struct {
 	operatorFlags `embed:""`
+	From          []string      `type:"existingfile" help:"Read the events from these files of collected log lines instead of from daemons."`
 	Service       string        `help:"Only events of this service."`
 	Request       string        `help:"Only events of this request id."`
 	Event         []int         `help:"Only events with these numbers."`
@@ -22,8 +23,25 @@
 	JSON          bool          `name:"json" help:"Print one JSON object a line."`
 }
 
-// Run merges the events of all daemons given with --daemon.
+// Run merges the events of all daemons given with --daemon, or of all files
+// given with --from, in causal order.
 func (c *timelineCmd) Run() error {
+	lists, err := c.read()
+	if err != nil {
+		return err
+	}
+	for _, e := range eventlog.Merge(lists...) {
+		if c.wants(e) {
+			c.print(e)
+		}
+	}
+	return nil
+}
+
+func (c *timelineCmd) read() ([][]eventlog.Entry, error) {
+	if len(c.From) > 0 {
+		return readFiles(c.From)
+	}
 	ctx := context.Background()
 	since := time.Now().Add(-c.Since)
 	var lists [][]eventlog.Entry
@@ -36,14 +54,33 @@
 		lists = append(lists, t.Events)
 	}
 	if len(lists) == 0 {
-		return errors.New("no daemon can be reached")
+		return nil, errors.New("no daemon can be reached")
 	}
-	for _, e := range eventlog.Merge(lists...) {
-		if c.wants(e) {
-			c.print(e)
+	return lists, nil
+}
+
+// readFiles returns the events in files of log lines.
+func readFiles(names []string) ([][]eventlog.Entry, error) {
+	var lists [][]eventlog.Entry
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open a log")
 		}
+		events, skipped, err := eventlog.ReadLines(file)
+		file.Close()
+		if err != nil {
+			return nil, errors.Wrapf(err, "file %s", name)
+		}
+		if len(events) == 0 {
+			return nil, errors.Newf("file %s holds no event; it is read as lines of JSON that a daemon wrote", name)
+		}
+		if skipped > 0 {
+			fmt.Fprintf(os.Stderr, "passed over: %s: %d lines that hold no event\n", name, skipped)
+		}
+		lists = append(lists, events)
 	}
-	return nil
+	return lists, nil
 }
 
 func (c *timelineCmd) wants(e eventlog.Entry) bool {
@@ -58,10 +95,13 @@
 		return
 	}
 	details := []string{}
-	for _, s := range []string{e.Service, e.RequestID, e.Upstream, e.Detail} {
+	for _, s := range []string{e.Service, e.Route, e.Organisation, e.RequestID, e.Upstream, e.Detail} {
 		if s != "" {
 			details = append(details, s)
 		}
 	}
+	if e.Revision > 0 {
+		details = append(details, fmt.Sprintf("(revision %d)", e.Revision))
+	}
 	fmt.Printf("%s %s %d %s: %s\n", e.At, e.Daemon, e.ID, e.Text, strings.Join(details, " "))
 }
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -144,7 +144,7 @@
 	fields := eventlog.Fields{Service: service, RequestID: req.ID}
 	switch e, _ := verdict.As(err); {
 	case err == nil:
-		c.Log.Emit(eventlog.RequestFinished, fields)
+		c.Log.EmitSampled(eventlog.RequestFinished, func() eventlog.Fields { return fields })
 		sink.finish(w)
 	case e != nil && e.Code == verdict.CodeCanceled:
 		c.Log.Emit(eventlog.CallerGone, fields)
--- a/internal/eventlog/clock.go
+++ b/internal/eventlog/clock.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Timestamp is a hybrid logical clock reading: wall time in microseconds and
@@ -27,6 +29,14 @@
 	return fmt.Sprintf("%s+%d", t.Time().Format("2006-01-02T15:04:05.000000Z"), t.Counter)
 }
 
+// encode writes the timestamp as decodeTimestamp reads it.
+func (t Timestamp) encode() string { return fmt.Sprintf("%d+%d", t.Micros, t.Counter) }
+
+func decodeTimestamp(text string) (t Timestamp, err error) {
+	_, err = fmt.Sscanf(text, "%d+%d", &t.Micros, &t.Counter)
+	return t, errors.Wrapf(err, "clock %q", text)
+}
+
 // maxClockLead bounds how far a peer's reading may run ahead of the local clock.
 const maxClockLead = time.Minute
 
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -76,12 +76,12 @@
 	{RequestReceived, hclog.Debug, "request received"},
 	{AttemptStarted, hclog.Debug, "attempt started"},
 	{FirstToken, hclog.Debug, "first token"},
-	{RequestFinished, hclog.Debug, "request finished"},
+	{RequestFinished, hclog.Info, "request finished"},
 	{RequestRefused, hclog.Info, "request refused"},
 	{RequestFailed, hclog.Warn, "request failed"},
 	{AttemptFailed, hclog.Info, "attempt failed"},
 	{StreamResumed, hclog.Info, "stream resumed"},
-	{CallerGone, hclog.Debug, "caller gone"},
+	{CallerGone, hclog.Info, "caller gone"},
 	{HedgeStarted, hclog.Debug, "hedge started"},
 	{UpstreamServing, hclog.Info, "upstream serving"},
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
@@ -118,6 +118,13 @@
 	Service   string `json:"service,omitempty"`
 	RequestID string `json:"request_id,omitempty"`
 	Upstream  string `json:"upstream,omitempty"`
+	Route     string `json:"route,omitempty"`
+	// Organisation is whose request it is.
+	Organisation string `json:"organisation,omitempty"`
+	// Revision is that of the desired state by which it was decided.
+	Revision uint64 `json:"revision,omitempty"`
+	// Omitted is how many events of the kind were not logged since the last one.
+	Omitted uint64 `json:"omitted,omitempty"`
 	// Detail is a short text for people.
 	Detail string `json:"detail,omitempty"`
 }
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -14,9 +16,10 @@
 func (t *transfer) giveUp(err error) {
 	if t.begun {
 		t.emit(eventlog.RequestFailed, "", err)
+		t.end(ResultCut, t.verdict())
 		panic(http.ErrAbortHandler) // the caller must not take the answer for whole
 	}
-	t.f.fail(t.w, t, err)
+	t.fail(err)
 }
 
 // failure is the body of an answer of the daemon's own.
@@ -28,39 +31,34 @@
 	} `json:"error"`
 }
 
-// fail writes an answer of the daemon's own. t is nil for requests that were
-// not accepted.
-func (f *Forwarder) fail(w http.ResponseWriter, t *transfer, err error) {
-	status, code := statusOf(t, err)
+// fail writes an answer of the daemon's own.
+func (t *transfer) fail(err error) {
+	status, code := t.status(err)
 	if e, ok := verdict.As(err); ok && status == http.StatusServiceUnavailable {
-		after := e.RetryAfter
-		if t != nil {
-			after = t.spread(max(after, minRetryAfter))
-		}
+		after := t.spread(max(e.RetryAfter, minRetryAfter))
 		if after > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+			t.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		}
 	}
 	var body failure
 	body.Error.Message, body.Error.Code, body.Error.Verdict = err.Error(), code, verdict.Of(err).String()
-	if t != nil {
-		event := eventlog.RequestFailed
-		if status == http.StatusServiceUnavailable {
-			event = eventlog.RequestRefused
-		}
-		t.emit(event, "", err)
+	event := eventlog.RequestFailed
+	if status < http.StatusInternalServerError || status == http.StatusServiceUnavailable {
+		event = eventlog.RequestRefused
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // a caller that has left needs no answer
+	t.emit(event, "", errors.Wrapf(err, "status %d", status))
+	t.end(string(code), t.verdict())
+	t.w.Header().Set("Content-Type", "application/json")
+	t.w.WriteHeader(status)
+	_ = json.NewEncoder(t.w).Encode(body) // a caller that has left needs no answer
 }
 
 // minRetryAfter is the least time to come back that a refusal gives.
 const minRetryAfter = 200 * time.Millisecond
 
-// statusOf returns the status for a failure. 503 promises that the request
-// has not run and never will.
-func statusOf(t *transfer, err error) (int, verdict.Code) {
+// status returns the status for a failure. 503 promises that the request has
+// not run and never will.
+func (t *transfer) status(err error) (int, verdict.Code) {
 	code := verdict.CodeInternal
 	if e, ok := verdict.As(err); ok {
 		code = e.Code
@@ -75,10 +73,10 @@
 	case verdict.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge, code
 	}
-	if verdict.Of(err) == verdict.NotRun && (t == nil || t.ran == 0) {
+	if verdict.Of(err) == verdict.NotRun && t.ran == 0 {
 		return http.StatusServiceUnavailable, code
 	}
-	if t != nil && t.late() {
+	if t.late() {
 		return http.StatusGatewayTimeout, code
 	}
 	return http.StatusBadGateway, code
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -52,6 +52,8 @@
 	Table func() *routetable.Table
 	// Registry returns the registered upstreams.
 	Registry func() *fleet.RegistrySnapshot
+	// Ended is called with the outcome of each request; may be nil.
+	Ended func(Outcome)
 	// Learned is called with each version of weights that an upstream states.
 	Learned func(u *fleet.Registration, model string, version int)
 	Log     *eventlog.Log
@@ -77,6 +79,9 @@
 	if c.Learned == nil {
 		c.Learned = func(*fleet.Registration, string, int) {}
 	}
+	if c.Ended == nil {
+		c.Ended = func(Outcome) {}
+	}
 	f := &Forwarder{Config: c}
 	f.ended, f.end = context.WithCancel(context.Background())
 	return f
@@ -96,7 +101,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t, err := f.accept(w, r)
 	if err != nil {
-		f.fail(w, nil, err)
+		t.fail(err)
 		return
 	}
 	defer f.held.Add(-int64(len(t.body)))
@@ -106,36 +111,38 @@
 	t.run(ctx)
 }
 
-// accept finds out what is asked for, by whom, and reads the body.
+// accept finds out what is asked for, by whom, and reads the body. The transfer
+// is never nil.
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*transfer, error) {
 	t := &transfer{f: f, w: w, caller: r, received: time.Now()}
 	if f.closed.Load() {
 		w.Header().Set("Connection", "close")
 		e := verdict.New(verdict.NotRun, verdict.CodeDraining, "this daemon is about to stop")
 		e.RetryAfter = drainRetryAfter
-		return nil, e
+		return t, e
 	}
 	table := f.Table()
 	if table == nil {
 		e := verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "this daemon does not know the desired state yet")
 		e.RetryAfter = startRetryAfter
-		return nil, e
+		return t, e
 	}
+	t.revision = table.Revision
 	var err error
 	if t.stated, err = f.Wire.ReadRequest(r.Header); err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the headers can't be read")
+		return t, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the headers can't be read")
 	}
 	if t.stated.ID == "" {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request has no identifier")
+		return t, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request has no identifier")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if t.route = table.Match(r.Host, path); t.route == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for "+r.Host+path)
+		return t, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for "+r.Host+path)
 	}
 	if table.Keyed() {
 		t.organisation = table.Organisation(t.stated.Key)
 		if t.organisation == nil && !t.route.Public {
-			return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "nobody holds this key")
+			return t, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "nobody holds this key")
 		}
 	}
 	t.service = t.route.Choose(t.stated.ID)
@@ -204,6 +211,9 @@
 // refused together return apart, within what the caller will wait.
 func (t *transfer) spread(d time.Duration) time.Duration {
 	d = d/2 + time.Duration(rand.Int64N(int64(d)+1))
+	if t.deadline.IsZero() {
+		return d
+	}
 	return min(d, time.Duration(retryShare*float64(time.Until(t.deadline))))
 }
 
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -45,6 +45,13 @@
 	// last whole event that was.
 	begun     bool
 	lastEvent string
+
+	// revision is that of the desired state by which the request is served.
+	revision uint64
+	// queued is how long the request waited for the scheduler.
+	queued time.Duration
+	// ended says that its outcome was recorded.
+	ended bool
 }
 
 // run tries upstreams until the request has an answer.
@@ -58,7 +65,8 @@
 			return
 		}
 		if t.caller.Context().Err() != nil {
-			t.emit(eventlog.CallerGone, "", nil)
+			t.emit(eventlog.CallerGone, "", err)
+			t.end(ResultCallerGone, t.verdict())
 			panic(http.ErrAbortHandler)
 		}
 		if !t.mayTryAgain(s, err) {
@@ -112,12 +120,14 @@
 // try makes one attempt. Without an error the request has its answer.
 func (t *transfer) try(ctx context.Context, s *service) error {
 	q := t.question()
+	submitted := time.Now()
 	actions := s.runner.Submit(q)
 	defer s.runner.Forget(q.ID, actions)
 	select {
 	case action := <-actions:
+		t.queued += time.Since(submitted)
 		if action.Kind == routing.Refuse {
-			e := verdict.New(verdict.NotRun, action.Code, "no upstream can take the request in time")
+			e := verdict.New(verdict.NotRun, action.Code, "no upstream can take the request in time: "+action.Refusal.String())
 			e.RetryAfter = action.RetryAfter
 			return &refusedError{e}
 		}
@@ -175,14 +185,23 @@
 	return nil
 }
 
-// finishedWell logs how a request was served and why there.
+// finishedWell records how a request was served and why there.
 func (t *transfer) finishedWell(action routing.Action, status, pieces int) {
-	detail := fmt.Sprintf("route %s, status %d, attempt %d, first byte after %s, whole after %s, %d events; %s",
-		t.route.Name, status, t.sent, t.firstByte.Sub(t.received).Round(time.Millisecond), time.Since(t.received).Round(time.Millisecond), pieces, action.Why)
-	if action.Source != "" {
-		detail += ", fetched from " + action.Source
+	result := ResultOK
+	if status >= http.StatusInternalServerError {
+		result = ResultUpstream
 	}
-	t.f.Log.Emit(eventlog.RequestFinished, eventlog.Fields{Service: t.service, RequestID: t.stated.ID, Upstream: action.Endpoint, Detail: detail})
+	t.end(result, verdict.Ran)
+	t.f.Log.EmitSampled(eventlog.RequestFinished, func() eventlog.Fields {
+		f := t.fields()
+		f.Upstream = action.Endpoint
+		f.Detail = fmt.Sprintf("status %d, attempt %d, queued %s, first byte after %s, whole after %s, %d events; %s", status, t.sent,
+			t.queued.Round(time.Millisecond), t.firstByte.Sub(t.received).Round(time.Millisecond), time.Since(t.received).Round(time.Millisecond), pieces, action.Why)
+		if action.Source != "" {
+			f.Detail += ", fetched from " + action.Source
+		}
+		return f
+	})
 }
 
 // outcomeOf blames the upstream for a broken answer unless the caller left.
@@ -265,13 +284,26 @@
 }
 
 func (t *transfer) emit(id eventlog.ID, upstream string, err error) {
-	fields := eventlog.Fields{Service: t.service, RequestID: t.stated.ID, Upstream: upstream}
+	fields := t.fields()
+	fields.Upstream = upstream
 	if err != nil {
-		fields.Detail = err.Error()
+		fields.Detail = fmt.Sprintf("attempt %d: %s", t.sent, err)
 	}
 	t.f.Log.Emit(id, fields)
 }
 
+// fields are those of each event of the request.
+func (t *transfer) fields() eventlog.Fields {
+	f := eventlog.Fields{Service: t.service, RequestID: t.stated.ID, Revision: t.revision}
+	if t.route != nil {
+		f.Route = t.route.Name
+	}
+	if t.organisation != nil {
+		f.Organisation = t.organisation.Name
+	}
+	return f
+}
+
 // cacheScope separates cached prompts by who may use them and by the weights
 // they were made under: a store of cached prompts keeps those of old weights.
 func cacheScope(owner string, version int) string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 	inFlight atomic.Int64
 	// storeFailed is set while the store does not serve this daemon.
 	storeFailed atomic.Bool
+	leaseHeld   atomic.Bool
 	indexes     map[string]*engineIndex // used by hearLoad only
 }
 
@@ -116,17 +117,19 @@
 		pool: pool, registry: fleet.NewRegistry(), indexes: map[string]*engineIndex{},
 	}
 	d.log.Observe(d.metrics.Event)
+	d.platform.Table = timedTable{p.Table, d.metrics}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
 	d.forwarder = forward.New(forward.Config{
 		Wire: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot,
-		Learned: d.learnVersion, MaxBodyBytes: int64(bodyPart * float64(s.MemoryBytes)),
+		Learned: d.learnVersion, Ended: d.countOutcome, MaxBodyBytes: int64(bodyPart * float64(s.MemoryBytes)),
 	})
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
 	if err := d.provisionPeers(); err != nil {
 		return nil, err
 	}
 	d.provisionMirrors()
+	d.registerGauges()
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, err
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -225,6 +225,8 @@
 		}
 	}()
 	_ = keeper.Run(ctx, func(work context.Context, held *lease.Held) {
+		d.leaseHeld.Store(true)
+		defer d.leaseHeld.Store(false)
 		d.view.mu.Lock()
 		d.view.orderer, d.view.orderedAt = d.settings.Name, time.Now()
 		d.view.mu.Unlock()
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -179,7 +179,18 @@
 	if !r.Deadline.IsZero() && !it.Expires.Before(r.Deadline) {
 		code = verdict.CodeDeadline
 	}
-	p.actions = append(p.actions, Action{Kind: Refuse, Request: r, Code: code, RetryAfter: max(after, minRetryAfter)})
+	p.actions = append(p.actions, Action{
+		Kind: Refuse, Request: r, Code: code, RetryAfter: max(after, minRetryAfter), Refusal: p.refusal(r, p.now.Sub(it.Queued)),
+	})
+}
+
+// refusal returns the figures behind a refusal.
+func (p *Policy) refusal(r *Request, waited time.Duration) Refusal {
+	out := Refusal{Waited: waited, Resting: p.resting, Queued: p.queue.Len(), Load: p.load()}
+	if pool := p.pool(r); pool != nil {
+		out.Engines = len(pool.Members)
+	}
+	return out
 }
 
 // minRetryAfter is the least time to retry that a refusal gives.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -429,7 +429,7 @@
 func (p *Policy) tick(now time.Time) { p.now = now }
 
 func (p *Policy) refuse(r *Request, code verdict.Code, after time.Duration) {
-	p.pending = append(p.pending, Action{Kind: Refuse, Request: r, Code: code, RetryAfter: after})
+	p.pending = append(p.pending, Action{Kind: Refuse, Request: r, Code: code, RetryAfter: after, Refusal: p.refusal(r, 0)})
 }
 
 func (p *Policy) attempt(id, endpoint string) *attempt {
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -96,9 +96,28 @@
 	Source string
 	// Why is set for Start and Hedge.
 	Why Reasons
-	// Code and RetryAfter are set for Refuse.
+	// Code, RetryAfter and Refusal are set for Refuse.
 	Code       verdict.Code
 	RetryAfter time.Duration
+	Refusal    Refusal
+}
+
+// Refusal holds the figures behind a refusal, for the log.
+type Refusal struct {
+	// Waited is how long the request waited.
+	Waited time.Duration
+	// Engines is how many could serve the request; Resting of all were left
+	// alone after failures.
+	Engines, Resting int
+	// Queued is how many requests wait at this daemon.
+	Queued int
+	// Load is the part of all engines' places that is taken, as far as known.
+	Load float64
+}
+
+// String implements fmt.Stringer.
+func (r Refusal) String() string {
+	return fmt.Sprintf("waited %s, %d engines, %d resting, %d queued here, load %.2f", r.Waited.Round(time.Millisecond), r.Engines, r.Resting, r.Queued, r.Load)
 }
 
 // Reasons are the figures behind a choice, for the log.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -14,22 +14,36 @@
 
 // Names of the metrics.
 const (
-	NameEvents        = "verbenabend_events_total"
-	NameRequests      = "verbenabend_requests_total"
-	NameFirstToken    = "verbenabend_first_token_seconds"
-	NameDuration      = "verbenabend_request_seconds"
-	NamePromptTokens  = "verbenabend_prompt_tokens_total"
-	NameCachedTokens  = "verbenabend_cached_tokens_total"
-	NameInFlight      = "verbenabend_in_flight_requests"
-	NameUpstreams     = "verbenabend_upstreams"
-	NameRevision      = "verbenabend_document_revision"
-	NamePlatformUp    = "verbenabend_platform_up"
-	NamePeers         = "verbenabend_peers"
-	NameGossipSent    = "verbenabend_gossip_sent_bytes_total"
-	NameGossipRecv    = "verbenabend_gossip_received_bytes_total"
-	NameGossipFacts   = "verbenabend_gossip_facts"
-	NameOncePending   = "verbenabend_once_pending_outcomes"
+	NameEvents       = "verbenabend_events_total"
+	NameRequests     = "verbenabend_requests_total"
+	NameFirstToken   = "verbenabend_first_token_seconds"
+	NameDuration     = "verbenabend_request_seconds"
+	NamePromptTokens = "verbenabend_prompt_tokens_total"
+	NameCachedTokens = "verbenabend_cached_tokens_total"
+	NameInFlight     = "verbenabend_in_flight_requests"
+	NameUpstreams    = "verbenabend_upstreams"
+	NameRevision     = "verbenabend_document_revision"
+	NamePlatformUp   = "verbenabend_platform_up"
+	NamePeers        = "verbenabend_peers"
+	NameGossipSent   = "verbenabend_gossip_sent_bytes_total"
+	NameGossipRecv   = "verbenabend_gossip_received_bytes_total"
+	NameGossipFacts  = "verbenabend_gossip_facts"
+	NameOncePending  = "verbenabend_once_pending_outcomes"
+
+	// Names of the metrics of daemons that forward requests by a desired state.
+	NameForwarded      = "verbenabend_forwarded_requests_total"
+	NameForwardSeconds = "verbenabend_forward_seconds"
+	NameFirstByte      = "verbenabend_first_byte_seconds"
+	NameQueueSeconds   = "verbenabend_queue_seconds"
+	NameStoreSeconds   = "verbenabend_store_call_seconds"
+	NameStateRevision  = "verbenabend_state_revision"
+	NameEnginesBehind  = "verbenabend_engines_behind"
+	NameLeaseHeld      = "verbenabend_lease_held"
+
 	resultOK          = "ok"
+	labelledForwarded = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
+	labelledByRoute   = `%s{route=%q}`
+	labelledByCall    = NameStoreSeconds + `{call=%q,result=%q}`
 	labelledEvent     = NameEvents + `{event="%d"}`
 	labelledRequests  = NameRequests + `{service=%q,result=%q}`
 	labelledByService = `%s{service=%q}`
@@ -39,6 +53,7 @@
 var Names = []string{
 	NameEvents, NameRequests, NameFirstToken, NameDuration, NamePromptTokens, NameCachedTokens, NameInFlight,
 	NameUpstreams, NameRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipRecv, NameGossipFacts, NameOncePending,
+	NameForwarded, NameForwardSeconds, NameFirstByte, NameQueueSeconds, NameStoreSeconds, NameStateRevision, NameEnginesBehind, NameLeaseHeld,
 }
 
 // Metrics are the metrics of one daemon. It is safe for concurrent use.
@@ -81,6 +96,26 @@
 	m.set.GetOrCreateGauge(fmt.Sprintf(labelledByService, NameRevision, service), nil).Set(float64(revision))
 }
 
+// Forwarded counts a request that was forwarded or refused. firstByte is 0
+// where no upstream answered.
+func (m *Metrics) Forwarded(route, class, verdict, result string, duration, firstByte, queued time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(labelledForwarded, route, class, verdict, result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(labelledByRoute, NameForwardSeconds, route)).Update(duration.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(labelledByRoute, NameQueueSeconds, route)).Update(queued.Seconds())
+	if firstByte > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(labelledByRoute, NameFirstByte, route)).Update(firstByte.Seconds())
+	}
+}
+
+// StoreCall records a call to the platform's store; err is its failure.
+func (m *Metrics) StoreCall(call string, duration time.Duration, err error) {
+	result := resultOK
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(labelledByCall, call, result)).Update(duration.Seconds())
+}
+
 // Write writes all metrics in the Prometheus text format, with those of the
 // process itself.
 func (m *Metrics) Write(w io.Writer) {
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -3,11 +3,14 @@
 package sitepath
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -16,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gateway"
 	"github.com/verbenabend/verbenabend/internal/testseed"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
@@ -44,6 +48,30 @@
 	host string
 	stop context.CancelFunc
 	done chan error
+	log  logBuffer
+}
+
+// logBuffer holds what a daemon logged.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// events returns the events that concern a request.
+func (b *logBuffer) events(t *testing.T, request string) []eventlog.Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all, skipped, err := eventlog.ReadLines(bytes.NewReader(b.text.Bytes()))
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 0)
+	return slices.DeleteFunc(all, func(e eventlog.Entry) bool { return e.RequestID != request })
 }
 
 func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.host, port) }
@@ -163,6 +191,7 @@
 	readyPort
 	directoryPort
 	peerPort
+	metricsPort
 	gossipPort
 )
 
@@ -180,11 +209,12 @@
 		"platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
 	}, "\n")))
 	assert.NilError(d.t, err)
+	settings.Gateway.MetricsListen = p.address(metricsPort)
 	settings.Gateway.FleetKey = "one key for all daemons of the test"
 	network := gateway.Network{Listen: d.net.Listen, Dial: d.net.Dialer(p.name)}
 	store := platform.NewStore(storeAddress, network.Dial)
 	pool := httpconn.NewPool(network.Dial)
-	g, err := gateway.New(settings.Gateway, platform.Provision(store, pool), pool, network, hclog.NewNullLogger())
+	g, err := gateway.New(settings.Gateway, platform.Provision(store, pool), pool, network, hclog.New(&hclog.LoggerOptions{Name: p.name, Output: &p.log, JSONFormat: true}))
 	assert.NilError(d.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
