--- /dev/null
+++ b/internal/forward/budget_test.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// spending is what all daemons together earned and spent at one moment.
+type spending struct {
+	at                time.Duration
+	requests, retries int
+}
+
+// However requests and retries fall on the daemons, and though most of them are
+// restarted once and forget what they spent, all together stay within the
+// operators' bound in every window of time.
+func TestRetriesOfAllDaemonsAreBounded(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		restarted = 0.6 // of the daemons, in one window
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		limits := RetryLimits{Ratio: rapid.Float64Range(0.05, 0.5).Draw(t, "ratio"), Slack: rapid.IntRange(10, 100).Draw(t, "slack")}
+		n := rapid.IntRange(1, 12).Draw(t, "daemons")
+		start := func() *service {
+			s := NewServices(limits, func(string) time.Duration { return 0 })
+			s.SetDaemons(n)
+			return s.get("ledger")
+		}
+		daemons := make([]*service, n)
+		for i := range daemons {
+			daemons[i] = start()
+		}
+		var history []spending
+		now, restarts := time.Duration(0), 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			i := rapid.IntRange(0, n-1).Draw(t, "daemon")
+			if restarts < int(restarted*float64(n)) && rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				restarts++
+				daemons[i] = start()
+			}
+			x := spending{at: now, requests: rapid.IntRange(0, 60).Draw(t, "requests")}
+			for range x.requests {
+				daemons[i].earn()
+			}
+			for range rapid.IntRange(0, 80).Draw(t, "retries") {
+				if daemons[i].mayRetry() {
+					x.retries++
+				}
+			}
+			history = append(history, x)
+		}
+		for from := range history {
+			requests, retries := 0, 0
+			for _, x := range history[from:] {
+				if x.at > history[from].at+window {
+					break
+				}
+				requests += x.requests
+				retries += x.retries
+				assert.Assert(t, float64(retries) <= limits.Ratio*float64(requests)+float64(limits.Slack),
+					"%d retries of %d requests within %s", retries, requests, window)
+			}
+		}
+	})
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,10 +38,9 @@
 	StopGrace time.Duration
 
 	// RetryRatio and RetrySlack bound retries of all daemons together, in any
-	// RetryWindow, to a part of the requests and a fixed number.
-	RetryRatio  float64
-	RetrySlack  int
-	RetryWindow time.Duration
+	// window of time, to a part of the requests and a fixed number.
+	RetryRatio float64
+	RetrySlack int
 
 	// LeaseDuration is how long a holder of the orders' lease may act without a renewal.
 	LeaseDuration time.Duration
