--- a/internal/daemon/peerload.go
+++ b/internal/daemon/peerload.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/peerload"
 )
@@ -34,20 +33,10 @@
 	}
 }
 
-// engineIndex finds the engines of a service by short hash, as of one
-// generation of the fleet. It implements peerload.Engines.
+// engineIndex holds the engines of a service, as of one generation of the fleet.
 type engineIndex struct {
+	peerload.Index
 	generation uint64
-	byHash     map[uint32]*fleet.Upstream
-}
-
-// Engine implements peerload.Engines.
-func (x *engineIndex) Engine(hash uint32) (address, incarnation string, ok bool) {
-	u, ok := x.byHash[hash]
-	if !ok {
-		return "", "", false
-	}
-	return u.Address, u.Engine.Incarnation, true
 }
 
 // engineIndex returns the index for the present snapshot. Gossip calls from
@@ -57,9 +46,9 @@
 	if x := d.indexes[service]; x != nil && x.generation == snapshot.Generation {
 		return x
 	}
-	x := &engineIndex{generation: snapshot.Generation, byHash: map[uint32]*fleet.Upstream{}}
+	x := &engineIndex{Index: peerload.Index{}, generation: snapshot.Generation}
 	for _, u := range snapshot.ByService[service] {
-		x.byHash[peerload.Hash(u.Address)] = u
+		x.Add(u.Address, u.Engine.Incarnation)
 	}
 	d.indexes[service] = x
 	return x
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -65,18 +65,7 @@
 
 // refreshMembers brings the view of the daemons up to date.
 func (d *Daemon) refreshMembers(context.Context) {
-	var heard []membership.Member
-	for _, f := range d.node.Facts(gossip.KindDaemon) {
-		info, err := gossip.DecodeDaemonInfo(f.Value)
-		if err != nil || info.Stopped {
-			continue
-		}
-		heard = append(heard, membership.Member{
-			Name: f.ID, DataCentre: info.DataCentre, CallerAddress: info.CallerAddress,
-			PeerAddress: info.PeerAddress, Draining: info.Draining,
-		})
-	}
-	d.members.SetHeard(heard)
+	d.members.SetHeard(membership.FromFacts(d.node.Facts(gossip.KindDaemon)))
 	d.dispatcher.SetPeers(len(d.members.Live()))
 	d.updateIsolation(len(d.node.Peers()) > 0)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/verbenabend/verbenabend/internal/prefix"
 )
@@ -30,8 +29,6 @@
 	// StartedAt is when the process started, in Unix milliseconds. It tells
 	// two lives under one ID apart.
 	StartedAt int64
-	// ColdFor is how much longer the upstream is slow after its start.
-	ColdFor time.Duration
 	// Models is empty for plain services.
 	Models []LoadedModel
 	// Hash is the hash of ID for rendezvous hashing; Registry sets it.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -108,18 +108,7 @@
 
 // refreshMembers brings the view of the daemons up to date.
 func (d *Daemon) refreshMembers() {
-	var heard []membership.Member
-	for _, f := range d.node.Facts(gossip.KindDaemon) {
-		info, err := gossip.DecodeDaemonInfo(f.Value)
-		if err != nil || info.Stopped {
-			continue
-		}
-		heard = append(heard, membership.Member{
-			Name: f.ID, DataCentre: info.DataCentre, CallerAddress: info.CallerAddress,
-			PeerAddress: info.PeerAddress, Draining: info.Draining,
-		})
-	}
-	d.members.SetHeard(heard)
+	d.members.SetHeard(membership.FromFacts(d.node.Facts(gossip.KindDaemon)))
 	d.services.SetDaemons(len(d.members.Live()))
 }
 
@@ -184,20 +173,10 @@
 	d.services.Learn(service, peer, loads)
 }
 
-// engineIndex finds the upstreams of a service by short hash, as of one
-// snapshot. It implements peerload.Engines.
+// engineIndex holds the upstreams of a service, as of one snapshot.
 type engineIndex struct {
-	of     *fleet.RegistrySnapshot
-	byHash map[uint32]*fleet.Registration
-}
-
-// Engine implements peerload.Engines.
-func (x *engineIndex) Engine(hash uint32) (id, incarnation string, ok bool) {
-	u, ok := x.byHash[hash]
-	if !ok {
-		return "", "", false
-	}
-	return u.ID, u.Incarnation(), true
+	peerload.Index
+	of *fleet.RegistrySnapshot
 }
 
 // engineIndex is called from gossip's one goroutine, so that the cache needs no lock.
@@ -206,9 +185,9 @@
 	if x := d.indexes[service]; x != nil && x.of == snapshot {
 		return x
 	}
-	x := &engineIndex{of: snapshot, byHash: map[uint32]*fleet.Registration{}}
+	x := &engineIndex{Index: peerload.Index{}, of: snapshot}
 	for _, u := range snapshot.ByService[service] {
-		x.byHash[peerload.Hash(u.ID)] = u
+		x.Add(u.ID, u.Incarnation())
 	}
 	d.indexes[service] = x
 	return x
