Take a dialer's own time-out for silence

A temporary line for each probe showed 'answers true' for tries that ended after 200 ms: the dialer's timer ends a try just before the context's does, the context had no error yet, and any error without one counted as an answer.

Ruled out: connections that the silent engine's kernel accepts (the error was i/o timeout), too few probes (1085 in 50 s).

Before: TestSilentUpstreamIsFound/silent,_found_by_the_dialer fails. After: passes.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
@@ -161,7 +163,7 @@
 	for range tries {
 		tryCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		conn, err := l.dial(tryCtx, "tcp", p.address)
-		timedOut := tryCtx.Err() != nil
+		timedOut := tryCtx.Err() != nil || isTimeout(err)
 		cancel()
 		if err == nil {
 			conn.Close()
@@ -176,6 +178,13 @@
 	}
 }
 
+// isTimeout reports whether a try to connect ran out of time. The dialer has a
+// timer of its own, which may end the try just before the context ends.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func (l *Liveness) conclude(id string, p *pulse, answers bool) {
 	l.mu.Lock()
 	p.probing = false
