--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -49,7 +49,7 @@
 	// upstream without others.
 	heard, sent time.Time
 	// running are the cancel functions of the requests there.
-	running map[*transfer]context.CancelFunc
+	running map[*transfer]context.CancelCauseFunc
 	down    bool
 	probing bool
 	// suspected is set when a peer found the upstream silent.
@@ -70,9 +70,12 @@
 	return p != nil && p.down
 }
 
-// begin notes that a request is about to be sent. cancel ends it when the
-// upstream goes down. The returned functions note a byte and the end.
-func (l *Liveness) begin(u *fleet.Registration, t *transfer, cancel context.CancelFunc) (heard, end func()) {
+// errSilent is why a request at an upstream that went down is given up.
+var errSilent = errors.New("the upstream has fallen silent")
+
+// begin notes that a request is about to be sent. cancel ends it with errSilent
+// when the upstream goes down. The returned functions note a byte and the end.
+func (l *Liveness) begin(u *fleet.Registration, t *transfer, cancel context.CancelCauseFunc) (heard, end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.pulse(u)
@@ -104,7 +107,7 @@
 func (l *Liveness) pulse(u *fleet.Registration) *pulse {
 	p := l.known[u.ID]
 	if p == nil || p.address != u.Address {
-		p = &pulse{address: u.Address, service: u.Service, running: map[*transfer]context.CancelFunc{}}
+		p = &pulse{address: u.Address, service: u.Service, running: map[*transfer]context.CancelCauseFunc{}}
 		l.known[u.ID] = p
 	}
 	return p
@@ -192,7 +195,7 @@
 	p.alive = time.Now()
 	changed := p.down == answers
 	p.down = !answers
-	var stranded []context.CancelFunc
+	var stranded []context.CancelCauseFunc
 	if changed && p.down {
 		for _, cancel := range p.running {
 			stranded = append(stranded, cancel)
@@ -208,7 +211,7 @@
 	}
 	l.log.Emit(event, eventlog.Fields{Service: p.service, Upstream: id})
 	for _, cancel := range stranded {
-		cancel()
+		cancel(errSilent)
 	}
 	l.changed(id, !answers)
 }
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
@@ -51,11 +52,11 @@
 				ctx, stop := context.WithCancel(context.Background())
 				done := make(chan error)
 				go func() { done <- l.Run(ctx) }()
-				request, cancel := context.WithCancel(context.Background())
+				request, cancel := context.WithCancelCause(context.Background())
 				_, end := l.begin(&fleet.Registration{ID: "e", Address: "10.0.0.1:80"}, &transfer{}, cancel)
 				time.Sleep(time.Second)
 				assert.Equal(t, l.Down("e"), dark)
-				assert.Equal(t, request.Err() != nil, dark, "a request at a silent upstream is given up")
+				assert.Equal(t, errors.Is(context.Cause(request), errSilent), dark, "a request at a silent upstream is given up")
 				end()
 				healed.Store(true)
 				time.Sleep(time.Second)
@@ -67,7 +68,7 @@
 				}
 				stop()
 				<-done
-				cancel()
+				cancel(nil)
 			})
 		})
 	}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -144,15 +144,15 @@
 		t.finished(s, action, routing.Canceled, 0)
 		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, action.Endpoint+" has just changed")}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	heard, end := t.f.Liveness.begin(u, t, cancel)
 	defer end()
 	t.heard = heard
 	t.emit(eventlog.AttemptStarted, u.ID, nil)
 	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u, action.Source))
 	if err != nil {
-		return t.lost(s, action, err)
+		return t.lost(s, action, because(ctx, err))
 	}
 	heard()
 	reply := t.f.Wire.ReadReply(resp.StatusCode, resp.Header)
@@ -174,6 +174,7 @@
 	})
 	pieces, err := t.relay(resp)
 	if err != nil {
+		err = because(ctx, err)
 		resp.Body.Close()
 		t.finished(s, action, outcomeOf(err, t.caller.Context()), pieces)
 		t.avoid = append(t.avoid, u.ID)
@@ -185,6 +186,14 @@
 	return nil
 }
 
+// because adds to an error that this daemon caused itself why it did.
+func because(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		return errors.Wrap(err, cause.Error())
+	}
+	return err
+}
+
 // finishedWell records how a request was served and why there.
 func (t *transfer) finishedWell(action routing.Action, status, pieces int) {
 	result := ResultOK
