Tell callers that are refused nothing of other requests

Cause: reading the diff: the figures behind a refusal stood in the answer's text too. They go to the log alone. TestOutcomesAreExplained looks at both.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -99,7 +99,11 @@
 const maxUnreached = 5
 
 // refusedError is the scheduler's refusal.
-type refusedError struct{ cause *verdict.Error }
+type refusedError struct {
+	cause *verdict.Error
+	// figures are for the log; callers are not told of other requests.
+	figures routing.Refusal
+}
 
 // Error implements error.
 func (e *refusedError) Error() string { return e.cause.Error() }
@@ -127,9 +131,9 @@
 	case action := <-actions:
 		t.queued += time.Since(submitted)
 		if action.Kind == routing.Refuse {
-			e := verdict.New(verdict.NotRun, action.Code, "no upstream can take the request in time: "+action.Refusal.String())
+			e := verdict.New(verdict.NotRun, action.Code, "no upstream can take the request in time")
 			e.RetryAfter = action.RetryAfter
-			return &refusedError{e}
+			return &refusedError{e, action.Refusal}
 		}
 		return t.attempt(ctx, s, action)
 	case <-ctx.Done():
@@ -298,6 +302,10 @@
 	if err != nil {
 		fields.Detail = fmt.Sprintf("attempt %d: %s", t.sent, err)
 	}
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		fields.Detail += ": " + refused.figures.String()
+	}
 	t.f.Log.Emit(id, fields)
 }
 
--- a/lab/sitepath/explain_test.go
+++ b/lab/sitepath/explain_test.go
@@ -66,7 +66,9 @@
 		for _, u := range d.ledgers {
 			u.Behave = func(*http.Request) site.Behaviour { return site.Shed }
 		}
-		assert.Equal(t, d.ask(p, http.MethodPost, plainHost, "/order/1", nil).status, http.StatusServiceUnavailable)
+		a := d.ask(p, http.MethodPost, plainHost, "/order/1", nil)
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Assert(t, !strings.Contains(a.body, "engines"), "a caller is told of others: %s", a.body)
 		events := p.log.events(t, "request-4")
 		last := events[len(events)-1]
 		assert.Equal(t, last.ID, eventlog.RequestRefused)
