--- /dev/null
+++ b/internal/membership/machine_test.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// drawMembers draws some of eight daemons, each in a state of its own.
+func drawMembers(t *rapid.T, label string) []Member {
+	var out []Member
+	for i := range 8 {
+		if !rapid.Bool().Draw(t, fmt.Sprint(label, i)) {
+			continue
+		}
+		x := member(fmt.Sprint("d", i), rapid.SampledFrom([]string{"home", "near", "far"}).Draw(t, "data centre"))
+		x.Draining = rapid.IntRange(0, 3).Draw(t, "draining") == 0
+		out = append(out, x)
+	}
+	return out
+}
+
+// Whatever was heard and listed in whatever order, callers are given exactly
+// the daemons that are heard from and stay, each once, nearest first, and peers
+// are looked for at every address that anybody named but the daemon's own.
+func TestMembersFollowWhatIsHeardAndListed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		self := member("d0", "home")
+		m := New(self)
+		var heard, listed []Member
+		t.Repeat(map[string]func(*rapid.T){
+			"hear": func(t *rapid.T) {
+				heard = drawMembers(t, "heard ")
+				m.SetHeard(slices.Clone(heard))
+			},
+			"list": func(t *rapid.T) {
+				listed = drawMembers(t, "listed ")
+				m.SetListed(slices.Clone(listed))
+			},
+			"change self": func(t *rapid.T) {
+				self.Draining = rapid.Bool().Draw(t, "draining")
+				self.Isolated = rapid.Bool().Draw(t, "isolated")
+				m.UpdateSelf(func(x *Member) { *x = self })
+			},
+			"": func(t *rapid.T) {
+				leaving := func(x Member) bool {
+					i := slices.IndexFunc(listed, func(l Member) bool { return l.CallerAddress == x.CallerAddress })
+					return x.Draining || x.Isolated || i >= 0 && listed[i].Draining
+				}
+				var want, peers []string
+				for _, x := range append(slices.DeleteFunc(slices.Clone(heard), func(x Member) bool { return x.Name == self.Name }), self) {
+					if !leaving(x) {
+						want = append(want, x.Name)
+					}
+				}
+				for _, x := range slices.Concat(heard, listed) {
+					if x.PeerAddress != self.PeerAddress {
+						peers = append(peers, x.PeerAddress)
+					}
+				}
+				from := rapid.SampledFrom([]string{"home", "near", "far"}).Draw(t, "caller")
+				entries := m.Entries(from, delay)
+				assert.Assert(t, slices.IsSortedFunc(entries, func(a, b Member) int {
+					return int(distance(from, a.DataCentre, delay) - distance(from, b.DataCentre, delay))
+				}), "%v", entries)
+				var got []string
+				for _, x := range entries {
+					got = append(got, x.Name)
+				}
+				slices.Sort(got)
+				slices.Sort(want)
+				slices.Sort(peers)
+				assert.DeepEqual(t, got, want)
+				assert.DeepEqual(t, m.PeerAddresses(), slices.Compact(peers))
+				assert.Assert(t, slices.Contains(m.Live(), self), "a daemon lives for itself")
+			},
+		})
+	})
+}
