Let old weights age from the first newer version on

Old weights are not used after 8.5 s, but the daemon kept only the newest goal: version 4, named at 16.39 s, made version 2 fresh.

Ruled out: the order of switches (oldest first held), a lease that lay idle (the next holder ordered 4.4 s after the last one was killed, within its duration).

Open: a daemon that starts takes the newest goal for just named.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -19,9 +19,9 @@
 type view struct {
 	table atomic.Pointer[routetable.Table]
 
-	mu    sync.Mutex
-	goals map[string]goal
-	notes map[string]note // by engine
+	mu     sync.Mutex
+	wanted map[string]*rollout.Wanted // by model
+	notes  map[string]note            // by engine
 	// orders are the newest notices by engine; they count accepted orders.
 	orders map[string]rollout.SwitchNotice
 	// orderer is the daemon that gave the last orders for weights.
@@ -58,12 +58,16 @@
 		}
 	}
 	d.view.mu.Lock()
-	if d.view.goals == nil {
-		d.view.goals = map[string]goal{}
+	if d.view.wanted == nil {
+		d.view.wanted = map[string]*rollout.Wanted{}
 	}
 	for model, version := range goals {
-		if version > d.view.goals[model].version {
-			d.view.goals[model] = goal{version, time.Now()}
+		w := d.view.wanted[model]
+		if w == nil {
+			w = &rollout.Wanted{}
+			d.view.wanted[model] = w
+		}
+		if w.Name(version, time.Now()) {
 			d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", model, version)})
 		}
 	}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -40,12 +40,6 @@
 	successionStep = 1200 * time.Millisecond
 )
 
-// goal is a version that operators want.
-type goal struct {
-	version int
-	namedAt time.Time
-}
-
 // note is what was told of an engine that takes new weights.
 type note struct {
 	rollout.SwitchNotice
@@ -57,8 +51,8 @@
 	d.view.mu.Lock()
 	defer d.view.mu.Unlock()
 	var out []rollout.Goal
-	for model, g := range d.view.goals {
-		out = append(out, rollout.Goal{Model: model, Version: g.version})
+	for model, w := range d.view.wanted {
+		out = append(out, rollout.Goal{Model: model, Version: w.Version()})
 	}
 	return out
 }
@@ -147,8 +141,12 @@
 	rules := d.staleness()
 	age := func(u *fleet.Registration) (time.Duration, bool) {
 		for _, m := range u.Models {
-			if g := d.view.goals[m.Name]; m.Version < g.version {
-				return now.Sub(g.namedAt), true
+			w := d.view.wanted[m.Name]
+			if w == nil {
+				continue
+			}
+			if since, old := w.Superseded(m.Version); old {
+				return now.Sub(since), true
 			}
 		}
 		return 0, false
