Give up a wait at the store when the store is seen to fail

Its wait for changes of the desired state, up to 20 s long, stood on a connection that the cut had silenced; the answer came by a late repeat of TCP 3.2 s after the cut had ended, so that it used revision 34 2.75 s after 46 was acknowledged. The upstreams' table showed the failure, but only after 6.5 s, and told nobody.

Now a failed read of the upstreams' table ends the other wait, and the table is read anew or from a peer; that wait is 1 s long instead of 5 s, as a heartbeat changes the table within a second.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,8 @@
 	// table, which changes with each heartbeat of each upstream.
 	upstreamPause = 400 * time.Millisecond
 	// upstreamWait and operatorWait bound how long the store holds a call open.
-	upstreamWait = 5 * time.Second
+	// Some upstream's heartbeat changes its table within a second.
+	upstreamWait = time.Second
 	operatorWait = 20 * time.Second
 	ringEvents   = 2048
 )
@@ -140,11 +141,18 @@
 func (d *Daemon) provisionMirrors() {
 	peers := &mirror.Peers{Addresses: d.peerAddresses, Dial: d.network.Dial}
 	reached := func(err error) { d.storeFailed.Store(err != nil) }
+	// The upstreams' table changes all the time, so that a dead connection to the
+	// store shows there first.
+	recheck := func(err error) {
+		if err != nil && !errors.Is(err, context.Canceled) {
+			d.operators.Recheck()
+		}
+	}
 	d.operators = mirror.New(mirror.Settings{
 		Table: d.platform.OperatorTable, Wait: operatorWait, Adopted: d.adoptOperators, Reached: reached,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreams = mirror.New(mirror.Settings{
-		Table: d.platform.UpstreamTable, Wait: upstreamWait, Pause: upstreamPause, Expiring: true, Adopted: d.adoptUpstreams,
+		Table: d.platform.UpstreamTable, Wait: upstreamWait, Pause: upstreamPause, Expiring: true, Adopted: d.adoptUpstreams, Reached: recheck,
 	}, d.platform.Feed, peers, d.log)
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -62,6 +62,8 @@
 	version uint64
 	synced  bool
 	changed chan struct{}
+	// endWait ends the present wait for changes at the store; nil without one.
+	endWait context.CancelFunc
 
 	// The rest is used by Run alone.
 	failing     bool
@@ -86,6 +88,16 @@
 	return m.synced
 }
 
+// Recheck reads the table anew instead of waiting longer for a change: the store
+// was seen to fail, and the connection of the wait may be dead without a sign.
+func (m *Mirror) Recheck() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.endWait != nil {
+		m.endWait()
+	}
+}
+
 // Run follows the table until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	for try := 0; ; {
@@ -135,8 +147,11 @@
 	wait := m.settings.Wait
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	m.setWait(cancel)
 	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, version, wait)
-	if errors.Is(err, platform.ErrHistoryLost) {
+	m.setWait(nil)
+	rechecked := err != nil && errors.Is(callCtx.Err(), context.Canceled) && ctx.Err() == nil
+	if rechecked || errors.Is(err, platform.ErrHistoryLost) {
 		return m.readWhole(ctx)
 	}
 	if err != nil {
@@ -146,6 +161,12 @@
 	return nil
 }
 
+func (m *Mirror) setWait(end context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endWait = end
+}
+
 func (m *Mirror) settling() bool {
 	return m.settings.Expiring && !m.recoveredAt.IsZero()
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,3 +151,37 @@
 		})
 	})
 }
+
+// deafStore never answers a wait, as over a connection that died without a sign.
+type deafStore struct{ fakeStore }
+
+func (s *deafStore) ReadChanges(ctx context.Context, _ string, _ uint64, _ time.Duration) (platform.Changes, error) {
+	<-ctx.Done()
+	return platform.Changes{}, ctx.Err()
+}
+
+// A wait that cannot end is given up as soon as the store is known to have
+// failed, though it may last for 20 s. A hunt broke CONFIG without that
+// (hilos-quindio, mix 20381769057): a daemon cut off from the store for 4 s had
+// an old desired state for 3 s more.
+func TestRecheckEndsAWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &deafStore{fakeStore{rows: map[string]platform.Change{}}}
+		store.write("a", false)
+		var adopted atomic.Uint64
+		m := New(Settings{Table: table, Wait: 20 * time.Second, Adopted: func(_ map[string]platform.Change, version uint64) {
+			adopted.Store(version)
+		}}, store, store, eventlog.Discard())
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.write("b", false)
+		m.Recheck()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, adopted.Load(), uint64(2))
+		stop()
+		assert.ErrorIs(t, <-done, context.Canceled)
+		m.Recheck() // nothing waits
+	})
+}
