--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/inflight"
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/once"
 	"github.com/verbenabend/verbenabend/internal/platform"
@@ -70,7 +71,7 @@
 	told       map[string]toldEngine
 	indexes    map[string]*engineIndex // by service; used by hearLoad only
 	adopted    chan struct{}           // a document was adopted
-	inFlight   atomic.Int64
+	inFlight   inflight.Counter
 }
 
 // New returns a daemon on TCP that listens but does not serve yet. Close it, or run it.
@@ -162,7 +163,7 @@
 		Status: d.Status, WriteMetrics: d.metrics.Write,
 	}
 	var err error
-	if d.callers, err = newServer(d.network, d.settings.CallerListen, d.countInFlight(callers.Handler()), d.settings.TLS, d.settings.MaxConnections); err != nil {
+	if d.callers, err = newServer(d.network, d.settings.CallerListen, d.inFlight.Handler(callers.Handler(), d.draining.Load), d.settings.TLS, d.settings.MaxConnections); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	if d.operators, err = newServer(d.network, d.settings.OperatorListen, operators.Handler(), d.settings.TLS, maxOperatorConnections); err != nil {
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
@@ -32,16 +31,3 @@
 		}
 	}
 }
-
-// countInFlight counts requests, and tells callers of a draining daemon not to
-// use their connection again.
-func (d *Daemon) countInFlight(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.inFlight.Add(1)
-		defer d.inFlight.Add(-1)
-		if d.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -37,7 +39,13 @@
 	assert.Equal(t, d.entryCount(), 1)
 	hard, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d.inFlight.Add(1)
+	entered, release := make(chan struct{}), make(chan struct{})
+	request := d.inFlight.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-release
+	}), d.draining.Load)
+	go request.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	<-entered
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
@@ -53,6 +61,6 @@
 		t.Fatal("drained with a request in flight")
 	case <-time.After(drainSpread + time.Second): // beyond the age of every answer given
 	}
-	d.inFlight.Add(-1)
+	close(release)
 	<-drained
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
@@ -53,16 +52,3 @@
 		}
 	}
 }
-
-// countInFlight counts requests, and tells callers of a draining daemon not to
-// use their connection again.
-func (d *Daemon) countInFlight(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.inFlight.Add(1)
-		defer d.inFlight.Add(-1)
-		if d.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/inflight"
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
@@ -102,7 +103,7 @@
 
 	draining atomic.Bool
 	opened   atomic.Bool
-	inFlight atomic.Int64
+	inFlight inflight.Counter
 	// storeFailed is set while the store does not serve this daemon.
 	storeFailed atomic.Bool
 	leaseHeld   atomic.Bool
@@ -164,7 +165,7 @@
 		address string
 		handler http.Handler
 	}{
-		{&d.callers, s.CallerListen, d.countInFlight(d.forwarder)},
+		{&d.callers, s.CallerListen, d.inFlight.Handler(d.forwarder, d.draining.Load)},
 		{&d.ready, s.ReadyListen, d.platform.Ready(d.Ready)},
 		{&d.directory, s.DirectoryListen, d.platform.Directory(d.entries, d.entryMaxAge())},
 		{&d.metricsServer, s.MetricsListen, http.HandlerFunc(d.serveMetrics)},
--- /dev/null
+++ b/internal/inflight/counter.go
@@ -0,0 +1,26 @@
+// Package inflight counts the requests that a daemon serves.
+package inflight
+
+import (
+	"net/http"
+	"sync/atomic"
+)
+
+// Counter counts requests in progress. It is safe for concurrent use.
+type Counter struct{ n atomic.Int64 }
+
+// Load returns how many requests are in progress.
+func (c *Counter) Load() int64 { return c.n.Load() }
+
+// Handler counts the requests that next serves, and tells callers not to use
+// their connection again while the daemon drains.
+func (c *Counter) Handler(next http.Handler, draining func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.n.Add(1)
+		defer c.n.Add(-1)
+		if draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
