Tell among daemons when weights were named; keep 2.5 s of margin

Ruled out: taking what a starting daemon reads for long past (right after a naming all its work would go to the one or two engines that have the weights).

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -68,6 +68,7 @@
 	node.Subscribe(gossip.KindLoad, d.hearLoad)
 	node.Subscribe(gossip.KindSwitch, d.hearSwitch)
 	node.Subscribe(gossip.KindSilent, d.hearSilent)
+	node.Subscribe(gossip.KindGoal, d.hearGoal)
 	return nil
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -20,7 +20,7 @@
 	table atomic.Pointer[routetable.Table]
 
 	mu     sync.Mutex
-	wanted map[string]*rollout.Wanted // by model
+	models map[string]*rollout.Wanted // by name
 	notes  map[string]note            // by engine
 	// orders are the newest notices by engine; they count accepted orders.
 	orders map[string]rollout.SwitchNotice
@@ -57,21 +57,18 @@
 			goals[model] = version
 		}
 	}
+	var adopted []namedGoal
 	d.view.mu.Lock()
-	if d.view.wanted == nil {
-		d.view.wanted = map[string]*rollout.Wanted{}
-	}
 	for model, version := range goals {
-		w := d.view.wanted[model]
-		if w == nil {
-			w = &rollout.Wanted{}
-			d.view.wanted[model] = w
-		}
-		if w.Name(version, time.Now()) {
-			d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", model, version)})
+		if d.view.wanted(model).Name(version, time.Now()) {
+			adopted = append(adopted, namedGoal{model, version})
 		}
 	}
 	d.view.mu.Unlock()
+	for _, g := range adopted {
+		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
+		d.tellGoal(g)
+	}
 	d.updateServices()
 }
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -31,8 +31,9 @@
 	staleFree = 1200 * time.Millisecond
 	// stalePrice is the wait for which work prefers an engine with new weights.
 	stalePrice = 400 * time.Millisecond
-	// staleMargin is kept to the time after which old weights may not be used.
-	staleMargin = 1500 * time.Millisecond
+	// staleMargin is kept to the time after which old weights may not be used. A
+	// request that was sent waited up to 2.3 s in a full engine (scale-1).
+	staleMargin = 2500 * time.Millisecond
 	// switchLook is the pause between two looks whether weights are old.
 	switchLook = 100 * time.Millisecond
 	// successionStep is how much longer each next daemon waits before it
@@ -51,7 +52,7 @@
 	d.view.mu.Lock()
 	defer d.view.mu.Unlock()
 	var out []rollout.Goal
-	for model, w := range d.view.wanted {
+	for model, w := range d.view.models {
 		out = append(out, rollout.Goal{Model: model, Version: w.Version()})
 	}
 	return out
@@ -141,7 +142,7 @@
 	rules := d.staleness()
 	age := func(u *fleet.Registration) (time.Duration, bool) {
 		for _, m := range u.Models {
-			w := d.view.wanted[m.Name]
+			w := d.view.models[m.Name]
 			if w == nil {
 				continue
 			}
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -28,7 +28,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect, KindSwitch, KindSilent:
+	case KindDocument, KindSuspect, KindSwitch, KindSilent, KindGoal:
 		if valueBytes > bodyBytes {
 			return priorityBody
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -24,6 +24,8 @@
 	KindSwitch Kind = 6
 	// KindSilent tells that an upstream does not answer. ID is the upstream's.
 	KindSilent Kind = 7
+	// KindGoal tells when a daemon learnt that a version of a model is wanted. ID is daemon/model/version.
+	KindGoal Kind = 8
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/rollout/wanted.go
+++ b/internal/rollout/wanted.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // maxNamings bounds the versions remembered of a model; older ones are long
 // past use.
@@ -8,10 +12,13 @@
 
 // Wanted is what operators want of a model, over time.
 type Wanted struct {
-	namings []naming // versions ascend
+	// namings are those up to the newest version that operators named, then
+	// those that only peers have told of; versions ascend.
+	namings []naming
+	newest  int
 }
 
-// naming is the moment at which this daemon learnt that a version is wanted.
+// naming is the moment at which a daemon learnt first that a version is wanted.
 type naming struct {
 	version int
 	at      time.Time
@@ -20,31 +27,40 @@
 // Name takes in a version that operators want, and reports whether it is newer
 // than all before.
 func (w *Wanted) Name(version int, at time.Time) bool {
-	if version <= w.Version() {
+	if version <= w.newest {
 		return false
 	}
-	w.namings = append(w.namings, naming{version, at})
-	if len(w.namings) > maxNamings {
-		w.namings = w.namings[1:]
-	}
+	w.newest = version
+	w.Heard(version, at)
 	return true
 }
 
-// Version returns the newest version, 0 when none was named.
-func (w *Wanted) Version() int {
-	if len(w.namings) == 0 {
-		return 0
+// Heard takes in that a peer learnt of a version at some time, which may be
+// before this daemon did. It makes no version wanted.
+func (w *Wanted) Heard(version int, at time.Time) {
+	i, known := slices.BinarySearchFunc(w.namings, version, func(n naming, v int) int { return cmp.Compare(n.version, v) })
+	if known {
+		if at.Before(w.namings[i].at) {
+			w.namings[i].at = at
+		}
+		return
+	}
+	w.namings = slices.Insert(w.namings, i, naming{version, at})
+	if len(w.namings) > maxNamings {
+		w.namings = w.namings[1:]
 	}
-	return w.namings[len(w.namings)-1].version
 }
 
+// Version returns the newest version that operators named, 0 when none was.
+func (w *Wanted) Version() int { return w.newest }
+
 // Superseded returns since when a newer version than the given one is wanted;
 // later versions do not change that. ok is false when none is.
 func (w *Wanted) Superseded(version int) (since time.Time, ok bool) {
 	for _, n := range w.namings {
-		if n.version > version {
-			return n.at, true
+		if n.version > version && n.version <= w.newest && (!ok || n.at.Before(since)) {
+			since, ok = n.at, true
 		}
 	}
-	return time.Time{}, false
+	return since, ok
 }
