Tell peers of long prompts at once; count prompts as engines compute them

Engines compute one prompt after another; short questions that came behind a prompt of 20,000 to 50,000 tokens waited 0.9 to 2.5 s though the daemon predicted 0 to 30 ms. Four reasons: (1) load figures were published 20 times a second but left only at gossip's look each 250 ms, then waited 50 ms at each hop; (2) a prompt that a first home is presumed to hold counted as a tenth of itself for those behind it; (3) what an engine has to compute stayed whole until the first token, and (tried first) went to nothing on slow engines when it shrank freely; (4) requests that a crash cut off were sent elsewhere together, to fetch from the crashed engine: a dead source holds its reader up.

Now figures leave at once when they are due or are news (a long prompt was sent), in a mesh of all daemons; what is presumed only compares engines; a backlog shrinks with time but keeps a quarter of its first prompt until the first token; failed engines are no source.

--- a/internal/daemon/peerload.go
+++ b/internal/daemon/peerload.go
@@ -15,11 +15,13 @@
 	if !d.node.LoadDue(time.Now()) {
 		return
 	}
+	var facts []gossip.Fact
 	for service, loads := range d.dispatcher.Share() {
-		d.node.Publish(gossip.Fact{
+		facts = append(facts, gossip.Fact{
 			Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadTTL, Value: peerload.Encode(loads),
 		})
 	}
+	d.node.PublishLoads(facts, false)
 }
 
 func (d *Daemon) hearLoad(f gossip.Fact) {
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -259,6 +259,20 @@
 	return out
 }
 
+// News reports whether a scheduler did something since its last Share that
+// peers should learn of at once.
+func (s *Services) News() bool {
+	news := false
+	for _, x := range s.all() {
+		x.runner.Do(func(sched routing.Scheduler, _ time.Time) {
+			if n, ok := sched.(routing.NewsTeller); ok {
+				news = news || n.News()
+			}
+		})
+	}
+	return news
+}
+
 // Learn passes on what a peer shared of a service's upstreams.
 func (s *Services) Learn(name, peer string, loads []routing.PeerLoad) {
 	s.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,11 +20,18 @@
 const (
 	// memberInterval is the pause between two looks at who is heard from.
 	memberInterval = 500 * time.Millisecond
-	// loadInterval is the pause between load figures in a small fleet: a long
-	// prompt that peers do not know of holds others up for some 0.3 s.
-	loadInterval = 50 * time.Millisecond
+	// loadInterval is the pause between load figures in a small fleet; what
+	// peers decide by is told at once.
+	loadInterval = 100 * time.Millisecond
+	// loadLook is the pause between two looks whether load figures are due.
+	loadLook = 10 * time.Millisecond
+	// loadFlush is how long load figures wait for others to share their frame.
+	loadFlush = 5 * time.Millisecond
+	// gossipFanOut is the number of peers that a daemon connects to: all of a
+	// small fleet, since each further hop delays load figures.
+	gossipFanOut = 7
 	// gossipBytes bounds what a daemon sends to peers, in bytes a second.
-	gossipBytes = 24 << 10
+	gossipBytes = 32 << 10
 	// loadLife is how long a peer's load figures are believed.
 	loadLife = 3 * time.Second
 	// readinessInterval is the pause between two looks at the daemon's readiness.
@@ -54,7 +61,7 @@
 	}
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
-		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytes, LoadInterval: loadInterval, FlushInterval: loadInterval,
+		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytes, LoadInterval: loadInterval, FlushInterval: loadFlush, FanOut: gossipFanOut,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
 		},
@@ -153,12 +160,15 @@
 // tellLoad publishes what this daemon has at the upstreams, as often as gossip
 // has room for it.
 func (d *Daemon) tellLoad() {
-	if !d.node.LoadDue(time.Now()) {
+	news := d.services.News()
+	if !news && !d.node.LoadDue(time.Now()) {
 		return
 	}
+	var facts []gossip.Fact
 	for service, loads := range d.services.Share() {
-		d.node.Publish(gossip.Fact{Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadLife, Value: peerload.Encode(loads)})
+		facts = append(facts, gossip.Fact{Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadLife, Value: peerload.Encode(loads)})
 	}
+	d.node.PublishLoads(facts, news)
 }
 
 func (d *Daemon) hearLoad(f gossip.Fact) {
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -53,6 +53,9 @@
 	return time.Duration(tokens * s.perToken * float64(time.Second))
 }
 
+// Computed returns the number of tokens that a normal engine computes in d.
+func (s *Speed) Computed(d time.Duration) float64 { return d.Seconds() / s.perToken }
+
 // FirstToken returns the time to first token behind and including tokens.
 func (s *Speed) FirstToken(tokens float64) time.Duration {
 	return time.Duration(s.base*float64(time.Second)) + s.Tokens(tokens)
--- /dev/null
+++ b/internal/routing/backlog_test.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Load: one long prompt at an engine that works at its usual speed. What the
+// daemon and its peers count as still to be computed shrinks as time passes,
+// but not to nothing before the first token: the engine may be slow.
+func TestBacklogShrinksUntilTheFirstToken(t *testing.T) {
+	p, now := partsFleet(1)
+	start(t, p, now, partsRequest("long", "case", 13_000, 4_000))
+	e := p.engines[0]
+	whole := p.backlog(now, e)
+	assert.Equal(t, whole, 17_000.0)
+	half := p.backlog(now.Add(p.speed.Tokens(8_500)), e)
+	assert.Assert(t, half > 8_000 && half < 9_000, "%v tokens at half time", half)
+	for _, late := range []time.Duration{2 * time.Second, time.Minute} {
+		assert.Equal(t, p.backlog(now.Add(late), e), unfinishedPart*whole)
+		assert.Equal(t, p.Share(now.Add(late))[0].Outstanding, int(unfinishedPart*whole))
+	}
+	p.FirstToken(now.Add(time.Minute), "long", e.ep.ID, CachedUnknown)
+	assert.Equal(t, p.backlog(now.Add(time.Minute), e), 0.0)
+}
+
+// An engine's time is shared by the prompts of all daemons: this daemon's
+// shrink only by their part of it.
+func TestBacklogShrinksBesidePeersPrompts(t *testing.T) {
+	p, now := partsFleet(1)
+	start(t, p, now, partsRequest("long", "case", 13_000, 4_000))
+	e := p.engines[0]
+	p.Learn(now, "peer", []PeerLoad{{Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation, Outstanding: 17_000, Requests: 1}})
+	own := p.ownBacklog(now.Add(p.speed.Tokens(8_000)), e)
+	assert.Assert(t, own > 12_900 && own < 13_100, "%v tokens", own)
+}
+
+// A first home is presumed to hold a prompt when engines are compared, but
+// what it may have to compute counts whole for the prompts behind it.
+func TestPresumedPromptsCountAsComputed(t *testing.T) {
+	p, now := partsFleet(1)
+	start(t, p, now, partsRequest("first", "case", 13_000, 4_000))
+	assert.Equal(t, p.Share(now)[0].Outstanding, 17_000)
+}
+
+// Load: the engine that holds a prompt crashes under several requests for it.
+// None of them may be sent elsewhere to fetch from it.
+func TestNothingIsFetchedFromAFailedEngine(t *testing.T) {
+	p, now := partsFleet(6)
+	first := start(t, p, now, partsRequest("first", "case", 13_000, 4_000))
+	p.FirstToken(now, "first", first.Endpoint, CachedUnknown)
+	p.Finished(now, "first", first.Endpoint, Failed, 0)
+	for i := range 4 {
+		r := partsRequest(fmt.Sprint("next", i), "case", 13_000, 4_000)
+		r.Avoid = []string{first.Endpoint}
+		a := start(t, p, now, r)
+		assert.Equal(t, a.Kind, Start)
+		assert.Equal(t, a.Source, "")
+		assert.Equal(t, a.Why.Compute, 17_000)
+	}
+}
+
+// Peers are told at once of a long prompt, which holds up what they send after
+// it, and of others with the next figures.
+func TestLongPromptsAreNews(t *testing.T) {
+	p, now := partsFleet(4)
+	start(t, p, now, partsRequest("short", "desk", 60, 300))
+	assert.Assert(t, !p.News())
+	start(t, p, now, partsRequest("long", "case", 13_000, 4_000))
+	assert.Assert(t, p.News())
+	p.Share(now)
+	assert.Assert(t, !p.News())
+}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -71,7 +71,7 @@
 		}
 		out.any = true
 		n := p.need(now, e, r, rank, best, found)
-		c := p.candidate(now, e, n.compute)
+		c := p.candidate(now, e, n.compute-n.presumed)
 		c.Transfer = n.transfer
 		c.Recompute += time.Duration(copyShare * float64(p.speed.Tokens(n.copied)))
 		room := p.room(e, r) && !p.crowded(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
@@ -174,14 +174,37 @@
 }
 
 // backlog returns the prompt tokens that the engine must compute first.
-func (p *Policy) backlog(_ time.Time, e *engine) float64 {
-	tokens := e.ownTokens
+func (p *Policy) backlog(now time.Time, e *engine) float64 {
+	tokens := p.ownBacklog(now, e)
 	if p.rules.peerLoad {
 		tokens += float64(e.peers.tokens)
 	}
 	return tokens
 }
 
+// ownBacklog returns the prompt tokens of the daemon's requests that the
+// engine has not computed yet, if it works at its usual speed: it computes
+// prompts one after another.
+func (p *Policy) ownBacklog(now time.Time, e *engine) float64 {
+	if len(e.unanswered) == 0 {
+		return 0
+	}
+	head := e.unanswered[0]
+	since := head.sent.Add(head.delay / 2)
+	if e.lastFirst.After(since) {
+		since = e.lastFirst
+	}
+	done := p.speed.Computed(now.Sub(since))
+	if peers := float64(e.peers.tokens); p.rules.peerLoad && peers > 0 {
+		done *= e.ownTokens / (e.ownTokens + peers)
+	}
+	return e.ownTokens - min((1-unfinishedPart)*head.tokens, max(0, done))
+}
+
+// unfinishedPart is the part of a prompt that counts as not computed until the
+// first token comes: an engine may be slower than it is known to be.
+const unfinishedPart = 0.25
+
 // slowdown returns the engine's slowdown as used in decisions. What running
 // answers measure, here and at peers, goes before what is inferred from times
 // to first token, which unknown work before a request lengthens too.
@@ -243,6 +266,8 @@
 	switch {
 	case rank > 0:
 		return 0
+	case p.tuning.HomePrior < 0:
+		return 0
 	case p.tuning.HomePrior > 0:
 		return p.tuning.HomePrior
 	case !p.rules.peerHints || !p.rules.hints:
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -125,6 +125,7 @@
 		e.probing = true
 	}
 	e.add(a)
+	p.news = p.news || a.tokens >= longPrompt
 	p.own++
 	p.organisations.get(a.organisation).own++
 	f.attempts = append(f.attempts, a)
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -29,11 +29,13 @@
 	ownTokens float64
 	// unanswered are the attempts without a first token, in order of sending.
 	unanswered []*attempt
-	slow       placement.Slowdown
-	pace       placement.Pace
-	limit      admission.Limit
-	peers      peerSums
-	report     LoadReport
+	// lastFirst is when the last first token came.
+	lastFirst time.Time
+	slow      placement.Slowdown
+	pace      placement.Pace
+	limit     admission.Limit
+	peers     peerSums
+	report    LoadReport
 	// held are prompt levels that peers should learn of.
 	held []uint64
 	// cached are the tokens of the parts that the engine says it stores; nil
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -14,6 +14,7 @@
 		return
 	}
 	a.engine.answered(a)
+	a.engine.lastFirst = now
 	a.first, a.progressAt = now, now
 	a.engine.healthy()
 	p.countResting(now)
--- a/internal/routing/need.go
+++ b/internal/routing/need.go
@@ -6,8 +6,10 @@
 
 // need is what an engine lacks of a prompt.
 type need struct {
-	// compute is the number of prompt tokens that it has to compute.
-	compute float64
+	// compute is the number of prompt tokens that it has to compute, as far as
+	// is known; presumed of them it may hold all the same.
+	compute  float64
+	presumed float64
 	// transfer is the time to fetch the rest from source.
 	transfer time.Duration
 	source   *engine
@@ -36,12 +38,12 @@
 		return p.fetched(e, r, best, held, found)
 	}
 	shared := c.LevelPieces[max(0, len(c.LevelPieces)-2)]
-	expected := float64(held)
+	tokens := tokensPerPiece(r)
+	n := need{compute: max(0, float64(r.PromptTokens)-float64(held)*tokens), held: float64(held) * tokens}
 	if shared > held && p.rules.order {
-		expected += p.prior(now, rank) * float64(shared-held)
+		n.presumed = min(n.compute, p.prior(now, rank)*float64(shared-held)*tokens)
 	}
-	share := expected * float64(c.PieceBytes) / float64(c.Bytes)
-	return need{compute: float64(r.PromptTokens) * max(0, 1-share), held: float64(held) * tokensPerPiece(r)}
+	return n
 }
 
 // fetched is the need of an engine that fetches from another one.
@@ -84,6 +86,9 @@
 		if e.ep.TransferPerToken == 0 {
 			return nil, 0
 		}
+		if e.failures > 0 {
+			continue // a dead source holds its reader up
+		}
 		if n := p.held(now, e, r); n > most {
 			best, most = e, n
 		}
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -111,6 +111,7 @@
 // share returns what the daemon has at each engine, without engines where
 // there is nothing to tell and was nothing before.
 func (p *Policy) share(now time.Time) []PeerLoad {
+	p.news = false
 	p.shared = p.shared[:0]
 	for _, e := range p.engines {
 		slow, measured := p.ownSlowdown(now, e)
@@ -121,7 +122,7 @@
 		e.told = tell
 		p.shared = append(p.shared, PeerLoad{
 			Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
-			Outstanding: int(e.ownTokens), Requests: e.own, Slowdown: slow, Measured: measured, Held: e.held,
+			Outstanding: int(p.ownBacklog(now, e)), Requests: e.own, Slowdown: slow, Measured: measured, Held: e.held,
 		})
 		e.held = nil
 	}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -75,6 +75,9 @@
 	hedgeBudget *admission.Budget
 	retryBudget *admission.Budget
 
+	// news is set when peers should learn at once what Share returns.
+	news bool
+
 	pending []Action
 	actions []Action
 }
@@ -181,6 +184,9 @@
 	return 0
 }
 
+// News implements NewsTeller.
+func (p *Policy) News() bool { return p.news }
+
 // Share implements Scheduler.
 func (p *Policy) Share(now time.Time) []PeerLoad {
 	p.tick(now)
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -257,6 +257,13 @@
 	Requests(endpoint string) int
 }
 
+// NewsTeller is implemented by a Scheduler that knows when peers should learn
+// at once what Share returns.
+type NewsTeller interface {
+	// News reports whether a long prompt was sent to an engine since the last Share.
+	News() bool
+}
+
 // ProgressInterval is the least time between two reports of an attempt's progress.
 const ProgressInterval = 100 * time.Millisecond
 
