Save long prompts to the store of cached prompts and fetch them from there

A trace of each request (trial) showed why: of 101 long parts asked for again within 10 s, 37 were known to no daemon; 30 of those were more than 4 s old, with 90,000 to 140,000 tokens read at their engine since: pushed out of its memory, not forgotten by us. Besides, a holder of the part under other weights was chosen as source; forward dropped it then, and the engine computed what the choice had taken for fetched.

Now engines save a long shared part once, per version of the weights; daemons read the store's events, and an engine fetches from the store what no engine of its version holds. A store that does not answer or came back empty is not used.

--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -74,12 +74,14 @@
 	if v.Table == nil {
 		return
 	}
+	store := v.Table.CacheStore()
 	for i := range v.Table.Services {
 		def := &v.Table.Services[i]
 		if def.CacheStore != nil {
 			continue
 		}
 		x := s.get(def.Name)
+		x.setStore(def.Engine, store)
 		endpoints := s.endpoints(def, v)
 		x.mu.Lock()
 		same := slices.EqualFunc(endpoints, x.endpoints, sameEndpoint)
@@ -105,25 +107,46 @@
 			ep.Handicap = v.Handicap(u)
 		}
 		for _, m := range u.Models {
-			ep.Weights = append(ep.Weights, m.Name)
+			ep.Weights, ep.Versions = append(ep.Weights, m.Name), append(ep.Versions, m.Version)
 		}
 		out = append(out, ep)
 	}
 	return out
 }
 
+// setStore tells the scheduler of model engines which store keeps cached prompts.
+func (x *service) setStore(engine *routetable.EngineLimits, store *routetable.CacheStore) {
+	if engine == nil {
+		return
+	}
+	var s *routing.CacheStore
+	if store != nil && store.LinkMbps > 0 {
+		s = &routing.CacheStore{ID: store.Address, DataCentre: store.DataCentre, TransferPerToken: perToken(engine.BytesPerToken, store.LinkMbps)}
+	}
+	x.runner.Do(func(sched routing.Scheduler, now time.Time) {
+		if u, ok := sched.(routing.CacheStoreUser); ok {
+			u.SetCacheStore(now, s)
+		}
+	})
+}
+
 // transferPerToken returns the time to move one cached token between engines.
 func transferPerToken(e *routetable.EngineLimits) time.Duration {
 	if e.LinkMbps <= 0 {
 		return 0
 	}
+	return perToken(e.BytesPerToken, e.LinkMbps)
+}
+
+// perToken returns the time to move one cached token over a link.
+func perToken(bytes int, linkMbps float64) time.Duration {
 	const bitsPerByte, bitsPerMegabit = 8, 1e6
-	seconds := float64(e.BytesPerToken) * bitsPerByte / (e.LinkMbps * bitsPerMegabit)
+	seconds := float64(bytes) * bitsPerByte / (linkMbps * bitsPerMegabit)
 	return time.Duration(seconds * float64(time.Second))
 }
 
 func sameEndpoint(a, b routing.Endpoint) bool {
-	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && slices.Equal(a.Weights, b.Weights)
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
 }
 
 // SetDaemons tells how many daemons share the upstreams, this one included.
@@ -219,6 +242,38 @@
 	s.observeCache(service, func(o routing.CacheObserver, now time.Time) { o.CacheLost(now, engine) })
 }
 
+// StoredPart is a part of a prompt that the cache store keeps as made under a
+// version of the weights; Tokens is 0 when it does not any longer.
+type StoredPart struct {
+	CachedPart
+	Version int
+}
+
+// Stored passes on what the cache store says that it keeps.
+func (s *Services) Stored(parts []StoredPart) {
+	s.useStore(func(u routing.CacheStoreUser, now time.Time) {
+		for _, p := range parts {
+			u.Stored(now, p.Key, p.Version, p.Tokens)
+		}
+	})
+}
+
+// StoreReset passes on that nothing is known of what the cache store keeps,
+// and whether it answers.
+func (s *Services) StoreReset(serving bool) {
+	s.useStore(func(u routing.CacheStoreUser, now time.Time) { u.StoreReset(now, serving) })
+}
+
+func (s *Services) useStore(fn func(routing.CacheStoreUser, time.Time)) {
+	for _, x := range s.all() {
+		x.runner.Do(func(sched routing.Scheduler, now time.Time) {
+			if u, ok := sched.(routing.CacheStoreUser); ok {
+				fn(u, now)
+			}
+		})
+	}
+}
+
 func (s *Services) observeCache(service string, fn func(routing.CacheObserver, time.Time)) {
 	s.mu.Lock()
 	x := s.byName[service]
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -154,7 +154,7 @@
 	defer end()
 	t.heard = heard
 	t.emit(eventlog.AttemptStarted, u.ID, nil)
-	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u, action.Source))
+	resp, err := t.f.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.request(u, action))
 	if err != nil {
 		return t.lost(s, action, because(ctx, err))
 	}
@@ -258,8 +258,9 @@
 	})
 }
 
-// request is what is sent to an upstream, which fetches cached prompts from source.
-func (t *transfer) request(u *fleet.Registration, source string) *httpconn.Request {
+// request is what is sent to an upstream, which fetches and saves cached
+// prompts as the scheduler chose.
+func (t *transfer) request(u *fleet.Registration, action routing.Action) *httpconn.Request {
 	d := &Delivery{Upstream: u.ID, TimeLeft: time.Until(t.deadline), LastEvent: t.lastEvent}
 	if t.organisation != nil {
 		d.Organisation = t.organisation.Name
@@ -269,8 +270,14 @@
 		d.Priority = t.priority()
 		d.Version = u.Version(p.Model)
 		d.CacheScope = cacheScope(t.cacheOwner(), d.Version)
-		if from := t.f.Registry().ByID[source]; from != nil && from.Version(p.Model) == d.Version {
+		store := t.f.Table().CacheStore()
+		if from := t.f.Registry().ByID[action.Source]; from != nil && from.Version(p.Model) == d.Version {
 			d.FetchFrom = from.Address
+		} else if store != nil && action.Source == store.Address {
+			d.FetchFrom = store.Address
+		}
+		if store != nil && action.Save {
+			d.SaveTo = store.Address
 		}
 	}
 	id := t.stated.ID
@@ -327,8 +334,13 @@
 	return strconv.Itoa(version) + "/" + owner
 }
 
-// ScopeOwner returns the owner in a cache scope, and whether the scope is that
-// of a version.
-func ScopeOwner(scope string, version int) (owner string, ok bool) {
-	return strings.CutPrefix(scope, strconv.Itoa(version)+"/")
+// ScopeOwner returns the owner and the version in a cache scope; ok is false
+// for scopes that no daemon makes.
+func ScopeOwner(scope string) (owner string, version int, ok bool) {
+	text, owner, ok := strings.Cut(scope, "/")
+	if !ok {
+		return "", 0, false
+	}
+	version, err := strconv.Atoi(text)
+	return owner, version, err == nil
 }
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -26,37 +26,41 @@
 // cacheBackoff spaces reads of an engine that does not answer.
 var cacheBackoff = backoff.Policy{Min: 500 * time.Millisecond, Max: 2 * time.Second}
 
-// engineLife is one life of an engine.
-type engineLife struct {
-	id        string
+// cacheSource is one life of an engine, or the store of cached prompts.
+type cacheSource struct {
+	id        string // the address of the store
+	address   string
 	startedAt int64
+	// service is the engine's; empty for the store.
+	service string
 }
 
-// followCaches reads the cache events of the engines that this daemon follows.
+// followCaches reads the cache events of the engines and of the store that this
+// daemon follows.
 func (d *Daemon) followCaches(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	following := map[engineLife]context.CancelFunc{}
+	following := map[cacheSource]context.CancelFunc{}
 	defer func() {
 		for _, stop := range following {
 			stop()
 		}
 	}()
 	for {
-		wanted := d.followedEngines()
-		for life, stop := range following {
-			if wanted[life] == nil {
+		wanted := d.followedCaches()
+		for source, stop := range following {
+			if !wanted[source] {
 				stop()
-				delete(following, life)
+				delete(following, source)
 			}
 		}
-		for life, u := range wanted {
-			if following[life] != nil {
+		for source := range wanted {
+			if following[source] != nil {
 				continue
 			}
-			engineCtx, stop := context.WithCancel(ctx)
-			following[life] = stop
-			wg.Go(func() { d.followCache(engineCtx, u) })
+			sourceCtx, stop := context.WithCancel(ctx)
+			following[source] = stop
+			wg.Go(func() { d.followCache(sourceCtx, source) })
 		}
 		if err := backoff.Sleep(ctx, cacheLook); err != nil {
 			return err
@@ -64,10 +68,10 @@
 	}
 }
 
-// followedEngines returns the engines whose events this daemon reads: each
-// engine allows only so many readers, which rendezvous hashing chooses.
-func (d *Daemon) followedEngines() map[engineLife]*fleet.Registration {
-	out := map[engineLife]*fleet.Registration{}
+// followedCaches returns whose events this daemon reads: each engine, and the
+// store, allows only so many readers, which rendezvous hashing chooses.
+func (d *Daemon) followedCaches() map[cacheSource]bool {
+	out := map[cacheSource]bool{}
 	table := d.view.table.Load()
 	if table == nil {
 		return out
@@ -84,53 +88,82 @@
 			continue
 		}
 		if fleet.Among(d.settings.Name, peers, u.ID, def.Engine.EventReaders-sparedReaders) {
-			out[engineLife{u.ID, u.StartedAt}] = u
+			out[cacheSource{u.ID, u.Address, u.StartedAt, u.Service}] = true
 		}
 	}
+	if store := table.CacheStore(); store != nil && fleet.Among(d.settings.Name, peers, store.Address, store.EventReaders-sparedReaders) {
+		out[cacheSource{id: store.Address, address: store.Address}] = true
+	}
 	return out
 }
 
-// followCache reads one engine's events until ctx ends.
-func (d *Daemon) followCache(ctx context.Context, u *fleet.Registration) {
-	defer d.services.CacheLost(u.Service, u.ID)
+// followCache reads one source's events until ctx ends.
+func (d *Daemon) followCache(ctx context.Context, source cacheSource) {
+	defer d.forgetCache(source, false)
 	var since, epoch int64
 	for try := 0; ctx.Err() == nil; {
 		callCtx, cancel := context.WithTimeout(ctx, cacheTimeout)
-		changes, err := d.platform.CacheEvents.CacheChanges(callCtx, u.ID, u.Address, since)
+		changes, err := d.platform.CacheEvents.CacheChanges(callCtx, source.id, source.address, since)
 		cancel()
 		if err != nil {
-			// What is known stays in use: a wrong belief costs a computation.
+			if source.service == "" && epoch != 0 {
+				// Engines that fetch from a store that is down are held up.
+				d.forgetCache(source, false)
+				since, epoch = 0, 0
+			}
+			// What is known of an engine stays in use: a wrong belief costs a computation.
 			_ = cacheBackoff.Wait(ctx, try)
 			try++
 			continue
 		}
 		try = 0
-		if epoch != 0 && changes.Epoch != epoch {
-			d.services.CacheLost(u.Service, u.ID)
-			since = 0
-			epoch = changes.Epoch
-			continue
+		if changes.Epoch != epoch {
+			d.forgetCache(source, true)
+			if epoch != 0 {
+				since, epoch = 0, changes.Epoch
+				continue
+			}
 		}
 		epoch, since = changes.Epoch, changes.Next
-		d.applyCacheChanges(u, changes)
+		d.applyCacheChanges(source, changes)
 		_ = backoff.Sleep(ctx, cachePause)
 	}
 }
 
-// applyCacheChanges tells the scheduler what an engine caches under its
-// present weights.
-func (d *Daemon) applyCacheChanges(of *fleet.Registration, changes upstream.CacheChanges) {
-	u := d.registry.Snapshot().ByID[of.ID]
-	if u == nil || u.StartedAt != of.StartedAt {
+// forgetCache drops what is known of a source's cache.
+func (d *Daemon) forgetCache(source cacheSource, serving bool) {
+	if source.service == "" {
+		d.services.StoreReset(serving)
 		return
 	}
-	var parts []forward.CachedPart
+	d.services.CacheLost(source.service, source.id)
+}
+
+// applyCacheChanges tells the schedulers what a source caches: an engine under
+// its present weights, the store under any.
+func (d *Daemon) applyCacheChanges(source cacheSource, changes upstream.CacheChanges) {
+	u := d.registry.Snapshot().ByID[source.id]
+	if source.service != "" && (u == nil || u.StartedAt != source.startedAt) {
+		return
+	}
+	var cached []forward.CachedPart
+	var stored []forward.StoredPart
 	for _, c := range changes.Changes {
-		owner, ok := forward.ScopeOwner(c.Scope, u.Version(c.Model))
+		owner, version, ok := forward.ScopeOwner(c.Scope)
 		if !ok {
-			continue // cached under other weights
+			continue
 		}
-		parts = append(parts, forward.CachedPart{Key: prefix.PartKey(owner, c.Part), Tokens: c.Tokens})
+		part := forward.CachedPart{Key: prefix.PartKey(owner, c.Part), Tokens: c.Tokens}
+		switch {
+		case source.service == "":
+			stored = append(stored, forward.StoredPart{CachedPart: part, Version: version})
+		case version == u.Version(c.Model):
+			cached = append(cached, part)
+		}
+	}
+	if source.service == "" {
+		d.services.Stored(stored)
+		return
 	}
-	d.services.Cached(u, parts)
+	d.services.Cached(u, cached)
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -178,12 +178,22 @@
 		list[i] = u
 	}
 	snapshot := d.registry.Replace(list)
-	registered := func(id string) bool { return snapshot.ByID[id] != nil }
+	registered := func(id string) bool { return snapshot.ByID[id] != nil || d.isCacheStore(id) }
 	d.pool.Retain(registered)
 	d.liveness.Forget(registered)
 	d.services.Update(d.servicesView(snapshot))
 }
 
+// isCacheStore reports whether an address is that of the store of cached prompts.
+func (d *Daemon) isCacheStore(address string) bool {
+	table := d.view.table.Load()
+	if table == nil {
+		return false
+	}
+	store := table.CacheStore()
+	return store != nil && store.Address == address
+}
+
 // livenessChanged takes an upstream out of use, or back into it, and tells peers.
 func (d *Daemon) livenessChanged(id string, down bool) {
 	if down {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -199,6 +199,17 @@
 // Service returns a service by name, nil when it is not known.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// CacheStore returns the store of cached prompts, nil when there is none. Of
+// several, the first is used.
+func (t *Table) CacheStore() *CacheStore {
+	for i := range t.Services {
+		if s := t.Services[i].CacheStore; s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
 // Organisation returns who holds a key, nil when nobody does.
 func (t *Table) Organisation(key string) *Organisation {
 	if key == "" {
--- a/internal/routing/cached.go
+++ b/internal/routing/cached.go
@@ -41,13 +41,19 @@
 // holds returns the number of leading pieces of a prompt that the engine
 // stores: a part counts only if all parts before it are whole.
 func (e *engine) holds(c *prefix.Chain) int {
+	return heldPieces(c, func(part uint64) int { return e.cached[part] })
+}
+
+// heldPieces returns the number of leading pieces that are stored, given the
+// tokens stored of each part.
+func heldPieces(c *prefix.Chain, tokens func(part uint64) int) int {
 	held := 0
 	for i, part := range c.Parts {
 		size := c.LevelPieces[i]
 		if i > 0 {
 			size -= c.LevelPieces[i-1]
 		}
-		stored := e.cached[part]
+		stored := tokens(part)
 		held += min(stored, size)
 		if stored < size*wholePercent/100 {
 			break
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -43,7 +43,7 @@
 	engine    *engine // nil when no home has room
 	cost      float64
 	uncached  float64 // tokens
-	source    *engine // that the engine fetches from, nil for none
+	source    string  // that the engine fetches from, empty for none
 	rank      int
 	homes     int
 	held      float64 // tokens
@@ -57,7 +57,7 @@
 // choose returns the best home for a request. exclude, if not nil, is left out.
 func (p *Policy) choose(now time.Time, r *Request, homes []int, d *demand, exclude *engine) choice {
 	price := p.price(r)
-	best, found := p.bestHolder(now, r)
+	p.findHolders(now, r)
 	over := p.rules.headroom && p.organisations.over(d.organisation, p.slots)
 	out := choice{cost: math.Inf(1), busyCost: math.Inf(1)}
 	full := p.rules.loadPrice && p.load() >= fullLoad
@@ -70,7 +70,7 @@
 			continue
 		}
 		out.any = true
-		n := p.need(now, e, r, rank, best, found)
+		n := p.need(now, e, r, rank, p.holder(e.version(r.Weights)))
 		c := p.candidate(now, e, n.compute-n.presumed)
 		c.Transfer = n.transfer
 		c.Recompute += time.Duration(copyShare * float64(p.speed.Tokens(n.copied)))
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -133,9 +133,8 @@
 		Rank: c.rank, Homes: c.homes, Held: int(c.held), Compute: int(c.uncached), Wait: c.candidate.Wait + c.candidate.Slot,
 		Cost: time.Duration(c.cost * float64(time.Second)), Slowdown: c.candidate.Slowdown, Running: p.taken(e) - 1,
 	}}
-	if c.source != nil {
-		action.Source = c.source.ep.ID
-	}
+	action.Source = c.source
+	action.Save = p.save(now, f.request, e.version(f.request.Weights))
 	p.actions = append(p.actions, action)
 	if kind == Start {
 		p.planHedge(f, a)
--- a/internal/routing/need.go
+++ b/internal/routing/need.go
@@ -10,9 +10,9 @@
 	// is known; presumed of them it may hold all the same.
 	compute  float64
 	presumed float64
-	// transfer is the time to fetch the rest from source.
+	// transfer is the time to fetch the rest from source, an engine or the cache store.
 	transfer time.Duration
-	source   *engine
+	source   string
 	// held is the number of tokens that it is believed to hold.
 	held float64
 	// copied is the number of tokens that the fetch stores a second time.
@@ -23,9 +23,20 @@
 // them costs: it pushes out what others need.
 const copyShare = 1.0
 
-// need predicts what the engine lacks of r's prompt. best is the engine that
-// holds most of it, which found tells.
-func (p *Policy) need(now time.Time, e *engine, r *Request, rank int, best *engine, found int) need {
+// holder is where the most of a prompt is, of what was made under one version
+// of the weights.
+type holder struct {
+	version int
+	// engine holds found pieces, nil when none was seen to hold any; the cache
+	// store keeps stored pieces.
+	engine *engine
+	found  int
+	stored int
+}
+
+// need predicts what the engine lacks of r's prompt. h tells where else it is,
+// nil when engines can't fetch.
+func (p *Policy) need(now time.Time, e *engine, r *Request, rank int, h *holder) need {
 	c := &r.Chain
 	if len(c.LevelPieces) == 0 || c.Bytes == 0 {
 		return need{compute: float64(r.PromptTokens)}
@@ -34,8 +45,10 @@
 	if p.rules.hints {
 		held = p.held(now, e, r)
 	}
-	if p.rules.transfers && e.ep.TransferPerToken > 0 && best != nil && best != e && found > held {
-		return p.fetched(e, r, best, held, found)
+	if h != nil {
+		if n, ok := p.fetched(e, r, h, held); ok {
+			return n
+		}
 	}
 	shared := c.LevelPieces[max(0, len(c.LevelPieces)-2)]
 	tokens := tokensPerPiece(r)
@@ -46,20 +59,35 @@
 	return n
 }
 
-// fetched is the need of an engine that fetches from another one.
-func (p *Policy) fetched(e *engine, r *Request, from *engine, held, found int) need {
+// fetched is the need of an engine that fetches from another one or from the
+// cache store; ok is false when neither holds more than the engine itself.
+func (p *Policy) fetched(e *engine, r *Request, h *holder, held int) (best need, ok bool) {
 	tokens := tokensPerPiece(r)
-	perToken := e.ep.TransferPerToken
-	if from.ep.DataCentre != e.ep.DataCentre {
-		perToken *= farTransfer
+	offer := func(source, dataCentre string, found int, perToken time.Duration) {
+		if found <= held {
+			return
+		}
+		if dataCentre != e.ep.DataCentre {
+			perToken *= farTransfer
+		}
+		n := need{
+			compute:  max(0, float64(r.PromptTokens)-float64(found)*tokens),
+			transfer: transferSetup + time.Duration(float64(found-held)*tokens)*perToken,
+			source:   source,
+			held:     float64(held) * tokens,
+			copied:   float64(found-held) * tokens,
+		}
+		if !ok || n.transfer+p.speed.Tokens(n.compute) < best.transfer+p.speed.Tokens(best.compute) {
+			best, ok = n, true
+		}
 	}
-	return need{
-		compute:  max(0, float64(r.PromptTokens)-float64(found)*tokens),
-		transfer: transferSetup + time.Duration(float64(found-held)*tokens)*perToken,
-		source:   from,
-		held:     float64(held) * tokens,
-		copied:   float64(found-held) * tokens,
+	if h.engine != nil && h.engine != e {
+		offer(h.engine.ep.ID, h.engine.ep.DataCentre, h.found, e.ep.TransferPerToken)
 	}
+	if h.stored > 0 {
+		offer(p.store.ID, p.store.DataCentre, h.stored, p.store.TransferPerToken)
+	}
+	return best, ok
 }
 
 // tokensPerPiece returns the number of prompt tokens in a piece.
@@ -74,24 +102,50 @@
 	farTransfer = 2
 )
 
-// bestHolder returns the engine that holds most of r's prompt and how many
-// pieces it holds, nil when none was seen to hold any.
-func (p *Policy) bestHolder(now time.Time, r *Request) (*engine, int) {
+// findHolders notes for each version of the weights where the most of r's
+// prompt is.
+func (p *Policy) findHolders(now time.Time, r *Request) {
+	p.holders = p.holders[:0]
 	if !p.rules.transfers || !p.rules.hints || len(r.Chain.Levels) == 0 {
-		return nil, 0
+		return
 	}
-	var best *engine
-	most := 0
 	for _, e := range p.engines {
 		if e.ep.TransferPerToken == 0 {
-			return nil, 0
+			p.holders = p.holders[:0]
+			return
+		}
+		h := p.holder(e.version(r.Weights))
+		if h == nil {
+			v := e.version(r.Weights)
+			p.holders = append(p.holders, holder{version: v, stored: p.stored(r, v)})
+			h = &p.holders[len(p.holders)-1]
 		}
 		if e.failures > 0 {
 			continue // a dead source holds its reader up
 		}
-		if n := p.held(now, e, r); n > most {
-			best, most = e, n
+		if n := p.held(now, e, r); n > h.found {
+			h.engine, h.found = e, n
+		}
+	}
+}
+
+// holder returns what findHolders noted for a version, nil for nothing.
+func (p *Policy) holder(version int) *holder {
+	for i := range p.holders {
+		if p.holders[i].version == version {
+			return &p.holders[i]
+		}
+	}
+	return nil
+}
+
+// version returns the version of weights that the engine has loaded, 0 when it
+// is not known.
+func (e *engine) version(weights string) int {
+	for i, w := range e.ep.Weights {
+		if w == weights && i < len(e.ep.Versions) {
+			return e.ep.Versions[i]
 		}
 	}
-	return best, most
+	return 0
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -57,6 +57,8 @@
 	drain      drain
 	rates      *placement.Rates
 	hints      *placement.Hints
+	store      *cacheStore // nil when there is none
+	holders    []holder
 	picker     placement.Homes
 	widths     []int
 
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -16,6 +16,8 @@
 	RulePeerHints = "peer-hints"
 	// RuleTransfers lets engines fetch from one another what one of them holds.
 	RuleTransfers = "transfers"
+	// RuleCacheStore saves prompts to the store of cached prompts and fetches them from there.
+	RuleCacheStore = "cache-store"
 	// RuleSegregation keeps some engines for short prompts.
 	RuleSegregation = "segregation"
 	// RulePrefill bounds the prompts that wait at one engine.
@@ -62,7 +64,7 @@
 	slowdown, waiting, progress, peerLoad, peerSlow, reports bool
 	ejection, limits, patience, fairness, earlyRef           bool
 	deferral, hedges, crowd, peerHints, headroom, transfers  bool
-	segregation, prefill                                     bool
+	segregation, prefill, cacheStore                         bool
 }
 
 func newRules(without []string) rules {
@@ -79,5 +81,6 @@
 		patience: !off[RulePatience], fairness: !off[RuleFairness],
 		earlyRef: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowd: !off[RuleCrowd], peerHints: !off[RulePeerHints],
 		headroom: !off[RuleHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers], segregation: !off[RuleSegregation], prefill: !off[RulePrefill],
+		cacheStore: !off[RuleCacheStore],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -18,8 +18,10 @@
 	// ID is the engine's address.
 	ID          string
 	Incarnation string
-	// Weights lists what the engine has loaded.
-	Weights []string
+	// Weights lists what the engine has loaded, Versions the version of each;
+	// cached prompts are of use only under the version that made them.
+	Weights  []string
+	Versions []int
 	// Slots is how many requests the engine runs at once.
 	Slots int
 	// DataCentre is the engine's data centre.
@@ -91,9 +93,11 @@
 	// Endpoint and Incarnation are set for Start and Hedge.
 	Endpoint    string
 	Incarnation string
-	// Source is another engine that is believed to hold more of the prompt,
-	// empty when none is or when engines can't fetch.
+	// Source is another engine, or the cache store, that is believed to hold more
+	// of the prompt, empty when none is or when engines can't fetch.
 	Source string
+	// Save says that the engine should save the prompt to the cache store.
+	Save bool
 	// Why is set for Start and Hedge.
 	Why Reasons
 	// Code, RetryAfter and Refusal are set for Refuse.
@@ -250,6 +254,28 @@
 	CacheLost(now time.Time, endpoint string)
 }
 
+// CacheStore is a store that engines save prompts to and fetch them from.
+type CacheStore struct {
+	// ID is the store's address.
+	ID         string
+	DataCentre string
+	// TransferPerToken is the time to move one cached token.
+	TransferPerToken time.Duration
+}
+
+// CacheStoreUser is implemented by a Scheduler that uses a store of cached prompts.
+type CacheStoreUser interface {
+	// SetCacheStore tells of the store; nil means that there is none.
+	SetCacheStore(now time.Time, store *CacheStore)
+	// Stored reports that the store keeps tokens of a part that was made under a
+	// version of a model's weights, 0 for none any longer. part is a key as
+	// prefix.PartKey gives it.
+	Stored(now time.Time, part uint64, version, tokens int)
+	// StoreReset reports that nothing is known of what the store keeps, and
+	// whether it answers. It is not used before it is told to answer.
+	StoreReset(now time.Time, serving bool)
+}
+
 // Counter is implemented by a Scheduler that knows what engines run.
 type Counter interface {
 	// Requests returns how many requests an engine is known to run, here and
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -61,6 +61,8 @@
 	Pause  time.Duration
 	// SwitchTime is how long new weights take.
 	SwitchTime time.Duration
+	// CacheStore is where prompts are saved; may be nil.
+	CacheStore *CacheStore
 	// Behave chooses the behaviour of a request; nil serves all.
 	Behave func(r *http.Request) Behaviour
 
@@ -184,6 +186,9 @@
 	if u.Model != "" {
 		h.Set("X-Weight-Versions", strconv.Itoa(version))
 	}
+	if s := u.CacheStore; s != nil && r.Header.Get("X-Kv-Save") == s.Address {
+		s.save(r.Header.Get("X-Cache-Salt"), r.Header.Get("X-Prompt-Prefix"), u.Model)
+	}
 	switch behaviour {
 	case LoseAnswer:
 		panic(http.ErrAbortHandler)
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -83,6 +83,7 @@
 	store     *site.Store
 	engines   []*site.Upstream
 	ledgers   []*site.Upstream
+	cache     *site.CacheStore
 	processes []*process
 	servers   []*http.Server
 	quit      chan struct{}
@@ -112,11 +113,11 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), quit: make(chan struct{}), revision: 1}
+	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cache: &site.CacheStore{Address: "10.8.2.1:80"}, quit: make(chan struct{}), revision: 1}
 	for i := range 3 {
 		d.engines = append(d.engines, &site.Upstream{
 			ID: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.8.0.%d:80", i+1), Service: "bench", Zone: "a", Model: model,
-			Events: 10, Pause: 20 * time.Millisecond, SwitchTime: 900 * time.Millisecond,
+			Events: 10, Pause: 20 * time.Millisecond, SwitchTime: 900 * time.Millisecond, CacheStore: d.cache,
 		})
 		d.ledgers = append(d.ledgers, &site.Upstream{ID: fmt.Sprintf("ledger-%d", i), Address: fmt.Sprintf("10.8.1.%d:80", i+1), Service: "ledger", Zone: "a"})
 	}
@@ -125,6 +126,7 @@
 		d.serve(u.Address, u)
 		u.Register(d.store)
 	}
+	d.serve(d.cache.Address, d.cache)
 	d.state = map[string]any{
 		"routes": []map[string]any{
 			{"name": "chat", "host": modelHost, "prefix": "/chat/", "kind": "stream", "timeoutMs": 4000, "goalMs": 600, "service": "bench", "maxAttempts": 2, "sticky": true, "resumable": true},
@@ -135,6 +137,7 @@
 		"services": []map[string]any{
 			{"name": "bench", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "tokenKvBytes": 18432, "linkMbps": 740000.0, "maxInflight": 12, "models": []map[string]any{{"name": model}}}},
 			{"name": "ledger", "healthPath": "/healthz", "maxConns": 100},
+			{"name": "memory", "kvStoreAddr": d.cache.Address, "zone": "a", "kvCapacity": 1000000, "linkMbps": 24000.0, "maxInflight": 12},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{
