Let engines finish their prompts before they take new weights

Besides, an engine that had crashed (connections refused) kept one of two places for switches for 2.5 s.

Now two more engines are told beforehand: they get no long prompts, are ordered when theirs are computed (after 1.5 s at the latest), and take the newest version named meanwhile (first tried without: two loads of version 3 were ordered after version 4 was named). A connection that is refused frees the place at once. At most half of the engines are told.

TestPromptsAreFinishedBeforeNewWeights, TestPreparedEngineTakesTheNewestVersion fail without it.

--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -65,6 +65,9 @@
 	// Handicap is the price, in time, of work at an upstream because of its
 	// weights; nil means none.
 	Handicap func(u *fleet.Registration) time.Duration
+	// Finishing reports whether an upstream should get no long prompts, which it
+	// could not finish; nil means none.
+	Finishing func(u *fleet.Registration) bool
 	// Resting reports whether an upstream must not get work for now.
 	Resting func(u *fleet.Registration) bool
 }
@@ -106,6 +109,7 @@
 		if v.Handicap != nil {
 			ep.Handicap = v.Handicap(u)
 		}
+		ep.Finishing = v.Finishing != nil && v.Finishing(u)
 		for _, m := range u.Models {
 			ep.Weights, ep.Versions = append(ep.Weights, m.Name), append(ep.Versions, m.Version)
 		}
@@ -146,7 +150,7 @@
 }
 
 func sameEndpoint(a, b routing.Endpoint) bool {
-	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && a.Finishing == b.Finishing && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
 }
 
 // SetDaemons tells how many daemons share the upstreams, this one included.
@@ -288,17 +292,18 @@
 	})
 }
 
-// Requests returns how many requests an upstream is known to run.
-func (s *Services) Requests(id string) int {
-	n := 0
+// Requests returns how many requests an upstream is known to run, and how many
+// prompt tokens it has to compute for those without a first token.
+func (s *Services) Requests(id string) (requests, unfinished int) {
 	for _, x := range s.all() {
 		x.runner.Do(func(sched routing.Scheduler, _ time.Time) {
 			if c, ok := sched.(routing.Counter); ok {
-				n += c.Requests(id)
+				n, tokens := c.Requests(id)
+				requests, unfinished = requests+n, unfinished+tokens
 			}
 		})
 	}
-	return n
+	return requests, unfinished
 }
 
 // Share returns, for each service, what peers should learn of its upstreams.
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -22,6 +22,8 @@
 	// concurrentSwitches is how many engines switch at once: the platform's
 	// engines take longer when more do.
 	concurrentSwitches = 2
+	// preparedSwitches is how many more finish their prompts meanwhile.
+	preparedSwitches = 2
 	// switchOutPercent bounds the engines of a model that are out at one time.
 	switchOutPercent = 25
 	// switchRest is how long an engine is taken to be switching without news.
@@ -70,7 +72,7 @@
 }
 
 // Requests implements rollout.SwitchWorld.
-func (d *Daemon) Requests(id string) int { return d.services.Requests(id) }
+func (d *Daemon) Requests(id string) (requests, unfinished int) { return d.services.Requests(id) }
 
 // Orders implements rollout.SwitchWorld.
 func (d *Daemon) Orders(id string, startedAt int64) int {
@@ -127,8 +129,15 @@
 
 // resting reports whether an engine is taking new weights. The view is locked.
 func (d *Daemon) resting(u *fleet.Registration, now time.Time) bool {
-	n, ok := d.view.notes[u.ID]
-	return ok && n.StartedAt == u.StartedAt && u.Version(n.Model) < n.Version && now.Before(n.until)
+	n, ok := d.note(u, now)
+	return ok && !n.Preparing
+}
+
+// note returns what was told of an engine's switch that is not over. The view
+// is locked.
+func (d *Daemon) note(u *fleet.Registration, now time.Time) (n note, ok bool) {
+	n, ok = d.view.notes[u.ID]
+	return n, ok && n.StartedAt == u.StartedAt && u.Version(n.Model) < n.Version && now.Before(n.until)
 }
 
 // staleness prices old weights.
@@ -160,6 +169,10 @@
 	}
 	return forward.View{
 		Table: d.view.table.Load(), Registry: snapshot,
+		Finishing: func(u *fleet.Registration) bool {
+			n, ok := d.note(u, now)
+			return ok && n.Preparing
+		},
 		Handicap: func(u *fleet.Registration) time.Duration {
 			if a, old := age(u); old {
 				price, _ := rules.Handicap(a)
@@ -188,7 +201,7 @@
 	keeper := lease.NewKeeper(d.platform.Table, settings, d.log)
 	switcher := &rollout.Switcher{
 		Orders: d.platform.Switches, World: d, Holder: d.settings.Name, Log: d.log,
-		Limits: rollout.SwitchLimits{Concurrent: concurrentSwitches, OutPercent: switchOutPercent},
+		Limits: rollout.SwitchLimits{Concurrent: concurrentSwitches, OutPercent: switchOutPercent, Prepared: preparedSwitches},
 	}
 	var since time.Time // engines have been behind since then
 	for {
--- a/internal/rollout/switcher.go
+++ b/internal/rollout/switcher.go
@@ -11,12 +11,19 @@
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/lease"
 	"github.com/verbenabend/verbenabend/internal/upstream"
+	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
 const (
 	// switchNotice is how long before an order the daemons are told, so that
 	// none still sends work to the engine.
 	switchNotice = 90 * time.Millisecond
+	// prepareMost is how long an engine may take to finish its prompts before
+	// it is ordered all the same.
+	prepareMost = 1500 * time.Millisecond
+	// finishedTokens is the number of prompt tokens up to which an engine counts
+	// as having finished: it computes them within the notice.
+	finishedTokens = 2000
 	// switchTimeout bounds one order, reportTimeout one question for its progress.
 	switchTimeout = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
@@ -46,6 +53,9 @@
 	StartedAt int64
 	Model     string
 	Version   int
+	// Preparing says that the engine finishes its prompts first: an order ends
+	// prompts that are not computed yet, and their work is lost.
+	Preparing bool
 	// Done says that the engine has the weights.
 	Done bool
 	// Orders is how many orders the engine is known to have accepted.
@@ -58,8 +68,9 @@
 	Goals() []Goal
 	// Engines returns the engines of a model that serve and do not leave.
 	Engines(model string) []*fleet.Registration
-	// Requests returns how many requests an engine is known to run.
-	Requests(id string) int
+	// Requests returns how many requests an engine is known to run, and how many
+	// prompt tokens it has to compute for them before their first tokens.
+	Requests(id string) (requests, unfinished int)
 	// Orders returns how many orders an engine is known to have accepted in
 	// the life that began at startedAt.
 	Orders(id string, startedAt int64) int
@@ -100,8 +111,9 @@
 type switching struct {
 	version  int
 	model    string
+	closed   bool // all daemons were told to send nothing
 	ordered  bool
-	at       time.Time // of the notice, then of the order
+	at       time.Time // of the first notice, then of the last, then of the order
 	askAt    time.Time
 	answered bool
 	asking   bool
@@ -152,6 +164,7 @@
 	left := false
 	for _, goal := range t.World.Goals() {
 		engines := t.World.Engines(goal.Model)
+		t.renew(goal)
 		if t.follow(ctx, now, engines) {
 			left = true
 		}
@@ -165,17 +178,60 @@
 				continue
 			}
 			byID[u.ID] = u
-			list = append(list, VersionEngine{ID: u.ID, Version: u.Version(goal.Model), Switching: active, Requests: t.World.Requests(u.ID)})
+			requests, unfinished := t.World.Requests(u.ID)
+			list = append(list, VersionEngine{ID: u.ID, Version: u.Version(goal.Model), Switching: active, Unfinished: unfinished, Requests: requests})
 		}
 		for _, id := range PlanSwitches(goal.Version, list, t.Limits) {
 			u := byID[id]
-			t.active[engineKey{u.ID, u.StartedAt}] = &switching{version: goal.Version, model: goal.Model, at: now}
-			t.World.Tell(SwitchNotice{Engine: u.ID, StartedAt: u.StartedAt, Model: goal.Model, Version: goal.Version, Orders: t.accepted(engineKey{u.ID, u.StartedAt})})
+			k, x := engineKey{u.ID, u.StartedAt}, &switching{version: goal.Version, model: goal.Model, at: now}
+			t.active[k] = x
+			t.tell(k, x, SwitchNotice{Preparing: true})
 		}
+		t.close(now, goal.Model, t.Limits.out(len(engines)))
 	}
 	return left || len(t.active) > 0
 }
 
+// renew makes the newest goal that of engines that were told of an older one
+// and not ordered yet.
+func (t *switchTenure) renew(goal Goal) {
+	for _, x := range t.active {
+		if x.model == goal.Model && !x.ordered && !x.asking {
+			x.version = max(x.version, goal.Version)
+		}
+	}
+}
+
+// close tells all daemons to send nothing to the next engines, as many as may
+// be out, that have finished their prompts or were given the time for it.
+func (t *switchTenure) close(now time.Time, model string, out int) {
+	for _, x := range t.active {
+		if x.model == model && x.closed {
+			out--
+		}
+	}
+	for k, x := range t.active {
+		if out <= 0 {
+			return
+		}
+		if x.model != model || x.closed || x.done {
+			continue
+		}
+		if _, unfinished := t.World.Requests(k.id); unfinished > finishedTokens && now.Sub(x.at) < prepareMost {
+			continue
+		}
+		x.closed, x.at = true, now
+		out--
+		t.tell(k, x, SwitchNotice{})
+	}
+}
+
+// tell completes a notice of a switch and spreads it.
+func (t *switchTenure) tell(k engineKey, x *switching, n SwitchNotice) {
+	n.Engine, n.StartedAt, n.Model, n.Version, n.Orders = k.id, k.startedAt, x.model, x.version, t.accepted(k)
+	t.World.Tell(n)
+}
+
 // follow takes each active switch one step further.
 func (t *switchTenure) follow(ctx context.Context, now time.Time, engines []*fleet.Registration) bool {
 	present := map[engineKey]*fleet.Registration{}
@@ -190,6 +246,7 @@
 		case u.Version(x.model) >= x.version:
 			t.finish(k, x)
 		case x.asking:
+		case !x.closed:
 		case !x.ordered:
 			if now.Sub(x.at) >= switchNotice {
 				t.start(x, func() { t.order(ctx, u, k, x) })
@@ -210,7 +267,7 @@
 func (t *switchTenure) finish(k engineKey, x *switching) {
 	x.done = true
 	delete(t.active, k)
-	t.World.Tell(SwitchNotice{Engine: k.id, StartedAt: k.startedAt, Model: x.model, Version: x.version, Done: true, Orders: t.accepted(k)})
+	t.tell(k, x, SwitchNotice{Done: true})
 }
 
 // accepted is how many orders an engine is known to have accepted.
@@ -291,7 +348,8 @@
 	now := time.Now()
 	x.askAt = now.Add(reportInterval)
 	if err != nil {
-		if now.Sub(x.at) > unansweredLife {
+		// An engine that can't be reached at all keeps no other one waiting.
+		if verdict.Of(err) == verdict.NotRun || now.Sub(x.at) > unansweredLife {
 			t.rest[k] = now.Add(refusedPause)
 			delete(t.active, k)
 		}
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -10,10 +10,12 @@
 type VersionEngine struct {
 	ID      string
 	Version int
-	// Switching engines were ordered to take new weights and have not yet.
+	// Switching engines were told or ordered to take new weights and have not yet.
 	Switching bool
-	// Requests is how many requests the engine is known to run.
-	Requests int
+	// Unfinished is the number of prompt tokens that the engine is known to have
+	// to compute, Requests that of requests that it runs.
+	Unfinished int
+	Requests   int
 }
 
 // SwitchLimits bound how many engines switch at the same time.
@@ -22,13 +24,26 @@
 	Concurrent int
 	// OutPercent is the part of the engines that may be out, but at least one.
 	OutPercent int
+	// Prepared is how many more finish their prompts before their turn, as long
+	// as half of the engines remain for new prompts.
+	Prepared int
 }
 
-// PlanSwitches returns the engines to order now to take a version: those with
-// the oldest weights first, and of these the ones with the least to finish.
-// It is a pure function.
+// told returns how many of so many engines may be out or prepared.
+func (l SwitchLimits) told(engines int) int {
+	return min(l.out(engines)+l.Prepared, max(1, engines/2))
+}
+
+// out returns how many of so many engines may be out at one time.
+func (l SwitchLimits) out(engines int) int {
+	return min(l.Concurrent, max(1, engines*l.OutPercent/100))
+}
+
+// PlanSwitches returns the engines to tell now that they will take a version:
+// those with the oldest weights first, and of these the ones with the least to
+// finish. It is a pure function.
 func PlanSwitches(version int, engines []VersionEngine, limits SwitchLimits) []string {
-	room := min(limits.Concurrent, max(1, len(engines)*limits.OutPercent/100))
+	room := limits.told(len(engines))
 	var due []VersionEngine
 	for _, e := range engines {
 		switch {
@@ -39,7 +54,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b VersionEngine) int {
-		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Requests, b.Requests), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Unfinished, b.Unfinished), cmp.Compare(a.Requests, b.Requests), cmp.Compare(a.ID, b.ID))
 	})
 	var out []string
 	for _, e := range due[:max(0, min(room, len(due)))] {
--- a/internal/rollout/versions_test.go
+++ b/internal/rollout/versions_test.go
@@ -25,8 +25,8 @@
 			}
 			engines = append(engines, e)
 		}
-		limits := SwitchLimits{Concurrent: 2, OutPercent: 25}
-		room := min(2, max(1, len(engines)/4))
+		limits := SwitchLimits{Concurrent: 2, OutPercent: 25, Prepared: rapid.IntRange(0, 3).Draw(t, "prepared")}
+		room := min(min(2, max(1, len(engines)/4))+limits.Prepared, max(1, len(engines)/2))
 		plan := PlanSwitches(3, engines, limits)
 		assert.Equal(t, len(plan), max(0, min(room-switching, behind-switching)))
 		seen := map[string]bool{}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -77,7 +77,7 @@
 		room := p.room(e, r) && !p.crowded(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
-		cost := c.Cost(price) + e.ep.Handicap.Seconds() + p.segregation(e, r).Seconds()
+		cost := c.Cost(price) + (e.ep.Handicap + p.segregation(e, r) + p.finishing(e, r)).Seconds()
 		switch {
 		case !room:
 			out.busyCost = min(out.busyCost, cost)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -179,11 +179,12 @@
 }
 
 // Requests implements Counter.
-func (p *Policy) Requests(endpoint string) int {
-	if e := p.byID[endpoint]; e != nil {
-		return p.taken(e)
+func (p *Policy) Requests(endpoint string) (requests, unfinished int) {
+	e := p.byID[endpoint]
+	if e == nil {
+		return 0, 0
 	}
-	return 0
+	return p.taken(e), int(e.ownTokens) + e.peers.tokens
 }
 
 // News implements NewsTeller.
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -33,6 +33,9 @@
 	// Handicap is added to the predicted cost of work here, for reasons that
 	// the scheduler does not know, such as weights that are to be replaced.
 	Handicap time.Duration
+	// Finishing engines should get no long prompts: they could not finish them
+	// before they stop serving for a while.
+	Finishing bool
 	// TransferPerToken is the time to fetch one cached token from another
 	// engine of the same data centre; 0 means that engines can't fetch.
 	TransferPerToken time.Duration
@@ -278,9 +281,10 @@
 
 // Counter is implemented by a Scheduler that knows what engines run.
 type Counter interface {
-	// Requests returns how many requests an engine is known to run, here and
-	// for peers; 0 for engines that are not known.
-	Requests(endpoint string) int
+	// Requests returns how many requests an engine is known to run, here and for
+	// peers, and how many prompt tokens it has to compute for those without a
+	// first token; 0 for engines that are not known.
+	Requests(endpoint string) (requests, unfinished int)
 }
 
 // NewsTeller is implemented by a Scheduler that knows when peers should learn
--- a/internal/routing/segregation.go
+++ b/internal/routing/segregation.go
@@ -27,6 +27,19 @@
 	return sharedPrice
 }
 
+// finishingPrice is the handicap for a long prompt of an engine that stops
+// serving soon: the prompt would be computed in vain, and elsewhere again.
+const finishingPrice = 2 * time.Second
+
+// finishing is the handicap that keeps long prompts from engines that could not
+// finish them.
+func (p *Policy) finishing(e *engine, r *Request) time.Duration {
+	if !e.ep.Finishing || r.PromptTokens < longPrompt {
+		return 0
+	}
+	return finishingPrice
+}
+
 // splitPool is a pool divided by what its engines are kept for.
 type splitPool struct {
 	reserved placement.Pool // for short prompts
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -47,6 +47,8 @@
 	At     time.Time
 	// Ended is when the work ended, zero while it goes on.
 	Ended time.Time
+
+	begun bool // its first event was sent
 }
 
 // Upstream is a stand-in for a model engine or a plain service.
@@ -74,6 +76,7 @@
 	draining bool
 	runs     []*Run
 	orders   []string
+	wasted   int
 }
 
 // Start sets the version of the weights.
@@ -127,6 +130,14 @@
 	return append([]string(nil), u.orders...)
 }
 
+// Wasted returns how many prompts were being computed when orders were accepted:
+// real engines do not finish them.
+func (u *Upstream) Wasted() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.wasted
+}
+
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != u.ID {
@@ -199,12 +210,12 @@
 	case Stray:
 		u.stray(w, run)
 	default:
-		u.answer(w, r, behaviour)
+		u.answer(w, r, behaviour, run)
 	}
 }
 
 // answer sends a stream to requests that state a prompt, else a plain body.
-func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, behaviour Behaviour, run *Run) {
 	if r.Header.Get("X-Prompt-Prefix") == "" {
 		w.Header().Set("Content-Length", strconv.Itoa(len("answer from "+u.ID)))
 		_, _ = io.WriteString(w, "answer")
@@ -222,6 +233,9 @@
 		case <-r.Context().Done():
 			return
 		}
+		u.mu.Lock()
+		run.begun = true
+		u.mu.Unlock()
 		if behaviour == Break && i > after+u.Events/2 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", i)
 			_ = http.NewResponseController(w).Flush()
@@ -274,6 +288,11 @@
 	default:
 		u.fence, u.busy = o.Fence, true
 		u.seq++
+		for _, run := range u.runs {
+			if run.Ended.IsZero() && !run.begun {
+				u.wasted++
+			}
+		}
 		u.orders = append(u.orders, strings.Join([]string{o.Holder, strconv.FormatUint(o.Fence, 10), strconv.Itoa(o.Version)}, " "))
 		go u.load(o.Version, o.Mode == "queue")
 		w.WriteHeader(http.StatusAccepted)
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -1,6 +1,7 @@
 package sitepath
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -165,6 +166,79 @@
 	})
 }
 
+// Load: long prompts all the time, each computed for some 0.4 s. Engines finish
+// theirs before they are ordered to take new weights, and all take them in time.
+func TestPromptsAreFinishedBeforeNewWeights(t *testing.T) {
+	run(t, func(d *deployment) {
+		for _, e := range d.engines {
+			e.Events, e.Pause = 2, 400*time.Millisecond
+		}
+		done := make(chan struct{})
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(250 * time.Millisecond):
+					go d.ask(d.processes[i%daemons], http.MethodPost, modelHost, "/chat/1", func(r *http.Request) {
+						r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("case-%d:13000,bb:100", i))
+						r.Header.Set("X-Token-Usage", "13100,40")
+					})
+				}
+			}
+		}()
+		time.Sleep(2 * time.Second)
+		d.nameVersion(2)
+		d.eventually("all engines have version 2", switchWithin, func() bool {
+			return !slices.ContainsFunc(d.engines, func(e *site.Upstream) bool { return e.Version() != 2 })
+		})
+		close(done)
+		<-stopped
+		time.Sleep(2 * time.Second)
+		for _, e := range d.engines {
+			assert.Equal(t, e.Wasted(), 0, "prompts at %s", e.ID)
+		}
+	})
+}
+
+// An engine that finishes its prompts while a newer version is named takes that one.
+func TestPreparedEngineTakesTheNewestVersion(t *testing.T) {
+	run(t, func(d *deployment) {
+		for _, e := range d.engines {
+			e.Events, e.Pause = 1, 1200*time.Millisecond
+		}
+		answers := make(chan answer, 2*len(d.engines))
+		for i := range cap(answers) {
+			go func() {
+				answers <- d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", func(r *http.Request) {
+					r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("case-%d:13000,bb:100", i))
+					r.Header.Set("X-Token-Usage", "13100,40")
+				})
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range d.engines {
+			assert.Assert(t, len(e.Runs()) > 0, "%s computes no prompt", e.ID)
+		}
+		d.nameVersion(2)
+		time.Sleep(400 * time.Millisecond)
+		d.nameVersion(3)
+		d.eventually("all engines have version 3", switchWithin, func() bool {
+			return !slices.ContainsFunc(d.engines, func(e *site.Upstream) bool { return e.Version() != 3 })
+		})
+		for _, e := range d.engines {
+			for _, o := range e.Orders() {
+				assert.Assert(t, strings.HasSuffix(o, " 3"), "order %q at %s", o, e.ID)
+			}
+		}
+		for range cap(answers) {
+			assert.NilError(t, (<-answers).err)
+		}
+	})
+}
+
 // When the holder can't reach the store any longer, another daemon takes over
 // in time.
 func TestOrdersGoOnWithoutTheirHolder(t *testing.T) {
