Keep answers from starving beside long prompts

An engine that computes prompts without pause generates one token a chunk; 180 tokens take 20 s.

Now the caller's estimate of the answer's length is read; each token of it makes an engine with long prompts 4 ms dearer for a short prompt, and an engine that computed for 0.9 of its time (time constant 1.5 s) and runs eight requests gets no long prompt. An estimate that can't be read is none and refuses nothing.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -228,7 +228,7 @@
 	}
 	if p := t.stated.Prompt; p != nil && t.model != nil && t.model.Engine != nil {
 		q.Weights = p.Model
-		q.PromptTokens, q.MaxOutputTokens = p.InputTokens, p.OutputTokens
+		q.PromptTokens, q.MaxOutputTokens, q.ExpectedTokens = p.InputTokens, p.OutputTokens, p.ExpectedTokens
 		q.Chain = prefix.OfParts(t.cacheOwner(), parts(p))
 	}
 	return q
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -29,6 +29,9 @@
 	// InputTokens is the length of the prompt, OutputTokens the longest answer.
 	InputTokens  int
 	OutputTokens int
+	// ExpectedTokens is the caller's estimate of the answer's length, often far
+	// off; 0 for none.
+	ExpectedTokens int
 	// Parts are in order; others may share all but the last.
 	Parts []Part
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -70,6 +70,7 @@
 			continue
 		}
 		out.any = true
+		e.prefill.observe(now, p.backlog(now, e) >= computingTokens)
 		n := p.need(now, e, r, rank, p.holder(e.version(r.Weights)))
 		c := p.candidate(now, e, n.compute-n.presumed)
 		c.Transfer = n.transfer
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -34,6 +34,7 @@
 	slow      placement.Slowdown
 	pace      placement.Pace
 	limit     admission.Limit
+	prefill   busyPart
 	peers     peerSums
 	report    LoadReport
 	// held are prompt levels that peers should learn of.
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -63,6 +63,8 @@
 	PromptTokens int
 	// MaxOutputTokens is what the caller allows; answers are usually shorter.
 	MaxOutputTokens int
+	// ExpectedTokens is the caller's estimate of the answer's length; 0 for none.
+	ExpectedTokens int
 	// Deadline is the time by which the first token must come; zero means none.
 	Deadline time.Time
 	// Goal is the time to the first token that operators aim at; 0 when not stated.
--- a/internal/routing/segregation.go
+++ b/internal/routing/segregation.go
@@ -16,6 +16,9 @@
 	// sharedPrice is the handicap for a short prompt of an engine that is not
 	// kept for short ones.
 	sharedPrice = 100 * time.Millisecond
+	// sharedTokenPrice is added for each token of the answer: an engine that
+	// computes long prompts generates a token each 0.1 s meanwhile.
+	sharedTokenPrice = 4 * time.Millisecond
 )
 
 // segregation is the handicap that keeps short prompts from waiting behind
@@ -24,7 +27,7 @@
 	if p.split(r) == nil || r.PromptTokens >= longPrompt || e.reserved {
 		return 0
 	}
-	return sharedPrice
+	return sharedPrice + time.Duration(r.ExpectedTokens)*sharedTokenPrice
 }
 
 // finishingPrice is the handicap for a long prompt of an engine that stops
@@ -96,7 +99,7 @@
 	if !p.rules.prefill || r.Goal == 0 || r.PromptTokens < longPrompt {
 		return false
 	}
-	return p.speed.Tokens(p.backlog(p.now, e)) > time.Duration(prefillPart*float64(r.Goal))
+	return e.prefill.part >= maxPrefillPart && p.taken(e) >= manyAnswers || p.speed.Tokens(p.backlog(p.now, e)) > time.Duration(prefillPart*float64(r.Goal))
 }
 
 // prefillPart is the part of a long prompt's goal that prompts before it may take.
--- a/internal/routing/segregation_test.go
+++ b/internal/routing/segregation_test.go
@@ -142,3 +142,60 @@
 	assert.Equal(t, p.slowdown(now, e), 2.5)
 	assert.Equal(t, p.slowdown(now.Add(time.Second), e), 1.0)
 }
+
+// Load: short prompts with answers of very different length, while the engines
+// that are not kept for short prompts have room. Long answers go to the
+// reserved engines even where these run much; short answers take the others.
+func TestLongAnswersPreferEnginesWithoutLongPrompts(t *testing.T) {
+	for _, c := range []struct {
+		tokens   int
+		reserved bool
+	}{{10, false}, {400, true}} {
+		p, now := partsFleet(8)
+		for _, e := range p.engines {
+			if e.reserved {
+				e.own = 45
+			}
+		}
+		r := partsRequest("a", "desk", 60, 300)
+		r.ExpectedTokens = c.tokens
+		a := start(t, p, now, r)
+		assert.Equal(t, p.byID[a.Endpoint].reserved, c.reserved, "%d tokens", c.tokens)
+	}
+}
+
+// Load: a crest of long prompts that keeps an engine computing without pause
+// while it generates answers. It gets no more of them until it had time for the
+// answers; an engine that generates few goes on.
+func TestEngineThatComputesWithoutPauseGetsNoLongPrompt(t *testing.T) {
+	for _, c := range []struct {
+		running int
+		crowded bool
+	}{{manyAnswers, true}, {1, false}} {
+		p, now := partsFleet(1)
+		e := p.engines[0]
+		for range 400 {
+			now = now.Add(10 * time.Millisecond)
+			e.prefill.observe(now, true)
+		}
+		e.own = c.running
+		r := partsRequest("a", "case", 13_000, 4_000)
+		assert.Equal(t, p.crowded(e, r), c.crowded, "%d running", c.running)
+		for range 40 {
+			now = now.Add(10 * time.Millisecond)
+			e.prefill.observe(now, false)
+		}
+		assert.Assert(t, !p.crowded(e, r))
+	}
+}
+
+// The part of its time for which an engine computes follows what was seen.
+func TestBusyPart(t *testing.T) {
+	var b busyPart
+	now := epoch
+	for i := range 1000 {
+		b.observe(now, i%4 == 0)
+		now = now.Add(10 * time.Millisecond)
+	}
+	assert.Assert(t, b.part > 0.2 && b.part < 0.3, "%v", b.part)
+}
