Use a store of cached prompts that serves when a service comes later; log it

A scheduler that was made after the store's events were first read (a service added by a later desired state) took the store for silent until its next restart. A store that went down or came back was not logged. Engines that were told together were ordered in the order of a map. One line of a trial (a negative presumption) had stayed in choose.go.

Now the state of the store is told with the store; 303 and 301 name it, with the cause; engines are ordered as they were told. TestStoreThatServesIsUsedAtOnce.

--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/admission"
@@ -27,6 +28,8 @@
 type Services struct {
 	retries RetryLimits
 	delay   func(dataCentre string) time.Duration
+	// storeServing says whether the store of cached prompts answers.
+	storeServing atomic.Bool
 
 	mu      sync.Mutex
 	byName  map[string]*service
@@ -84,7 +87,7 @@
 			continue
 		}
 		x := s.get(def.Name)
-		x.setStore(def.Engine, store)
+		x.setStore(def.Engine, store, s.storeServing.Load())
 		endpoints := s.endpoints(def, v)
 		x.mu.Lock()
 		same := slices.EqualFunc(endpoints, x.endpoints, sameEndpoint)
@@ -119,13 +122,13 @@
 }
 
 // setStore tells the scheduler of model engines which store keeps cached prompts.
-func (x *service) setStore(engine *routetable.EngineLimits, store *routetable.CacheStore) {
+func (x *service) setStore(engine *routetable.EngineLimits, store *routetable.CacheStore, serving bool) {
 	if engine == nil {
 		return
 	}
 	var s *routing.CacheStore
 	if store != nil && store.LinkMbps > 0 {
-		s = &routing.CacheStore{ID: store.Address, DataCentre: store.DataCentre, TransferPerToken: perToken(engine.BytesPerToken, store.LinkMbps)}
+		s = &routing.CacheStore{ID: store.Address, DataCentre: store.DataCentre, TransferPerToken: perToken(engine.BytesPerToken, store.LinkMbps), Serving: serving}
 	}
 	x.runner.Do(func(sched routing.Scheduler, now time.Time) {
 		if u, ok := sched.(routing.CacheStoreUser); ok {
@@ -265,6 +268,7 @@
 // StoreReset passes on that nothing is known of what the cache store keeps,
 // and whether it answers.
 func (s *Services) StoreReset(serving bool) {
+	s.storeServing.Store(serving)
 	s.useStore(func(u routing.CacheStoreUser, now time.Time) { u.StoreReset(now, serving) })
 }
 
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/prefix"
@@ -106,10 +107,11 @@
 		changes, err := d.platform.CacheEvents.CacheChanges(callCtx, source.id, source.address, since)
 		cancel()
 		if err != nil {
-			if source.service == "" && epoch != 0 {
+			if source.service == "" && epoch != 0 && ctx.Err() == nil {
 				// Engines that fetch from a store that is down are held up.
 				d.forgetCache(source, false)
 				since, epoch = 0, 0
+				d.log.Emit(eventlog.UpstreamDown, eventlog.Fields{Upstream: source.id, Detail: "store of cached prompts: " + err.Error()})
 			}
 			// What is known of an engine stays in use: a wrong belief costs a computation.
 			_ = cacheBackoff.Wait(ctx, try)
@@ -119,6 +121,9 @@
 		try = 0
 		if changes.Epoch != epoch {
 			d.forgetCache(source, true)
+			if source.service == "" {
+				d.log.Emit(eventlog.UpstreamServing, eventlog.Fields{Upstream: source.id, Detail: "store of cached prompts, nothing of it is known yet"})
+			}
 			if epoch != 0 {
 				since, epoch = 0, changes.Epoch
 				continue
--- a/internal/rollout/switcher.go
+++ b/internal/rollout/switcher.go
@@ -1,8 +1,10 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -205,19 +207,22 @@
 // close tells all daemons to send nothing to the next engines, as many as may
 // be out, that have finished their prompts or were given the time for it.
 func (t *switchTenure) close(now time.Time, model string, out int) {
-	for _, x := range t.active {
-		if x.model == model && x.closed {
+	var next []engineKey
+	for k, x := range t.active {
+		switch {
+		case x.model != model:
+		case x.closed:
 			out--
+		case !x.done:
+			next = append(next, k)
 		}
 	}
-	for k, x := range t.active {
-		if out <= 0 {
-			return
-		}
-		if x.model != model || x.closed || x.done {
-			continue
-		}
-		if _, unfinished := t.World.Requests(k.id); unfinished > finishedTokens && now.Sub(x.at) < prepareMost {
+	slices.SortFunc(next, func(a, b engineKey) int {
+		return cmp.Or(t.active[a].at.Compare(t.active[b].at), cmp.Compare(a.id, b.id))
+	})
+	for _, k := range next {
+		x := t.active[k]
+		if _, unfinished := t.World.Requests(k.id); out <= 0 || unfinished > finishedTokens && now.Sub(x.at) < prepareMost {
 			continue
 		}
 		x.closed, x.at = true, now
--- a/internal/routing/cachestore.go
+++ b/internal/routing/cachestore.go
@@ -40,7 +40,7 @@
 	case store == nil:
 		p.store = nil
 	case p.store == nil || p.store.ID != store.ID:
-		p.store = &cacheStore{CacheStore: *store, parts: map[uint64]int{}, saving: map[uint64]time.Time{}}
+		p.store = &cacheStore{CacheStore: *store, serving: store.Serving, parts: map[uint64]int{}, saving: map[uint64]time.Time{}}
 	default:
 		p.store.CacheStore = *store
 	}
--- a/internal/routing/cachestore_test.go
+++ b/internal/routing/cachestore_test.go
@@ -80,3 +80,13 @@
 	assert.Equal(t, a.Source, "")
 	assert.Equal(t, a.Why.Compute, 17_000)
 }
+
+// A scheduler that is made while the store answers uses it at once.
+func TestStoreThatServesIsUsedAtOnce(t *testing.T) {
+	for _, serving := range []bool{true, false} {
+		p, now := storeFleet(1, 1, 1, 1)
+		p.SetCacheStore(now, nil)
+		p.SetCacheStore(now, &CacheStore{ID: "store", TransferPerToken: 6 * time.Microsecond, Serving: serving})
+		assert.Equal(t, start(t, p, now, partsRequest("a", "case", 13_000, 4_000)).Save, serving)
+	}
+}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -267,8 +267,6 @@
 	switch {
 	case rank > 0:
 		return 0
-	case p.tuning.HomePrior < 0:
-		return 0
 	case p.tuning.HomePrior > 0:
 		return p.tuning.HomePrior
 	case !p.rules.peerHints || !p.rules.hints:
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -266,6 +266,8 @@
 	DataCentre string
 	// TransferPerToken is the time to move one cached token.
 	TransferPerToken time.Duration
+	// Serving says whether the store answers when it is told of first.
+	Serving bool
 }
 
 // CacheStoreUser is implemented by a Scheduler that uses a store of cached prompts.
@@ -277,7 +279,7 @@
 	// prefix.PartKey gives it.
 	Stored(now time.Time, part uint64, version, tokens int)
 	// StoreReset reports that nothing is known of what the store keeps, and
-	// whether it answers. It is not used before it is told to answer.
+	// whether it answers. It is not used while it does not.
 	StoreReset(now time.Time, serving bool)
 }
 
