Leave daemons that fell silent out of the directory's answers

A daemon whose machine was lost stayed in the directory's answers for as long as its own fact lives, 3 to 4 s, and peers whose connection was one they had accepted noticed nothing before gossip's idle limit of 3.5 s. Callers that got its address waited a second each for a connection.

Ruled out: a shorter life of that fact alone; it is renewed once a second, and a lost renewal would take a daemon out for everybody.

Now a daemon is silent to a peer when their connection brought no frame for a second (at most 0.3 s between frames) or could not be made, until a newer word of it comes by any way. The directory leaves silent daemons out, unless all others are silent: then the asked one is cut off itself. Connections that a peer closes on purpose mean nothing.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -65,7 +65,7 @@
 
 // refreshMembers brings the view of the daemons up to date.
 func (d *Daemon) refreshMembers(context.Context) {
-	d.members.SetHeard(membership.FromFacts(d.node.Facts(gossip.KindDaemon)))
+	d.members.SetHeard(membership.FromFacts(d.node.Facts(gossip.KindDaemon), d.node.Silent()))
 	d.dispatcher.SetPeers(len(d.members.Live()))
 	d.updateIsolation(len(d.node.Peers()) > 0)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,6 +34,11 @@
 	gossipBytes = 32 << 10
 	// loadLife is how long a peer's load figures are believed.
 	loadLife = 3 * time.Second
+	// peerHeartbeat is the longest pause between two frames to a peer, and
+	// peerSilence how long none may come: callers must not be sent to a daemon
+	// that is gone for much longer than they keep an answer of the directory.
+	peerHeartbeat = 300 * time.Millisecond
+	peerSilence   = time.Second
 	// readinessInterval is the pause between two looks at the daemon's readiness.
 	readinessInterval = 100 * time.Millisecond
 	// sameRegionDelay and otherRegionDelay are assumed one way between data
@@ -62,6 +67,7 @@
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
 		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytes, LoadInterval: loadInterval, FlushInterval: loadFlush, FanOut: gossipFanOut,
+		Heartbeat: peerHeartbeat, IdleTimeout: peerSilence,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
 		},
@@ -116,7 +122,7 @@
 
 // refreshMembers brings the view of the daemons up to date.
 func (d *Daemon) refreshMembers() {
-	d.members.SetHeard(membership.FromFacts(d.node.Facts(gossip.KindDaemon)))
+	d.members.SetHeard(membership.FromFacts(d.node.Facts(gossip.KindDaemon), d.node.Silent()))
 	d.services.SetDaemons(len(d.members.Live()))
 }
 
--- a/internal/gossip/dial.go
+++ b/internal/gossip/dial.go
@@ -133,6 +133,9 @@
 	defer cancel()
 	nc, err := n.cfg.Dial(ctx, address)
 	if err != nil {
+		n.mu.Lock()
+		n.unreachable(address)
+		n.mu.Unlock()
 		return false
 	}
 	began := time.Now()
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -85,6 +85,9 @@
 	if f.Kind == KindDaemon && !renewed {
 		n.membersKnown = false
 	}
+	if last, silent := n.silent[f.ID]; f.Kind == KindDaemon && silent && f.Version > last {
+		n.heardFrom(f.ID)
+	}
 	n.relay(k, f.Origin, c, now)
 }
 
--- a/internal/gossip/maintain.go
+++ b/internal/gossip/maintain.go
@@ -45,6 +45,7 @@
 			n.membersKnown = false
 			delete(n.via, f.Origin)
 			delete(n.grafted, f.Origin)
+			delete(n.silent, f.ID)
 		}
 	}
 	if own := n.store.byKey[factKey{KindDaemon, n.cfg.Name}]; own == nil && n.displaced {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -53,6 +53,9 @@
 	// memberList is the result of readMembers while membersKnown.
 	memberList   []member
 	membersKnown bool
+	// silent holds the daemons that do not answer, with the version of the last
+	// word that was heard of each.
+	silent map[string]uint64
 	// displaced is set when a later process has the same name.
 	displaced bool
 	closing   bool
@@ -77,7 +80,7 @@
 		cfg: cfg, clock: cfg.Events.Clock, start: uint64(now.UnixMicro()),
 		store: newStore(), budget: newBucket(cfg.BytesPerSecond, cfg.BurstBytes, now),
 		conns: map[string]*conn{}, dials: map[string]*dial{}, aliases: map[string]string{},
-		via: map[string]*conn{}, wanted: map[uint64]time.Time{}, grafted: map[string]time.Time{}, loads: map[factKey]bool{},
+		via: map[string]*conn{}, wanted: map[uint64]time.Time{}, grafted: map[string]time.Time{}, loads: map[factKey]bool{}, silent: map[string]uint64{},
 	}
 	n.info = DaemonInfo{Start: n.start, DataCentre: cfg.DataCentre, PeerAddress: cfg.Address, CallerAddress: cfg.CallerAddress}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -216,7 +219,8 @@
 func (n *Node) daemons(now time.Time) int { return 1 + len(n.members(now)) }
 
 // Subscribe implements Board. KindDaemon facts that only renew what is known
-// are not delivered: in a large fleet there are dozens a second.
+// are not delivered: in a large fleet there are dozens a second. What is known
+// of a daemon is delivered again when it falls silent or is heard from anew.
 func (n *Node) Subscribe(kind Kind, fn func(Fact)) {
 	s := newSubscription(kind, fn)
 	n.mu.Lock()
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -139,6 +139,7 @@
 		old.shut()
 	}
 	n.conns[c.name()] = c
+	n.heardFrom(c.name())
 	n.cfg.Events.Emit(eventlog.PeerConnected, eventlog.Fields{Detail: c.name()})
 	if c.outbound {
 		c.send(&message{Type: messageSummary, Summary: n.fullSummary()})
@@ -197,6 +198,9 @@
 		n.rejected.Add(1)
 		n.cfg.Events.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: c.name() + ": " + err.Error()})
 	}
+	if lost && isSilence(err) {
+		n.fellSilent(c.name())
+	}
 	if lost && !c.surplus {
 		n.cfg.Events.Emit(eventlog.PeerLost, eventlog.Fields{Detail: c.name() + ": " + err.Error()})
 	}
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -22,6 +22,7 @@
 		}
 		x := member(fmt.Sprint("d", i), rapid.SampledFrom([]string{"home", "near", "far"}).Draw(t, "data centre"))
 		x.Draining = rapid.IntRange(0, 3).Draw(t, "draining") == 0
+		x.Silent = rapid.IntRange(0, 2).Draw(t, "silent") == 0
 		out = append(out, x)
 	}
 	return out
@@ -55,8 +56,15 @@
 					return x.Draining || x.Isolated || i >= 0 && listed[i].Draining
 				}
 				var want, peers []string
-				for _, x := range append(slices.DeleteFunc(slices.Clone(heard), func(x Member) bool { return x.Name == self.Name }), self) {
-					if !leaving(x) {
+				others := slices.DeleteFunc(slices.Clone(heard), func(x Member) bool { return x.Name == self.Name })
+				silent := 0
+				for _, x := range others {
+					if x.Silent {
+						silent++
+					}
+				}
+				for _, x := range append(slices.Clone(others), self) {
+					if !leaving(x) && (!x.Silent || silent == len(others)) {
 						want = append(want, x.Name)
 					}
 				}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -21,6 +21,8 @@
 	Draining bool
 	// Isolated daemons reach neither the platform nor a peer.
 	Isolated bool
+	// Silent daemons don't answer this one and were not heard from since.
+	Silent bool
 }
 
 // Members holds what is known of all daemons. It is safe for concurrent use.
@@ -88,13 +90,15 @@
 // Entries returns the daemons that a caller in dataCentre should use, nearest
 // first. Ties are rotated from call to call, so that callers spread. Daemons
 // that drain, that are leaving, that are isolated or that were not heard from
-// are left out.
+// are left out, and so are silent ones, unless all others are silent: then this
+// daemon is the one that is cut off.
 func (m *Members) Entries(dataCentre string, delay func(from, to string) time.Duration) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rotation++
+	cutOff := !slices.ContainsFunc(m.heard, func(x Member) bool { return !x.Silent })
 	out := slices.DeleteFunc(m.live(), func(x Member) bool {
-		return x.Draining || x.Isolated || m.listed[x.CallerAddress].Draining
+		return x.Draining || x.Isolated || x.Silent && !cutOff || m.listed[x.CallerAddress].Draining
 	})
 	near := func(x Member) time.Duration { return distance(dataCentre, x.DataCentre, delay) }
 	slices.SortStableFunc(out, func(a, b Member) int { return cmp.Compare(near(a), near(b)) })
--- a/lab/fabric/fabric.go
+++ b/lab/fabric/fabric.go
@@ -6,21 +6,25 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Fabric connects processes. A cut breaks the connections that it concerns and
-// refuses new ones. It is safe for concurrent use.
+// refuses new ones; silence loses what is sent on them, and new ones hang. It
+// is safe for concurrent use.
 type Fabric struct {
 	mu        sync.Mutex
 	listeners map[string]*Listener
 	links     map[*link]bool
 	cut       func(from, address string) bool
+	silent    func(from, address string) bool
 }
 
 // link is the dialling end of a connection.
 type link struct {
-	net.Conn
+	end
 	fabric        *Fabric
 	from, address string
 }
@@ -30,12 +34,35 @@
 	l.fabric.mu.Lock()
 	delete(l.fabric.links, l)
 	l.fabric.mu.Unlock()
-	return l.Conn.Close()
+	return l.end.Close()
+}
+
+// end is one end of a connection. Once the connection is silent, what is
+// written is lost, and the other end does not learn that this one is closed.
+type end struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (e end) Write(b []byte) (int, error) {
+	if e.silent.Load() {
+		return len(b), nil
+	}
+	return e.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (e end) Close() error {
+	if e.silent.Load() {
+		return e.SetDeadline(time.Unix(1, 0)) // ends this end's calls
+	}
+	return e.Conn.Close()
 }
 
 // New returns a Fabric without listeners.
 func New() *Fabric {
-	return &Fabric{listeners: map[string]*Listener{}, links: map[*link]bool{}, cut: NothingCut}
+	return &Fabric{listeners: map[string]*Listener{}, links: map[*link]bool{}, cut: NothingCut, silent: NothingCut}
 }
 
 // NothingCut is the cut of a whole network.
@@ -54,19 +81,23 @@
 func (f *Fabric) Dialer(from string) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		f.mu.Lock()
-		l, cut := f.listeners[address], f.cut(from, address)
+		l, cut, silent := f.listeners[address], f.cut(from, address), f.silent(from, address)
 		f.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if cut {
 			return nil, syscall.EHOSTUNREACH
 		}
 		if l == nil {
 			return nil, syscall.ECONNREFUSED
 		}
-		conn, err := l.Dial(ctx)
+		conn, err := l.dial(ctx)
 		if err != nil {
 			return nil, err
 		}
-		k := &link{Conn: conn, fabric: f, from: from, address: address}
+		k := &link{end: conn, fabric: f, from: from, address: address}
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.links[k] = true
@@ -90,6 +121,18 @@
 	}
 }
 
+// SetSilent replaces the silence in force. Connections that fell silent stay so.
+func (f *Fabric) SetSilent(silent func(from, address string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+	for k := range f.links {
+		if silent(k.from, k.address) {
+			k.silent.Store(true)
+		}
+	}
+}
+
 // Listener accepts in-memory connections.
 type Listener struct {
 	conns  chan net.Conn
@@ -123,13 +166,22 @@
 
 // Dial connects to the listener.
 func (l *Listener) Dial(ctx context.Context) (net.Conn, error) {
+	conn, err := l.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (l *Listener) dial(ctx context.Context) (end, error) {
 	client, server := net.Pipe()
+	silent := &atomic.Bool{}
 	select {
-	case l.conns <- server:
-		return client, nil
+	case l.conns <- end{server, silent}:
+		return end{client, silent}, nil
 	case <-l.closed:
-		return nil, syscall.ECONNREFUSED
+		return end{}, syscall.ECONNREFUSED
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return end{}, ctx.Err()
 	}
 }
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/lab/fabric"
 	"github.com/verbenabend/verbenabend/lab/site"
 )
 
@@ -18,6 +19,8 @@
 	stateWithin  = 2 * time.Second
 	peersWithin  = 4 * time.Second
 	switchWithin = 8 * time.Second
+	// silenceWithin is the idle limit between daemons and one look.
+	silenceWithin = 1300 * time.Millisecond
 )
 
 // revoke removes the second organisation's key.
@@ -114,6 +117,27 @@
 	})
 }
 
+// A daemon that falls silent, as when its machine loses power, leaves the
+// directory's answers about as soon as they end at callers, and is back when it
+// answers again.
+func TestSilentDaemonLeavesTheDirectory(t *testing.T) {
+	run(t, func(d *deployment) {
+		time.Sleep(2 * time.Second) // all peers are connected
+		lost, rest := d.processes[2], d.processes[:2]
+		d.net.SetSilent(func(from, address string) bool {
+			return from == lost.name || strings.HasPrefix(address, lost.host+":")
+		})
+		time.Sleep(silenceWithin)
+		for _, p := range rest {
+			assert.Equal(t, len(d.resolve(p)), len(rest), p.name)
+		}
+		d.net.SetSilent(fabric.NothingCut)
+		d.eventually("the daemon is back", peersWithin, func() bool {
+			return len(d.resolve(rest[0])) == daemons && len(d.resolve(rest[1])) == daemons && len(d.resolve(lost)) == daemons
+		})
+	})
+}
+
 // Engines take new weights, at most two at a time, by the orders of one holder
 // at a time, and no request meets an engine that loads.
 func TestWeightsAreSwitched(t *testing.T) {
