--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -79,6 +80,31 @@
 	})
 }
 
+// Load: the first seconds of a daemon before engines that compute 40 tokens in
+// a ms. Twelve short prompts come for each long one; short ones take 20 to 100
+// ms by chance, and one long prompt in four waited behind work of other
+// daemons. Each estimate on the way is within a factor of two of the truth.
+func TestSpeedIsOfUseFromTheStart(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		between := func(least, most int) int { return least + random.IntN(most-least+1) }
+		s := NewSpeed()
+		for i := range 300 {
+			tokens, ms := between(80, 1800), between(20, 100)
+			if i%13 == 4 {
+				tokens = between(6_000, 40_000)
+				ms = 50 + tokens/40
+				if random.IntN(4) == 0 {
+					ms += between(100, 900)
+				}
+			}
+			s.Observe(float64(tokens), time.Duration(ms)*time.Millisecond)
+			long := s.Tokens(20_000)
+			assert.Assert(t, long > 250*time.Millisecond && long < time.Second, "seed %d: 20,000 tokens take %v after %d", seed, long, i)
+		}
+	}
+}
+
 // Recomputation and queue count at the observed speed; a slow engine that
 // holds the prompt may still be the cheaper one.
 func TestCost(t *testing.T) {
