--- a/internal/routing/backlog_test.go
+++ b/internal/routing/backlog_test.go
@@ -38,6 +38,17 @@
 	assert.Assert(t, own > 12_900 && own < 13_100, "%v tokens", own)
 }
 
+// Load: one long prompt at an engine that states that its host is slow now.
+// The backlog shrinks as slowly as it computes.
+func TestBacklogShrinksSlowlyAtASlowEngine(t *testing.T) {
+	p, now := partsFleet(1)
+	start(t, p, now, partsRequest("long", "case", 13_000, 4_000))
+	e := p.engines[0]
+	later := now.Add(p.speed.Tokens(8_000))
+	p.Report(later, LoadReport{Endpoint: e.ep.ID, At: later, Running: 1, Slowdown: 2})
+	assert.Equal(t, p.backlog(later, e), 13_000.0)
+}
+
 // A first home is presumed to hold a prompt when engines are compared, but
 // what it may have to compute counts whole for the prompts behind it.
 func TestPresumedPromptsCountAsComputed(t *testing.T) {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -184,8 +184,8 @@
 }
 
 // ownBacklog returns the prompt tokens of the daemon's requests that the
-// engine has not computed yet, if it works at its usual speed: it computes
-// prompts one after another.
+// engine has not computed yet at its present speed: it computes prompts one
+// after another.
 func (p *Policy) ownBacklog(now time.Time, e *engine) float64 {
 	if len(e.unanswered) == 0 {
 		return 0
@@ -195,7 +195,7 @@
 	if e.lastFirst.After(since) {
 		since = e.lastFirst
 	}
-	done := p.speed.Computed(now.Sub(since))
+	done := p.speed.Computed(now.Sub(since)) / p.slowdown(now, e)
 	if peers := float64(e.peers.tokens); p.rules.peerLoad && peers > 0 {
 		done *= e.ownTokens / (e.ownTokens + peers)
 	}
