Keep the same engines for short prompts while weights are switched

Engines with old weights were never kept for short prompts, so while weights were switched two or none were, and each engine that switched changed which.

Now the kept engines are chosen among all, whatever their weights. TestReservedEnginesStayWhileWeightsAreSwitched fails without it.

--- a/internal/routing/segregation.go
+++ b/internal/routing/segregation.go
@@ -61,8 +61,9 @@
 	return s
 }
 
-// reserve chooses the engines that are kept for short prompts: some of those
-// that may be used without a handicap.
+// reserve chooses the engines that are kept for short prompts. They stay the
+// same while weights are switched one engine after the other: an engine that
+// has just computed long prompts is no good one for short ones.
 func (p *Policy) reserve() {
 	p.splits = map[string]*splitPool{}
 	for weights, pool := range p.pools {
@@ -70,7 +71,7 @@
 		for _, i := range pool.Members {
 			e := p.engines[i]
 			e.reserved = false
-			if e.ep.Handicap == 0 && e.ep.TransferPerToken > 0 {
+			if e.ep.TransferPerToken > 0 {
 				able = append(able, prefix.Scored{Index: i, Score: prefix.Score(reserveKey, e.ep.Hash)})
 			}
 		}
--- a/internal/routing/segregation_test.go
+++ b/internal/routing/segregation_test.go
@@ -64,6 +64,37 @@
 	}
 }
 
+// Load: new weights are loaded by one engine after the other, and those that
+// still have the old ones are dearer. The engines that are kept for short
+// prompts stay the same all the while.
+func TestReservedEnginesStayWhileWeightsAreSwitched(t *testing.T) {
+	p, now := partsFleet(10)
+	reserved := func() (ids []string) {
+		for _, e := range p.engines {
+			if e.reserved {
+				ids = append(ids, e.ep.ID)
+			}
+		}
+		return ids
+	}
+	before := reserved()
+	assert.Equal(t, len(before), 10*shortPercent/100)
+	var list []Endpoint
+	for _, e := range p.engines {
+		list = append(list, e.ep)
+	}
+	for switched := range list {
+		for i := range list {
+			list[i].Handicap = 0
+			if i > switched {
+				list[i].Handicap = time.Second
+			}
+		}
+		p.SetEndpoints(now, list)
+		assert.DeepEqual(t, reserved(), before)
+	}
+}
+
 // Load: a crest of long prompts, more than the engines can begin within their
 // goal. What can't begin is refused with a time to come back, not queued at
 // the engines.
