Tell peers of long prompts by an event, not by a look each 10 ms

Now the runner of a scheduler calls its owner when there is news, and figures that are not news are sent when gossip says that they are due. Both interfaces build their facts in one place. TestNewsIsToldAtOnce.

--- a/internal/daemon/peerload.go
+++ b/internal/daemon/peerload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/gossip"
@@ -12,20 +11,14 @@
 // tellLoad publishes what this daemon has at the engines, as often as gossip
 // has room for it: what a scheduler shares builds on what it shared before.
 func (d *Daemon) tellLoad(context.Context) {
-	if !d.node.LoadDue(time.Now()) {
+	if d.node.LoadDue(time.Now()) > 0 {
 		return
 	}
-	var facts []gossip.Fact
-	for service, loads := range d.dispatcher.Share() {
-		facts = append(facts, gossip.Fact{
-			Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadTTL, Value: peerload.Encode(loads),
-		})
-	}
-	d.node.PublishLoads(facts, false)
+	d.node.PublishLoads(peerload.Facts(d.settings.Name, d.dispatcher.Share(), loadTTL), false)
 }
 
 func (d *Daemon) hearLoad(f gossip.Fact) {
-	peer, service, ok := strings.Cut(f.ID, "/")
+	peer, service, ok := peerload.Origin(f)
 	if !ok {
 		return
 	}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -28,6 +28,8 @@
 type Services struct {
 	retries RetryLimits
 	delay   func(dataCentre string) time.Duration
+	// news has a token while a scheduler may have something to tell peers at once.
+	news chan struct{}
 	// storeServing says whether the store of cached prompts answers.
 	storeServing atomic.Bool
 
@@ -49,7 +51,7 @@
 // NewServices returns Services that know no upstream. delay gives the one-way
 // delay to a data centre.
 func NewServices(retries RetryLimits, delay func(dataCentre string) time.Duration) *Services {
-	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemons: 1}
+	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemons: 1, news: make(chan struct{}, 1)}
 }
 
 // Close stops the timers of the schedulers.
@@ -194,6 +196,7 @@
 		// A daemon that has just started may have spent its part before.
 		retries: admission.NewShareBudget(retryMargin*s.retries.Ratio, s.retryBurst()/2),
 	}
+	x.runner.OnNews(s.signalNews)
 	x.setDaemons(s.daemons, s.retryBurst())
 	s.byName[name] = x
 	return x
@@ -323,18 +326,15 @@
 	return out
 }
 
-// News reports whether a scheduler did something since its last Share that
-// peers should learn of at once.
-func (s *Services) News() bool {
-	news := false
-	for _, x := range s.all() {
-		x.runner.Do(func(sched routing.Scheduler, _ time.Time) {
-			if n, ok := sched.(routing.NewsTeller); ok {
-				news = news || n.News()
-			}
-		})
+// News returns a channel that gets a token when a scheduler did something that
+// peers should learn of at once; Share clears what it stands for.
+func (s *Services) News() <-chan struct{} { return s.news }
+
+func (s *Services) signalNews() {
+	select {
+	case s.news <- struct{}{}:
+	default: // a token waits already
 	}
-	return news
 }
 
 // Learn passes on what a peer shared of a service's upstreams.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,7 +203,7 @@
 	d.node.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run,
-		every(loadLook, d.tellLoad), every(memberInterval, d.refreshMembers),
+		d.tellLoads, every(memberInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peers, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operators, d.platform.UpstreamTable: d.upstreams})
 		},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +22,8 @@
 	// loadInterval is the pause between load figures in a small fleet; what
 	// peers decide by is told at once.
 	loadInterval = 100 * time.Millisecond
-	// loadLook is the pause between two looks whether load figures are due.
-	loadLook = 10 * time.Millisecond
+	// loadLook is the least pause between two looks whether load figures are due.
+	loadLook = 20 * time.Millisecond
 	// loadFlush is how long load figures wait for others to share their frame.
 	loadFlush = 5 * time.Millisecond
 	// gossipFanOut is the number of peers that a daemon connects to: all of a
@@ -163,22 +162,29 @@
 	}
 }
 
-// tellLoad publishes what this daemon has at the upstreams, as often as gossip
-// has room for it.
-func (d *Daemon) tellLoad() {
-	news := d.services.News()
-	if !news && !d.node.LoadDue(time.Now()) {
-		return
-	}
-	var facts []gossip.Fact
-	for service, loads := range d.services.Share() {
-		facts = append(facts, gossip.Fact{Kind: gossip.KindLoad, ID: d.settings.Name + "/" + service, TTL: loadLife, Value: peerload.Encode(loads)})
+// tellLoads publishes what this daemon has at the upstreams, as often as gossip
+// has room for it, and at once what peers decide by.
+func (d *Daemon) tellLoads(ctx context.Context) error {
+	timer := time.NewTimer(time.Nanosecond)
+	defer timer.Stop()
+	for {
+		news := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.services.News():
+			news = true
+		case <-timer.C:
+		}
+		if news || d.node.LoadDue(time.Now()) == 0 {
+			d.node.PublishLoads(peerload.Facts(d.settings.Name, d.services.Share(), loadLife), news)
+		}
+		timer.Reset(max(loadLook, d.node.LoadDue(time.Now())))
 	}
-	d.node.PublishLoads(facts, news)
 }
 
 func (d *Daemon) hearLoad(f gossip.Fact) {
-	peer, service, ok := strings.Cut(f.ID, "/")
+	peer, service, ok := peerload.Origin(f)
 	if !ok {
 		return
 	}
--- a/internal/gossip/loaddue.go
+++ b/internal/gossip/loaddue.go
@@ -2,13 +2,16 @@
 
 import "time"
 
-// LoadDue reports whether load figures that are published now are sent soon.
-// Between two turns they would only replace one another, so that a publisher
-// whose figures build on what was sent before asks first.
-func (n *Node) LoadDue(now time.Time) bool {
+// LoadDue returns how long it is until load figures that are published are sent
+// soon, 0 when they are now. Between two turns they would only replace one
+// another, so that a publisher whose figures build on what was sent before waits.
+func (n *Node) LoadDue(now time.Time) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.loads) == 0 && !now.Before(n.loadAt)
+	if len(n.loads) > 0 {
+		return max(tickInterval, n.loadAt.Sub(now)) // they leave at the next look
+	}
+	return max(0, n.loadAt.Sub(now))
 }
 
 // PublishLoads publishes load figures together and sends them at once, if their
--- a/internal/schedule/runner.go
+++ b/internal/schedule/runner.go
@@ -16,6 +16,7 @@
 	scheduler routing.Scheduler
 	waiting   map[string]chan routing.Action
 	timer     *time.Timer
+	onNews    func()
 }
 
 // ActionBuffer is the room for the actions of one request: a Start and a Hedge.
@@ -29,6 +30,11 @@
 	return r
 }
 
+// OnNews makes the Runner call fn whenever the scheduler has something that
+// peers should learn of at once (routing.NewsTeller). fn must not block or call
+// the Runner. OnNews comes before any other call.
+func (r *Runner) OnNews(fn func()) { r.onNews = fn }
+
 // Do calls fn with the scheduler and delivers the actions that follow from it.
 func (r *Runner) Do(fn func(s routing.Scheduler, now time.Time)) {
 	r.mu.Lock()
@@ -40,6 +46,9 @@
 			r.scheduler.Finished(now, a.Request.ID, a.Endpoint, routing.Canceled, 0)
 		}
 	}
+	if t, ok := r.scheduler.(routing.NewsTeller); ok && r.onNews != nil && t.News() {
+		r.onNews()
+	}
 	if wake := r.scheduler.NextWake(now); !wake.IsZero() {
 		r.timer.Reset(max(time.Nanosecond, wake.Sub(now)))
 	}
--- a/internal/schedule/runner_test.go
+++ b/internal/schedule/runner_test.go
@@ -43,3 +43,32 @@
 		synctest.Wait()
 	})
 }
+
+// teller has news after every second call.
+type teller struct {
+	eager
+	news bool
+}
+
+func (t *teller) Advance(now time.Time) []routing.Action {
+	t.news = !t.news
+	return t.eager.Advance(now)
+}
+
+func (t *teller) News() bool { return t.news }
+
+// Peers hear of news without anybody looking for it.
+func TestNewsIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(&teller{eager: eager{calls: 99}})
+		told := 0
+		r.OnNews(func() { told++ })
+		for call, want := range []int{1, 1, 2, 2, 3} {
+			r.Do(func(routing.Scheduler, time.Time) {})
+			if told != want {
+				t.Fatalf("told %d times after call %d, not %d", told, call, want)
+			}
+		}
+		r.Close()
+	})
+}
