Refuse requests that crash engines on the users' platform too

The gateway did not recognise such requests; the product's own interface does.

Now a connection that an upstream ends under a request has a new one tried; a refusal there ends the upstream's life under that request. internal/suspects counts, tells peers and keeps what is quarantined in the platform's table; deaths within 0.3 s of one another count once, since all engines of a service may fail together. Rows hold milliseconds now: in whole seconds two deaths of one second counted once after a restart of all daemons (found by the test).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,7 +130,7 @@
 			d.dispatcher.SetFleet(s)
 		}
 	})
-	d.suspects = suspects.New(d.settings.Name, d.node, d.table, d.log)
+	d.suspects = suspects.New(d.settings.Name, d.node, d.table, d.log, 0)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		Delay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -52,6 +52,8 @@
 	Table func() *routetable.Table
 	// Registry returns the registered upstreams.
 	Registry func() *fleet.RegistrySnapshot
+	// Suspects knows requests that crash upstreams; may be nil.
+	Suspects Suspects
 	// Ended is called with the outcome of each request; may be nil.
 	Ended func(Outcome)
 	// Learned is called with each version of weights that an upstream states.
@@ -82,6 +84,12 @@
 	if c.Ended == nil {
 		c.Ended = func(Outcome) {}
 	}
+	if c.Suspects == nil {
+		c.Suspects = noSuspects{}
+	}
+	if c.Liveness != nil {
+		c.Liveness.died = c.Suspects.Died
+	}
 	f := &Forwarder{Config: c}
 	f.ended, f.end = context.WithCancel(context.Background())
 	return f
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,7 +38,10 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// changed is called when an upstream goes down or comes back.
 	changed func(id string, down bool)
-	log     *eventlog.Log
+	// died is called when an upstream's life has ended, with the fingerprints of
+	// the requests whose connections ended with it; nil for nobody.
+	died func(id, incarnation string, requests []string)
+	log  *eventlog.Log
 
 	mu    sync.Mutex
 	known map[string]*pulse
@@ -52,9 +58,14 @@
 	running map[*transfer]context.CancelCauseFunc
 	down    bool
 	probing bool
-	// suspected is set when a peer found the upstream silent.
+	// suspected is set when a peer found the upstream silent, or when it ended
+	// connections with requests.
 	suspected bool
-	alive     time.Time // when a connection was made last
+	// incarnation is the upstream's life that requests were sent to last, broken
+	// are those whose connections it ended since it was tried last.
+	incarnation string
+	broken      map[string]bool
+	alive       time.Time // when a connection was made last
 }
 
 // NewLiveness returns a Liveness that connects by dial.
@@ -79,6 +90,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.pulse(u)
+	if p.incarnation != u.Incarnation() {
+		p.incarnation = u.Incarnation()
+		clear(p.broken)
+	}
 	if len(p.running) == 0 {
 		p.sent = time.Now()
 	}
@@ -103,11 +118,22 @@
 	l.pulse(u).suspected = true
 }
 
+// broke notes that an upstream ended the connection of a request, and has it
+// tried at once.
+func (l *Liveness) broke(id, request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.known[id]; p != nil {
+		p.broken[request] = true
+		p.suspected = true
+	}
+}
+
 // pulse returns what is known of an upstream. The Liveness is locked.
 func (l *Liveness) pulse(u *fleet.Registration) *pulse {
 	p := l.known[u.ID]
 	if p == nil || p.address != u.Address {
-		p = &pulse{address: u.Address, service: u.Service, running: map[*transfer]context.CancelCauseFunc{}}
+		p = &pulse{address: u.Address, service: u.Service, running: map[*transfer]context.CancelCauseFunc{}, broken: map[string]bool{}}
 		l.known[u.ID] = p
 	}
 	return p
@@ -149,7 +175,7 @@
 		}
 		silent := len(p.running) > 0 && now.Sub(p.heard) > suspectAfter && now.Sub(p.sent) > suspectAfter && now.Sub(p.alive) > aliveFor
 		if silent || p.suspected && !p.down || p.down && now.Sub(p.alive) > downPause {
-			p.probing = true
+			p.probing, p.suspected = true, false
 			out[id] = p
 		}
 	}
@@ -158,6 +184,7 @@
 
 // probe tries new connections to an upstream.
 func (l *Liveness) probe(ctx context.Context, id string, p *pulse) {
+	incarnation, broken := l.takeBroken(p)
 	tries := probeTries
 	if l.Down(id) {
 		tries = 1
@@ -171,6 +198,9 @@
 		if err == nil {
 			conn.Close()
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) && len(broken) > 0 && l.died != nil {
+			l.died(id, incarnation, broken) // nothing listens there any more
+		}
 		// A refusal is an answer: the next request finds out.
 		if answers = err == nil || !timedOut; answers || ctx.Err() != nil {
 			break
@@ -181,6 +211,16 @@
 	}
 }
 
+// takeBroken returns the life of an upstream and the requests whose connections
+// it ended since the last call.
+func (l *Liveness) takeBroken(p *pulse) (incarnation string, requests []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	requests = slices.Collect(maps.Keys(p.broken))
+	clear(p.broken)
+	return p.incarnation, requests
+}
+
 // isTimeout reports whether a try to connect ran out of time. The dialer has a
 // timer of its own, which may end the try just before the context ends.
 func isTimeout(err error) bool {
@@ -191,7 +231,6 @@
 func (l *Liveness) conclude(id string, p *pulse, answers bool) {
 	l.mu.Lock()
 	p.probing = false
-	p.suspected = false
 	p.alive = time.Now()
 	changed := p.down == answers
 	p.down = !answers
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -60,6 +60,10 @@
 	s.earn()
 	t.lastEvent = t.stated.LastEvent
 	for {
+		if err := t.quarantine(); err != nil {
+			t.giveUp(err)
+			return
+		}
 		err := t.try(ctx, s)
 		if err == nil {
 			return
@@ -181,6 +185,7 @@
 		err = because(ctx, err)
 		resp.Body.Close()
 		t.finished(s, action, outcomeOf(err, t.caller.Context()), pieces)
+		t.broke(u.ID, err)
 		t.avoid = append(t.avoid, u.ID)
 		t.emit(eventlog.AttemptFailed, u.ID, err)
 		return &attemptError{error: err, reached: true}
@@ -203,6 +208,8 @@
 	result := ResultOK
 	if status >= http.StatusInternalServerError {
 		result = ResultUpstream
+	} else {
+		t.survived()
 	}
 	t.end(result, verdict.Ran)
 	t.f.Log.EmitSampled(eventlog.RequestFinished, func() eventlog.Fields {
@@ -234,11 +241,22 @@
 	}
 	outcome := outcomeOf(err, t.caller.Context())
 	t.finished(s, action, outcome, 0)
+	if reached {
+		t.broke(action.Endpoint, err)
+	}
 	t.avoid = append(t.avoid, action.Endpoint)
 	t.emit(eventlog.AttemptFailed, action.Endpoint, err)
 	return &attemptError{error: err, reached: reached}
 }
 
+// broke has an upstream looked at that ended the request's connection: it may
+// have crashed, and the request may be why.
+func (t *transfer) broke(upstream string, err error) {
+	if isBroken(err) && t.caller.Context().Err() == nil {
+		t.f.Liveness.broke(upstream, t.fingerprint())
+	}
+}
+
 // rejected accounts for an upstream's word that it did not run the request.
 func (t *transfer) rejected(s *service, action routing.Action, status int, reply Reply) error {
 	outcome := routing.Rejected
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/routetable"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
@@ -91,6 +92,7 @@
 	services  *forward.Services
 	liveness  *forward.Liveness
 	forwarder *forward.Forwarder
+	suspects  *suspects.Book
 	members   *membership.Members
 	node      *gossip.Node
 	operators *mirror.Mirror
@@ -122,14 +124,15 @@
 	d.platform.Table = timedTable{p.Table, d.metrics}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
-	d.forwarder = forward.New(forward.Config{
-		Wire: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot,
-		Learned: d.learnVersion, Ended: d.countOutcome, MaxBodyBytes: int64(bodyPart * float64(s.MemoryBytes)),
-	})
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
 	if err := d.provisionPeers(); err != nil {
 		return nil, err
 	}
+	d.suspects = suspects.New(s.Name, d.node, d.platform.Table, d.log, deathSpacing)
+	d.forwarder = forward.New(forward.Config{
+		Wire: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot,
+		Suspects: suspectBook{d.suspects}, Learned: d.learnVersion, Ended: d.countOutcome, MaxBodyBytes: int64(bodyPart * float64(s.MemoryBytes)),
+	})
 	d.provisionMirrors()
 	d.registerGauges()
 	if err := d.listen(); err != nil {
@@ -202,7 +205,7 @@
 	group, work := errgroup.WithContext(work)
 	d.node.Start()
 	for _, loop := range []func(context.Context) error{
-		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run,
+		d.operators.Run, d.upstreams.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
 		d.tellLoads, every(memberInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peers, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operators, d.platform.UpstreamTable: d.upstreams})
--- a/internal/suspects/book.go
+++ b/internal/suspects/book.go
@@ -10,6 +10,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +54,8 @@
 	board gossip.Board
 	table platform.Table
 	log   *eventlog.Log
+	// spacing is the least time between two deaths that count apart.
+	spacing time.Duration
 
 	count atomic.Int64 // of deaths; 0 spares every request the look-up
 	mu    sync.Mutex
@@ -61,23 +65,28 @@
 
 var _ dispatch.Suspects = (*Book)(nil)
 
-// New returns a Book of the daemon with the given name. It hears what peers know.
-func New(name string, board gossip.Board, table platform.Table, log *eventlog.Log) *Book {
-	b := &Book{name: name, board: board, table: table, log: log, deaths: map[string]map[string]time.Time{}}
+// New returns a Book of the daemon with the given name. It hears what peers
+// know. Engines that die within spacing of one another count as one death: a
+// request did not crash one, fail, come again and crash the next so soon.
+func New(name string, board gossip.Board, table platform.Table, log *eventlog.Log, spacing time.Duration) *Book {
+	b := &Book{name: name, board: board, table: table, log: log, spacing: spacing, deaths: map[string]map[string]time.Time{}}
 	board.Subscribe(gossip.KindSuspect, b.hear)
 	return b
 }
 
+// Known reports whether any request is suspected.
+func (b *Book) Known() bool { return b.count.Load() > 0 }
+
 // Standing implements dispatch.Suspects.
 func (b *Book) Standing(fp dispatch.Fingerprint) dispatch.Standing {
-	if b.count.Load() == 0 {
+	if !b.Known() {
 		return dispatch.Clear
 	}
 	request := digest(string(fp))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(request, time.Now())
-	switch n := len(b.deaths[request]); {
+	switch n := b.counted(request); {
 	case n == 0:
 		return dispatch.Clear
 	case n < quarantineDeaths:
@@ -103,12 +112,15 @@
 			go b.keep(request)
 		}
 		service, _, _ := strings.Cut(string(fp), "/")
-		b.log.Emit(event, eventlog.Fields{Service: service, Upstream: engine, Detail: "prompt " + request + ", " + strconv.Itoa(n) + " engine(s) died under it"})
+		b.log.Emit(event, eventlog.Fields{Service: service, Upstream: engine, Detail: "request " + request + ", " + strconv.Itoa(n) + " engine(s) died under it"})
 	}
 }
 
 // Survived implements dispatch.Suspects.
 func (b *Book) Survived(fp dispatch.Fingerprint) {
+	if !b.Known() {
+		return
+	}
 	request := digest(string(fp))
 	b.mu.Lock()
 	deaths := b.deaths[request]
@@ -195,7 +207,20 @@
 	}
 	b.deaths[request][death] = until
 	b.count.Add(1)
-	return len(b.deaths[request])
+	return b.counted(request)
+}
+
+// counted returns how many deaths under a request count. The Book is locked.
+func (b *Book) counted(request string) int {
+	deaths := slices.SortedFunc(maps.Values(b.deaths[request]), time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, until := range deaths { // each is Life after its death
+		if n == 0 || until.Sub(last) >= b.spacing {
+			n, last = n+1, until
+		}
+	}
+	return n
 }
 
 func (b *Book) expireAll(now time.Time) {
--- a/internal/suspects/book_test.go
+++ b/internal/suspects/book_test.go
@@ -52,7 +52,7 @@
 		board := &boards{peers: &peers}
 		peers = append(peers, board)
 		clients = append(clients, p.Client())
-		books = append(books, New(fmt.Sprintf("d%d", i), board, clients[i], log))
+		books = append(books, New(fmt.Sprintf("d%d", i), board, clients[i], log, 0))
 	}
 	return p, clients, books
 }
@@ -150,7 +150,7 @@
 		books[0].Died("engine", "x", []dispatch.Fingerprint{"s/a/1", "s/a/2"})
 		books[0].Died("engine", "y", []dispatch.Fingerprint{"s/a/1"})
 		time.Sleep(writeTimeout)
-		late := New("late", &boards{peers: &[]*boards{}}, p.Client(), eventlog.New("d", hclog.NewNullLogger(), 16))
+		late := New("late", &boards{peers: &[]*boards{}}, p.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), 0)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- late.Run(ctx) }()
@@ -164,3 +164,22 @@
 		assert.ErrorIs(t, <-done, context.Canceled)
 	})
 }
+
+// Engines that die at one moment have another cause than one request, unless
+// more die when it comes again.
+func TestDeathsAtOneMomentCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const spacing = 300 * time.Millisecond
+		p := platformtest.New()
+		b := New("d", &boards{peers: &[]*boards{}}, p.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), spacing)
+		for _, engine := range []string{"x", "y", "z"} {
+			b.Died(engine, "1", []dispatch.Fingerprint{"s/a/1"})
+			time.Sleep(spacing / 4)
+		}
+		assert.Equal(t, b.Standing("s/a/1"), dispatch.Suspect)
+		time.Sleep(spacing)
+		b.Died("w", "1", []dispatch.Fingerprint{"s/a/1"})
+		assert.Equal(t, b.Standing("s/a/1"), dispatch.Quarantined)
+		time.Sleep(writeTimeout)
+	})
+}
--- a/internal/suspects/table.go
+++ b/internal/suspects/table.go
@@ -100,7 +100,7 @@
 }
 
 func encodeUntil(t time.Time) []byte {
-	return binary.BigEndian.AppendUint64(nil, uint64(t.Unix()))
+	return binary.BigEndian.AppendUint64(nil, uint64(t.UnixMilli()))
 }
 
 // decodeUntil returns a time long past for a value that is not one.
@@ -108,5 +108,5 @@
 	if len(b) != 8 {
 		return time.Time{}
 	}
-	return time.Unix(int64(binary.BigEndian.Uint64(b)), 0)
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(b)))
 }
--- a/lab/site/engine.go
+++ b/lab/site/engine.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// firstBorn is the start of an upstream's first life, in Unix milliseconds.
+const firstBorn = 1700000000000
+
 // slots is how many requests an upstream says that it runs at once.
 const slots = 8
 
@@ -77,6 +80,7 @@
 	runs     []*Run
 	orders   []string
 	wasted   int
+	restarts int
 }
 
 // Start sets the version of the weights.
@@ -90,13 +94,23 @@
 	if u.draining {
 		state = "draining"
 	}
-	row := map[string]any{"service": u.Service, "addr": u.Address, "zone": u.Zone, "version": "v1", "slots": slots, "state": state, "coldLeftMs": 0, "seq": 17, "born": 1700000000000}
+	row := map[string]any{"service": u.Service, "addr": u.Address, "zone": u.Zone, "version": "v1", "slots": slots, "state": state, "coldLeftMs": 0, "seq": 17, "born": firstBorn + u.restarts}
 	if u.Model != "" {
 		row["models"] = []map[string]any{{"name": u.Model, "version": u.version, "adapters": []string{}}}
 	}
 	s.Put("servers", u.ID, row)
 }
 
+// Restart begins another life under the same ID: its row says so, and it knows
+// nothing of before.
+func (u *Upstream) Restart(s *Store) {
+	u.mu.Lock()
+	u.restarts++
+	u.seq, u.fence, u.busy = 0, 0, false
+	u.mu.Unlock()
+	u.Register(s)
+}
+
 // Drain registers the upstream as leaving.
 func (u *Upstream) Drain(s *Store) {
 	u.mu.Lock()
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -85,7 +85,8 @@
 	ledgers   []*site.Upstream
 	cache     *site.CacheStore
 	processes []*process
-	servers   []*http.Server
+	mu        sync.Mutex
+	servers   map[string]*http.Server // by address
 	quit      chan struct{}
 	revision  uint64
 	state     map[string]any
@@ -113,7 +114,7 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cache: &site.CacheStore{Address: "10.8.2.1:80"}, quit: make(chan struct{}), revision: 1}
+	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cache: &site.CacheStore{Address: "10.8.2.1:80"}, quit: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}}
 	for i := range 3 {
 		d.engines = append(d.engines, &site.Upstream{
 			ID: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.8.0.%d:80", i+1), Service: "bench", Zone: "a", Model: model,
@@ -184,10 +185,27 @@
 	listener, err := d.net.Listen(address)
 	assert.NilError(d.t, err)
 	server := &http.Server{Handler: h}
-	d.servers = append(d.servers, server)
+	d.mu.Lock()
+	if old := d.servers[address]; old != nil {
+		old.Close()
+	}
+	d.servers[address] = server
+	d.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 }
 
+// crash ends an upstream's connections; it is back, as another life, after a pause.
+func (d *deployment) crash(u *site.Upstream, pause time.Duration) {
+	d.mu.Lock()
+	server := d.servers[u.Address]
+	d.mu.Unlock()
+	server.Close()
+	time.AfterFunc(pause, func() {
+		u.Restart(d.store)
+		d.serve(u.Address, u)
+	})
+}
+
 // Ports of every daemon.
 const (
 	callerPort = 1000 + iota
