Keep the share of retries of daemons that are not heard of any more; log unread caches

And reading one engine's cache events failed without a line in the log.

Now a share is the budget over the most daemons heard of within the last minute. TestRetriesOfDaemonsCutOffAreBounded fails without it (343 > 70). Events 305 and 306, one line an outage (TestUnreadCacheIsLoggedOnce); the reader of one cache is a type of its own.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -32,6 +32,8 @@
 	UpstreamLeaving ID = 302
 	UpstreamDown    ID = 303
 	UpstreamNew     ID = 304
+	CacheUnread     ID = 305
+	CacheRead       ID = 306
 	DocumentAdopted ID = 401
 	DocumentAccept  ID = 402
 	DocumentReject  ID = 403
@@ -87,6 +89,8 @@
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
 	{UpstreamDown, hclog.Warn, "upstream down"},
 	{UpstreamNew, hclog.Info, "upstream incarnation changed"},
+	{CacheUnread, hclog.Info, "cache events of an engine can't be read"},
+	{CacheRead, hclog.Info, "cache events of an engine are read again"},
 	{DocumentAdopted, hclog.Info, "document adopted"},
 	{DocumentAccept, hclog.Info, "document accepted"},
 	{DocumentReject, hclog.Info, "document rejected"},
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -72,3 +73,36 @@
 		}
 	})
 }
+
+// Daemons that are cut off from one another spend no more together than they
+// did before; one that is alone for good has all of the budget in the end.
+func TestRetriesOfDaemonsCutOffAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, slack = 7, 70
+		spent := 0
+		daemons := make([]*Services, n)
+		spend := func(s *Services) (retries int) {
+			x := s.get("ledger")
+			for range 100 * slack {
+				x.earn()
+			}
+			for x.mayRetry() {
+				retries++
+			}
+			return retries
+		}
+		for i := range daemons {
+			daemons[i] = NewServices(RetryLimits{Ratio: 0.1, Slack: slack}, func(string) time.Duration { return 0 })
+			daemons[i].SetDaemons(n)
+			daemons[i].SetDaemons(1)
+			spent += spend(daemons[i])
+		}
+		assert.Assert(t, spent <= slack, "%d retries saved up", spent)
+		time.Sleep(daemonMemory + time.Second)
+		daemons[0].SetDaemons(1)
+		assert.Equal(t, spend(daemons[0]), int(retryMargin*slack))
+		for _, d := range daemons {
+			d.Close()
+		}
+	})
+}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -36,8 +36,16 @@
 	mu      sync.Mutex
 	byName  map[string]*service
 	daemons int
+	// most is the greatest number of daemons heard of lately, at mostAt last.
+	most   int
+	mostAt time.Time
 }
 
+// daemonMemory is how long daemons that are not heard of any more keep their
+// share of the retries: one that is cut off from its peers can't tell whether
+// they spend theirs.
+const daemonMemory = time.Minute
+
 // service is what decides for the upstreams of one service.
 type service struct {
 	name   string
@@ -51,7 +59,7 @@
 // NewServices returns Services that know no upstream. delay gives the one-way
 // delay to a data centre.
 func NewServices(retries RetryLimits, delay func(dataCentre string) time.Duration) *Services {
-	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemons: 1, news: make(chan struct{}, 1)}
+	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemons: 1, most: 1, news: make(chan struct{}, 1)}
 }
 
 // Close stops the timers of the schedulers.
@@ -158,11 +166,16 @@
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.Handicap == b.Handicap && a.Finishing == b.Finishing && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
 }
 
-// SetDaemons tells how many daemons share the upstreams, this one included.
+// SetDaemons tells how many daemons share the upstreams, this one included. It
+// is called again and again.
 func (s *Services) SetDaemons(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n == s.daemons {
+	before := s.most
+	if now := time.Now(); n >= s.most || now.Sub(s.mostAt) > daemonMemory {
+		s.most, s.mostAt = n, now
+	}
+	if n == s.daemons && s.most == before {
 		return
 	}
 	s.daemons = n
@@ -172,7 +185,7 @@
 }
 
 func (s *Services) retryBurst() float64 {
-	return retryMargin * float64(s.retries.Slack) / float64(s.daemons)
+	return retryMargin * float64(s.retries.Slack) / float64(s.most)
 }
 
 func (x *service) setDaemons(n int, burst float64) {
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -61,7 +61,7 @@
 			}
 			sourceCtx, stop := context.WithCancel(ctx)
 			following[source] = stop
-			wg.Go(func() { d.followCache(sourceCtx, source) })
+			wg.Go(func() { (&cacheFollower{d: d, source: source}).run(sourceCtx) })
 		}
 		if err := backoff.Sleep(ctx, cacheLook); err != nil {
 			return err
@@ -98,50 +98,94 @@
 	return out
 }
 
-// followCache reads one source's events until ctx ends.
-func (d *Daemon) followCache(ctx context.Context, source cacheSource) {
-	defer d.forgetCache(source, false)
-	var since, epoch int64
-	for try := 0; ctx.Err() == nil; {
-		callCtx, cancel := context.WithTimeout(ctx, cacheTimeout)
-		changes, err := d.platform.CacheEvents.CacheChanges(callCtx, source.id, source.address, since)
-		cancel()
+// cacheFollower reads one source's events.
+type cacheFollower struct {
+	d      *Daemon
+	source cacheSource
+	// since and epoch are the position in the source's history, 0 before it was read.
+	since, epoch int64
+	// unread says that the last read failed.
+	unread bool
+}
+
+// run reads until ctx ends.
+func (f *cacheFollower) run(ctx context.Context) {
+	defer f.forget(false)
+	for try := 0; ; {
+		changes, err := f.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
-			if source.service == "" && epoch != 0 && ctx.Err() == nil {
-				// Engines that fetch from a store that is down are held up.
-				d.forgetCache(source, false)
-				since, epoch = 0, 0
-				d.log.Emit(eventlog.UpstreamDown, eventlog.Fields{Upstream: source.id, Detail: "store of cached prompts: " + err.Error()})
-			}
-			// What is known of an engine stays in use: a wrong belief costs a computation.
+			f.failed(err)
 			_ = cacheBackoff.Wait(ctx, try)
 			try++
 			continue
 		}
 		try = 0
-		if changes.Epoch != epoch {
-			d.forgetCache(source, true)
-			if source.service == "" {
-				d.log.Emit(eventlog.UpstreamServing, eventlog.Fields{Upstream: source.id, Detail: "store of cached prompts, nothing of it is known yet"})
-			}
-			if epoch != 0 {
-				since, epoch = 0, changes.Epoch
-				continue
-			}
+		if f.adopt(changes) {
+			_ = backoff.Sleep(ctx, cachePause)
 		}
-		epoch, since = changes.Epoch, changes.Next
-		d.applyCacheChanges(source, changes)
-		_ = backoff.Sleep(ctx, cachePause)
 	}
 }
 
-// forgetCache drops what is known of a source's cache.
-func (d *Daemon) forgetCache(source cacheSource, serving bool) {
-	if source.service == "" {
-		d.services.StoreReset(serving)
+func (f *cacheFollower) read(ctx context.Context) (upstream.CacheChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, cacheTimeout)
+	defer cancel()
+	return f.d.platform.CacheEvents.CacheChanges(ctx, f.source.id, f.source.address, f.since)
+}
+
+// failed notes that the source can't be read. What is known of an engine stays
+// in use, since a wrong belief costs a computation; a store that is down holds
+// up the engines that fetch from it.
+func (f *cacheFollower) failed(err error) {
+	if f.unread {
+		return
+	}
+	f.unread = true
+	if f.source.service != "" {
+		f.d.log.Emit(eventlog.CacheUnread, eventlog.Fields{Service: f.source.service, Upstream: f.source.id, Detail: err.Error()})
+		return
+	}
+	f.forget(false)
+	f.since, f.epoch = 0, 0
+	f.d.log.Emit(eventlog.UpstreamDown, eventlog.Fields{Upstream: f.source.id, Detail: "store of cached prompts: " + err.Error()})
+}
+
+// adopt takes in what was read; false means that the source has another
+// history now, which is to be read from its beginning. Changes that are missing
+// (Lost) are not made up for: a wrong belief costs a computation.
+func (f *cacheFollower) adopt(changes upstream.CacheChanges) bool {
+	if f.unread {
+		f.unread = false
+		if f.source.service != "" {
+			f.d.log.Emit(eventlog.CacheRead, eventlog.Fields{Service: f.source.service, Upstream: f.source.id})
+		}
+	}
+	if changes.Epoch != f.epoch {
+		known := f.epoch != 0
+		f.forget(true)
+		f.epoch = changes.Epoch
+		if f.source.service == "" {
+			f.d.log.Emit(eventlog.UpstreamServing, eventlog.Fields{Upstream: f.source.id, Detail: "store of cached prompts, nothing of it is known yet"})
+		}
+		if known {
+			f.since = 0
+			return false
+		}
+	}
+	f.since = changes.Next
+	f.d.applyCacheChanges(f.source, changes)
+	return true
+}
+
+// forget drops what is known of the source's cache.
+func (f *cacheFollower) forget(serving bool) {
+	if f.source.service == "" {
+		f.d.services.StoreReset(serving)
 		return
 	}
-	d.services.CacheLost(source.service, source.id)
+	f.d.services.CacheLost(f.source.service, f.source.id)
 }
 
 // applyCacheChanges tells the schedulers what a source caches: an engine under
--- a/lab/sitepath/cache_test.go
+++ b/lab/sitepath/cache_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/lab/site"
 )
 
@@ -81,3 +82,24 @@
 		assert.Equal(t, back.Header.Get("X-Kv-Save"), d.cache.Address)
 	})
 }
+
+// That an engine's cache can't be read is logged once for the outage.
+func TestUnreadCacheIsLoggedOnce(t *testing.T) {
+	run(t, func(d *deployment) {
+		time.Sleep(cacheKnown)
+		d.crash(d.engines[0], restartTime)
+		time.Sleep(restartTime)
+		total := 0
+		for _, p := range d.processes {
+			n := 0
+			for _, e := range p.log.all(t) {
+				if e.ID == eventlog.CacheUnread && e.Upstream == d.engines[0].ID {
+					n++
+				}
+			}
+			assert.Assert(t, n <= 1, "%s logged it %d times", p.name, n)
+			total += n
+		}
+		assert.Assert(t, total > 0)
+	})
+}
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -64,14 +64,19 @@
 	return b.text.Write(line)
 }
 
-// events returns the events that concern a request.
-func (b *logBuffer) events(t *testing.T, request string) []eventlog.Entry {
+// all returns the events that were logged.
+func (b *logBuffer) all(t *testing.T) []eventlog.Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all, skipped, err := eventlog.ReadLines(bytes.NewReader(b.text.Bytes()))
 	assert.NilError(t, err)
 	assert.Equal(t, skipped, 0)
-	return slices.DeleteFunc(all, func(e eventlog.Entry) bool { return e.RequestID != request })
+	return all
+}
+
+// events returns the events that concern a request.
+func (b *logBuffer) events(t *testing.T, request string) []eventlog.Entry {
+	return slices.DeleteFunc(b.all(t), func(e eventlog.Entry) bool { return e.RequestID != request })
 }
 
 func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.host, port) }
