--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -54,6 +54,7 @@
 	mu        sync.Mutex
 	retries   *admission.Budget
 	endpoints []routing.Endpoint
+	store     *routing.CacheStore
 }
 
 // NewServices returns Services that know no upstream. delay gives the one-way
@@ -140,6 +141,13 @@
 	if store != nil && store.LinkMbps > 0 {
 		s = &routing.CacheStore{ID: store.Address, DataCentre: store.DataCentre, TransferPerToken: perToken(engine.BytesPerToken, store.LinkMbps), Serving: serving}
 	}
+	x.mu.Lock()
+	same := (s == nil) == (x.store == nil) && (s == nil || *s == *x.store)
+	x.store = s
+	x.mu.Unlock()
+	if same {
+		return
+	}
 	x.runner.Do(func(sched routing.Scheduler, now time.Time) {
 		if u, ok := sched.(routing.CacheStoreUser); ok {
 			u.SetCacheStore(now, s)
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -70,12 +70,13 @@
 			continue
 		}
 		out.any = true
-		e.prefill.observe(now, p.backlog(now, e) >= computingTokens)
+		backlog := p.backlog(now, e)
+		e.prefill.observe(now, backlog >= computingTokens)
 		n := p.need(now, e, r, rank, p.holder(e.version(r.Weights)))
-		c := p.candidate(now, e, n.compute-n.presumed)
+		c := p.candidate(now, e, backlog, n.compute-n.presumed)
 		c.Transfer = n.transfer
 		c.Recompute += time.Duration(copyShare * float64(p.speed.Tokens(n.copied)))
-		room := p.room(e, r) && !p.crowded(e, r) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
+		room := p.room(e, r) && !p.crowded(e, r, backlog) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price) + (e.ep.Handicap + p.segregation(e, r) + p.finishing(e, r)).Seconds()
@@ -160,9 +161,11 @@
 	return float64(p.own+p.peerRequests) / float64(p.slots)
 }
 
-func (p *Policy) candidate(now time.Time, e *engine, uncached float64) placement.Candidate {
+// candidate is the engine as a place for a request of which it has to compute
+// uncached tokens after those of its backlog.
+func (p *Policy) candidate(now time.Time, e *engine, backlog, uncached float64) placement.Candidate {
 	c := placement.Candidate{
-		Wait:      p.speed.Tokens(p.backlog(now, e)),
+		Wait:      p.speed.Tokens(backlog),
 		Recompute: p.speed.Tokens(uncached),
 		Slowdown:  p.slowdown(now, e),
 		Delay:     2 * e.ep.Delay,
--- a/internal/routing/segregation.go
+++ b/internal/routing/segregation.go
@@ -96,11 +96,11 @@
 // crowded reports whether a long prompt would have to wait for others at the
 // engine for too long: each prompt that is computed there holds up the answers
 // that the engine generates.
-func (p *Policy) crowded(e *engine, r *Request) bool {
+func (p *Policy) crowded(e *engine, r *Request, backlog float64) bool {
 	if !p.rules.prefill || r.Goal == 0 || r.PromptTokens < longPrompt {
 		return false
 	}
-	return e.prefill.part >= maxPrefillPart && p.taken(e) >= manyAnswers || p.speed.Tokens(p.backlog(p.now, e)) > time.Duration(prefillPart*float64(r.Goal))
+	return e.prefill.part >= maxPrefillPart && p.taken(e) >= manyAnswers || p.speed.Tokens(backlog) > time.Duration(prefillPart*float64(r.Goal))
 }
 
 // prefillPart is the part of a long prompt's goal that prompts before it may take.
--- a/internal/routing/segregation_test.go
+++ b/internal/routing/segregation_test.go
@@ -211,12 +211,12 @@
 		}
 		e.own = c.running
 		r := partsRequest("a", "case", 13_000, 4_000)
-		assert.Equal(t, p.crowded(e, r), c.crowded, "%d running", c.running)
+		assert.Equal(t, p.crowded(e, r, p.backlog(now, e)), c.crowded, "%d running", c.running)
 		for range 40 {
 			now = now.Add(10 * time.Millisecond)
 			e.prefill.observe(now, false)
 		}
-		assert.Assert(t, !p.crowded(e, r))
+		assert.Assert(t, !p.crowded(e, r, p.backlog(now, e)))
 	}
 }
 
