Let a prompt that an engine holds wait behind another one there

That bound keeps engines from computing without pause, but it held for prompts of which an engine holds or fetches all but a fifth too, which add little to compute.

Now such a prompt may wait for half of its goal behind others. TestHeldPromptMayWaitBehindAnother fails without it.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -76,7 +76,7 @@
 		c := p.candidate(now, e, backlog, n.compute-n.presumed)
 		c.Transfer = n.transfer
 		c.Recompute += time.Duration(copyShare * float64(p.speed.Tokens(n.copied)))
-		room := p.room(e, r) && !p.crowded(e, r, backlog) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
+		room := p.room(e, r) && !p.crowded(e, r, backlog, n.compute) && !(over && p.taken(e) >= int(overSharePart*float64(e.ep.Slots)))
 		c.Slot = p.slotWait(e)
 		c.Crowd = p.crowd(e, d.stay)
 		cost := c.Cost(price) + (e.ep.Handicap + p.segregation(e, r) + p.finishing(e, r)).Seconds()
--- a/internal/routing/segregation.go
+++ b/internal/routing/segregation.go
@@ -95,13 +95,22 @@
 
 // crowded reports whether a long prompt would have to wait for others at the
 // engine for too long: each prompt that is computed there holds up the answers
-// that the engine generates.
-func (p *Policy) crowded(e *engine, r *Request, backlog float64) bool {
+// that the engine generates. A prompt of which little is left to compute may
+// wait longer, since elsewhere it would be computed whole.
+func (p *Policy) crowded(e *engine, r *Request, backlog, compute float64) bool {
 	if !p.rules.prefill || r.Goal == 0 || r.PromptTokens < longPrompt {
 		return false
 	}
-	return e.prefill.part >= maxPrefillPart && p.taken(e) >= manyAnswers || p.speed.Tokens(backlog) > time.Duration(prefillPart*float64(r.Goal))
+	wait := p.speed.Tokens(backlog)
+	if compute < longPrompt {
+		return wait > time.Duration(heldPrefillPart*float64(r.Goal))
+	}
+	return e.prefill.part >= maxPrefillPart && p.taken(e) >= manyAnswers || wait > time.Duration(prefillPart*float64(r.Goal))
 }
 
-// prefillPart is the part of a long prompt's goal that prompts before it may take.
-const prefillPart = 0.1
+const (
+	// prefillPart is the part of a long prompt's goal that prompts before it may take.
+	prefillPart = 0.1
+	// heldPrefillPart is the same where the engine holds or fetches most of the prompt.
+	heldPrefillPart = 0.5
+)
--- a/internal/routing/segregation_test.go
+++ b/internal/routing/segregation_test.go
@@ -211,12 +211,12 @@
 		}
 		e.own = c.running
 		r := partsRequest("a", "case", 13_000, 4_000)
-		assert.Equal(t, p.crowded(e, r, p.backlog(now, e)), c.crowded, "%d running", c.running)
+		assert.Equal(t, p.crowded(e, r, p.backlog(now, e), 17_000), c.crowded, "%d running", c.running)
 		for range 40 {
 			now = now.Add(10 * time.Millisecond)
 			e.prefill.observe(now, false)
 		}
-		assert.Assert(t, !p.crowded(e, r, p.backlog(now, e)))
+		assert.Assert(t, !p.crowded(e, r, p.backlog(now, e), 17_000))
 	}
 }
 
@@ -230,3 +230,29 @@
 	}
 	assert.Assert(t, b.part > 0.2 && b.part < 0.3, "%v", b.part)
 }
+
+// Load: a crest of long prompts, and one more for a case that an engine holds
+// while it computes another. It waits there for less than half of its goal
+// instead of being refused or computed whole elsewhere; where it would wait
+// longer, it does not.
+func TestHeldPromptMayWaitBehindAnother(t *testing.T) {
+	for _, c := range []struct {
+		before int // tokens that the engine computes first
+		starts bool
+	}{{13_000, true}, {40_000, false}} {
+		p, now := partsFleet(1)
+		first := start(t, p, now, partsRequest("first", "case", 13_000, 4_000))
+		p.FirstToken(now, "first", first.Endpoint, CachedUnknown)
+		p.Finished(now, "first", first.Endpoint, Completed, 10)
+		start(t, p, now, partsRequest("other", "another case", c.before-4_000, 4_000))
+		p.Submit(now, partsRequest("next", "case", 13_000, 2_000))
+		actions := p.Advance(now)
+		if !c.starts {
+			assert.Equal(t, len(actions), 0)
+			continue
+		}
+		assert.Equal(t, len(actions), 1)
+		assert.Equal(t, actions[0].Kind, Start)
+		assert.Equal(t, actions[0].Why.Compute, 2_000)
+	}
+}
