End a lease by the clock since boot too

Now a lease ends by the steady clock or by that since boot, whichever is sooner. TestSuspendedHolderMayNotAct fails without it.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -1,9 +1,10 @@
 // Package lease lets one daemon at a time do a piece of work, under a fencing
 // number that grows with each change of the holder.
 //
-// No two clocks are compared. A holder acts until a deadline on its own
-// monotonic clock: Duration after it began to send the write that gave it the
-// lease or renewed it. A candidate measures on its own monotonic clock how
+// No clocks of two machines are compared. A holder acts until a deadline on its
+// own clocks: Duration after it began to send the write that gave it the lease or
+// renewed it, by its monotonic clock or by that since boot, which goes on while
+// the machine is suspended, whichever is sooner. A candidate measures on its own monotonic clock how
 // long the row has not changed, from when a read of that version returned. A
 // version is read after it was written and written after it was sent, so the
 // candidate's count starts later than the holder's; it also waits Duration/8
@@ -54,6 +55,9 @@
 	// TurnPause is how long a lease that another holder released is left
 	// alone, so that holders do not take turns in quick succession.
 	TurnPause time.Duration
+	// SinceBoot returns the time since the machine started, suspensions
+	// included; default is the system's clock.
+	SinceBoot func() time.Duration
 }
 
 // Keeper competes for one lease.
@@ -68,6 +72,9 @@
 	if s.Duration == 0 {
 		s.Duration = DefaultDuration
 	}
+	if s.SinceBoot == nil {
+		s.SinceBoot = sinceBoot
+	}
 	return &Keeper{table: table, settings: s, log: log}
 }
 
@@ -75,27 +82,28 @@
 type Held struct {
 	// Fence is the fencing number.
 	Fence    uint64
-	deadline atomic.Pointer[time.Time]
+	deadline atomic.Pointer[moment]
+	now      func() moment
 	cancel   context.CancelFunc
 }
 
 // Valid reports whether the holder may act now. Ask it before each action,
 // after anything that takes time.
-func (h *Held) Valid() bool { return time.Now().Before(*h.deadline.Load()) }
+func (h *Held) Valid() bool { return !h.deadline.Load().passed(h.now()) }
 
-// Deadline returns until when the holder may act unless the lease is renewed.
-func (h *Held) Deadline() time.Time { return *h.deadline.Load() }
+// Deadline returns until when, on the steady clock, the holder may act unless the
+// lease is renewed.
+func (h *Held) Deadline() time.Time { return h.deadline.Load().steady }
 
 // extend moves the deadline; it reports false when the lease has ended.
-func (h *Held) extend(deadline time.Time) bool {
+func (h *Held) extend(deadline moment) bool {
 	old := h.deadline.Load()
-	return !old.IsZero() && h.deadline.CompareAndSwap(old, &deadline)
+	return !old.steady.IsZero() && h.deadline.CompareAndSwap(old, &deadline)
 }
 
 // end makes the lease invalid at once.
 func (h *Held) end() {
-	past := time.Time{}
-	h.deadline.Store(&past)
+	h.deadline.Store(&moment{})
 	h.cancel()
 }
 
@@ -114,6 +122,8 @@
 	}
 }
 
+func (k *Keeper) now() moment { return moment{time.Now(), k.settings.SinceBoot()} }
+
 func (k *Keeper) row() string { return rowPrefix + k.settings.Name }
 
 func (k *Keeper) pollPause() time.Duration { return backoff.Jitter(k.settings.Duration / renewShare) }
@@ -121,7 +131,7 @@
 // grant is a write of the row that gave or renewed the lease.
 type grant struct {
 	term   term
-	sentAt time.Time
+	sentAt moment
 }
 
 // acquire waits until the row is free and takes it. It returns ctx's error only.
@@ -162,7 +172,7 @@
 
 func (k *Keeper) take(ctx context.Context, version uint64, old term) (grant, bool) {
 	next := term{Fence: old.Fence + 1, Holder: k.settings.Holder, Nonce: rand.Text(), Millis: k.settings.Duration.Milliseconds()}
-	g := grant{term: next, sentAt: time.Now()}
+	g := grant{term: next, sentAt: k.now()}
 	if err := k.write(ctx, g, version); err != nil {
 		return grant{}, false
 	}
@@ -172,7 +182,7 @@
 // write commits a grant over a version of the row. It does not go on longer
 // than the grant would last.
 func (k *Keeper) write(ctx context.Context, g grant, version uint64) error {
-	ctx, cancel := context.WithDeadline(ctx, g.sentAt.Add(g.term.duration()))
+	ctx, cancel := context.WithDeadline(ctx, g.sentAt.steady.Add(g.term.duration()))
 	defer cancel()
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: k.row(), Version: version}},
@@ -204,8 +214,8 @@
 func (k *Keeper) hold(ctx context.Context, g grant, work func(context.Context, *Held)) {
 	workCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	held := &Held{Fence: g.term.Fence, cancel: cancel}
-	deadline := g.sentAt.Add(k.settings.Duration)
+	held := &Held{Fence: g.term.Fence, now: k.now, cancel: cancel}
+	deadline := g.sentAt.add(k.settings.Duration)
 	held.deadline.Store(&deadline)
 	k.emit(eventlog.LeaseAcquired, held)
 
@@ -225,7 +235,7 @@
 func (k *Keeper) renewLoop(ctx context.Context, held *Held, g grant) grant {
 	defer held.end()
 	for {
-		if sleepUntil(ctx, g.sentAt.Add(k.settings.Duration/renewShare)) != nil {
+		if sleepUntil(ctx, g.sentAt.steady.Add(k.settings.Duration/renewShare)) != nil {
 			return g
 		}
 		next, err := k.renewUntil(ctx, held, g)
@@ -233,7 +243,7 @@
 			return g
 		}
 		g = next
-		if !held.extend(g.sentAt.Add(k.settings.Duration)) {
+		if !held.extend(g.sentAt.add(k.settings.Duration)) {
 			return g
 		}
 	}
@@ -268,7 +278,7 @@
 	if found.Fence != g.term.Fence || found.Released {
 		return grant{}, verdict.Wrap(platform.ErrConflict, verdict.NotRun, verdict.CodeConflict, "the lease has another holder")
 	}
-	next := grant{term: g.term, sentAt: time.Now()}
+	next := grant{term: g.term, sentAt: k.now()}
 	next.term.Nonce = rand.Text()
 	if err := k.write(ctx, next, row.Version); err != nil {
 		return grant{}, err
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -231,3 +232,31 @@
 		}
 	})
 }
+
+// A holder whose machine was suspended may not act when it wakes, though its
+// steady clock stood still meanwhile.
+func TestSuspendedHolderMayNotAct(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const duration = 3 * time.Second
+		ctx, stop := context.WithCancel(context.Background())
+		p := platformtest.New()
+		client := p.Client()
+		begun := time.Now()
+		var suspended atomic.Int64 // nanoseconds
+		clock := func() time.Duration { return time.Since(begun) + time.Duration(suspended.Load()) }
+		k := NewKeeper(client, Settings{Name: "n", Holder: "a", Duration: duration, SinceBoot: clock}, eventlog.Discard())
+		done := make(chan error)
+		go func() {
+			done <- k.Run(ctx, func(ctx context.Context, h *Held) {
+				assert.Check(t, h.Valid())
+				client.SetDown(true, true)
+				time.Sleep(duration / 4)
+				assert.Check(t, h.Valid())
+				suspended.Store(int64(duration))
+				assert.Check(t, !h.Valid())
+				stop()
+			})
+		}()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+}
