Look for an unreachable daemon among those known now; one start for all whole-daemon tests

Cause: reading the change as a newcomer. The list of members is made anew when asked for; unreachable read the one made last. No test differs.

--- a/internal/gossip/silent.go
+++ b/internal/gossip/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -45,7 +46,7 @@
 // unreachable notes that no connection could be made to an address. The Node
 // is locked.
 func (n *Node) unreachable(address string) {
-	for _, m := range n.memberList {
+	for _, m := range n.members(time.Now()) {
 		if m.address == address && n.conns[m.name] == nil {
 			n.fellSilent(m.name)
 		}
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -103,21 +103,26 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t)
 		defer d.close()
-		for i := range daemons {
-			d.start(i)
-		}
-		d.eventually("all daemons are ready and know one another", startTimeout, func() bool {
-			for _, p := range d.processes {
-				if len(d.resolve(p)) != daemons {
-					return false
-				}
-			}
-			return true
-		})
+		d.startAll()
 		proof(d)
 	})
 }
 
+// startAll starts the daemons and waits until they are ready.
+func (d *deployment) startAll() {
+	for i := range daemons {
+		d.start(i)
+	}
+	d.eventually("all daemons are ready and know one another", startTimeout, func() bool {
+		for _, p := range d.processes {
+			if len(d.resolve(p)) != daemons {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func newDeployment(t *testing.T) *deployment {
 	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cache: &site.CacheStore{Address: "10.8.2.1:80"}, quit: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}}
 	for i := range 3 {
--- a/lab/sitepath/suspects_test.go
+++ b/lab/sitepath/suspects_test.go
@@ -73,17 +73,7 @@
 			assert.NilError(t, <-p.done)
 		}
 		d.processes = nil
-		for i := range daemons {
-			d.start(i)
-		}
-		d.eventually("all daemons are ready", startTimeout, func() bool {
-			for _, p := range d.processes {
-				if len(d.resolve(p)) != daemons {
-					return false
-				}
-			}
-			return true
-		})
+		d.startAll()
 		for _, p := range d.processes {
 			assert.Assert(t, refused(p))
 		}
