--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -93,9 +93,11 @@
 	mu        sync.Mutex
 	servers   map[string]*http.Server // by address
 	quit      chan struct{}
-	revision  uint64
-	state     map[string]any
-	requests  atomic.Int64
+	// firstDaemon is the number of the first daemon that startAll starts.
+	firstDaemon int
+	revision    uint64
+	state       map[string]any
+	requests    atomic.Int64
 }
 
 // run runs a proof on a deployment that is ready.
@@ -111,10 +113,10 @@
 // startAll starts the daemons and waits until they are ready.
 func (d *deployment) startAll() {
 	for i := range daemons {
-		d.start(i)
+		d.start(d.firstDaemon + i)
 	}
 	d.eventually("all daemons are ready and know one another", startTimeout, func() bool {
-		for _, p := range d.processes {
+		for _, p := range d.processes[len(d.processes)-daemons:] {
 			if len(d.resolve(p)) != daemons {
 				return false
 			}
@@ -226,9 +228,11 @@
 	gossipPort
 )
 
+func hostOf(daemon int) string { return fmt.Sprintf("10.0.0.%d", daemon+1) }
+
 // start starts the daemon with the given number; its door to the store has the daemon's name.
 func (d *deployment) start(i int) *process {
-	p := &process{name: fmt.Sprintf("daemon-%d", i), host: fmt.Sprintf("10.0.0.%d", i+1), done: make(chan error, 1)}
+	p := &process{name: fmt.Sprintf("daemon-%d", i), host: hostOf(i), done: make(chan error, 1)}
 	storeAddress := fmt.Sprintf("10.9.0.%d:80", i+1)
 	d.serve(storeAddress, d.store.Door(p.name))
 	settings, err := platform.ParseSettings([]byte(strings.Join([]string{
@@ -236,7 +240,7 @@
 		"listen.front=" + p.address(callerPort), "listen.ready=" + p.address(readyPort),
 		"listen.directory=" + p.address(directoryPort), "listen.control=" + p.address(peerPort),
 		fmt.Sprintf("portRange=%d,%d", gossipPort, gossipPort+9),
-		fmt.Sprintf("seeds=10.0.0.1:%d,10.0.0.2:%d", peerPort, peerPort),
+		fmt.Sprintf("seeds=%s:%d,%s:%d", hostOf(d.firstDaemon), peerPort, hostOf(d.firstDaemon+1), peerPort),
 		"platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
 	}, "\n")))
 	assert.NilError(d.t, err)
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -19,6 +19,8 @@
 	stateWithin  = 2 * time.Second
 	peersWithin  = 4 * time.Second
 	switchWithin = 8 * time.Second
+	// recoverWithin is the platform's bound on the time until requests are served again.
+	recoverWithin = 12 * time.Second
 	// silenceWithin is the idle limit between daemons and one look.
 	silenceWithin = 1300 * time.Millisecond
 )
@@ -138,6 +140,28 @@
 	})
 }
 
+// All daemons lose power right after a change was acknowledged. Those that come
+// after them, at other addresses and without a peer that knows anything, serve
+// by that change within the platform's bound.
+func TestRecoveryAfterAllLosePower(t *testing.T) {
+	run(t, func(d *deployment) {
+		lost := slices.Clone(d.processes)
+		d.revoke()
+		d.net.SetSilent(func(from, address string) bool {
+			return slices.ContainsFunc(lost, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
+		})
+		begun := time.Now()
+		d.firstDaemon = daemons
+		d.startAll()
+		for _, p := range d.processes[daemons:] {
+			assert.Assert(t, d.accepts(p, key), p.name)
+			assert.Assert(t, !d.accepts(p, otherKey), p.name)
+			assert.Equal(t, d.ask(p, http.MethodPost, modelHost, "/chat/1", nil).status, http.StatusOK)
+		}
+		assert.Assert(t, time.Since(begun) < recoverWithin)
+	})
+}
+
 // Engines take new weights, at most two at a time, by the orders of one holder
 // at a time, and no request meets an engine that loads.
 func TestWeightsAreSwitched(t *testing.T) {
