--- a/internal/gossip/silent_test.go
+++ b/internal/gossip/silent_test.go
@@ -13,6 +13,13 @@
 	c.FanOut, c.Heartbeat, c.IdleTimeout = 5, 300*time.Millisecond, time.Second
 }
 
+// quickFleet starts daemons that notice silence soon and know one another.
+func quickFleet(t *testing.T, nw *network) []*Node {
+	nodes := testFleet(t, nw, 5, quickSilence)
+	eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
+	return nodes
+}
+
 // silentTo reports how many of nodes take the daemon for silent.
 func silentTo(nodes []*Node, name string) int {
 	n := 0
@@ -41,9 +48,8 @@
 func TestSilentDaemonIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork()
-		nodes := testFleet(t, nw, 5, quickSilence)
+		nodes := quickFleet(t, nw)
 		defer closeAll(nodes)
-		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
 		lost, rest := nodes[4], nodes[:4]
 		time.Sleep(2 * time.Second) // all connections are made
 		assert.Equal(t, silentTo(rest, lost.cfg.Name), 0)
@@ -64,9 +70,8 @@
 func TestCrashedDaemonIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork()
-		nodes := testFleet(t, nw, 5, quickSilence)
+		nodes := quickFleet(t, nw)
 		defer closeAll(nodes)
-		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
 		lost, rest := nodes[4], nodes[:4]
 		time.Sleep(2 * time.Second)
 		nw.mu.Lock()
@@ -88,9 +93,8 @@
 func TestDaemonHeardThroughOthersIsNotSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork()
-		nodes := testFleet(t, nw, 5, quickSilence)
+		nodes := quickFleet(t, nw)
 		defer closeAll(nodes)
-		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
 		a, b := nodes[3], nodes[4]
 		between := func(x, y string) bool {
 			return x == a.cfg.Name && y == b.cfg.Name || x == b.cfg.Name && y == a.cfg.Name
@@ -117,9 +121,8 @@
 func TestConnectionClosedOnPurposeIsNoSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork()
-		nodes := testFleet(t, nw, 5, quickSilence)
+		nodes := quickFleet(t, nw)
 		defer closeAll(nodes)
-		eventually(t, 5*time.Second, "all peers known", acquainted(nodes))
 		nodes[0].mu.Lock()
 		for _, c := range nodes[0].conns {
 			c.surplus = true
