Count a peer's load at a removed engine once

Policy.Requests returned more requests and prompt tokens with every load update of a peer while an engine without new work (switching weights, or down) still ran requests of this daemon: 4 instead of 2 requests after three equal updates.

Cause: SetEndpoints keeps such an engine in byID, and addPeerLoad adds to every engine in byID, but sumPeers cleared the totals of the present engines only. It clears those of all engines now.

Peers' requests at a removed engine no longer count in the load of the fleet either, whose slots don't include that engine's. Peers stop sharing these figures at their next update so far, so the effect was brief.

TestPeerLoadAtARemovedEngineCountsOnce fails without the change (4 requests, want 2).

--- a/internal/routing/backlog_test.go
+++ b/internal/routing/backlog_test.go
@@ -84,3 +84,18 @@
 	p.LoadsForPeers(now)
 	assert.Assert(t, !p.ShareDue())
 }
+
+// A peer's load at a removed engine that runs requests of this daemon counts once,
+// however often it is shared.
+func TestPeerLoadAtARemovedEngineCountsOnce(t *testing.T) {
+	p, now := partsFleet(1)
+	id := start(t, p, now, partsRequest("long", "case", 13_000, 4_000)).Endpoint
+	p.SetEndpoints(now, nil)
+	for range 3 {
+		p.ApplyPeerLoads(now, "peer", []PeerLoad{{Endpoint: id, Incarnation: id, PendingTokens: 1_000, Requests: 1}})
+	}
+	requests, tokens := p.Requests(id)
+	assert.Equal(t, requests, 2)
+	assert.Equal(t, tokens, 18_000)
+	assert.Equal(t, p.peerRequests, 0, "the load of the other engines includes none of a removed one")
+}
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -80,7 +80,7 @@
 
 // sumPeers recomputes the totals over all peers' loads.
 func (p *Policy) sumPeers() {
-	for _, e := range p.engines {
+	for _, e := range p.byID {
 		e.peerLoad = peerTotals{}
 	}
 	p.organisations.clearPeers()
@@ -100,7 +100,9 @@
 	}
 	e.peerLoad.pendingTokens += l.PendingTokens
 	e.peerLoad.requests += l.Requests
-	p.peerRequests += l.Requests
+	if e.present {
+		p.peerRequests += l.Requests
+	}
 	if l.MeasuredResponses > 0 {
 		e.peerLoad.weightedSlowdown += l.Slowdown * float64(l.MeasuredResponses)
 		e.peerLoad.responses += l.MeasuredResponses
