Keep the requests at an engine without new work known to all daemons

Once an engine got no more work (a weight switch, or it was down), peers no longer shared their requests and prompt tokens there, and a daemon without requests of its own there reported none at all. The lease holder thus could not tell whether prompts were still being computed at an engine whose traffic it had stopped. Traced in virtual time: at 4.351 and 4.355 s the load of daemon-1 lists engine-1 with 13100 tokens, at 4.375 s, after the notice of 4.350 s was applied, it lists no engine, while the prompt was computed until its abort at 4.440 s.

Cause: SetEndpoints removes such an engine; collectLoads and Requests looked at present engines, or at those with attempts of this daemon.

collectLoads now includes removed engines that run attempts, and once more when the last one has ended, so that peers don't keep the old figures until they expire. Requests falls back to the peers' figures. Choices of engines are unaffected: they look at present engines only.

TestRequestsAtARemovedEngineStayKnown fails without the change (0 requests at the peer, want 1).

--- a/internal/routing/backlog_test.go
+++ b/internal/routing/backlog_test.go
@@ -99,3 +99,32 @@
 	assert.Equal(t, tokens, 18_000)
 	assert.Equal(t, p.peerRequests, 0, "the load of the other engines includes none of a removed one")
 }
+
+// A peer's requests at an engine that gets no more work stay known until they end,
+// also to a daemon that has none there: a weight switch waits for their prompts.
+func TestRequestsAtARemovedEngineStayKnown(t *testing.T) {
+	sender, now := partsFleet(1)
+	receiver, _ := partsFleet(1)
+	id := start(t, sender, now, partsRequest("long", "case", 13_000, 4_000)).Endpoint
+	sender.SetEndpoints(now, nil)
+	receiver.SetEndpoints(now, nil)
+	assertKnown := func(wantRequests, wantTokens int) {
+		t.Helper()
+		if loads := sender.LoadsForPeers(now); len(loads) > 0 {
+			receiver.ApplyPeerLoads(now, "sender", loads)
+		}
+		for _, p := range []*Policy{sender, receiver} {
+			requests, tokens := p.Requests(id)
+			assert.Equal(t, requests, wantRequests)
+			assert.Equal(t, tokens, wantTokens)
+		}
+	}
+	assertKnown(1, 17_000)
+	assertKnown(1, 17_000)
+	sender.FirstToken(now, "long", id, CachedUnknown)
+	assertKnown(1, 0)
+	sender.Finished(now, "long", id, Completed, 10)
+	assertKnown(0, 0)
+	assert.Equal(t, len(sender.LoadsForPeers(now)), 0)
+	assert.Equal(t, len(sender.byID), 0)
+}
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/placement"
@@ -28,7 +29,7 @@
 		p.addToPools(len(p.engines), e)
 		p.engines = append(p.engines, e)
 	}
-	p.keepRemovedBusy(old)
+	p.keepRemoved(old)
 	p.sizeTables(now)
 	p.countEjected(now)
 	p.chooseReserved()
@@ -37,17 +38,32 @@
 	p.recheckNow = true
 }
 
-// keepRemovedBusy keeps removed engines that still run this daemon's attempts, so
-// that their state is not lost if they come back.
-func (p *Policy) keepRemovedBusy(old map[string]*engine) {
+// keepRemoved keeps removed engines that still run this daemon's attempts, so that
+// their state is not lost if they come back, and those whose last shared load was
+// not empty, until peers are told that it is.
+func (p *Policy) keepRemoved(old map[string]*engine) {
+	p.removed = p.removed[:0]
 	for id, e := range old {
-		if p.byID[id] == nil && e.ownAttempts > 0 {
+		if p.byID[id] == nil && (e.ownAttempts > 0 || e.sharedBefore) {
 			e.present = false
 			p.byID[id] = e
+			p.removed = append(p.removed, e)
 		}
 	}
 }
 
+// dropRemoved forgets the removed engines without attempts whose last shared load
+// was empty.
+func (p *Policy) dropRemoved() {
+	p.removed = slices.DeleteFunc(p.removed, func(e *engine) bool {
+		if e.ownAttempts > 0 || e.sharedBefore {
+			return false
+		}
+		delete(p.byID, e.ep.ID)
+		return true
+	})
+}
+
 func (p *Policy) addToPools(index int, e *engine) {
 	addToPool(&p.allEngines, index, e)
 	for _, w := range e.ep.Weights {
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -72,9 +72,7 @@
 		delete(p.inFlight, id)
 	}
 	p.recordOutcome(now, a, outcome, outputTokens)
-	if !e.present && e.ownAttempts == 0 && p.byID[e.ep.ID] == e {
-		delete(p.byID, e.ep.ID)
-	}
+	p.dropRemoved()
 	p.countEjected(now)
 	p.recheckNow = true
 }
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -112,29 +112,39 @@
 }
 
 // collectLoads returns this daemon's load at each engine, except engines where
-// there is nothing to share now and was nothing the last time.
+// there is nothing to share now and was nothing the last time. Removed engines are
+// included, since the lease holder must know of the prompts at an engine without
+// new work before it orders that engine to switch weights.
 func (p *Policy) collectLoads(now time.Time) []PeerLoad {
 	p.shareDue = false
 	p.shareBuffer = p.shareBuffer[:0]
 	for _, e := range p.engines {
-		slowdown, measured := p.ownSlowdown(now, e)
-		worthSharing := e.ownAttempts > 0 || slowdown >= minSharedSlowdown || len(e.unsharedLevels) > 0
-		if !worthSharing && !e.sharedBefore {
-			continue
-		}
-		e.sharedBefore = worthSharing
-		p.shareBuffer = append(p.shareBuffer, PeerLoad{
-			Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
-			PendingTokens: int(p.ownBacklog(now, e)), Requests: e.ownAttempts, Slowdown: slowdown, MeasuredResponses: measured, HeldLevels: e.unsharedLevels,
-		})
-		e.unsharedLevels = nil
+		p.collectLoad(now, e)
 	}
+	for _, e := range p.removed {
+		p.collectLoad(now, e)
+	}
+	p.dropRemoved()
 	if busiest := p.organisations.busiest(); len(busiest) > 0 {
 		p.shareBuffer = append(p.shareBuffer, PeerLoad{Organisations: busiest})
 	}
 	return p.shareBuffer
 }
 
+func (p *Policy) collectLoad(now time.Time, e *engine) {
+	slowdown, measured := p.ownSlowdown(now, e)
+	worthSharing := e.ownAttempts > 0 || e.present && (slowdown >= minSharedSlowdown || len(e.unsharedLevels) > 0)
+	if !worthSharing && !e.sharedBefore {
+		return
+	}
+	e.sharedBefore = worthSharing
+	p.shareBuffer = append(p.shareBuffer, PeerLoad{
+		Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation,
+		PendingTokens: int(p.ownBacklog(now, e)), Requests: e.ownAttempts, Slowdown: slowdown, MeasuredResponses: measured, HeldLevels: e.unsharedLevels,
+	})
+	e.unsharedLevels = nil
+}
+
 // minSharedSlowdown is the least slowdown that is shared for an engine without
 // attempts of this daemon.
 const minSharedSlowdown = 1.2
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -34,7 +34,9 @@
 	startedAt   time.Time
 	daemonCount int
 
-	engines    []*engine
+	engines []*engine
+	// removed are the engines in byID that may get no more work.
+	removed    []*engine
 	byID       map[string]*engine
 	pools      map[string]*placement.Pool
 	allEngines placement.Pool
@@ -181,13 +183,19 @@
 }
 
 // Requests returns how many requests an engine is known to run and how many prompt
-// tokens it has to compute.
+// tokens it has to compute, whether or not the engine may get more.
 func (p *Policy) Requests(endpoint string) (requests, pendingTokens int) {
-	e := p.byID[endpoint]
-	if e == nil {
-		return 0, 0
+	if e := p.byID[endpoint]; e != nil {
+		return p.takenSlots(e), int(e.ownTokens) + e.peerLoad.pendingTokens
 	}
-	return p.takenSlots(e), int(e.ownTokens) + e.peerLoad.pendingTokens
+	for _, state := range p.peers {
+		for i := range state.loads {
+			if l := &state.loads[i]; l.Endpoint == endpoint {
+				requests, pendingTokens = requests+l.Requests, pendingTokens+l.PendingTokens
+			}
+		}
+	}
+	return requests, pendingTokens
 }
 
 // ShareDue reports whether the loads should be shared with peers at once.
