Order a weight switch when no prompt is left, not when none was known

Callers saw long prompts computed again elsewhere: the order of a weight switch aborted a prompt that a daemon had sent right before it stopped traffic to the engine (TestPrefillsFinishBeforeWeightSwitch: 'aborted prefills at engine-1: 1 != 0').

Trace of the failing runs, virtual time in seconds, two forms:

4.240 notice "preparing" for engine-1 4.575 request-16 gets its first token; known to the holder at 4.600 4.600 the holder knows of 0 tokens and stops traffic, 360 ms after the first notice; at that time request-18 starts at engine-1 in spite of the penalty for engines that stop soon (cost 2.8 s; 3.9 s elsewhere) 4.690 order, request-18 is aborted

The tie in virtual time makes the failure depend on the order of goroutines; in real time the window is the delay of load figures plus that of the notice.

Cause: whether prompts were unfinished was asked only before traffic was stopped, when further ones may still be on their way. Then the order went out switchLeadTime later whatever had become known.

Ruled out by the trace: the aborted requests reached the engine at the moment of their start (no dial or queue in between) and were running there (the stand-in counts correctly); maxPrepareTime had not passed (0 and 360 ms of 1.5 s); load figures arrived 5 ms after the start, within switchLeadTime.

The switcher now asks again when switchLeadTime is over: the set of prompts is closed then and known, and the order waits until they are finished, at most maxPrepareTime from the first notice as before. Without such a prompt the order goes out at the same time as before.

--- a/internal/rollout/switcher.go
+++ b/internal/rollout/switcher.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	// switchLeadTime is the time between the notice that stops new requests to
-	// an engine and the order, so that every daemon has stopped by then.
+	// switchLeadTime is the least time between the notice that stops new requests
+	// to an engine and the order, so that every daemon has stopped by then and the
+	// last prompts that it sent are known.
 	switchLeadTime = 90 * time.Millisecond
-	// maxPrepareTime bounds the wait for an engine to finish its prompts before
-	// traffic to it stops and it is ordered anyway.
+	// maxPrepareTime bounds the wait for an engine to finish its prompts, from the
+	// first notice on. After it, traffic stops and the engine is ordered anyway.
 	maxPrepareTime = 1500 * time.Millisecond
 	// finishedPromptTokens is the number of uncomputed prompt tokens up to which
 	// an engine counts as finished: it computes them within switchLeadTime.
@@ -121,6 +122,7 @@
 	trafficStopped bool // all daemons were told to send no requests
 	orderSent      bool
 	phaseStart     time.Time // of preparing, then of the stop of traffic, then of the order
+	prepareUntil   time.Time // when the engine no longer has time to finish its prompts
 	nextReportAt   time.Time
 	accepted       bool // the engine accepted the order
 	callInFlight   bool
@@ -191,7 +193,7 @@
 		}
 		for _, id := range PlanSwitches(goal.Version, candidates, s.Limits) {
 			u := registrations[id]
-			key, progress := engineKey{u.ID, u.StartedAt}, &switchProgress{version: goal.Version, model: goal.Model, phaseStart: now}
+			key, progress := engineKey{u.ID, u.StartedAt}, &switchProgress{version: goal.Version, model: goal.Model, phaseStart: now, prepareUntil: now.Add(maxPrepareTime)}
 			s.active[key] = progress
 			s.broadcast(key, progress, SwitchNotice{Preparing: true})
 		}
@@ -229,7 +231,7 @@
 	})
 	for _, key := range waiting {
 		progress := s.active[key]
-		if _, unfinished := s.Environment.Requests(key.id); slots <= 0 || unfinished > finishedPromptTokens && now.Sub(progress.phaseStart) < maxPrepareTime {
+		if slots <= 0 || !s.isPrepared(now, key, progress) {
 			continue
 		}
 		progress.trafficStopped, progress.phaseStart = true, now
@@ -238,6 +240,13 @@
 	}
 }
 
+// isPrepared reports whether an engine has finished its prompts, as far as the
+// daemons know, or had maxPrepareTime for it.
+func (s *switchSession) isPrepared(now time.Time, key engineKey, progress *switchProgress) bool {
+	_, unfinished := s.Environment.Requests(key.id)
+	return unfinished <= finishedPromptTokens || !now.Before(progress.prepareUntil)
+}
+
 // broadcast completes a notice of a switch and sends it to all daemons.
 func (s *switchSession) broadcast(key engineKey, progress *switchProgress, n SwitchNotice) {
 	n.Engine, n.StartedAt, n.Model, n.Version, n.Orders = key.id, key.startedAt, progress.model, progress.version, s.acceptedOrders(key)
@@ -261,7 +270,9 @@
 		case progress.callInFlight:
 		case !progress.trafficStopped:
 		case !progress.orderSent:
-			if now.Sub(progress.phaseStart) >= switchLeadTime {
+			// A prompt sent shortly before a daemon had the notice that stops traffic
+			// becomes known after the notice was sent.
+			if now.Sub(progress.phaseStart) >= switchLeadTime && s.isPrepared(now, key, progress) {
 				s.startCall(progress, func() { s.sendOrder(ctx, u, key, progress) })
 			}
 		case !now.Before(progress.nextReportAt):
