Test that busy fleets run no requests on expired weights

Deployments of the tests in lab/sitepath may have any number of daemons and engines; stand-in engines may queue requests, and loads slow each other down.

--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -19,6 +19,8 @@
 	Status int
 	// Unresponsive leaves every call without a response or effect.
 	Unresponsive bool
+	// RefuseWrites refuses every write with status 503.
+	RefuseWrites bool
 	// DropResponses applies writes and then closes their connection.
 	DropResponses bool
 }
@@ -140,6 +142,8 @@
 			<-r.Context().Done()
 		case f.Status != 0:
 			w.WriteHeader(f.Status)
+		case f.RefuseWrites && r.Method == http.MethodPost:
+			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
 			mux.ServeHTTP(w, r)
 		}
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,7 +17,8 @@
 // in Unix milliseconds.
 const firstIncarnationStartMS = 1700000000000
 
-// slots is the number of concurrent requests that an upstream reports.
+// slots is the number of concurrent requests that an upstream reports. It serves
+// more at once unless QueueLength is set.
 const slots = 8
 
 // Behaviour is how an upstream treats one request.
@@ -46,11 +48,15 @@
 
 // Run is a request that an upstream started to execute.
 type Run struct {
-	ID        string
-	Header    http.Header
-	Path      string
-	Body      string
-	StartedAt time.Time
+	ID     string
+	Header http.Header
+	Path   string
+	Body   string
+	// ReceivedAt is earlier than StartedAt if the request waited for a slot.
+	ReceivedAt time.Time
+	StartedAt  time.Time
+	// Version is that of the weights at the start.
+	Version int
 	// EndedAt is zero while the request runs.
 	EndedAt time.Time
 
@@ -70,6 +76,11 @@
 	EventInterval time.Duration
 	// SwitchDuration is how long a switch to new weights takes.
 	SwitchDuration time.Duration
+	// LoadBandwidth, if not nil, is shared with other upstreams and slows switches.
+	LoadBandwidth *LoadBandwidth
+	// QueueLength, if not 0, is how many requests may wait while all slots are
+	// taken. Their runs start when they get a slot.
+	QueueLength int
 	// CacheStore receives saved prompts; may be nil.
 	CacheStore *CacheStore
 	// ChooseBehaviour selects the behaviour for a request; nil means Serve.
@@ -85,11 +96,18 @@
 	orders          []string
 	abortedPrefills int
 	restarts        int
+	// takenSlots and waiting are used if QueueLength is set. A request that
+	// waits receives whether it may run.
+	takenSlots int
+	waiting    []chan bool
 }
 
-// SetVersion sets the version of the loaded weights. Call it before the upstream
-// serves requests.
-func (u *Upstream) SetVersion(version int) { u.version = version }
+// SetVersion sets the version of the loaded weights.
+func (u *Upstream) SetVersion(version int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.version = version
+}
 
 // Register writes the upstream's row to the table of servers.
 func (u *Upstream) Register(s *Store) {
@@ -181,28 +199,32 @@
 	if err != nil {
 		return
 	}
+	receivedAt := time.Now()
 	behaviour := Serve
 	if u.ChooseBehaviour != nil {
 		behaviour = u.ChooseBehaviour(r)
 	}
 	u.mu.Lock()
-	version, switching := u.version, u.switching
+	version, switching, queued := u.version, u.switching, len(u.waiting)
 	u.mu.Unlock()
 	h := w.Header()
-	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", u.running()+1, slots))
+	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", u.running()+1, queued, slots))
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	expected := r.Header.Get("X-Expected-Version")
 	if expected != "" && expected != strconv.Itoa(version) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if switching || behaviour == Shed {
+	if switching || behaviour == Shed || !u.takeSlot(r.Context()) {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := &Run{ID: r.Header.Get("X-Request-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body), StartedAt: time.Now()}
+	defer u.releaseSlot()
+	run := &Run{ID: r.Header.Get("X-Request-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body), ReceivedAt: receivedAt, StartedAt: time.Now()}
 	u.mu.Lock()
+	version = u.version
+	run.Version = version
 	u.runs = append(u.runs, run)
 	u.mu.Unlock()
 	defer func() {
@@ -233,6 +255,60 @@
 	}
 }
 
+// takeSlot waits for a slot and reports whether the request may run. It may not
+// if the queue is full, ctx ends or an order arrives.
+func (u *Upstream) takeSlot(ctx context.Context) bool {
+	u.mu.Lock()
+	switch {
+	case u.QueueLength == 0 || u.takenSlots < slots:
+		u.takenSlots++
+		u.mu.Unlock()
+		return true
+	case len(u.waiting) >= u.QueueLength:
+		u.mu.Unlock()
+		return false
+	}
+	turn := make(chan bool, 1)
+	u.waiting = append(u.waiting, turn)
+	u.mu.Unlock()
+	select {
+	case granted := <-turn:
+		return granted
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	u.waiting = slices.DeleteFunc(u.waiting, func(c chan bool) bool { return c == turn })
+	u.mu.Unlock()
+	select {
+	case granted := <-turn:
+		if granted {
+			u.releaseSlot()
+		}
+	default:
+	}
+	return false
+}
+
+// releaseSlot gives a slot to the request that has waited longest.
+func (u *Upstream) releaseSlot() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.waiting) == 0 {
+		u.takenSlots--
+		return
+	}
+	u.waiting[0] <- true
+	u.waiting = u.waiting[1:]
+}
+
+// refuseWaiting refuses all requests that wait for a slot. u.mu must be held.
+func (u *Upstream) refuseWaiting() {
+	for _, turn := range u.waiting {
+		turn <- false
+	}
+	u.waiting = nil
+}
+
 // respond sends a stream for requests with a prompt prefix, else a plain body.
 func (u *Upstream) respond(w http.ResponseWriter, r *http.Request, behaviour Behaviour, run *Run) {
 	if r.Header.Get("X-Prompt-Prefix") == "" {
@@ -307,6 +383,7 @@
 	default:
 		u.fencingToken, u.switching = o.Fence, true
 		u.seq++
+		u.refuseWaiting()
 		for _, run := range u.runs {
 			if run.EndedAt.IsZero() && !run.firstEventSent {
 				u.abortedPrefills++
@@ -324,7 +401,7 @@
 	for waitIdle && u.running() > 0 {
 		time.Sleep(idlePollInterval)
 	}
-	time.Sleep(u.SwitchDuration)
+	u.LoadBandwidth.load(u.SwitchDuration)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.version, u.switching = version, false
@@ -379,6 +456,46 @@
 	defer u.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"stage": "unified", "busy": u.switching, "seq": u.seq, "models": []map[string]any{{"name": u.Model, "version": u.version}},
+		"stage": "unified", "busy": u.switching, "seq": u.seq, "queued": len(u.waiting), "models": []map[string]any{{"name": u.Model, "version": u.version}},
 	})
 }
+
+// LoadBandwidth is shared by upstreams that load weights: beyond FullSpeedLoads
+// at once, each takes proportionally longer.
+type LoadBandwidth struct {
+	FullSpeedLoads float64
+
+	mu    sync.Mutex
+	loads int
+}
+
+// loadStep is how often the progress of a load is updated.
+const loadStep = 20 * time.Millisecond
+
+// load waits until a load is complete that takes duration at full speed. Without
+// a LoadBandwidth the speed is full.
+func (b *LoadBandwidth) load(duration time.Duration) {
+	if b == nil {
+		time.Sleep(duration)
+		return
+	}
+	b.add(1)
+	defer b.add(-1)
+	for remaining := duration; remaining > 0; {
+		time.Sleep(loadStep)
+		remaining -= time.Duration(float64(loadStep) * b.speed())
+	}
+}
+
+func (b *LoadBandwidth) add(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads += n
+}
+
+// speed returns the present speed of a load; 1 is full speed.
+func (b *LoadBandwidth) speed() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return min(1, b.FullSpeedLoads/float64(b.loads))
+}
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -32,6 +32,8 @@
 
 const (
 	daemons           = 3
+	engines           = 3
+	ledgers           = 3
 	heartbeatInterval = 1200 * time.Millisecond
 	stopGrace         = 8 * time.Second
 	model             = "opal"
@@ -40,6 +42,8 @@
 	callerKey         = "key-of-trust"
 	otherCallerKey    = "key-of-other"
 	startTimeout      = 10 * time.Second
+	// lastLoadTime is how long engines may load weights after the daemons stopped.
+	lastLoadTime = 10 * time.Second
 )
 
 // process is one running daemon.
@@ -93,6 +97,7 @@
 	mu             sync.Mutex
 	servers        map[string]*http.Server // by address
 	stopHeartbeats chan struct{}
+	daemonCount    int
 	// firstDaemon is the index of the first daemon that startAll starts.
 	firstDaemon  int
 	revision     uint64
@@ -102,8 +107,14 @@
 
 // runOnDeployment runs a test on a deployment that is ready.
 func runOnDeployment(t *testing.T, test func(d *deployment)) {
+	runOnDeploymentOf(t, daemons, engines, test)
+}
+
+// runOnDeploymentOf runs a test on a deployment of the given size.
+func runOnDeploymentOf(t *testing.T, daemonCount, engineCount int, test func(d *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
+		d := newDeployment(t, engineCount)
+		d.daemonCount = daemonCount
 		defer d.close()
 		d.startAll()
 		test(d)
@@ -112,12 +123,12 @@
 
 // startAll starts the daemons and waits until each lists all in its directory.
 func (d *deployment) startAll() {
-	for i := range daemons {
+	for i := range d.daemonCount {
 		d.start(d.firstDaemon + i)
 	}
 	d.eventually("every daemon lists all daemons in its directory", startTimeout, func() bool {
-		for _, p := range d.processes[len(d.processes)-daemons:] {
-			if len(d.resolve(p)) != daemons {
+		for _, p := range d.processes[len(d.processes)-d.daemonCount:] {
+			if len(d.resolve(p)) != d.daemonCount {
 				return false
 			}
 		}
@@ -125,13 +136,15 @@
 	})
 }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t *testing.T, engineCount int) *deployment {
 	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}}
-	for i := range 3 {
+	for i := range engineCount {
 		d.engines = append(d.engines, &site.Upstream{
 			ID: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.8.0.%d:80", i+1), Service: "bench", Zone: "a", Model: model,
 			StreamEvents: 10, EventInterval: 20 * time.Millisecond, SwitchDuration: 900 * time.Millisecond, CacheStore: d.cacheStore,
 		})
+	}
+	for i := range ledgers {
 		d.ledgers = append(d.ledgers, &site.Upstream{ID: fmt.Sprintf("ledger-%d", i), Address: fmt.Sprintf("10.8.1.%d:80", i+1), Service: "ledger", Zone: "a"})
 	}
 	for _, u := range d.upstreams() {
@@ -271,6 +284,7 @@
 	for _, p := range d.processes {
 		assert.NilError(d.t, <-p.done)
 	}
+	time.Sleep(lastLoadTime)
 	close(d.stopHeartbeats)
 	for _, s := range d.servers {
 		s.Close()
