Switch weights in a number of rounds that the time limit sets

The number of engines that switch together is now the fleet's size divided by a number of rounds, and that follows from the time limit less the first preparation, so the rollout takes the same time at any size. Loads stay within a fifth of the engines, up to which they do not slow each other down; 9 and 12 engines with limits of 10 and 12 s switch two at a time as before.

Before: TestFleetSwitchesWithinTimeLimit left 2 of 12, 50 of 60, 79 of 89, 290 of 300 and 590 of 600 engines behind after 7.5 s; now none, after 6.2 to 6.7 s. TestFleetFollowsFrequentVersions failed from 60 engines on. Six rounds without the first preparation were tried: 10 of 60 engines were behind.

--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -19,15 +19,6 @@
 const (
 	// switchLeaseName is the name of the lease that weight switches require.
 	switchLeaseName = "weights"
-	// concurrentSwitches limits how many engines switch at once: switches on
-	// the platform's engines get slower when more run at once.
-	concurrentSwitches = 2
-	// preparingSwitches limits how many more engines may finish their prompts
-	// before it is their turn to switch.
-	preparingSwitches = 2
-	// switchMaxUnavailablePercent limits the engines of a model that are
-	// unavailable at a time.
-	switchMaxUnavailablePercent = 25
 	// switchTTL is how long an engine is assumed to be switching without a
 	// further notice.
 	switchTTL = 5 * time.Second
@@ -211,7 +202,7 @@
 	keeper := lease.NewKeeper(d.platform.Table, settings, d.log)
 	switcher := &rollout.Switcher{
 		SwitchClient: d.platform.Switches, Environment: d, Holder: d.settings.Name, Log: d.log,
-		Limits: rollout.SwitchLimits{MaxConcurrent: concurrentSwitches, MaxUnavailablePercent: switchMaxUnavailablePercent, MaxPreparing: preparingSwitches},
+		Limits: rollout.LimitsWithin(d.staleness().MaxAge),
 	}
 	var behindSince time.Time // when engines were first seen behind
 	for {
--- a/internal/rollout/switchplan.go
+++ b/internal/rollout/switchplan.go
@@ -19,27 +19,41 @@
 	Requests               int
 }
 
-// SwitchLimits bounds how many engines of a model switch at the same time.
+const (
+	// switchRoundTime is the time that engines which switch together take, from the
+	// stop of their traffic until they serve again.
+	switchRoundTime = 1200 * time.Millisecond
+	// maxSwitchRounds is the number of rounds where the time limit allows more:
+	// fewer engines at a time leave more of them for requests.
+	maxSwitchRounds = 6
+)
+
+// SwitchLimits bounds how many engines of a model switch at the same time. The
+// bounds are fractions of the engines, so that a fleet of any size is switched in
+// the same time.
 type SwitchLimits struct {
-	// MaxConcurrent bounds the engines without traffic; beyond it each switch takes
-	// longer.
-	MaxConcurrent int
-	// MaxUnavailablePercent bounds the engines without traffic in percent of all, but
-	// allows at least one.
-	MaxUnavailablePercent int
-	// MaxPreparing is how many more engines may finish their prompts ahead of their
-	// turn, as long as half of all engines remain for new prompts.
-	MaxPreparing int
+	// Rounds is the number of rounds in which all engines switch, at least 1.
+	Rounds int
+}
+
+// LimitsWithin returns the limits that switch all engines of a model within
+// timeLimit, if that is possible while half of them serve. Engines prepare for all
+// rounds but the first during the one before.
+func LimitsWithin(timeLimit time.Duration) SwitchLimits {
+	return SwitchLimits{Rounds: min(maxSwitchRounds, max(1, int((timeLimit-maxPrepareTime)/switchRoundTime)))}
 }
 
-// maxNotified returns how many engines may be without traffic or preparing.
+// maxNotified returns how many engines may be without traffic or preparing: as
+// many prepare for the next round as are without traffic, as long as half of all
+// engines remain for new prompts.
 func (l SwitchLimits) maxNotified(engines int) int {
-	return min(l.maxUnavailable(engines)+l.MaxPreparing, max(1, engines/2))
+	return min(2*l.maxUnavailable(engines), max(1, engines/2))
 }
 
 // maxUnavailable returns how many engines may be without traffic.
 func (l SwitchLimits) maxUnavailable(engines int) int {
-	return min(l.MaxConcurrent, max(1, engines*l.MaxUnavailablePercent/100))
+	rounds := max(1, l.Rounds)
+	return min((engines+rounds-1)/rounds, max(1, engines/2))
 }
 
 // PlanSwitches returns the ids of the engines to start switching to a version:
