Keep expired weights out of use when a newer version is named

Cause: engines past the limit were left out only while some engine had the newest version, and none has it right after it is named. Ruled out: daemons that learnt of the version late, all logged it within 70 ms.

Whether a service can do without an expired engine is now asked of its engines whose weights are not expired, whichever version is the newest. The view is also computed again while a daemon competes for or holds the lease: until now that stopped, so that an expiry took effect only with the next notice or heartbeat (read from the code).

--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -161,12 +161,12 @@
 		}
 		return 0, false
 	}
-	updated := map[string]bool{} // services with an engine that has the goal version
+	var engines []rollout.Serving
 	for _, u := range snapshot.ByID {
-		if _, old := age(u); !old && !u.Leaving && !d.isSwitching(u, now) {
-			updated[u.Service] = true
-		}
+		a, _ := age(u)
+		engines = append(engines, rollout.Serving{ID: u.ID, Service: u.Service, Available: !u.Leaving && !d.isSwitching(u, now) && !d.liveness.Down(u.ID), Age: a})
 	}
+	expired := staleness.Expired(engines)
 	return forward.View{
 		Table: d.view.table.Load(), Registry: snapshot,
 		StoppingSoon: func(u *fleet.Registration) bool {
@@ -181,12 +181,7 @@
 			return 0
 		},
 		Unavailable: func(u *fleet.Registration) bool {
-			if d.isSwitching(u, now) || d.liveness.Down(u.ID) {
-				return true
-			}
-			a, old := age(u)
-			_, expired := staleness.CostPenaltyAt(a)
-			return old && expired && updated[u.Service]
+			return d.isSwitching(u, now) || d.liveness.Down(u.ID) || expired[u.ID]
 		},
 	}
 }
@@ -233,6 +228,7 @@
 	defer cancel()
 	go func() {
 		for backoff.Sleep(ctx, switchPollInterval) == nil {
+			d.updateServices() // as in switchWeights
 			if !rollout.AnyEngineBehind(d) {
 				cancel()
 			}
--- a/internal/rollout/switchplan.go
+++ b/internal/rollout/switchplan.go
@@ -103,3 +103,33 @@
 		return s.CostPenalty, true
 	}
 }
+
+// Serving is what decides whether an engine may get requests.
+type Serving struct {
+	ID      string
+	Service string
+	// Available is unset while an engine gets no requests whatever its weights are.
+	Available bool
+	// Age is the time since the engine's weights were superseded.
+	Age time.Duration
+}
+
+// Expired returns the engines whose weights are too old to be used. Those of a
+// service without any other available engine are not among them: its requests
+// would have nowhere to go. That a still newer version was requested does not make
+// expired weights usable again.
+func (s StalenessPolicy) Expired(engines []Serving) map[string]bool {
+	usable := map[string]bool{} // services with an available engine that is not expired
+	for _, e := range engines {
+		if _, expired := s.CostPenaltyAt(e.Age); e.Available && !expired {
+			usable[e.Service] = true
+		}
+	}
+	out := map[string]bool{}
+	for _, e := range engines {
+		if _, expired := s.CostPenaltyAt(e.Age); expired && usable[e.Service] {
+			out[e.ID] = true
+		}
+	}
+	return out
+}
