Give requests at superseded weights a deadline before the limit

Nothing but the caller's deadline bounded that wait; the margin of 2.5 s came from waits measured on a small deployment.

An attempt at an engine with superseded weights now carries a deadline of 0.3 s before the limit at the latest. An engine rejects a request whose deadline passes in its queue and says that it did not run, so it is retried elsewhere; a run that has begun is ended there at that time, 2.2 s after it was sent at the earliest.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -54,6 +54,9 @@
 	Table func() *routetable.Table
 	// Registry returns the registered upstreams.
 	Registry func() *fleet.RegistrySnapshot
+	// UsableUntil returns the time by which requests at an upstream must have
+	// ended, whatever their deadline; ok is false if there is none. May be nil.
+	UsableUntil func(id string) (until time.Time, ok bool)
 	// Suspects tracks requests that may crash upstreams; may be nil.
 	Suspects SuspectTracker
 	// OnOutcome is called with the outcome of each request; may be nil.
@@ -89,6 +92,9 @@
 	if c.OnOutcome == nil {
 		c.OnOutcome = func(Outcome) {}
 	}
+	if c.UsableUntil == nil {
+		c.UsableUntil = func(string) (time.Time, bool) { return time.Time{}, false }
+	}
 	if c.Suspects == nil {
 		c.Suspects = noSuspects{}
 	}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -287,10 +287,20 @@
 	})
 }
 
+// attemptDeadline returns the deadline of an attempt: that of the request, or an
+// earlier one by which the upstream must have ended it. An upstream rejects a
+// request whose deadline passes in its queue, so none begins there later.
+func (t *transfer) attemptDeadline(upstream string) time.Time {
+	if until, ok := t.forwarder.UsableUntil(upstream); ok && until.Before(t.deadline) {
+		return until
+	}
+	return t.deadline
+}
+
 // upstreamRequest builds the request for an upstream. The scheduler's action
 // decides where cached prompts are fetched from and saved to.
 func (t *transfer) upstreamRequest(u *fleet.Registration, action routing.Action) *httpconn.Request {
-	d := &AttemptMetadata{UpstreamID: u.ID, TimeLeft: time.Until(t.deadline), LastEventID: t.lastEventID}
+	d := &AttemptMetadata{UpstreamID: u.ID, TimeLeft: time.Until(t.attemptDeadline(u.ID)), LastEventID: t.lastEventID}
 	if t.organisation != nil {
 		d.Organisation = t.organisation.Name
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -14,10 +14,13 @@
 	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
-// view is the daemon's knowledge of the deployment. Requests read the table
-// through the atomic pointer; mu guards the rest.
+// view is the daemon's knowledge of the deployment. Requests read the atomic
+// pointers; mu guards the rest.
 type view struct {
 	table atomic.Pointer[routetable.Table]
+	// usableUntil holds, by upstream ID, when requests at upstreams with
+	// superseded weights must have ended. The map is never modified.
+	usableUntil atomic.Pointer[map[string]time.Time]
 
 	mu       sync.Mutex
 	goals    map[string]*rollout.GoalHistory // by model
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -29,10 +29,13 @@
 	// stalePenalty is the additional wait accepted in order to use an engine
 	// with new weights.
 	stalePenalty = 400 * time.Millisecond
-	// staleSafetyMargin is kept before the time limit for old weights, because
-	// a request may wait in a full engine after it was sent: 2.3 s were
-	// observed.
-	staleSafetyMargin = 2500 * time.Millisecond
+	// staleSendMargin is the time before the limit for old weights from which
+	// no request is sent to them, so that one sent before can complete.
+	staleSendMargin = 2500 * time.Millisecond
+	// staleStartMargin is the time before the limit for old weights at which
+	// requests at them end. It covers how much later than the platform a daemon
+	// learns of a version, and the way to the engine.
+	staleStartMargin = 300 * time.Millisecond
 	// switchPollInterval is the interval between checks for engines with old
 	// weights.
 	switchPollInterval = 100 * time.Millisecond
@@ -141,7 +144,7 @@
 
 // staleness returns the rules for the penalty of old weights.
 func (d *Daemon) staleness() rollout.StalenessPolicy {
-	return rollout.StalenessPolicy{GracePeriod: staleGracePeriod, CostPenalty: stalePenalty, MaxAge: d.settings.WeightSwitchTimeLimit - staleSafetyMargin}
+	return rollout.StalenessPolicy{GracePeriod: staleGracePeriod, CostPenalty: stalePenalty, MaxAge: d.settings.WeightSwitchTimeLimit - staleSendMargin}
 }
 
 // servicesView returns the schedulers' view of the upstreams. d.view.mu must be
@@ -167,6 +170,13 @@
 		engines = append(engines, rollout.Serving{ID: u.ID, Service: u.Service, Available: !u.Leaving && !d.isSwitching(u, now) && !d.liveness.Down(u.ID), Age: a})
 	}
 	expired := staleness.Expired(engines)
+	usableUntil := map[string]time.Time{}
+	for _, u := range snapshot.ByID {
+		if a, old := age(u); old && a < staleness.MaxAge {
+			usableUntil[u.ID] = now.Add(d.settings.WeightSwitchTimeLimit - staleStartMargin - a)
+		}
+	}
+	d.view.usableUntil.Store(&usableUntil)
 	return forward.View{
 		Table: d.view.table.Load(), Registry: snapshot,
 		StoppingSoon: func(u *fleet.Registration) bool {
@@ -186,6 +196,15 @@
 	}
 }
 
+// usableUntil returns the time by which requests at an upstream must have ended
+// because of its weights; ok is false if there is none.
+func (d *Daemon) usableUntil(id string) (until time.Time, ok bool) {
+	if times := d.view.usableUntil.Load(); times != nil {
+		until, ok = (*times)[id]
+	}
+	return until, ok
+}
+
 // switchWeights keeps engines at the goal versions: while any is behind, it
 // competes for the lease and sends orders as its holder. It returns when ctx
 // ends.
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -215,7 +215,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if switching || behaviour == Shed || !u.takeSlot(r.Context()) {
+	inTime, cancel := untilDeadline(r)
+	defer cancel()
+	if switching || behaviour == Shed || !u.takeSlot(inTime) {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -255,6 +257,16 @@
 	}
 }
 
+// untilDeadline returns the context of a request that ends at the deadline that its
+// header states.
+func untilDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
 // takeSlot waits for a slot and reports whether the request may run. It may not
 // if the queue is full, ctx ends or an order arrives.
 func (u *Upstream) takeSlot(ctx context.Context) bool {
