--- a/internal/rollout/switchplan_test.go
+++ b/internal/rollout/switchplan_test.go
@@ -53,3 +53,19 @@
 		assert.Equal(t, expired, x.expired)
 	}
 }
+
+// Guards against the use of expired weights after a still newer version is named,
+// when no engine has the newest weights.
+func TestExpired(t *testing.T) {
+	s := StalenessPolicy{GracePeriod: time.Second, MaxAge: 8 * time.Second}
+	const old, expired = 2 * time.Second, 9 * time.Second
+	engine := func(id, service string, available bool, age time.Duration) Serving {
+		return Serving{ID: id, Service: service, Available: available, Age: age}
+	}
+	got := s.Expired([]Serving{
+		engine("a1", "a", true, old), engine("a2", "a", true, expired), engine("a3", "a", false, expired),
+		engine("b1", "b", true, expired), engine("b2", "b", false, old),
+		engine("c1", "c", true, 0), engine("c2", "c", true, expired),
+	})
+	assert.DeepEqual(t, got, map[string]bool{"a2": true, "a3": true, "c2": true})
+}
