Spread requests over engines where daemons do not know each other's load

With 65 daemons the load figures of peers are 2 to 12 s old or missing, and:

- Short prompts may go to any engine kept for them, and of equal costs the first won: the same engine at all daemons.
Each request now tries the engines in an order of its own; costs within 15 ms count as equal while peers' loads are unknown.
Requests without a prompt use all engines.
- Superseded weights cost 400 ms, so all requests preferred the first engines with new ones: with 3 of 60 switched they had 41 % of the traffic.
A group of engines is now preferred only by the fraction of the requests that it can carry at 40 % utilisation.
The demand is estimated from this daemon's own requests, its peers' figures and the number of daemons.
- An engine that rejects a daemon's only request gets nothing from it for 0.1 s, doubling to 1.6 s: limits of at least one request a daemon let 65 daemons fill 16 slots and a queue of 48.
- What engines report counts while most peers are unknown; it was ignored as soon as one peer was known.
Peers' backlogs fade within a second.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -10,6 +10,10 @@
 	// minDecreaseInterval keeps several rejections in one overload from reducing the
 	// limit several times.
 	minDecreaseInterval = 200 * time.Millisecond
+	// minPause and maxPause bound how long a daemon sends nothing to an engine that
+	// rejected its only request.
+	minPause = 100 * time.Millisecond
+	maxPause = 1600 * time.Millisecond
 )
 
 // Limit is an adaptive concurrency limit for one daemon's requests at one engine.
@@ -19,6 +23,9 @@
 type Limit struct {
 	reduction float64 // 1 minus the factor, so that the zero value has no reduction
 	reducedAt time.Time
+	// pause is the duration of the last pause, 0 if the last request was completed.
+	pause       time.Duration
+	pausedUntil time.Time
 }
 
 // Allowed returns the limit, at least 1. peers is how many requests other daemons
@@ -32,8 +39,18 @@
 	return max(1, int(float64(limit)*(1-l.reduction)+0.5))
 }
 
-// Rejected reduces the limit after the engine rejected a request.
-func (l *Limit) Rejected(now time.Time) {
+// Paused reports whether the daemon must not send to the engine at all. Where daemons
+// outnumber slots, a limit of one request each is no limit for the engine.
+func (l *Limit) Paused(now time.Time) bool { return now.Before(l.pausedUntil) }
+
+// Rejected reduces the limit after the engine rejected a request; running is the
+// number of the daemon's other requests there. Without any, the daemon pauses, twice
+// as long after each further rejection.
+func (l *Limit) Rejected(now time.Time, running int) {
+	if running == 0 && !l.Paused(now) {
+		l.pause = min(max(2*l.pause, minPause), maxPause)
+		l.pausedUntil = now.Add(l.pause)
+	}
 	if now.Sub(l.reducedAt) < minDecreaseInterval {
 		return
 	}
@@ -42,4 +59,7 @@
 }
 
 // Completed raises the limit after a request was completed.
-func (l *Limit) Completed() { l.reduction = 1 - min(maxFactor, 1-l.reduction+increaseStep) }
+func (l *Limit) Completed() {
+	l.reduction = 1 - min(maxFactor, 1-l.reduction+increaseStep)
+	l.pause = 0
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -127,12 +127,12 @@
 	return it
 }
 
-// NextExpiry returns when the next item expires, zero if the queue is empty.
-func (q *Queue[T]) NextExpiry() time.Time {
+// NextExpiring returns the item that expires next, nil if the queue is empty.
+func (q *Queue[T]) NextExpiring() *Item[T] {
 	if len(q.expiry) == 0 {
-		return time.Time{}
+		return nil
 	}
-	return q.expiry[0].ExpiresAt
+	return q.expiry[0]
 }
 
 // Charge counts the work of an item that starts without waiting in the queue
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -18,8 +18,10 @@
 	// to follow.
 	cacheSourceInterval = 500 * time.Millisecond
 	// cacheReadInterval is the minimum interval between two reads from one
-	// source.
+	// source by one of at most cacheReadDaemons daemons. With more, each uses
+	// what it knows of a source less often and reads it less often.
 	cacheReadInterval = 250 * time.Millisecond
+	cacheReadDaemons  = 8
 	// cacheReadTimeout limits one read, including the long poll of one second.
 	cacheReadTimeout = 2 * time.Second
 	// reservedReaders is how many of a source's allowed readers are left to
@@ -128,11 +130,16 @@
 		}
 		try = 0
 		if f.apply(changes) {
-			_ = backoff.Sleep(ctx, cacheReadInterval)
+			_ = backoff.Sleep(ctx, f.daemon.cacheReadInterval())
 		}
 	}
 }
 
+// cacheReadInterval returns the minimum interval between two reads from one source.
+func (d *Daemon) cacheReadInterval() time.Duration {
+	return cacheReadInterval * time.Duration(max(cacheReadDaemons, len(d.members.Live()))) / cacheReadDaemons
+}
+
 func (f *cacheFollower) read(ctx context.Context) (upstream.CacheChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheReadTimeout)
 	defer cancel()
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -58,6 +58,10 @@
 	anyEligible bool
 }
 
+// unknownLoadTolerance is the difference below which costs count as equal while the
+// loads of most peers are unknown: what they have at an engine costs as much.
+const unknownLoadTolerance = 15 * time.Millisecond
+
 // choose returns the home with the least predicted cost that has room for the
 // request. exclude, if not nil, is not considered.
 func (p *Policy) choose(now time.Time, r *Request, homes []int, d *demand, exclude *engine) choice {
@@ -65,6 +69,11 @@
 	p.findHolders(now, r)
 	overShare := p.rules.shareHeadroom && p.organisations.exceedsShare(d.organisationHash, p.totalSlots)
 	out := choice{cost: math.Inf(1), minBusyCost: math.Inf(1)}
+	prefers := p.preferenceOf(now, r)
+	tolerance := 0.0
+	if !p.knowsPeers() {
+		tolerance = unknownLoadTolerance.Seconds()
+	}
 	highlyLoaded := p.rules.loadPrice && p.load() >= highLoad
 	for rank, i := range homes {
 		if highlyLoaded && rank >= highLoadHomes && out.anyEligible {
@@ -84,11 +93,11 @@
 		room := p.hasRoom(e, r) && !p.exceedsPrefillLimit(e, r, backlog, estimate.computeTokens) && !(overShare && p.takenSlots(e) >= int(overShareSlotFraction*float64(e.ep.Slots)))
 		c.SlotWait = p.slotWait(e)
 		c.SlotPrice = p.slotPrice(e, d.slotSeconds)
-		cost := c.Cost(price) + (e.ep.CostPenalty + p.segregationPenalty(e, r) + p.stoppingSoonPenalty(e, r)).Seconds()
+		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r)).Seconds()
 		switch {
 		case !room:
 			out.minBusyCost = min(out.minBusyCost, cost)
-		case cost < out.cost:
+		case cost < out.cost-tolerance:
 			out.engine, out.cost, out.uncachedTokens, out.candidate, out.source = e, cost, estimate.computeTokens, c, estimate.source
 			out.rank, out.homes, out.heldTokens = rank, len(homes), estimate.heldTokens
 		}
@@ -110,12 +119,31 @@
 	return time.Duration(slotPriceWeight * slotSeconds * utilisation * utilisation * utilisation * utilisation * float64(time.Second))
 }
 
-// takenSlots returns the number of the engine's slots known to be in use.
+// takenSlots returns the number of the engine's slots known to be in use, including
+// requests that wait there for one.
 func (p *Policy) takenSlots(e *engine) int {
 	if !p.rules.peerLoad {
 		return e.ownAttempts
 	}
-	return e.ownAttempts + e.peerLoad.requests
+	return max(e.ownAttempts+e.peerLoad.requests, p.reportedRequests(e))
+}
+
+// knowsPeers reports whether most peers have shared their loads: the loads of a few
+// of many peers say little about an engine.
+func (p *Policy) knowsPeers() bool { return 2*len(p.peers) >= p.daemonCount-1 }
+
+// reportedRequestsMaxAge is the age up to which the number of requests that an engine
+// reports is used. Requests take some tenths of a second.
+const reportedRequestsMaxAge = time.Second
+
+// reportedRequests returns the number of requests that the engine reported, less the
+// more time has passed, and 0 if the peers' loads are known.
+func (p *Policy) reportedRequests(e *engine) int {
+	age := p.now.Sub(e.report.At)
+	if !p.rules.loadReports || p.knowsPeers() || age >= reportedRequestsMaxAge {
+		return 0
+	}
+	return int(float64(e.report.Running+e.report.Queued) * (1 - age.Seconds()/reportedRequestsMaxAge.Seconds()))
 }
 
 // slotWait predicts the wait for a slot, 0 if one is free.
@@ -340,7 +368,7 @@
 
 // hasRoom reports whether the engine may run one more request of r's class.
 func (p *Policy) hasRoom(e *engine, r *Request) bool {
-	if p.rules.limits && e.ownAttempts >= e.limit.Allowed(e.ep.Slots, p.daemonCount, p.peerRequestsAt(e)) {
+	if p.rules.limits && (e.limit.Paused(p.now) || e.ownAttempts >= e.limit.Allowed(e.ep.Slots, p.daemonCount, p.peerRequestsAt(e))) {
 		return false
 	}
 	if !p.rules.limits && e.ownAttempts >= e.ep.Slots {
@@ -355,7 +383,7 @@
 // peerRequestsAt returns how many requests other daemons run at the engine, -1
 // if unknown.
 func (p *Policy) peerRequestsAt(e *engine) int {
-	if p.rules.peerLoad && (len(p.peers) > 0 || p.daemonCount == 1) {
+	if p.rules.peerLoad && p.knowsPeers() {
 		return e.peerLoad.requests
 	}
 	if p.rules.loadReports && !e.report.At.IsZero() && p.now.Sub(e.report.At) < loadReportMaxAge {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -5,6 +5,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/admission"
 	"github.com/verbenabend/verbenabend/internal/placement"
+	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
@@ -23,11 +24,13 @@
 	patienceFraction = 0.9
 )
 
-// dispatch tries queued requests if the state has changed or recheckInterval has
-// passed, then the requests submitted since the last call.
+// dispatch tries queued requests if the state has changed, recheckInterval has
+// passed or the patience of one has ended, then the requests submitted since the
+// last call.
 func (p *Policy) dispatch(now time.Time) {
-	if p.recheckNow || !p.recheckAt.After(now) {
+	if p.recheckNow || !p.recheckAt.After(now) || p.patienceEnded(now) {
 		p.recheckNow = false
+		p.checkedAt = now
 		p.recheckAt = now.Add(recheckInterval)
 		p.queue.Dispatch(func(it *admission.Item[*queuedRequest]) bool { return p.tryStart(now, it) })
 	}
@@ -38,6 +41,22 @@
 	p.arrivals = p.arrivals[:0]
 }
 
+// patienceEnded reports whether the patience of the request that expires next has
+// ended since the queued requests were last tried.
+func (p *Policy) patienceEnded(now time.Time) bool {
+	it := p.queue.NextExpiring()
+	if it == nil {
+		return false
+	}
+	end := patienceEnd(it)
+	return !now.Before(end) && p.checkedAt.Before(end)
+}
+
+// patienceEnd returns when a queued request stops waiting for a better home.
+func patienceEnd(it *admission.Item[*queuedRequest]) time.Time {
+	return it.QueuedAt.Add(time.Duration(patienceFraction * float64(it.ExpiresAt.Sub(it.QueuedAt))))
+}
+
 // handleArrival starts, queues or refuses a newly submitted request.
 func (p *Policy) handleArrival(now time.Time, it *admission.Item[*queuedRequest]) {
 	if p.tryStart(now, it) {
@@ -111,8 +130,7 @@
 	if !p.rules.patience || c.minBusyCost >= c.cost {
 		return false
 	}
-	patience := time.Duration(patienceFraction * float64(it.ExpiresAt.Sub(it.QueuedAt)))
-	return now.Sub(it.QueuedAt) < min(patience, time.Duration((c.cost-c.minBusyCost)*float64(time.Second)))
+	return now.Before(patienceEnd(it)) && now.Sub(it.QueuedAt) < time.Duration((c.cost-c.minBusyCost)*float64(time.Second))
 }
 
 // start records an attempt and appends its action.
@@ -130,6 +148,7 @@
 	e.add(a)
 	p.shareDue = p.shareDue || a.uncachedTokens >= longPromptTokens
 	p.ownAttempts++
+	p.countDemand(now, f.request, 1)
 	p.organisations.get(a.organisationHash).ownAttempts++
 	f.attempts = append(f.attempts, a)
 	action := Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation, Reasons: Reasons{
@@ -213,11 +232,24 @@
 	if pool == nil {
 		return nil
 	}
+	if len(r.Chain.Levels) == 0 {
+		// Without a prompt there is no cache to return to.
+		p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, prefix.NodeHash(r.ID))
+		return p.homesBuffer
+	}
 	if split := p.split(r); split != nil {
 		if r.PromptTokens < longPromptTokens {
 			// A short prompt gains little from a cache hit: any reserved engine may
-			// take it, and the others when those are busy.
-			p.homesBuffer = append(append(p.homesBuffer[:0], split.reserved.Members...), split.others.Members...)
+			// take it, and the others when those are busy. Each request starts at
+			// another engine: of engines with equal costs the first is chosen, and
+			// daemons that do not know each other's load must not agree on it.
+			seed := prefix.NodeHash(r.ID)
+			if !p.preferenceOf(now, r).reserved {
+				p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, seed)
+				return p.homesBuffer
+			}
+			p.homesBuffer = appendPermuted(p.homesBuffer[:0], split.reserved.Members, seed)
+			p.homesBuffer = appendPermuted(p.homesBuffer, split.others.Members, seed)
 			return p.homesBuffer
 		}
 		return p.homePicker.PickByHomeKey(&r.Chain, &split.others, longPromptHomes)
@@ -235,6 +267,31 @@
 	return p.homePicker.Pick(&r.Chain, pool, p.homeCounts)
 }
 
+// appendPermuted appends list to dst in an order that differs with seed, so that
+// each member of any part of the list is about equally often the first of that part.
+func appendPermuted(dst, list []int, seed uint64) []int {
+	n := uint64(len(list))
+	if n == 0 {
+		return dst
+	}
+	at, stride := seed%n, 1+seed>>32%n
+	for gcd(stride, n) > 1 {
+		stride++
+	}
+	for range n {
+		dst = append(dst, list[at])
+		at = (at + stride) % n
+	}
+	return dst
+}
+
+func gcd(a, b uint64) uint64 {
+	for b > 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // longPromptHomes is the number of homes of a long prompt where engines can fetch
 // cached prompts from one another.
 const longPromptHomes = 16
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -33,6 +33,7 @@
 	p.sizeTables(now)
 	p.countEjected(now)
 	p.chooseReserved()
+	p.countPreferred()
 	p.sumPeers()
 	p.engineGeneration++
 	p.recheckNow = true
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -66,6 +66,7 @@
 	p.recordCanceledWait(now, a, outcome)
 	e.remove(a)
 	p.ownAttempts--
+	p.countDemand(now, f.request, -1)
 	f.remove(a)
 	p.organisations.get(a.organisationHash).ownAttempts--
 	if len(f.attempts) == 0 {
@@ -97,7 +98,7 @@
 		p.responseStats.observe(a.request, outputTokens, now.Sub(a.firstTokenAt), now.Sub(a.sentAt))
 		p.recordHeld(now, a.engine, a.request)
 	case Rejected:
-		a.engine.limit.Rejected(now)
+		a.engine.limit.Rejected(now, a.engine.ownAttempts)
 		a.engine.probing = false
 	case Failed:
 		a.engine.recordFailure(now)
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -5,6 +5,10 @@
 // peerLoadMaxAge is the age up to which the loads shared by a peer are used.
 const peerLoadMaxAge = 3 * time.Second
 
+// peerBacklogMaxAge is the age at which a peer's prompt tokens count as computed: a
+// long prompt takes some tenths of a second.
+const peerBacklogMaxAge = time.Second
+
 // peerState holds the loads that one peer shared last.
 type peerState struct {
 	receivedAt time.Time
@@ -87,18 +91,19 @@
 	p.peerRequests = 0
 	for _, state := range p.peers {
 		for i := range state.loads {
-			p.addPeerLoad(&state.loads[i])
+			p.addPeerLoad(&state.loads[i], p.now.Sub(state.receivedAt))
 		}
 	}
 }
 
-func (p *Policy) addPeerLoad(l *PeerLoad) {
+// addPeerLoad adds a load that a peer shared age ago.
+func (p *Policy) addPeerLoad(l *PeerLoad, age time.Duration) {
 	p.organisations.addPeer(l.Organisations)
 	e := p.byID[l.Endpoint]
 	if e == nil || e.ep.Incarnation != l.Incarnation {
 		return
 	}
-	e.peerLoad.pendingTokens += l.PendingTokens
+	e.peerLoad.pendingTokens += int(float64(l.PendingTokens) * max(0, 1-age.Seconds()/peerBacklogMaxAge.Seconds()))
 	e.peerLoad.requests += l.Requests
 	if e.present {
 		p.peerRequests += l.Requests
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -52,6 +52,8 @@
 	arrivals   []*admission.Item[*queuedRequest]
 	recheckNow bool
 	recheckAt  time.Time
+	// checkedAt is when the queued requests were last tried.
+	checkedAt time.Time
 
 	speed         *placement.PrefillSpeed
 	responseStats responseStats
@@ -71,6 +73,10 @@
 	totalSlots   int
 	ownAttempts  int
 	peerRequests int
+	// ownDemand averages ownAttempts, ownShortDemand the short prompts among them.
+	ownDemand, ownShortDemand demandAverage
+	// preferred counts the preferred slots of each pool, by weights.
+	preferred map[string]preferredSlots
 
 	peers         map[string]*peerState
 	lastPeerCheck time.Time
@@ -229,7 +235,12 @@
 
 // NextWake implements Scheduler.
 func (p *Policy) NextWake(time.Time) time.Time {
-	wake := p.queue.NextExpiry()
+	wake := time.Time{}
+	if it := p.queue.NextExpiring(); it != nil {
+		if wake = patienceEnd(it); !p.checkedAt.Before(wake) {
+			wake = it.ExpiresAt
+		}
+	}
 	if len(p.hedges) > 0 {
 		wake = earlier(wake, p.hedges[0].at)
 	}
