Report expired weights and how many peers' loads are known

Of the hypotheses of the incident, the age of the weights in use and the load that a daemon knew of could only be worked out from the logs of all daemons together. A daemon now logs when it stops to use an engine because of its weights (905), counts such engines (verbenabend_engines_expired), and says in a refusal how many peers' loads it knew.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -57,6 +57,7 @@
 	LeaseLost                  ID = 902
 	OrderSent                  ID = 903
 	OrderRefused               ID = 904
+	WeightsExpired             ID = 905
 )
 
 // Kind describes a kind of event.
@@ -114,6 +115,7 @@
 	{LeaseLost, hclog.Warn, "lease lost"},
 	{OrderSent, hclog.Info, "order sent"},
 	{OrderRefused, hclog.Warn, "order refused"},
+	{WeightsExpired, hclog.Warn, "weights expired"},
 }
 
 // Fields are the attributes of an event. Those that have no field of their own
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,9 +113,11 @@
 	inFlight  inflight.Counter
 	// storeFailed is set while reads of the operators' table from the store
 	// fail.
-	storeFailed   atomic.Bool
-	leaseHeld     atomic.Bool
-	engineIndexes map[string]*engineIndex // used by receiveLoad only
+	storeFailed atomic.Bool
+	leaseHeld   atomic.Bool
+	// expiredEngines counts the engines left out because of their weights.
+	expiredEngines atomic.Int64
+	engineIndexes  map[string]*engineIndex // used by receiveLoad only
 }
 
 // New returns a daemon that listens but does not serve yet. pool holds the
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -27,6 +27,7 @@
 		telemetry.NameGossipReceived:   func() float64 { return float64(d.gossipNode.Stats().ReceivedBytes) },
 		telemetry.NameGossipFacts:      func() float64 { return float64(d.gossipNode.Stats().Facts) },
 		telemetry.NameEnginesBehind:    func() float64 { return float64(d.enginesBehind()) },
+		telemetry.NameEnginesExpired:   func() float64 { return float64(d.expiredEngines.Load()) },
 		telemetry.NameLeaseHeld:        func() float64 { return boolGauge(d.leaseHeld.Load()) },
 		telemetry.NameStateRevision: func() float64 {
 			if table := d.view.table.Load(); table != nil {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -31,6 +31,8 @@
 	// lastOrderSender is the daemon that sent the last weight switch order.
 	lastOrderSender string
 	lastOrderAt     time.Time
+	// expired are the IDs of engines that are left out because of their weights.
+	expired map[string]bool
 	// skippedRows are the keys of rows that were logged as unreadable, with the
 	// version logged.
 	skippedRows map[string]uint64
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -170,6 +170,7 @@
 		engines = append(engines, rollout.Serving{ID: u.ID, Service: u.Service, Available: !u.Leaving && !d.isSwitching(u, now) && !d.liveness.Down(u.ID), Age: a})
 	}
 	expired := staleness.Expired(engines)
+	d.recordExpired(expired, engines)
 	usableUntil := map[string]time.Time{}
 	for _, u := range snapshot.ByID {
 		if a, old := age(u); old && a < staleness.MaxAge {
@@ -196,6 +197,18 @@
 	}
 }
 
+// recordExpired logs the engines that have become unusable because of their
+// weights. d.view.mu must be held.
+func (d *Daemon) recordExpired(expired map[string]bool, engines []rollout.Serving) {
+	for _, e := range engines {
+		if expired[e.ID] && !d.view.expired[e.ID] {
+			d.log.Emit(eventlog.WeightsExpired, eventlog.Fields{Service: e.Service, Upstream: e.ID, Detail: "superseded for " + e.Age.Round(time.Millisecond).String()})
+		}
+	}
+	d.view.expired = expired
+	d.expiredEngines.Store(int64(len(expired)))
+}
+
 // usableUntil returns the time by which requests at an upstream must have ended
 // because of its weights; ok is false if there is none.
 func (d *Daemon) usableUntil(id string) (until time.Time, ok bool) {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -208,7 +208,7 @@
 
 // refusal returns the details of a refusal.
 func (p *Policy) refusal(r *Request, waited time.Duration) Refusal {
-	out := Refusal{Waited: waited, Ejected: p.ejectedEngines, Queued: p.queue.Len(), Load: p.load()}
+	out := Refusal{Waited: waited, Ejected: p.ejectedEngines, Queued: p.queue.Len(), Load: p.load(), PeersKnown: len(p.peers), Peers: p.daemonCount - 1}
 	if pool := p.pool(r); pool != nil {
 		out.Engines = len(pool.Members)
 	}
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -124,11 +124,13 @@
 	Queued int
 	// Load is the fraction of all engines' slots known to be in use.
 	Load float64
+	// PeersKnown is how many of Peers other daemons' loads are known.
+	PeersKnown, Peers int
 }
 
 // String implements fmt.Stringer.
 func (r Refusal) String() string {
-	return fmt.Sprintf("waited %s, %d engines, %d ejected, %d queued in this daemon, load %.2f", r.Waited.Round(time.Millisecond), r.Engines, r.Ejected, r.Queued, r.Load)
+	return fmt.Sprintf("waited %s, %d engines, %d ejected, %d queued in this daemon, load %.2f, loads of %d of %d peers known", r.Waited.Round(time.Millisecond), r.Engines, r.Ejected, r.Queued, r.Load, r.PeersKnown, r.Peers)
 }
 
 // Reasons holds the estimates behind a choice of engine, for the log.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,6 +38,7 @@
 	NameStoreCallSeconds = "verbenabend_store_call_seconds"
 	NameStateRevision    = "verbenabend_state_revision"
 	NameEnginesBehind    = "verbenabend_engines_behind"
+	NameEnginesExpired   = "verbenabend_engines_expired"
 	NameLeaseHeld        = "verbenabend_lease_held"
 
 	resultOK          = "ok"
@@ -53,7 +54,7 @@
 var Names = []string{
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
-	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameLeaseHeld,
+	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameLeaseHeld,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
