Bound the response heads that are read for one request

An upstream in trouble may send bytes that are no answer without end. Heads were read by http.ReadResponse without a limit: a status line, a header line, header lines or informational responses without end were read, and all but the last kept in memory, until the request's deadline. maxHeadBytes (64 KiB, for all heads that one request reads) now ends such a response with errHeadTooLong and the verdict may-have-run; the connection is closed.

A few bytes at a time without end last to the deadline, as before, and end there.

Chunk-size lines, extensions and trailers without end are bounded by net/http (4 KiB buffer, 16 KiB of chunk overhead); a body that nobody reads takes one buffer; bytes after a complete body close the connection.

--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -38,6 +38,9 @@
 	readBufferBytes   = 4 << 10
 	// maxDrainBytes bounds the response body that Discard reads to keep the connection.
 	maxDrainBytes = 64 << 10
+	// maxHeadBytes bounds the response heads read for one request in total, including
+	// those of informational responses and of responses to other requests.
+	maxHeadBytes = 64 << 10
 )
 
 // Target is an upstream. A connection is never used for another ID.
@@ -106,12 +109,38 @@
 type conn struct {
 	net.Conn
 	target    Target
-	reader    *bufio.Reader
+	source    *source
+	reader    *bufio.Reader // reads from source
 	reused    bool
 	idleSince time.Time
 	expiresAt time.Time
 }
 
+// source is the input of a connection. While a response head is read, the
+// number of bytes is limited.
+type source struct {
+	conn net.Conn
+	// headBytes is the number of bytes that may still be read while limited is set.
+	headBytes int
+	limited   bool
+}
+
+// errHeadTooLong is the error of a Read beyond maxHeadBytes.
+var errHeadTooLong = errors.Newf("the response heads exceed %d bytes", maxHeadBytes)
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if !s.limited {
+		return s.conn.Read(p)
+	}
+	if s.headBytes == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.conn.Read(p[:min(len(p), s.headBytes)])
+	s.headBytes -= n
+	return n, err
+}
+
 func (p *Pool) takeIdle(t Target, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +186,8 @@
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUpstreamFailed, "connect to "+t.ID)
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, target: t, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	in := &source{conn: raw}
+	return &conn{Conn: raw, target: t, source: in, reader: bufio.NewReaderSize(in, readBufferBytes)}, nil
 }
 
 // Response is a response whose body is still to be read.
@@ -239,8 +269,12 @@
 // read returns the first response that belongs to the request.
 func (x *exchange) read(r *Request) (*http.Response, error) {
 	requestStub := &http.Request{Method: r.Method}
+	in := x.conn.source
+	in.headBytes = maxHeadBytes
 	for strayResponses := 0; ; {
+		in.limited = true
 		resp, err := http.ReadResponse(x.conn.reader, requestStub)
+		in.limited = false
 		if err != nil {
 			return nil, errors.Wrap(err, "read the response")
 		}
