Bound the wait for the body of a refusal

When an upstream refuses a request, the response's body is read so that the connection can be used again. A refusal whose body came a few bytes at a time, or not at all, kept the request until its deadline instead of going to another upstream. Discard now waits for maxDrainTime (50 ms) at most and closes the connection then.

--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -38,6 +38,8 @@
 	readBufferBytes   = 4 << 10
 	// maxDrainBytes bounds the response body that Discard reads to keep the connection.
 	maxDrainBytes = 64 << 10
+	// maxDrainTime bounds how long Discard waits for that body.
+	maxDrainTime = 50 * time.Millisecond
 	// maxHeadBytes bounds the response heads read for one request in total, including
 	// those of informational responses and of responses to other requests.
 	maxHeadBytes = 64 << 10
@@ -195,6 +197,7 @@
 	*http.Response
 	// Reused reports that the connection had carried a request before.
 	Reused bool
+	conn   net.Conn
 }
 
 // Do sends a request and returns its response once the headers have arrived.
@@ -217,7 +220,7 @@
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "no response from "+t.ID)
 	}
 	resp.Body = &body{exchange: x, source: resp.Body, idleTimeout: idleTimeoutOf(resp)}
-	return &Response{Response: resp, Reused: c.reused}, nil
+	return &Response{Response: resp, Reused: c.reused, conn: c}, nil
 }
 
 // exchange is one request on one connection.
@@ -365,10 +368,11 @@
 	return defaultIdleTimeout
 }
 
-// Discard reads a short body to its end, so that the connection can be reused,
-// and closes the connection otherwise.
+// Discard reads a body of up to maxDrainBytes to its end, so that the connection can be
+// reused, and closes the connection if the body is longer or takes longer than
+// maxDrainTime. It is called before any part of the body was read.
 func (r *Response) Discard() {
-	if r.ContentLength >= 0 && r.ContentLength <= maxDrainBytes {
+	if r.ContentLength >= 0 && r.ContentLength <= maxDrainBytes && r.conn.SetReadDeadline(time.Now().Add(maxDrainTime)) == nil {
 		_, _ = io.Copy(io.Discard, r.Body) // a failure closes the connection
 	}
 	r.Body.Close()
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -42,6 +42,28 @@
 	// OmitStamp sends the complete response without X-Response-Stamp, the proof
 	// that the upstream made it.
 	OmitStamp
+	// NeverEnd sends the upstream's Endless response.
+	NeverEnd
+)
+
+// Endless is a response, or bytes that are none, without an end.
+type Endless struct {
+	// Start is sent once, with Identity replaced by the headers that name the request
+	// and prove that the upstream sent the response.
+	Start string
+	// Unit is then repeated until the connection is closed: as many as fit into
+	// endlessWriteBytes at a time, or only one if Slow is set.
+	Unit string
+	Slow bool
+}
+
+// Identity is a placeholder in the Start of an Endless response.
+const Identity = "<identity>\r\n"
+
+const (
+	endlessWriteBytes = 64 << 10
+	// endlessInterval is the interval between two writes of an Endless response.
+	endlessInterval = 50 * time.Millisecond
 )
 
 // Run is a request that an upstream started to execute.
@@ -53,6 +75,8 @@
 	StartedAt time.Time
 	// EndedAt is zero while the request runs.
 	EndedAt time.Time
+	// EndlessBytes is how much of an Endless response was read from the upstream.
+	EndlessBytes int
 
 	firstEventSent bool
 }
@@ -74,6 +98,8 @@
 	CacheStore *CacheStore
 	// ChooseBehaviour selects the behaviour for a request; nil means Serve.
 	ChooseBehaviour func(r *http.Request) Behaviour
+	// Endless is the response to requests with the behaviour NeverEnd.
+	Endless Endless
 
 	mu              sync.Mutex
 	version         int
@@ -228,6 +254,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case ForeignResponseFirst:
 		u.respondForeignFirst(w, run)
+	case NeverEnd:
+		u.respondEndlessly(w, run)
 	default:
 		u.respond(w, r, behaviour, run)
 	}
@@ -279,6 +307,30 @@
 	_ = out.Flush()
 }
 
+// respondEndlessly sends the upstream's Endless response until a write fails.
+func (u *Upstream) respondEndlessly(w http.ResponseWriter, run *Run) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	repeated := u.Endless.Unit
+	if !u.Endless.Slow {
+		repeated = strings.Repeat(repeated, endlessWriteBytes/len(repeated))
+	}
+	identity := fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Stamp: proof-%s\r\n", run.ID, u.ID)
+	for text := strings.Replace(u.Endless.Start, Identity, identity, 1) + repeated; ; text = repeated {
+		n, err := io.WriteString(conn, text)
+		u.mu.Lock()
+		run.EndlessBytes += n
+		u.mu.Unlock()
+		if err != nil {
+			return
+		}
+		time.Sleep(endlessInterval)
+	}
+}
+
 func (u *Upstream) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Op          string `json:"op"`
