Close idle connections to upstreams at their idle timeout

A kept connection was closed only when a later request looked for a connection to the same upstream and found it expired, closed or with pending input. One that no request reached again stayed open for good, with whatever the upstream went on to send in the kernel's buffer.

Before: TestIdleConnectionIsClosedAtItsTimeout failed in all four cases, "1 (open int) != 0 (int): connections are kept after their idle timeout". After: it passes, and no byte of those that arrived meanwhile was read.

Ruled out by TestEndlessBytesPreventReuse and TestEndlessBytesCrossRequest, which passed before: a request that is sent on such a connection (it takes another one), and one that crosses the bytes (it ends at once with the verdict may-have-run, its connection is closed).

--- a/internal/upstream/httpconn/endless_test.go
+++ b/internal/upstream/httpconn/endless_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -249,3 +250,147 @@
 		resp.Body.Close()
 	})
 }
+
+// unaskedBytes are repeated on a connection after its first response.
+var unaskedBytes = map[string]string{
+	"no answer":         "\x00\x01",
+	"answer to another": "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 4\r\n\r\njunk",
+	"status line":       "HTTP/1.1 200 ",
+	"informational":     "HTTP/1.1 100 Continue\r\n\r\n",
+}
+
+// A kept connection on which bytes without end arrived carries no other request and is
+// closed when the next request looks for a connection.
+func TestEndlessBytesPreventReuse(t *testing.T) {
+	for name, unit := range unaskedBytes {
+		t.Run(name, func(t *testing.T) {
+			responded, closed := make(chan struct{}), make(chan struct{})
+			target, pool := newScriptedServer(t, func(n int, conn net.Conn, r *bufio.Reader) {
+				for {
+					id, ok := readRequest(r)
+					if !ok {
+						return
+					}
+					respond(conn, id, "response to "+id, "")
+					if n > 1 {
+						continue
+					}
+					<-responded
+					for {
+						if _, err := io.WriteString(conn, strings.Repeat(unit, 1000)); err != nil {
+							close(closed)
+							return
+						}
+					}
+				}
+			})
+			_, err := sendRequest(pool, target, "first", "")
+			assert.NilError(t, err)
+			idle := pool.idle[target.ID][0]
+			close(responded)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if isReusable(idle.Conn) {
+					return poll.Continue("the bytes have not arrived")
+				}
+				return poll.Success()
+			})
+			for _, id := range []string{"a", "b"} {
+				got, err := sendRequest(pool, target, id, "")
+				assert.NilError(t, err)
+				assert.Equal(t, got, "response to "+id)
+			}
+			<-closed
+			assert.Equal(t, pool.OpenedConnections(), int64(2))
+		})
+	}
+}
+
+// serveUnasked responds to the first request and then repeats unit without end, while it
+// reads on. It sends what it wrote and read before the connection was closed to ended.
+func serveUnasked(conn net.Conn, unit string, ended chan<- [2]int) {
+	r := bufio.NewReader(conn)
+	id, _ := readRequest(r)
+	respond(conn, id, "response to "+id, "")
+	var written, requests int
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			n, err := io.WriteString(conn, strings.Repeat(unit, fastBytes/len(unit)))
+			written += n
+			if err != nil {
+				return
+			}
+			time.Sleep(fastPause)
+		}
+	})
+	for {
+		if _, ok := readRequest(r); !ok {
+			break
+		}
+		requests++
+	}
+	wg.Wait()
+	ended <- [2]int{written, requests}
+}
+
+// A request that crosses bytes without end on a kept connection may have run; it ends at
+// once, and the next request uses another connection.
+func TestEndlessBytesCrossRequest(t *testing.T) {
+	for name, unit := range unaskedBytes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ended := make(chan [2]int, 1)
+				other := &endlessUpstream{runs: map[string]int{}}
+				pool := NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+					if ended == nil {
+						return other.dial(ctx, network, address)
+					}
+					client, server := net.Pipe()
+					go serveUnasked(server, unit, ended)
+					return client, nil
+				})
+				defer other.stop()
+				defer pool.Close()
+				_, err := sendRequest(pool, Target{ID: "u"}, "first", "")
+				assert.NilError(t, err)
+				start := time.Now()
+				_, err = sendRequest(pool, Target{ID: "u"}, "crossing", "")
+				assert.Assert(t, err != nil)
+				assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+				assert.Assert(t, time.Since(start) < 10*fastPause, "ended after %s", time.Since(start))
+				counts := <-ended
+				assert.Assert(t, counts[0] <= maxHeadBytes+readBufferBytes, "%d bytes read", counts[0])
+				assert.Equal(t, counts[1], 1)
+				ended = nil
+				got, err := sendRequest(pool, Target{ID: "u"}, "next", "")
+				assert.NilError(t, err)
+				assert.Equal(t, got, "response to next")
+			})
+		})
+	}
+}
+
+// A kept connection that no request uses again must be closed once its idle timeout has
+// passed, and nothing that arrives on it meanwhile is read.
+func TestIdleConnectionIsClosedAtItsTimeout(t *testing.T) {
+	for name, unit := range unaskedBytes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ended := make(chan [2]int, 1)
+				pool := NewPool(func(context.Context, string, string) (net.Conn, error) {
+					client, server := net.Pipe()
+					go serveUnasked(server, unit, ended)
+					return client, nil
+				})
+				_, err := sendRequest(pool, Target{ID: "u"}, "first", "")
+				assert.NilError(t, err)
+				time.Sleep(defaultIdleTimeout + time.Millisecond)
+				synctest.Wait()
+				open := len(pool.idle["u"])
+				pool.Close()
+				assert.DeepEqual(t, <-ended, [2]int{0, 0})
+				assert.Equal(t, open, 0, "connections are kept after their idle timeout")
+			})
+		})
+	}
+}
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -95,6 +96,7 @@
 			continue
 		}
 		for _, c := range list {
+			c.expiry.Stop()
 			c.Close()
 		}
 		delete(p.idle, id)
@@ -116,6 +118,7 @@
 	reused    bool
 	idleSince time.Time
 	expiresAt time.Time
+	expiry    *time.Timer // closes the connection at expiresAt; set while it is idle
 }
 
 // source is the input of a connection. While a response head is read, the
@@ -152,6 +155,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[t.ID] = list
+		c.expiry.Stop()
 		if c.target == t && now.Before(c.expiresAt) && (maxIdle == 0 || now.Sub(c.idleSince) < maxIdle) && c.reader.Buffered() == 0 && isReusable(c.Conn) {
 			return c
 		}
@@ -174,9 +178,22 @@
 		c.Close()
 		return
 	}
+	c.expiry = time.AfterFunc(idleTimeout, func() { p.closeExpired(c) })
 	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
 }
 
+// closeExpired closes a connection that stayed idle for its idle timeout, unless a request
+// has taken it since.
+func (p *Pool) closeExpired(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.target.ID]
+	if i := slices.Index(list, c); i >= 0 && !time.Now().Before(c.expiresAt) {
+		p.idle[c.target.ID] = slices.Delete(list, i, i+1)
+		c.Close()
+	}
+}
+
 func (p *Pool) connect(ctx context.Context, r *Request, t Target) (*conn, error) {
 	if !r.NewConnection {
 		if c := p.takeIdle(t, r.MaxIdleTime); c != nil {
