Name the limit of heads that clients of engines and services read

A head without end, or informational responses without end, from an engine or a service was read up to net/http's own limit of 10 MiB for each call, which no page of the code stated. Both clients now set maxHeadBytes (64 KiB for the heads of one response, those of informational responses included), as the pool of connections does.

Ruled out, by tests that passed before: streams (1 MiB for one event, also for lines that are no event), replies (32 MiB), slow heads (headerTimeout or the call's timeout), refusals of services (their body is not read), open connections after the end.

--- a/internal/upstream/httpengine/client.go
+++ b/internal/upstream/httpengine/client.go
@@ -30,6 +30,9 @@
 	idleTimeout        = 30 * time.Second
 	maxIdleConnections = 64
 	maxControlBytes    = 16 << 20
+	// maxHeadBytes bounds the heads of one response, those of informational responses
+	// before it included.
+	maxHeadBytes = 64 << 10
 )
 
 // Client implements upstream.Engines.
@@ -51,13 +54,14 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	streams := &http.Transport{
-		DialContext:           dial,
-		MaxIdleConnsPerHost:   maxIdleConnections,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
-	}
-	singleUse := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout, DisableCompression: true}
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
+	}
+	singleUse := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		streamClient:    &http.Client{Transport: streams, CheckRedirect: noRedirect},
 		singleUseClient: &http.Client{Transport: singleUse, CheckRedirect: noRedirect},
--- a/internal/upstream/httpservice/client.go
+++ b/internal/upstream/httpservice/client.go
@@ -20,6 +20,9 @@
 	dialTimeout   = 2 * time.Second
 	checkTimeout  = 2 * time.Second
 	maxReplyBytes = 32 << 20
+	// maxHeadBytes bounds the heads of one response, those of informational responses
+	// before it included.
+	maxHeadBytes = 64 << 10
 )
 
 // Headers of calls to services and of their responses.
@@ -43,7 +46,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
