Bound the wait for the body of a failed stream

When an engine refuses or fails a stream, the client reads the response's body for its reason. A body of a few bytes at a time without end, or one that does not come, kept the request until its deadline. The wait is now bounded by failureBodyTimeout (2 s, as for calls of control); what has arrived by then is parsed as before, and the connection is closed.

The other calls were bounded (controlTimeout, orderTimeout), and fast bodies by maxEventBytes (1 MiB) and maxControlBytes (16 MiB). The verdict stays may-have-run for all of them.

--- a/internal/upstream/httpengine/client.go
+++ b/internal/upstream/httpengine/client.go
@@ -26,6 +26,7 @@
 	dialTimeout        = 2 * time.Second
 	headerTimeout      = 5 * time.Second
 	controlTimeout     = 2 * time.Second
+	failureBodyTimeout = 2 * time.Second // for the body of a refused or failed stream
 	orderTimeout       = 10 * time.Second
 	idleTimeout        = 30 * time.Second
 	maxIdleConnections = 64
--- a/internal/upstream/httpengine/endless_test.go
+++ b/internal/upstream/httpengine/endless_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// A refusal or failure with a body without end must not hold a request until its deadline.
+func TestEndlessFailureIsBounded(t *testing.T) {
+	for name, head := range map[string]string{
+		"refusal":            "HTTP/1.1 429 Too Many Requests\r\n" + HeaderRequestID + ": r\r\n" + HeaderStreamID + ": r\r\n\r\n{\"code\":\"overloaded\"}",
+		"refusal of another": "HTTP/1.1 429 Too Many Requests\r\n\r\n{\"code\":\"overloaded\"}",
+		"failure":            "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+	} {
+		for callName, call := range endlessCalls {
+			for _, slow := range []bool{false, true} {
+				t.Run(callName+"/"+name, func(t *testing.T) {
+					onEndlessEngine(t, head, "x", slow, func(t *testing.T, ctx context.Context, c *Client) int {
+						began := time.Now()
+						_, err := call(ctx, c)
+						assert.Assert(t, err != nil)
+						assert.Equal(t, verdict.Of(err), verdict.MayHaveRun, "%v", err)
+						bound, maxTaken := orderTimeout, maxControlBytes
+						if callName == "generate" || callName == "resume" {
+							bound, maxTaken = failureBodyTimeout, maxEventBytes
+						}
+						assert.Assert(t, time.Since(began) <= bound, "ended after %s", time.Since(began))
+						return maxTaken + bufferBytes
+					})
+				})
+			}
+		}
+	}
+}
+
 // Bytes without end in a stream are no event: they end it within the largest event, or
 // once the stream is closed if they are slow.
 func TestEndlessStreamIsBounded(t *testing.T) {
--- a/internal/upstream/httpengine/stream.go
+++ b/internal/upstream/httpengine/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -52,7 +53,9 @@
 		return nil, verdict.Wrap(err, sent.Verdict(), verdict.CodeUpstreamFailed, "engine unreachable")
 	}
 	if resp.StatusCode != http.StatusOK {
+		timeout := time.AfterFunc(failureBodyTimeout, cancel)
 		raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+		timeout.Stop()
 		resp.Body.Close()
 		cancel()
 		if resp.Header.Get(expected.name) != expected.value {
