Test bytes without end after an engine's response

Nothing was changed: TestEndlessBytesAfterResponse passes. net/http closes a connection on which bytes arrive after a complete response, at most one buffer of them is read, and the next request gets its own stream on another connection.

--- a/internal/upstream/httpengine/endless_test.go
+++ b/internal/upstream/httpengine/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,43 @@
 		}
 	}
 }
+
+// Bytes without end after a response, on a connection that is kept, belong to no other
+// request, and the connection is closed with no more than one buffer read.
+func TestEndlessBytesAfterResponse(t *testing.T) {
+	for name, unit := range map[string]string{
+		"no answer":     "\x00\x01",
+		"same response": responseText("first", true),
+		"informational": "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		for _, slow := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					u := &endlesstest.Upstream{Start: responseText("first", true), Unit: unit, Slow: slow}
+					defer u.Stop()
+					others := &truncatingNetwork{remainingBytes: -1, keepAlive: true, requests: map[string]int{}}
+					endless := true
+					c := New(func(ctx context.Context, network, address string) (net.Conn, error) {
+						if endless {
+							return u.Dial(ctx, network, address)
+						}
+						return others.dial(ctx, network, address)
+					})
+					defer c.Close()
+					words, err := read(c, "first")
+					assert.NilError(t, err)
+					assert.Equal(t, len(words), eventCount)
+					endless = false
+					words, err = read(c, "next")
+					assert.NilError(t, err)
+					assert.Equal(t, len(words), eventCount)
+					assert.Equal(t, others.requests["next"], 1)
+					requests, taken, open := u.State()
+					assert.Equal(t, requests, 1)
+					assert.Equal(t, open, 0)
+					assert.Assert(t, taken <= len(u.Start)+bufferBytes, "%d bytes read", taken)
+				})
+			})
+		}
+	}
+}
