--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,9 +36,16 @@
 	maxInlineBodyBytes = 4 << 10
 	// maxStrayResponses bounds the skipped responses to other requests.
 	maxStrayResponses = 2
+	// maxStrayBodyBytes bounds the body of each of them.
+	maxStrayBodyBytes = 1 << 20
 	readBufferBytes   = 4 << 10
 	// maxDrainBytes bounds the response body that Discard reads to keep the connection.
 	maxDrainBytes = 64 << 10
+	// maxDrainTime bounds how long Discard waits for that body.
+	maxDrainTime = 50 * time.Millisecond
+	// maxHeadBytes bounds the response heads read for one request in total, including
+	// those of informational responses and of responses to other requests.
+	maxHeadBytes = 64 << 10
 )
 
 // Target is an upstream. A connection is never used for another ID.
@@ -90,6 +98,7 @@
 			continue
 		}
 		for _, c := range list {
+			c.expiry.Stop()
 			c.Close()
 		}
 		delete(p.idle, id)
@@ -106,10 +115,37 @@
 type conn struct {
 	net.Conn
 	target    Target
-	reader    *bufio.Reader
+	source    *source
+	reader    *bufio.Reader // reads from source
 	reused    bool
 	idleSince time.Time
 	expiresAt time.Time
+	expiry    *time.Timer // closes the connection at expiresAt; set while it is idle
+}
+
+// source is the input of a connection. While a response head is read, the
+// number of bytes is limited.
+type source struct {
+	conn net.Conn
+	// headBytes is the number of bytes that may still be read while limited is set.
+	headBytes int
+	limited   bool
+}
+
+// errHeadTooLong is the error of a Read beyond maxHeadBytes.
+var errHeadTooLong = errors.Newf("the response heads exceed %d bytes", maxHeadBytes)
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if !s.limited {
+		return s.conn.Read(p)
+	}
+	if s.headBytes == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.conn.Read(p[:min(len(p), s.headBytes)])
+	s.headBytes -= n
+	return n, err
 }
 
 func (p *Pool) takeIdle(t Target, maxIdle time.Duration) *conn {
@@ -121,6 +157,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[t.ID] = list
+		c.expiry.Stop()
 		if c.target == t && now.Before(c.expiresAt) && (maxIdle == 0 || now.Sub(c.idleSince) < maxIdle) && c.reader.Buffered() == 0 && isReusable(c.Conn) {
 			return c
 		}
@@ -143,9 +180,22 @@
 		c.Close()
 		return
 	}
+	c.expiry = time.AfterFunc(idleTimeout, func() { p.closeExpired(c) })
 	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
 }
 
+// closeExpired closes a connection that stayed idle for its idle timeout, unless a request
+// has taken it since.
+func (p *Pool) closeExpired(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.target.ID]
+	if i := slices.Index(list, c); i >= 0 && !time.Now().Before(c.expiresAt) {
+		p.idle[c.target.ID] = slices.Delete(list, i, i+1)
+		c.Close()
+	}
+}
+
 func (p *Pool) connect(ctx context.Context, r *Request, t Target) (*conn, error) {
 	if !r.NewConnection {
 		if c := p.takeIdle(t, r.MaxIdleTime); c != nil {
@@ -157,7 +207,8 @@
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUpstreamFailed, "connect to "+t.ID)
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, target: t, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	in := &source{conn: raw}
+	return &conn{Conn: raw, target: t, source: in, reader: bufio.NewReaderSize(in, readBufferBytes)}, nil
 }
 
 // Response is a response whose body is still to be read.
@@ -165,6 +216,7 @@
 	*http.Response
 	// Reused reports that the connection had carried a request before.
 	Reused bool
+	conn   net.Conn
 }
 
 // Do sends a request and returns its response once the headers have arrived.
@@ -187,7 +239,7 @@
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "no response from "+t.ID)
 	}
 	resp.Body = &body{exchange: x, source: resp.Body, idleTimeout: idleTimeoutOf(resp)}
-	return &Response{Response: resp, Reused: c.reused}, nil
+	return &Response{Response: resp, Reused: c.reused, conn: c}, nil
 }
 
 // exchange is one request on one connection.
@@ -239,8 +291,12 @@
 // read returns the first response that belongs to the request.
 func (x *exchange) read(r *Request) (*http.Response, error) {
 	requestStub := &http.Request{Method: r.Method}
+	in := x.conn.source
+	in.headBytes = maxHeadBytes
 	for strayResponses := 0; ; {
+		in.limited = true
 		resp, err := http.ReadResponse(x.conn.reader, requestStub)
+		in.limited = false
 		if err != nil {
 			return nil, errors.Wrap(err, "read the response")
 		}
@@ -250,7 +306,7 @@
 		if r.MatchesResponse == nil || r.MatchesResponse(resp) {
 			return resp, nil
 		}
-		if strayResponses++; strayResponses > maxStrayResponses || resp.Close || resp.ContentLength < 0 {
+		if strayResponses++; strayResponses > maxStrayResponses || resp.Close || resp.ContentLength < 0 || resp.ContentLength > maxStrayBodyBytes {
 			return nil, errors.New("the response belongs to another request")
 		}
 		if _, err := io.CopyN(io.Discard, resp.Body, resp.ContentLength); err != nil {
@@ -331,10 +387,11 @@
 	return defaultIdleTimeout
 }
 
-// Discard reads a short body to its end, so that the connection can be reused,
-// and closes the connection otherwise.
+// Discard reads a body of up to maxDrainBytes to its end, so that the connection can be
+// reused, and closes the connection if the body is longer or takes longer than
+// maxDrainTime. It is called before any part of the body was read.
 func (r *Response) Discard() {
-	if r.ContentLength >= 0 && r.ContentLength <= maxDrainBytes {
+	if r.ContentLength >= 0 && r.ContentLength <= maxDrainBytes && r.conn.SetReadDeadline(time.Now().Add(maxDrainTime)) == nil {
 		_, _ = io.Copy(io.Discard, r.Body) // a failure closes the connection
 	}
 	r.Body.Close()
