Share the age of a weights version by one fact for all daemons

Seen: with 65 daemons each sent 144 KB/s when a version was named, past its 32 KB/s, so that neither load figures nor daemons' own facts were sent.

Cause: each daemon published a goal fact of its own, daemon/model/version, and each fact goes over every connection.

Change: the ID is model/version. Each daemon waits 0.5 s and a random part of 50 ms a daemon (at most 1.5 s), and publishes only if no peer's fact has arrived. The TTL tells the age since the daemon learnt of the goal, not since it published. The fact's version is the greater the earlier the goal was learnt of, so that a daemon which learns late, even while it is cut off from its peers, does not reset the age for those that start afterwards.

Not covered: a daemon that starts more than 30 s after the version was named and finds no fact takes the goal as new, as before. Older daemons publish and read their own facts next to the new ones; the value has not changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,6 +116,7 @@
 	storeFailed   atomic.Bool
 	leaseHeld     atomic.Bool
 	engineIndexes map[string]*engineIndex // used by receiveLoad only
+	goalQueue     *goalQueue
 }
 
 // New returns a daemon that listens but does not serve yet. pool holds the
@@ -124,7 +125,7 @@
 	network = network.WithDefaults()
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{},
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(),
 	}
 	d.log.Observe(d.metrics.CountEvent)
 	d.platform.Table = timedTable{p.Table, d.metrics}
@@ -212,7 +213,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operatorMirror.Run, d.upstreamMirror.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror})
 		},
--- /dev/null
+++ b/internal/gateway/goals_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/gossip"
+)
+
+// A goal's fact tells the age of the goal, not of the fact: a daemon publishes it
+// up to two seconds after it learnt of the goal.
+func TestGoalFactTellsAgeOfGoal(t *testing.T) {
+	g := goalFact{Model: "opal", Version: 4}
+	now := time.Unix(1_800_000_000, 0)
+	var younger gossip.Fact
+	for _, age := range []time.Duration{0, 1700 * time.Millisecond, goalTTL, goalTTL + time.Second} {
+		f, err := newGoalFact(g, now.Add(-age), now)
+		assert.NilError(t, err)
+		assert.Equal(t, f.ID, "opal/4")
+		assert.Equal(t, goalTTL-f.TTL, age)
+		assert.Assert(t, f.Supersedes(younger), "the fact of a daemon that learnt of the goal earlier wins")
+		younger = f
+	}
+}
+
+// The delay of a goal's publication is bounded and its spread grows with the
+// number of daemons.
+func TestGoalDelaySpread(t *testing.T) {
+	for daemons, spread := range map[int]time.Duration{1: 50 * time.Millisecond, 8: 400 * time.Millisecond, 24: 1200 * time.Millisecond, 74: maxGoalSpread} {
+		var longest time.Duration
+		for range 1000 {
+			delay := goalDelay(daemons)
+			assert.Assert(t, delay >= minGoalDelay && delay < minGoalDelay+spread, "%d daemons: %s", daemons, delay)
+			longest = max(longest, delay)
+		}
+		assert.Assert(t, longest > minGoalDelay+spread/2, "%d daemons: at most %s", daemons, longest)
+	}
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -70,7 +70,7 @@
 	d.view.mu.Unlock()
 	for _, g := range adopted {
 		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
-		d.publishGoal(g)
+		d.queueGoal(g)
 	}
 	d.updateServices()
 }
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -33,7 +33,7 @@
 	// KindUnresponsive announces that an upstream does not respond. ID is the upstream's.
 	KindUnresponsive Kind = 7
 	// KindGoalVersion announces when a daemon learnt of a model's goal version. ID is
-	// daemon/model/version.
+	// model/version: one fact serves all daemons.
 	KindGoalVersion Kind = 8
 )
 
--- a/internal/rollout/goalhistory.go
+++ b/internal/rollout/goalhistory.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// FirstSeen returns when a version became known; ok is false if it is not, or no
+// longer, recorded.
+func (h *GoalHistory) FirstSeen(version int) (at time.Time, ok bool) {
+	for _, goal := range h.goals {
+		if goal.version == version {
+			return goal.firstSeen, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Version returns the newest requested version, 0 when there is none.
 func (h *GoalHistory) Version() int { return h.newest }
 
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -37,6 +37,7 @@
 	model             = "opal"
 	modelHost         = "model.example"
 	plainHost         = "plain.example"
+	fleetKey          = "one key for all daemons of the test"
 	callerKey         = "key-of-trust"
 	otherCallerKey    = "key-of-other"
 	startTimeout      = 10 * time.Second
@@ -247,7 +248,7 @@
 	}, "\n")))
 	assert.NilError(d.t, err)
 	settings.Gateway.MetricsListen = p.address(metricsPort)
-	settings.Gateway.FleetKey = "one key for all daemons of the test"
+	settings.Gateway.FleetKey = fleetKey
 	network := gateway.Network{Listen: d.net.Listen, Dial: d.net.Dialer(p.name)}
 	store := platform.NewStore(storeAddress, network.Dial)
 	pool := httpconn.NewPool(network.Dial)
