Report an unresponsive upstream with the same value from all daemons

Cause: the value of the fact was the daemon's name. gossip.Node.Publish skips a fact whose value is known and fresh, so the reports of the other daemons, which probe and find the same, were all sent again to everyone.

Change: the value is the upstream's start time, empty for the store of cached prompts. Receivers never read the value.

Ruled out as a value: Registration.Incarnation, which has the weights versions that a daemon learnt and so differs for a moment during a rollout.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -205,11 +206,22 @@
 func (d *Daemon) livenessChanged(id string, down bool) {
 	if down {
 		d.pool.CloseIdle(id)
-		d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindUnresponsive, ID: id, TTL: unresponsiveTTL, Value: []byte(d.settings.Name)})
+		d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindUnresponsive, ID: id, TTL: unresponsiveTTL, Value: d.unresponsiveValue(id)})
 	}
 	d.updateServices()
 }
 
+// unresponsiveValue returns the value of a report of an unresponsive upstream:
+// when it started, which all daemons know alike, so that gossip sends only the
+// first of several reports. It is empty for the store of cached prompts.
+func (d *Daemon) unresponsiveValue(id string) []byte {
+	u := d.registry.Snapshot().ByID[id]
+	if u == nil {
+		return nil
+	}
+	return strconv.AppendInt(nil, u.StartedAt, 10)
+}
+
 // unresponsiveTTL is how long a report of an unresponsive upstream is spread
 // among peers.
 const unresponsiveTTL = 2 * time.Second
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -30,7 +30,8 @@
 	KindSuspect Kind = 5
 	// KindWeightSwitch announces that an engine loads new weights. ID is the engine's.
 	KindWeightSwitch Kind = 6
-	// KindUnresponsive announces that an upstream does not respond. ID is the upstream's.
+	// KindUnresponsive announces that an upstream does not respond. ID is the
+	// upstream's, Value is the same from all daemons.
 	KindUnresponsive Kind = 7
 	// KindGoalVersion announces when a daemon learnt of a model's goal version. ID is
 	// model/version: one fact serves all daemons.
--- a/lab/sitepath/gossip_test.go
+++ b/lab/sitepath/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -13,8 +14,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/lab/fabric"
+	"github.com/verbenabend/verbenabend/lab/site"
 )
 
 const (
@@ -148,3 +151,30 @@
 		checkGoalAge(t, latest, time.Since(start))
 	})
 }
+
+// When each daemon's report of an unresponsive upstream had a value of its own,
+// every report was sent to all daemons although they already knew of it.
+func TestUnresponsiveUpstreamIsReportedOnce(t *testing.T) {
+	runOnDeployment(t, func(d *deployment) {
+		o := d.observe(0, gossip.KindUnresponsive)
+		defer o.Close()
+		d.eventually("all daemons are known", startTimeout, func() bool { return len(o.Peers()) == daemons })
+		answer := d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil)
+		assert.Equal(t, answer.status, http.StatusOK)
+		index := slices.IndexFunc(d.engines, func(e *site.Upstream) bool { return len(e.Runs()) > 0 })
+		silent := d.engines[index] // further requests with the same prefix go there, too
+		d.net.SetBlackhole(func(_, address string) bool { return address == silent.Address })
+		go d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil)
+		for _, p := range d.processes {
+			d.eventually(p.name+" knows of it", stateBound, func() bool {
+				return slices.ContainsFunc(p.log.entries(t), func(e eventlog.Entry) bool {
+					return e.ID == eventlog.UpstreamDown && e.Upstream == silent.ID
+				})
+			})
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, o.publications(), 1)
+		d.net.SetBlackhole(fabric.NoConnections)
+		time.Sleep(5 * time.Second) // until the requests end
+	})
+}
