Encode switch notices and goals without the names of their fields

Seen: each notice of a weight switch goes over every connection of every daemon; 95 bytes of its value, more than half of them names of fields.

Change: the values are msgpack arrays with compact integers. The encoder is told so; the structs are unchanged, and msgpack.Unmarshal reads arrays into them, so daemons of either age read both.

To keep in mind: msgpack rejects an array with another number of fields, so a field can't be added to these structs during a rolling upgrade without care.

--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -149,7 +149,7 @@
 // goal late does not reset its age. The TTL is not positive if the goal is older
 // than goalTTL.
 func newGoalFact(g goalFact, firstSeen, now time.Time) (gossip.Fact, error) {
-	value, err := msgpack.Marshal(&g)
+	value, err := encodeFactValue(&g)
 	return gossip.Fact{
 		Kind: gossip.KindGoalVersion, ID: fmt.Sprintf("%s/%d", g.Model, g.Version), Version: maxGoalFactVersion - uint64(firstSeen.UnixMicro()),
 		TTL: goalTTL - now.Sub(firstSeen), Value: value,
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -93,7 +93,7 @@
 
 // Broadcast implements rollout.SwitchEnvironment.
 func (d *Daemon) Broadcast(n rollout.SwitchNotice) {
-	value, err := msgpack.Marshal(&n)
+	value, err := encodeFactValue(&n)
 	if err != nil {
 		d.log.Emit(eventlog.PeerRejected, eventlog.Fields{Upstream: n.Engine, Detail: "encode switch notice: " + err.Error()})
 		return
