Keep the age of a weights version known for an hour

A daemon that started 40 s after a version was named counted the age of old weights from its own start and sent to them for 41 s after the naming: its peers told the age for 30 s only. Engines that cannot be switched, for example while no daemon can acquire the lease, keep old weights longer.

--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -17,8 +17,9 @@
 
 const (
 	// goalTTL is how long a newly started daemon can learn from peers when a
-	// version became the goal. It exceeds the time limit for engines to switch.
-	goalTTL = 30 * time.Second
+	// version became the goal. Engines that cannot be switched may keep old
+	// weights far longer than the time limit.
+	goalTTL = time.Hour
 	// All daemons learn of a goal at about the same time. Each publishes it after
 	// minGoalDelay and a random part of the spread, unless a peer's fact arrives
 	// first. The spread grows with the number of daemons, so that few publish
--- a/lab/sitepath/gossip_test.go
+++ b/lab/sitepath/gossip_test.go
@@ -27,7 +27,7 @@
 	// before the first one's has reached them.
 	maxConcurrentPublishers = 3
 	// goalTTL is the TTL of a goal fact when a daemon learns of the goal.
-	goalTTL = 30 * time.Second
+	goalTTL = time.Hour
 	// goalAgeTolerance bounds the error of a goal's age.
 	goalAgeTolerance = 250 * time.Millisecond
 )
