Mend what the review of the incident's changes found

- Where no other engine was available, expired weights stayed in use without a bound: 21 runs up to 13 s after the naming when the only engine with new weights drained.
They are refused from 0.3 s before the limit on, unless this daemon cannot read the store.
- A request chosen just before the weights expired and sent after it had its caller's deadline: 3 late runs with 100 ms between choice and send.
The bound is kept past that time, and an attempt whose deadline has passed is not sent.
- An attempt ended by its own deadline no longer counts as a failure of the engine.
- Switches of one model were dropped while another model's were advanced: 12 and 12 engines of two models got no order in 30 s.
- Engines that do not carry out orders come last, so that they do not hold the places of a round: with 10 of 60 hung, 24 sound ones were behind.
- A daemon pauses after rejections only where daemons outnumber slots, and prefers engines by fractions only where peers' loads are not known at once: small fleets decide as before the incident.
- The order of engines for a request is drawn with a seed of the daemon, so that request IDs cannot steer it.

TestStartedDaemonsSpendNoSlack failed before with 3,835.

--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -33,6 +33,9 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// Grant adds attempts, up to the burst.
+func (b *Budget) Grant(attempts float64) { b.tokens = min(b.tokens+attempts, b.burst) }
+
 // SetPercent sets the percentage. Accumulated attempts are kept unless the new
 // percentage is zero.
 func (b *Budget) SetPercent(percent int) {
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -10,8 +10,7 @@
 	// minDecreaseInterval keeps several rejections in one overload from reducing the
 	// limit several times.
 	minDecreaseInterval = 200 * time.Millisecond
-	// minPause and maxPause bound how long a daemon sends nothing to an engine that
-	// rejected its only request.
+	// minPause and maxPause bound how long a daemon sends nothing to an engine.
 	minPause = 100 * time.Millisecond
 	maxPause = 1600 * time.Millisecond
 )
@@ -43,11 +42,10 @@
 // outnumber slots, a limit of one request each is no limit for the engine.
 func (l *Limit) Paused(now time.Time) bool { return now.Before(l.pausedUntil) }
 
-// Rejected reduces the limit after the engine rejected a request; running is the
-// number of the daemon's other requests there. Without any, the daemon pauses, twice
-// as long after each further rejection.
-func (l *Limit) Rejected(now time.Time, running int) {
-	if running == 0 && !l.Paused(now) {
+// Rejected reduces the limit after the engine rejected a request. With pause set the
+// daemon also pauses, twice as long after each further rejection.
+func (l *Limit) Rejected(now time.Time, pause bool) {
+	if pause && !l.Paused(now) {
 		l.pause = min(max(2*l.pause, minPause), maxPause)
 		l.pausedUntil = now.Add(l.pause)
 	}
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -107,3 +107,21 @@
 		}
 	})
 }
+
+// Guards against a fleet that restarts spending the slack once for each daemon, before
+// any knows of the others.
+func TestStartedDaemonsSpendNoSlack(t *testing.T) {
+	const daemons = 65
+	limits := RetryLimits{Ratio: 0.2, Slack: 170}
+	spent := 0
+	for range daemons {
+		s := NewServices(limits, func(string) time.Duration { return 0 })
+		svc := s.get("bench")
+		for svc.takeRetry() {
+			spent++
+		}
+		s.SetDaemonCount(daemons)
+		s.Close()
+	}
+	assert.Assert(t, spent <= limits.Slack, "%d retries without a request", spent)
+}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,8 +42,17 @@
 	// maxDaemonCountAt.
 	maxDaemonCount   int
 	maxDaemonCountAt time.Time
+	// startedAt is when the Services were created; knowsDaemons is set once
+	// daemonCount may be relied on.
+	startedAt    time.Time
+	knowsDaemons bool
 }
 
+// daemonCountDelay is the time after its start from which a daemon without peers
+// counts as the only one. Until a daemon knows of others it retries only as often as
+// its own requests allow.
+const daemonCountDelay = time.Second
+
 // daemonCountWindow is how long daemons that are no longer known from gossip
 // keep their share of the retries: a daemon that is partitioned from its peers
 // cannot tell whether they still use theirs.
@@ -62,7 +72,7 @@
 // NewServices returns Services without upstreams. delay returns the one-way
 // network delay to a data centre.
 func NewServices(retries RetryLimits, delay func(dataCentre string) time.Duration) *Services {
-	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemonCount: 1, maxDaemonCount: 1, shareDue: make(chan struct{}, 1)}
+	return &Services{retries: retries, delay: delay, byName: map[string]*service{}, daemonCount: 1, maxDaemonCount: 1, startedAt: time.Now(), shareDue: make(chan struct{}, 1)}
 }
 
 // Close stops the schedulers' timers.
@@ -186,6 +196,14 @@
 func (s *Services) SetDaemonCount(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.knowsDaemons && (n > 1 || time.Since(s.startedAt) >= daemonCountDelay) {
+		s.knowsDaemons = true
+		defer func() {
+			for _, svc := range s.byName {
+				svc.grantRetries(s.retryBurst())
+			}
+		}()
+	}
 	before := s.maxDaemonCount
 	if now := time.Now(); n >= s.maxDaemonCount || now.Sub(s.maxDaemonCountAt) > daemonCountWindow {
 		s.maxDaemonCount, s.maxDaemonCountAt = n, now
@@ -210,6 +228,14 @@
 	svc.runner.Do(func(sched routing.Scheduler, now time.Time) { sched.SetDaemonCount(now, n) })
 }
 
+// grantRetries lets the daemon use the half of its share of the slack: before a
+// restart it may have spent a part of it.
+func (svc *service) grantRetries(burst float64) {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.retries.Grant(burst / 2)
+}
+
 func (s *Services) get(name string) *service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,14 +245,15 @@
 	svc := &service{
 		name: name,
 		runner: schedule.New(routing.New(routing.Settings{
-			RetryPercent: unlimitedRetryPercent, RecomputePrice: recomputePrice, HomePrior: homePrior, BatchDelay: batchDelay,
+			RetryPercent: unlimitedRetryPercent, RecomputePrice: recomputePrice, HomePrior: homePrior, BatchDelay: batchDelay, Seed: rand.Uint64(),
 		})),
-		// Half full: before a restart this daemon may have spent part of its
-		// share.
-		retries: admission.NewFractionBudget(retrySafetyFactor*s.retries.Ratio, s.retryBurst()/2),
+		retries: admission.NewFractionBudget(retrySafetyFactor*s.retries.Ratio, 0),
 	}
 	svc.runner.OnShareDue(s.signalShareDue)
 	svc.setDaemonCount(s.daemonCount, s.retryBurst())
+	if s.knowsDaemons {
+		svc.grantRetries(s.retryBurst())
+	}
 	s.byName[name] = svc
 	return svc
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -159,6 +159,11 @@
 		t.finishAttempt(s, action, routing.Canceled, 0)
 		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, action.Endpoint+" was replaced or removed; the request was not sent")}
 	}
+	if !time.Now().Before(t.attemptDeadline(u.ID)) {
+		t.finishAttempt(s, action, routing.Canceled, 0)
+		t.failedUpstreams = append(t.failedUpstreams, u.ID)
+		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, u.ID+" may not be used any longer; the request was not sent")}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	recordByte, untrack := t.forwarder.Liveness.track(u, t, cancel)
@@ -191,7 +196,7 @@
 	if err != nil {
 		err = withCause(ctx, err)
 		resp.Body.Close()
-		t.finishAttempt(s, action, attemptOutcome(err, t.callerRequest.Context()), events)
+		t.finishAttempt(s, action, t.attemptOutcome(u.ID, err), events)
 		t.recordBrokenConnection(u.ID, err)
 		t.failedUpstreams = append(t.failedUpstreams, u.ID)
 		t.logEvent(eventlog.AttemptFailed, u.ID, err)
@@ -233,9 +238,9 @@
 }
 
 // attemptOutcome counts an error as the upstream's failure unless the caller
-// disconnected or the deadline passed.
-func attemptOutcome(err error, caller context.Context) routing.Outcome {
-	if caller.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
+// disconnected or the deadline of the request or of the attempt passed.
+func (t *transfer) attemptOutcome(upstream string, err error) routing.Outcome {
+	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(t.attemptDeadline(upstream)) {
 		return routing.Canceled
 	}
 	return routing.Failed
@@ -249,7 +254,7 @@
 		t.attemptsSent++
 		t.attemptsRun++
 	}
-	outcome := attemptOutcome(err, t.callerRequest.Context())
+	outcome := t.attemptOutcome(action.Endpoint, err)
 	t.finishAttempt(s, action, outcome, 0)
 	if reached {
 		t.recordBrokenConnection(action.Endpoint, err)
@@ -262,7 +267,7 @@
 // recordBrokenConnection requests a probe of an upstream that broke the
 // connection: it may have crashed because of this request.
 func (t *transfer) recordBrokenConnection(upstream string, err error) {
-	if isConnectionLoss(err) && t.callerRequest.Context().Err() == nil {
+	if isConnectionLoss(err) && t.attemptOutcome(upstream, err) == routing.Failed {
 		t.forwarder.Liveness.recordBrokenConnection(upstream, t.fingerprint())
 	}
 }
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -142,9 +142,15 @@
 	return n, ok && n.StartedAt == u.StartedAt && u.Version(n.Model) < n.Version && now.Before(n.expiresAt)
 }
 
-// staleness returns the rules for the penalty of old weights.
+// staleness returns the rules for the penalty of old weights. While this daemon
+// cannot read the store, which weight switches require, old weights without an
+// alternative stay in use.
 func (d *Daemon) staleness() rollout.StalenessPolicy {
-	return rollout.StalenessPolicy{GracePeriod: staleGracePeriod, CostPenalty: stalePenalty, MaxAge: d.settings.WeightSwitchTimeLimit - staleSendMargin}
+	p := rollout.StalenessPolicy{GracePeriod: staleGracePeriod, CostPenalty: stalePenalty, MaxAge: d.settings.WeightSwitchTimeLimit - staleSendMargin}
+	if !d.storeFailed.Load() {
+		p.MaxAgeWithoutOther = d.settings.WeightSwitchTimeLimit - staleStartMargin
+	}
+	return p
 }
 
 // servicesView returns the schedulers' view of the upstreams. d.view.mu must be
@@ -173,8 +179,8 @@
 	d.recordExpired(expired, engines)
 	usableUntil := map[string]time.Time{}
 	for _, u := range snapshot.ByID {
-		if a, old := age(u); old && a < staleness.MaxAge {
-			usableUntil[u.ID] = now.Add(d.settings.WeightSwitchTimeLimit - staleStartMargin - a)
+		if a, old := age(u); old && staleness.MaxAgeWithoutOther > 0 {
+			usableUntil[u.ID] = now.Add(staleness.MaxAgeWithoutOther - a)
 		}
 	}
 	d.view.usableUntil.Store(&usableUntil)
--- a/internal/rollout/switcher.go
+++ b/internal/rollout/switcher.go
@@ -138,8 +138,10 @@
 	active map[engineKey]*switchProgress
 	// acceptedCounts counts the accepted orders that this lease holder knows of.
 	acceptedCounts map[engineKey]int
-	// retryAfter holds the end of each engine's retryDelay.
+	// retryAfter holds the end of each engine's retryDelay, failures its number of
+	// orders in a row that were not carried out.
 	retryAfter map[engineKey]time.Time
+	failures   map[engineKey]int
 	superseded bool
 	wg         sync.WaitGroup
 }
@@ -147,7 +149,7 @@
 // Work sends orders until every engine has the version of its goal, or the
 // lease or ctx ends. It is meant as the work function of a lease.Keeper.
 func (s *Switcher) Work(ctx context.Context, held *lease.Lease) {
-	session := &switchSession{Switcher: s, held: held, active: map[engineKey]*switchProgress{}, acceptedCounts: map[engineKey]int{}, retryAfter: map[engineKey]time.Time{}}
+	session := &switchSession{Switcher: s, held: held, active: map[engineKey]*switchProgress{}, acceptedCounts: map[engineKey]int{}, retryAfter: map[engineKey]time.Time{}, failures: map[engineKey]int{}}
 	defer session.wg.Wait()
 	for held.Valid() && ctx.Err() == nil && !session.isSuperseded() {
 		if !session.reconcile(ctx) {
@@ -175,7 +177,7 @@
 	for _, goal := range s.Environment.Goals() {
 		engines := s.Environment.Engines(goal.Model)
 		s.retarget(goal)
-		if s.advance(ctx, now, engines) {
+		if s.advance(ctx, now, goal.Model, engines) {
 			remaining = true
 		}
 		var candidates []SwitchCandidate
@@ -189,7 +191,7 @@
 			}
 			registrations[u.ID] = u
 			requests, unfinished := s.Environment.Requests(u.ID)
-			candidates = append(candidates, SwitchCandidate{ID: u.ID, Version: u.Version(goal.Model), Switching: active, UnfinishedPromptTokens: unfinished, Requests: requests})
+			candidates = append(candidates, SwitchCandidate{ID: u.ID, Version: u.Version(goal.Model), Switching: active, Failures: s.failures[key], UnfinishedPromptTokens: unfinished, Requests: requests})
 		}
 		for _, id := range PlanSwitches(goal.Version, candidates, s.Limits) {
 			u := registrations[id]
@@ -253,9 +255,9 @@
 	s.Environment.Broadcast(n)
 }
 
-// advance starts the call that is due for each active switch and drops those
-// that are over. It reports whether any is left.
-func (s *switchSession) advance(ctx context.Context, now time.Time, engines []*fleet.Registration) bool {
+// advance starts the call that is due for each active switch of a model and drops
+// those that are over. It reports whether any switch is left.
+func (s *switchSession) advance(ctx context.Context, now time.Time, model string, engines []*fleet.Registration) bool {
 	present := map[engineKey]*fleet.Registration{}
 	for _, u := range engines {
 		present[engineKey{u.ID, u.StartedAt}] = u
@@ -263,6 +265,7 @@
 	for key, progress := range s.active {
 		u := present[key]
 		switch {
+		case progress.model != model:
 		case u == nil || progress.done:
 			delete(s.active, key)
 		case u.Version(progress.model) >= progress.version:
@@ -291,9 +294,17 @@
 func (s *switchSession) finish(key engineKey, progress *switchProgress) {
 	progress.done = true
 	delete(s.active, key)
+	delete(s.failures, key)
 	s.broadcast(key, progress, SwitchNotice{Done: true})
 }
 
+// postpone ends a switch that did not succeed; it is planned again later.
+func (s *switchSession) postpone(key engineKey, now time.Time) {
+	s.retryAfter[key] = now.Add(retryDelay)
+	s.failures[key]++
+	delete(s.active, key)
+}
+
 // acceptedOrders returns the number of orders that an engine is known to have
 // accepted.
 func (s *switchSession) acceptedOrders(key engineKey) int {
@@ -354,8 +365,7 @@
 		// so that the switch is planned again if no order is in progress.
 		progress.orderSent, progress.phaseStart, progress.nextReportAt = true, now.Add(-unconfirmedOrderLifetime), now
 	default:
-		s.retryAfter[key] = now.Add(retryDelay)
-		delete(s.active, key)
+		s.postpone(key, now)
 	}
 }
 
@@ -376,8 +386,7 @@
 	if err != nil {
 		// An unreachable engine gives its slot to another one.
 		if verdict.Of(err) == verdict.NotRun || now.Sub(progress.phaseStart) > unconfirmedOrderLifetime {
-			s.retryAfter[key] = now.Add(retryDelay)
-			delete(s.active, key)
+			s.postpone(key, now)
 		}
 		return
 	}
@@ -388,7 +397,6 @@
 	case report.Busy:
 	case !progress.accepted && now.Sub(progress.phaseStart) > reportInterval || progress.accepted && now.Sub(progress.phaseStart) > unconfirmedOrderLifetime:
 		// The order was not carried out: the switch is planned again.
-		s.retryAfter[key] = now.Add(retryDelay)
-		delete(s.active, key)
+		s.postpone(key, now)
 	}
 }
--- a/internal/rollout/switchplan.go
+++ b/internal/rollout/switchplan.go
@@ -12,6 +12,8 @@
 	Version int
 	// Switching is set from the first notice of a switch until its end.
 	Switching bool
+	// Failures counts the orders since the last switch that were not carried out.
+	Failures int
 	// UnfinishedPromptTokens is the number of prompt tokens that the engine has
 	// yet to compute, Requests the number of requests that it runs, as far as
 	// the daemons know.
@@ -57,7 +59,8 @@
 }
 
 // PlanSwitches returns the ids of the engines to start switching to a version:
-// those with the oldest weights first, and of these the ones with the fewest
+// those with the fewest failures first, which would hold their places without
+// effect, then those with the oldest weights, and of these the ones with the fewest
 // unfinished prompt tokens. It is a pure function.
 func PlanSwitches(version int, engines []SwitchCandidate, limits SwitchLimits) []string {
 	capacity := limits.maxNotified(len(engines))
@@ -71,7 +74,7 @@
 		}
 	}
 	slices.SortFunc(behind, func(a, b SwitchCandidate) int {
-		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.UnfinishedPromptTokens, b.UnfinishedPromptTokens), cmp.Compare(a.Requests, b.Requests), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Failures, b.Failures), cmp.Compare(a.Version, b.Version), cmp.Compare(a.UnfinishedPromptTokens, b.UnfinishedPromptTokens), cmp.Compare(a.Requests, b.Requests), cmp.Compare(a.ID, b.ID))
 	})
 	var ids []string
 	for _, e := range behind[:max(0, min(capacity, len(behind)))] {
@@ -87,8 +90,12 @@
 	GracePeriod time.Duration
 	// CostPenalty is the penalty after that.
 	CostPenalty time.Duration
-	// MaxAge is the age from which old weights may not be used.
+	// MaxAge is the age from which old weights are not used while an engine with
+	// newer ones can be.
 	MaxAge time.Duration
+	// MaxAgeWithoutOther is the age from which old weights are not used at all; 0
+	// means that there is none.
+	MaxAgeWithoutOther time.Duration
 }
 
 // CostPenaltyAt returns the penalty of an engine whose weights were superseded age
@@ -115,9 +122,9 @@
 }
 
 // Expired returns the engines whose weights are too old to be used. Those of a
-// service without any other available engine are not among them: its requests
-// would have nowhere to go. That a still newer version was requested does not make
-// expired weights usable again.
+// service without any other available engine are among them only from
+// MaxAgeWithoutOther on: its requests have nowhere else to go. That a still newer
+// version was requested does not make expired weights usable again.
 func (s StalenessPolicy) Expired(engines []Serving) map[string]bool {
 	usable := map[string]bool{} // services with an available engine that is not expired
 	for _, e := range engines {
@@ -127,7 +134,7 @@
 	}
 	out := map[string]bool{}
 	for _, e := range engines {
-		if _, expired := s.CostPenaltyAt(e.Age); expired && usable[e.Service] {
+		if _, expired := s.CostPenaltyAt(e.Age); expired && (usable[e.Service] || s.MaxAgeWithoutOther > 0 && e.Age >= s.MaxAgeWithoutOther) {
 			out[e.ID] = true
 		}
 	}
--- a/internal/rollout/switchplan_test.go
+++ b/internal/rollout/switchplan_test.go
@@ -68,4 +68,9 @@
 		engine("c1", "c", true, 0), engine("c2", "c", true, expired),
 	})
 	assert.DeepEqual(t, got, map[string]bool{"a2": true, "a3": true, "c2": true})
+
+	// Nor are they used beyond the limit where no other engine is available.
+	s.MaxAgeWithoutOther = 10 * time.Second
+	got = s.Expired([]Serving{engine("b1", "b", true, expired), engine("b2", "b", true, s.MaxAgeWithoutOther)})
+	assert.DeepEqual(t, got, map[string]bool{"b2": true})
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -58,8 +58,8 @@
 	anyEligible bool
 }
 
-// unknownLoadTolerance is the difference below which costs count as equal while the
-// loads of most peers are unknown: what they have at an engine costs as much.
+// unknownLoadTolerance is the difference below which costs count as equal while peers'
+// loads are not known at once: what they have at an engine costs as much.
 const unknownLoadTolerance = 15 * time.Millisecond
 
 // choose returns the home with the least predicted cost that has room for the
@@ -71,7 +71,7 @@
 	out := choice{cost: math.Inf(1), minBusyCost: math.Inf(1)}
 	prefers := p.preferenceOf(now, r)
 	tolerance := 0.0
-	if !p.knowsPeers() {
+	if !p.knowsPeersAtOnce() {
 		tolerance = unknownLoadTolerance.Seconds()
 	}
 	highlyLoaded := p.rules.loadPrice && p.load() >= highLoad
@@ -128,6 +128,14 @@
 	return max(e.ownAttempts+e.peerLoad.requests, p.reportedRequests(e))
 }
 
+// maxFreshPeers is the number of peers up to which their loads arrive within about
+// 0.1 s: each daemon is then connected to all others.
+const maxFreshPeers = 15
+
+// knowsPeersAtOnce reports whether the loads of most peers are known and recent enough
+// to tell engines of about equal cost apart.
+func (p *Policy) knowsPeersAtOnce() bool { return p.daemonCount-1 <= maxFreshPeers && p.knowsPeers() }
+
 // knowsPeers reports whether most peers have shared their loads: the loads of a few
 // of many peers say little about an engine.
 func (p *Policy) knowsPeers() bool { return 2*len(p.peers) >= p.daemonCount-1 }
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -5,7 +5,6 @@
 
 	"github.com/verbenabend/verbenabend/internal/admission"
 	"github.com/verbenabend/verbenabend/internal/placement"
-	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
@@ -234,8 +233,8 @@
 	}
 	if len(r.Chain.Levels) == 0 {
 		// Without a prompt there is no cache to return to.
-		p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, prefix.NodeHash(r.ID))
-		return p.homesBuffer
+		p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, p.draw(r, orderKey))
+		return p.homesBuffer[:min(len(p.homesBuffer), maxHomesWithoutPrompt)]
 	}
 	if split := p.split(r); split != nil {
 		if r.PromptTokens < longPromptTokens {
@@ -243,7 +242,7 @@
 			// take it, and the others when those are busy. Each request starts at
 			// another engine: of engines with equal costs the first is chosen, and
 			// daemons that do not know each other's load must not agree on it.
-			seed := prefix.NodeHash(r.ID)
+			seed := p.draw(r, orderKey)
 			if !p.preferenceOf(now, r).reserved {
 				p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, seed)
 				return p.homesBuffer
@@ -267,6 +266,10 @@
 	return p.homePicker.Pick(&r.Chain, pool, p.homeCounts)
 }
 
+// maxHomesWithoutPrompt bounds the engines that are considered for a request without
+// a prompt.
+const maxHomesWithoutPrompt = 16
+
 // appendPermuted appends list to dst in an order that differs with seed, so that
 // each member of any part of the list is about equally often the first of that part.
 func appendPermuted(dst, list []int, seed uint64) []int {
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -98,7 +98,8 @@
 		p.responseStats.observe(a.request, outputTokens, now.Sub(a.firstTokenAt), now.Sub(a.sentAt))
 		p.recordHeld(now, a.engine, a.request)
 	case Rejected:
-		a.engine.limit.Rejected(now, a.engine.ownAttempts)
+		// A limit of one request each is none where daemons outnumber slots.
+		a.engine.limit.Rejected(now, a.engine.ownAttempts == 0 && p.daemonCount > a.engine.ep.Slots)
 		a.engine.probing = false
 	case Failed:
 		a.engine.recordFailure(now)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -5,6 +5,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/admission"
 	"github.com/verbenabend/verbenabend/internal/placement"
+	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
@@ -101,6 +102,12 @@
 	engineGeneration int
 }
 
+// draw returns a number that is uniform over requests and fixed for a request and key
+// at this daemon.
+func (p *Policy) draw(r *Request, key uint64) uint64 {
+	return prefix.Score(prefix.NodeHash(r.ID), p.settings.Seed^key)
+}
+
 // New returns a Policy.
 func New(s Settings) *Policy {
 	p := &Policy{
--- a/internal/routing/preference.go
+++ b/internal/routing/preference.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/verbenabend/verbenabend/internal/prefix"
 )
 
 const (
@@ -58,10 +56,13 @@
 // preferred engines would get the requests of all daemons, each of which knows only
 // a part of their load.
 func (p *Policy) preferenceOf(now time.Time, r *Request) preference {
+	if p.knowsPeersAtOnce() {
+		return preference{current: true, reserved: true} // costs reflect all loads
+	}
 	s := p.preferred[r.Weights]
 	demand := p.demandSlots(now)
 	if s.reserved == 0 {
-		return preference{current: s.current == s.all || position(r)*demand < preferredUtilisation*float64(s.current)}
+		return preference{current: s.current == s.all || p.position(r)*demand < preferredUtilisation*float64(s.current)}
 	}
 	shortFraction := 1.0
 	if own := p.ownDemand.at(now); own > 0 {
@@ -70,9 +71,9 @@
 	currentOthers := float64(s.current - s.currentReserved)
 	if r.PromptTokens >= longPromptTokens {
 		longFraction := 1 - shortFraction
-		return preference{current: s.current == s.all || position(r)*demand*longFraction < preferredUtilisation*currentOthers*longFraction}
+		return preference{current: s.current == s.all || p.position(r)*demand*longFraction < preferredUtilisation*currentOthers*longFraction}
 	}
-	at := position(r) * demand * shortFraction
+	at := p.position(r) * demand * shortFraction
 	// The groups in the order in which short prompts prefer them, with the slots of
 	// each that are there for short prompts.
 	for _, group := range []struct {
@@ -110,11 +111,17 @@
 
 // position returns a number from 0 to 1, excluding 1, that is uniform over requests
 // and fixed for each.
-func position(r *Request) float64 {
-	const positions, key = 1 << 32, 0x5eed_0f_0a1d
-	return float64(prefix.Score(prefix.NodeHash(r.ID), key)%positions) / positions
+func (p *Policy) position(r *Request) float64 {
+	const positions = 1 << 32
+	return float64(p.draw(r, preferenceKey)%positions) / positions
 }
 
+// Keys of the draws for a request.
+const (
+	preferenceKey = 0x5eed_0f_0a1d
+	orderKey      = 0x5eed_0f_0a1e
+)
+
 // demandSlots estimates how many slots the requests of all daemons take. Daemons
 // whose load is not known count as much as the known ones. This one has at least
 // the request that it is asked for.
