--- a/internal/rollout/fleetsize_test.go
+++ b/internal/rollout/fleetsize_test.go
@@ -202,38 +202,43 @@
 	assert.Check(t, f.maxNotified <= max(1, len(f.ids)/2), "%d of %d engines were preparing or without traffic", f.maxNotified, len(f.ids))
 }
 
-// runOnSwitchingFleet runs a test for each fleet size, with a Switcher that holds
-// the lease and sends orders whenever an engine is behind.
+// runOnSwitchingFleet runs a test with a Switcher for each fleet size.
 func runOnSwitchingFleet(t *testing.T, test func(t *testing.T, f *switchingFleet)) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprintf("engines-%d", size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newSwitchingFleet(size)
-				switcher := &Switcher{SwitchClient: f, Environment: f, Limits: gatewayLimits, Holder: "daemon-0", Log: eventlog.Discard()}
-				keeper := lease.NewKeeper(platformtest.New().Client(), lease.Settings{Name: "weights", Holder: "daemon-0"}, eventlog.Discard())
-				ctx, stop := context.WithCancel(context.Background())
-				stopped := make(chan struct{})
-				go func() {
-					defer close(stopped)
-					_ = keeper.Run(ctx, func(work context.Context, held *lease.Lease) {
-						for work.Err() == nil {
-							if AnyEngineBehind(f) {
-								switcher.Work(work, held)
-							}
-							time.Sleep(switchPollInterval)
-						}
-					})
-				}()
-				time.Sleep(time.Second) // until the lease is held
-				test(t, f)
-				stop()
-				<-stopped
-				time.Sleep(time.Minute) // until the last loads end
+				runWithSwitcher(f, f, func() { test(t, f) })
 			})
 		})
 	}
 }
 
+// runWithSwitcher runs a test while a Switcher holds the lease and sends orders
+// whenever an engine is behind.
+func runWithSwitcher(env SwitchEnvironment, client upstream.Switches, test func()) {
+	switcher := &Switcher{SwitchClient: client, Environment: env, Limits: gatewayLimits, Holder: "daemon-0", Log: eventlog.Discard()}
+	keeper := lease.NewKeeper(platformtest.New().Client(), lease.Settings{Name: "weights", Holder: "daemon-0"}, eventlog.Discard())
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = keeper.Run(ctx, func(work context.Context, held *lease.Lease) {
+			for work.Err() == nil {
+				if AnyEngineBehind(env) {
+					switcher.Work(work, held)
+				}
+				time.Sleep(switchPollInterval)
+			}
+		})
+	}()
+	time.Sleep(time.Second) // until the lease is held
+	test()
+	stop()
+	<-stopped
+	time.Sleep(time.Minute) // until the last loads end
+}
+
 // A fleet of any size has a new version before daemons stop using the old one,
 // and half of the engines take new prompts meanwhile.
 func TestFleetSwitchesWithinTimeLimit(t *testing.T) {
--- a/lab/sitepath/version_test.go
+++ b/lab/sitepath/version_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -317,3 +319,63 @@
 		g.checkNoLateRuns()
 	})
 }
+
+// Expired weights are not used beyond the limit even where no other engine is
+// available: here the only one with new weights leaves.
+func TestExpiredWeightsAreNoLastResort(t *testing.T) {
+	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
+		g.nameAtFirstEngine(2)
+		l := d.startTraffic(requestPeriod, d.processes...)
+		time.Sleep(versionTimeLimit + time.Second)
+		d.engines[0].Drain(d.store)
+		time.Sleep(2 * time.Second)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
+
+// Requests that are sent to full engines before the limit, when no engine has the new
+// version, do not begin there after it.
+func TestQueuedRequestsWithoutAlternativeDoNotBeginLate(t *testing.T) {
+	const (
+		routeTimeoutMS = 14000
+		streamEvents   = 20
+		eventInterval  = 300 * time.Millisecond
+		burstStart     = 8 * time.Second
+		burstPeriod    = 10 * time.Millisecond
+		burstDuration  = 600 * time.Millisecond
+	)
+	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
+		d.desiredState["routes"].([]map[string]any)[0]["timeoutMs"] = routeTimeoutMS
+		d.publish()
+		for _, e := range d.engines {
+			e.QueueLength, e.StreamEvents, e.EventInterval = busyQueueLength, streamEvents, eventInterval
+		}
+		g.name(2)
+		time.Sleep(burstStart)
+		l := d.startTraffic(burstPeriod, d.processes...)
+		time.Sleep(burstDuration)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
+
+// Daemons that all lose power at once and start anew count the age of old weights from
+// when the newer version was named.
+func TestOldWeightsExpireAfterAllLosePower(t *testing.T) {
+	const busyPeriod = 10 * time.Millisecond // more than the engine with new weights serves
+	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
+		g.nameAtFirstEngine(2)
+		time.Sleep(versionTimeLimit / 2)
+		unpowered := slices.Clone(d.processes)
+		d.net.SetBlackhole(func(from, address string) bool {
+			return slices.ContainsFunc(unpowered, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
+		})
+		d.firstDaemon = daemons
+		d.startAll()
+		l := d.startTraffic(busyPeriod, d.processes[daemons:]...)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
