Spread the probes of an upstream over the daemons after a peer's report

A daemon now waits a random part of 10 ms for each daemon before it probes an upstream that a peer reported. Suspected, not shown: that the engine's queue of new connections is what overflows. The rest of the false reports is not explained.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -63,8 +64,9 @@
 	down    bool
 	probing bool
 	// probeRequested is set when a peer reported the upstream unresponsive, or
-	// when it broke a request's connection.
+	// when it broke a request's connection. It applies from probeNotBefore on.
 	probeRequested bool
+	probeNotBefore time.Time
 	// incarnation is the one that requests were last sent to; brokenRequests
 	// are the requests whose connections it broke since the last probe.
 	incarnation    string
@@ -118,12 +120,16 @@
 	return recordByte, untrack
 }
 
-// RequestProbe probes an upstream at the next poll, as when a peer found it
-// down.
-func (l *Liveness) RequestProbe(u *fleet.Registration) {
+// RequestProbe probes an upstream after a random delay of less than spread, as when
+// a peer found it down. If all daemons probed at once, the upstream's queue of new
+// connections would overflow, and each would find it down.
+func (l *Liveness) RequestProbe(u *fleet.Registration, spread time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health(u).probeRequested = true
+	h := l.health(u)
+	if !h.probeRequested {
+		h.probeRequested, h.probeNotBefore = true, time.Now().Add(rand.N(max(1, spread)))
+	}
 }
 
 // recordBrokenConnection records that an upstream broke the connection of a
@@ -133,7 +139,7 @@
 	defer l.mu.Unlock()
 	if h := l.upstreams[id]; h != nil {
 		h.brokenRequests[request] = true
-		h.probeRequested = true
+		h.probeRequested, h.probeNotBefore = true, time.Time{}
 	}
 }
 
@@ -183,7 +189,7 @@
 			continue
 		}
 		silent := len(h.cancels) > 0 && now.Sub(h.lastByteAt) > silenceThreshold && now.Sub(h.busySince) > silenceThreshold && now.Sub(h.lastProbeAt) > silenceProbeInterval
-		if silent || h.probeRequested && !h.down || h.down && now.Sub(h.lastProbeAt) > downProbeInterval {
+		if silent || h.probeRequested && !h.down && !now.Before(h.probeNotBefore) || h.down && now.Sub(h.lastProbeAt) > downProbeInterval {
 			h.probing, h.probeRequested = true, false
 			out[id] = h
 		}
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -73,3 +74,42 @@
 		})
 	}
 }
+
+// Guards against all daemons probing an upstream at the same time after a peer's
+// report, which overflows its queue of new connections.
+func TestProbesAfterPeerReportAreSpread(t *testing.T) {
+	const (
+		daemons = 65
+		spread  = daemons * 10 * time.Millisecond
+		window  = livenessInterval
+		// queueLength is a small queue of new connections.
+		queueLength = daemons / 2
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		var mu sync.Mutex
+		dials := map[time.Duration]int{}
+		start := time.Now()
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			dials[time.Since(start).Truncate(window)]++
+			return nil, syscall.ECONNREFUSED
+		}
+		var wg sync.WaitGroup
+		for range daemons {
+			l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+			l.RequestProbe(&fleet.Registration{ID: "engine", Address: "10.0.0.1:80"}, spread)
+			wg.Go(func() { _ = l.Run(ctx) })
+		}
+		time.Sleep(2 * spread)
+		stop()
+		wg.Wait()
+		total := 0
+		for at, n := range dials {
+			total += n
+			assert.Assert(t, n < queueLength, "%d probes within %s at %s", n, window, at)
+		}
+		assert.Equal(t, total, daemons)
+	})
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -231,9 +231,13 @@
 // among peers.
 const unresponsiveTTL = 2 * time.Second
 
+// probeSpreadPerDaemon is the time over which the probes of an upstream that a peer
+// found unresponsive are spread, for each daemon.
+const probeSpreadPerDaemon = 10 * time.Millisecond
+
 // receiveUnresponsive probes an upstream that a peer found unresponsive.
 func (d *Daemon) receiveUnresponsive(f gossip.Fact) {
 	if u := d.registry.Snapshot().ByID[f.ID]; u != nil {
-		d.liveness.RequestProbe(u)
+		d.liveness.RequestProbe(u, time.Duration(len(d.members.Live()))*probeSpreadPerDaemon)
 	}
 }
