Keep a crashed daemon unresponsive when its last facts arrive late

Callers saw: a daemon that had crashed and had been found unresponsive was listed to callers again, until the next failed redial; by then the backoff had doubled, so that took up to 850 ms.

Cause: any fact newer than the known one made an unresponsive daemon responsive. Renewals wait up to a flush interval (500 ms) on each connection, so a fact published just before the crash reaches some peers directly and others later, through a peer, after their redial has failed. The bound of the test ends at 2.900 s.

Fix: the versions of daemons' own facts are readings of the hybrid logical clock that every frame carries. A mark now keeps the reading at which it was made, and only a fact published since reverts it. Once all facts from before the mark have expired, any newer fact does, so a wall clock that is more than a minute ahead, which the peers do not follow, has no lasting effect. A new connection reverts the mark at once, as before.

Ruled out, by the traces: daemons that nobody redials, dials still in progress, simultaneous closes of both directions, the bounds of the jitter and the phase of the ticks. Each daemon's first redial failed at most 405 ms after the crash.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -86,7 +86,7 @@
 	if f.Kind == KindDaemon && !renewed {
 		n.membersValid = false
 	}
-	if lastVersion, isUnresponsive := n.unresponsive[f.ID]; f.Kind == KindDaemon && isUnresponsive && f.Version > lastVersion {
+	if mark, isUnresponsive := n.unresponsive[f.ID]; f.Kind == KindDaemon && isUnresponsive && mark.isRevertedBy(f, now) {
 		n.markResponsive(f.ID)
 	}
 	n.relay(k, f.Origin, c, now)
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -37,3 +37,6 @@
 func refreshInterval(daemons int) time.Duration {
 	return min(max(time.Duration(daemons)*refreshIntervalPerDaemon, minRefreshInterval), maxRefreshInterval)
 }
+
+// daemonTTL returns the TTL of a daemon's own fact.
+func daemonTTL(daemons int) time.Duration { return refreshesPerTTL * refreshInterval(daemons) }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -56,9 +56,8 @@
 	// cachedMembers is the result of decodeMembers; it is current if membersValid.
 	cachedMembers []member
 	membersValid  bool
-	// unresponsive maps each unresponsive daemon to the version of its fact
-	// when it became so.
-	unresponsive map[string]uint64
+	// unresponsive holds a mark for each unresponsive daemon.
+	unresponsive map[string]unresponsiveMark
 	// superseded is set while a later process announces the same name.
 	superseded bool
 	closing    bool
@@ -83,7 +82,7 @@
 		cfg: cfg, clock: cfg.Events.Clock, startMicros: uint64(now.UnixMicro()),
 		store: newStore(), budget: newTokenBucket(cfg.BytesPerSecond, cfg.BurstBytes, now),
 		conns: map[string]*conn{}, dialStates: map[string]*dialState{}, nameByAddress: map[string]string{},
-		treeParents: map[string]*conn{}, requestedUntil: map[uint64]time.Time{}, lastGraft: map[string]time.Time{}, pendingLoads: map[factKey]bool{}, unresponsive: map[string]uint64{},
+		treeParents: map[string]*conn{}, requestedUntil: map[uint64]time.Time{}, lastGraft: map[string]time.Time{}, pendingLoads: map[factKey]bool{}, unresponsive: map[string]unresponsiveMark{},
 	}
 	n.ownInfo = DaemonInfo{Start: n.startMicros, DataCentre: cfg.DataCentre, PeerAddress: cfg.Address, CallerAddress: cfg.CallerAddress}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -214,9 +213,9 @@
 	if n.superseded || n.closing {
 		return
 	}
-	refresh := refreshInterval(n.daemons(now))
-	n.nextAnnounceAt = now.Add(refresh)
-	f := Fact{Kind: KindDaemon, ID: n.cfg.Name, Origin: n.cfg.Name, TTL: refreshesPerTTL * refresh, Value: n.ownInfo.Encode()}
+	daemons := n.daemons(now)
+	n.nextAnnounceAt = now.Add(refreshInterval(daemons))
+	f := Fact{Kind: KindDaemon, ID: n.cfg.Name, Origin: n.cfg.Name, TTL: daemonTTL(daemons), Value: n.ownInfo.Encode()}
 	n.publish(f, now)
 }
 
--- a/internal/gossip/unresponsive.go
+++ b/internal/gossip/unresponsive.go
@@ -7,9 +7,26 @@
 	"github.com/cockroachdb/errors"
 )
 
+// unresponsiveMark tells which facts of an unresponsive daemon show that it is alive.
+// Other daemons still relay facts that it published before it crashed.
+type unresponsiveMark struct {
+	// knownVersion is the version of the daemon's fact when it was marked.
+	knownVersion uint64
+	// clockVersion is the version of a fact published when the daemon was marked.
+	clockVersion uint64
+	// relayedUntil is when all facts that were published before the mark have
+	// expired. It bounds how long a wrong wall clock keeps the mark.
+	relayedUntil time.Time
+}
+
+// isRevertedBy reports whether the daemon published f after it was marked.
+func (m unresponsiveMark) isRevertedBy(f Fact, now time.Time) bool {
+	return f.Version > m.knownVersion && (f.Version >= m.clockVersion || now.After(m.relayedUntil))
+}
+
 // Unresponsive returns the names of the unresponsive daemons, a subset of Peers: a
-// connection timed out or could not be opened, and no newer fact of the daemon
-// has arrived since, neither directly nor through others.
+// connection timed out or could not be opened, and no fact that the daemon
+// published since has arrived, neither directly nor through others.
 func (n *Node) Unresponsive() map[string]bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -27,10 +44,16 @@
 	if e == nil || n.closing || name == n.cfg.Name {
 		return
 	}
-	if _, alreadyMarked := n.unresponsive[name]; !alreadyMarked {
-		n.unresponsive[name] = e.fact.Version
-		n.notifySubscribers(e.fact)
+	if _, alreadyMarked := n.unresponsive[name]; alreadyMarked {
+		return
+	}
+	now := time.Now()
+	n.unresponsive[name] = unresponsiveMark{
+		knownVersion: e.fact.Version,
+		clockVersion: uint64(n.clock.Now().Micros),
+		relayedUntil: now.Add(daemonTTL(n.daemons(now))),
 	}
+	n.notifySubscribers(e.fact)
 }
 
 // markResponsive reverts markUnresponsive. n.mu must be held.
--- a/internal/gossip/unresponsive_test.go
+++ b/internal/gossip/unresponsive_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 )
 
 // shortTimeouts shortens the heartbeat interval and the idle timeout.
@@ -90,6 +92,58 @@
 	})
 }
 
+// Guards against crashed daemons that become responsive again when a fact that
+// they published before the crash arrives late through another daemon.
+func TestCrashedDaemonStaysUnresponsive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		nodes := shortTimeoutFleet(t, nw)
+		defer closeAll(nodes)
+		target, rest := nodes[4], nodes[:4]
+		time.Sleep(2 * time.Second)
+		late := lastOwnFact(target)
+		late.Version++ // published before the crash, received by no daemon yet
+		crash(nw, target)
+		eventually(t, time.Second, "daemon unresponsive", func() bool { return countUnresponsive(rest, target.cfg.Name) == len(rest) })
+		for i, n := range rest {
+			receiveFrom(n, rest[(i+1)%len(rest)], late)
+			assert.Assert(t, hasVersion(n, KindDaemon, target.cfg.Name, late.Version))
+		}
+		for range 20 {
+			assert.Equal(t, countUnresponsive(rest, target.cfg.Name), len(rest))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// lastOwnFact returns the newest fact that a daemon published about itself.
+func lastOwnFact(n *Node) Fact {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.store.byKey[factKey{KindDaemon, n.cfg.Name}].fact
+}
+
+// receiveFrom lets n receive a fact on its connection to peer.
+func receiveFrom(n, peer *Node, f Fact) {
+	n.mu.Lock()
+	c := n.conns[peer.cfg.Name]
+	n.mu.Unlock()
+	n.handle(c, &message{Type: messageFacts, Facts: []Fact{f}})
+}
+
+// separate blackholes the links between two daemons and prevents new ones.
+func (nw *network) separate(a, b string) {
+	between := func(x, y string) bool { return x == a && y == b || x == b && y == a }
+	nw.mu.Lock()
+	nw.partitioned = between
+	nw.mu.Unlock()
+	nw.eachLink(func(k *link) {
+		if between(k.from, k.to) {
+			k.blackhole()
+		}
+	})
+}
+
 // A daemon that one peer can't reach becomes responsive again when its facts
 // arrive through other daemons.
 func TestIndirectlyReachableDaemonIsResponsive(t *testing.T) {
@@ -98,17 +152,7 @@
 		nodes := shortTimeoutFleet(t, nw)
 		defer closeAll(nodes)
 		a, b := nodes[3], nodes[4]
-		between := func(x, y string) bool {
-			return x == a.cfg.Name && y == b.cfg.Name || x == b.cfg.Name && y == a.cfg.Name
-		}
-		nw.mu.Lock()
-		nw.partitioned = between
-		nw.mu.Unlock()
-		nw.eachLink(func(k *link) {
-			if between(k.from, k.to) {
-				k.blackhole()
-			}
-		})
+		nw.separate(a.cfg.Name, b.cfg.Name)
 		eventually(t, 2*time.Second, "daemon unresponsive", func() bool { return a.Unresponsive()[b.cfg.Name] })
 		eventually(t, 2*minRefreshInterval, "fact received through other daemons", func() bool { return !a.Unresponsive()[b.cfg.Name] })
 		for range 20 {
@@ -119,6 +163,56 @@
 	})
 }
 
+// The other daemons' clocks follow a peer's clock that is ahead by less than a
+// minute, so a daemon that the peer can't reach becomes responsive as soon as usual.
+func TestIndirectlyReachableDaemonIsResponsiveToClockAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		nodes := shortTimeoutFleet(t, nw)
+		defer closeAll(nodes)
+		a, b := nodes[3], nodes[4]
+		a.clock.Observe(eventlog.Timestamp{Micros: time.Now().Add(30 * time.Second).UnixMicro()})
+		nw.separate(a.cfg.Name, b.cfg.Name)
+		eventually(t, 2*time.Second, "daemon unresponsive", func() bool { return a.Unresponsive()[b.cfg.Name] })
+		eventually(t, 2*minRefreshInterval, "fact received through other daemons", func() bool { return !a.Unresponsive()[b.cfg.Name] })
+	})
+}
+
+// A peer's clock that is ahead by more, which the others do not follow, keeps the
+// daemon unresponsive only until the facts published before the mark have expired.
+func TestWrongClockDoesNotKeepDaemonUnresponsive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		nodes := shortTimeoutFleet(t, nw)
+		defer closeAll(nodes)
+		a, b := nodes[3], nodes[4]
+		nw.separate(a.cfg.Name, b.cfg.Name)
+		eventually(t, 2*time.Second, "daemon unresponsive", func() bool { return a.Unresponsive()[b.cfg.Name] })
+		mark := advanceMark(a, b.cfg.Name, time.Hour)
+		time.Sleep(daemonTTL(len(nodes)) - 100*time.Millisecond)
+		assert.Equal(t, markOf(a, b.cfg.Name), mark)
+		// A redial that fails may mark the daemon again.
+		eventually(t, 2*minRefreshInterval, "mark reverted", func() bool { return markOf(a, b.cfg.Name) != mark })
+	})
+}
+
+// advanceMark changes a mark to the one that a clock ahead by lead would have
+// made, and returns it.
+func advanceMark(n *Node, name string, lead time.Duration) unresponsiveMark {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	mark := n.unresponsive[name]
+	mark.clockVersion += uint64(lead.Microseconds())
+	n.unresponsive[name] = mark
+	return mark
+}
+
+func markOf(n *Node, name string) unresponsiveMark {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.unresponsive[name]
+}
+
 // A daemon whose connection was closed by choice is not unresponsive.
 func TestExpectedCloseIsNotUnresponsive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -21,8 +21,8 @@
 	Draining bool
 	// Isolated daemons can reach neither the platform nor any peer.
 	Isolated bool
-	// Unresponsive daemons do not respond to this daemon, and no newer fact of theirs
-	// has arrived since.
+	// Unresponsive daemons do not respond to this daemon, and no fact that they
+	// published since has arrived.
 	Unresponsive bool
 }
 
