Measure the age of weights on the store's clock

Callers: after a daemon's machine was suspended, its requests ran on weights that had been superseded longer ago than the limit.

Cause: each daemon counted the age on its own steady clock, which stands still while the machine is suspended, and put the time of day into the version of the gossip fact, so that a daemon whose time of day had jumped replaced the facts of others.

Fix: the store states the time of its own steady clock in every response. The ports carry it (Row.ReadAt, Changes.ReadAt), storeclock estimates it between responses, also over a suspension (CLOCK_BOOTTIME) and without trusting either clock's rate for long, and versions are dated by the response that showed them, not by its receipt. The limit of an engine is kept in the store's time and converted for each request. Facts carry the date in their version; their value is as before, since the number of its fields is part of the protocol between releases. The time of day is not used any more.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/verbenabend/verbenabend/internal/boottime"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
@@ -23,6 +24,7 @@
 	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/routetable"
+	"github.com/verbenabend/verbenabend/internal/storeclock"
 	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -119,18 +121,23 @@
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
 	goalQueue      *goalQueue
+	storeClock     *storeclock.Clock
 }
 
 // New returns a daemon that listens but does not serve yet. pool holds the
 // connections to upstreams.
 func New(s Settings, p Platform, pool *httpconn.Pool, network Network, logger hclog.Logger) (*Daemon, error) {
 	network = network.WithDefaults()
+	if s.SinceBoot == nil {
+		s.SinceBoot = boottime.Now
+	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(),
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(), storeClock: storeclock.New(s.SinceBoot),
 	}
 	d.log.Observe(d.metrics.CountEvent)
-	d.platform.Table = timedTable{p.Table, d.metrics}
+	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
+	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 )
 
@@ -31,12 +32,29 @@
 )
 
 // goalFact is the value of a gossip.KindGoalVersion fact. The goal's age is
-// goalTTL minus the fact's remaining TTL.
+// goalTTL minus the fact's remaining TTL; its date is part of the fact's version.
 type goalFact struct {
 	Model   string
 	Version int
 }
 
+// The version of a gossip.KindGoalVersion fact is maxGoalFactVersion less twice the time at
+// which the goal was first seen: a daemon that learnt of the goal late does not reset its
+// age. Older daemons use versions up to maxUndatedFactVersion.
+const (
+	maxUndatedFactVersion = 1 << 62
+	maxGoalFactVersion    = 1 << 63
+)
+
+// goalFactTime returns when the goal of a fact was first seen; ok is false for facts of
+// older daemons.
+func goalFactTime(f gossip.Fact) (at platform.StoreTime, ok bool) {
+	if f.Version <= maxUndatedFactVersion || f.Version > maxGoalFactVersion {
+		return 0, false
+	}
+	return platform.StoreTime((maxGoalFactVersion - f.Version) / 2), true
+}
+
 // goalHistory returns the goal versions of a model. v.mu must be held.
 func (v *view) goalHistory(model string) *rollout.GoalHistory {
 	if v.goals == nil {
@@ -128,10 +146,11 @@
 	d.view.mu.Lock()
 	firstSeen, known := d.view.goalHistory(g.Model).FirstSeen(g.Version)
 	d.view.mu.Unlock()
-	if !known {
+	now, ok := d.storeClock.Now()
+	if !known || !ok {
 		return // superseded by many newer versions
 	}
-	f, err := newGoalFact(g, firstSeen, time.Now())
+	f, err := newGoalFact(g, firstSeen, now)
 	if err != nil {
 		d.log.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: "encode version goal: " + err.Error()})
 		return
@@ -142,17 +161,12 @@
 	d.gossipNode.Publish(f)
 }
 
-// maxGoalFactVersion exceeds all times in microseconds.
-const maxGoalFactVersion = 1 << 62
-
-// newGoalFact returns the fact that a version became the goal at firstSeen. The
-// earlier that is, the greater the fact's version: a daemon that learnt of the
-// goal late does not reset its age. The TTL is not positive if the goal is older
-// than goalTTL.
-func newGoalFact(g goalFact, firstSeen, now time.Time) (gossip.Fact, error) {
+// newGoalFact returns the fact that a version became the goal at firstSeen. The TTL is
+// not positive if the goal is older than goalTTL.
+func newGoalFact(g goalFact, firstSeen, now platform.StoreTime) (gossip.Fact, error) {
 	value, err := encodeFactValue(&g)
 	return gossip.Fact{
-		Kind: gossip.KindGoalVersion, ID: fmt.Sprintf("%s/%d", g.Model, g.Version), Version: maxGoalFactVersion - uint64(firstSeen.UnixMicro()),
+		Kind: gossip.KindGoalVersion, ID: fmt.Sprintf("%s/%d", g.Model, g.Version), Version: maxGoalFactVersion - 2*uint64(max(0, firstSeen)),
 		TTL: goalTTL - now.Sub(firstSeen), Value: value,
 	}, err
 }
@@ -164,8 +178,19 @@
 		d.log.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: "decode version goal from " + f.Origin + ": " + err.Error()})
 		return
 	}
+	age := goalTTL - min(f.TTL, goalTTL)
+	at, dated := goalFactTime(f)
+	if dated {
+		d.storeClock.Observe(at.Add(age)) // the only reading where the store cannot be read
+	} else {
+		now, ok := d.storeClock.Now()
+		if !ok {
+			return
+		}
+		at = now.Add(-age)
+	}
 	d.view.mu.Lock()
-	d.view.goalHistory(g.Model).RecordPeerGoal(g.Version, time.Now().Add(min(f.TTL, goalTTL)-goalTTL))
+	d.view.goalHistory(g.Model).RecordPeerGoal(g.Version, at)
 	d.view.mu.Unlock()
 	d.updateServices()
 }
--- a/internal/gateway/goals_test.go
+++ b/internal/gateway/goals_test.go
@@ -7,22 +7,27 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/platform"
 )
 
 // A goal's fact tells the age of the goal, not of the fact: a daemon publishes it
 // up to two seconds after it learnt of the goal.
 func TestGoalFactTellsAgeOfGoal(t *testing.T) {
+	const now = platform.StoreTime(10_000_000)
 	g := goalFact{Model: "opal", Version: 4}
-	now := time.Unix(1_800_000_000, 0)
-	var younger gossip.Fact
+	younger := gossip.Fact{Version: maxUndatedFactVersion} // of an older daemon
 	for _, age := range []time.Duration{0, 1700 * time.Millisecond, goalTTL, goalTTL + time.Second} {
 		f, err := newGoalFact(g, now.Add(-age), now)
 		assert.NilError(t, err)
 		assert.Equal(t, f.ID, "opal/4")
 		assert.Equal(t, goalTTL-f.TTL, age)
 		assert.Assert(t, f.Supersedes(younger), "the fact of a daemon that learnt of the goal earlier wins")
+		at, ok := goalFactTime(f)
+		assert.Assert(t, ok && at == now.Add(-age))
 		younger = f
 	}
+	_, ok := goalFactTime(gossip.Fact{Version: maxUndatedFactVersion})
+	assert.Assert(t, !ok)
 }
 
 // The delay of a goal's publication is bounded and its spread grows with the
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/storeclock"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 )
 
@@ -61,16 +62,18 @@
 	return n
 }
 
-// timedTable records the latency of calls to a platform.Table.
+// timedTable records the latency of calls to a platform.Table, and the store's time.
 type timedTable struct {
 	platform.Table
 	metrics *telemetry.Metrics
+	clock   *storeclock.Clock
 }
 
 // Get implements platform.Table.
 func (t timedTable) Get(ctx context.Context, key string) (platform.Row, error) {
 	start := time.Now()
 	row, err := t.Table.Get(ctx, key)
+	t.clock.Observe(row.ReadAt)
 	t.record("read", start, err)
 	return row, err
 }
@@ -91,6 +94,26 @@
 	return err
 }
 
+// clockedFeed records the store's time in its responses.
+type clockedFeed struct {
+	platform.Feed
+	clock *storeclock.Clock
+}
+
+// ReadTable implements platform.Feed.
+func (f clockedFeed) ReadTable(ctx context.Context, table string) (platform.Changes, error) {
+	changes, err := f.Feed.ReadTable(ctx, table)
+	f.clock.Observe(changes.ReadAt)
+	return changes, err
+}
+
+// ReadChanges implements platform.Feed.
+func (f clockedFeed) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	changes, err := f.Feed.ReadChanges(ctx, table, after, wait)
+	f.clock.Observe(changes.ReadAt)
+	return changes, err
+}
+
 // record does not count a missing row or a conflict as an error.
 func (t timedTable) record(call string, start time.Time, err error) {
 	if errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -45,6 +45,9 @@
 	RetryRatio float64
 	RetrySlack int
 
+	// SinceBoot returns the time since the machine booted, including suspended time;
+	// default is the system's clock.
+	SinceBoot func() time.Duration
 	// LeaseDuration is how long the holder of the weight switch lease may act
 	// without renewing it.
 	LeaseDuration time.Duration
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -10,6 +10,7 @@
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routetable"
@@ -21,7 +22,7 @@
 	table atomic.Pointer[routetable.Table]
 	// usableUntil holds, by upstream ID, when requests at upstreams with
 	// superseded weights must have ended. The map is never modified.
-	usableUntil atomic.Pointer[map[string]time.Time]
+	usableUntil atomic.Pointer[map[string]platform.StoreTime]
 
 	mu       sync.Mutex
 	goals    map[string]*rollout.GoalHistory // by model
@@ -51,7 +52,7 @@
 }
 
 // applyOperatorRows applies the desired state and the goal versions.
-func (d *Daemon) applyOperatorRows(rows map[string]platform.Change, _ uint64) {
+func (d *Daemon) applyOperatorRows(rows map[string]platform.Change, read mirror.Read) {
 	goals := map[string]int{}
 	for key, row := range rows {
 		if state, ok, err := d.platform.Rows.State(key, row.Value); ok || err != nil {
@@ -66,10 +67,20 @@
 			goals[model] = version
 		}
 	}
+	d.adoptGoals(goals, read)
+	d.updateServices()
+}
+
+// adoptGoals applies the goal versions by model.
+func (d *Daemon) adoptGoals(goals map[string]int, read mirror.Read) {
+	at := read.At
+	if at == 0 {
+		at, _ = d.storeClock.Now() // 0, the earliest time, before the first reading
+	}
 	var adopted []goalFact
 	d.view.mu.Lock()
 	for model, version := range goals {
-		if d.view.goalHistory(model).AdoptGoal(version, time.Now()) {
+		if d.view.goalHistory(model).AdoptGoal(version, at) {
 			adopted = append(adopted, goalFact{model, version})
 		}
 	}
@@ -78,7 +89,6 @@
 		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
 		d.queueGoal(g)
 	}
-	d.updateServices()
 }
 
 // applyState puts a desired state in force if its revision is newer than the
@@ -116,7 +126,7 @@
 }
 
 // applyUpstreamRows applies the list of registered upstreams.
-func (d *Daemon) applyUpstreamRows(rows map[string]platform.Change, _ uint64) {
+func (d *Daemon) applyUpstreamRows(rows map[string]platform.Change, _ mirror.Read) {
 	var list []fleet.Registration
 	for key, row := range rows {
 		u, err := d.platform.Rows.Upstream(key, row.Value)
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -12,6 +12,7 @@
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/lease"
+	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 )
@@ -153,22 +154,39 @@
 	return p
 }
 
+// unknownAge is the age of superseded weights while it is not known since when they
+// are: it exceeds all limits.
+const unknownAge = 1000 * time.Hour
+
+// supersededSince returns when an upstream's weights were superseded; ok is false if
+// they were not. d.view.mu must be held.
+func (d *Daemon) supersededSince(u *fleet.Registration) (since platform.StoreTime, ok bool) {
+	for _, m := range u.Models {
+		if history := d.view.goals[m.Name]; history != nil {
+			if since, ok = history.SupersededSince(m.Version); ok {
+				return since, ok
+			}
+		}
+	}
+	return 0, false
+}
+
 // servicesView returns the schedulers' view of the upstreams. d.view.mu must be
 // held.
 func (d *Daemon) servicesView(snapshot *fleet.RegistrySnapshot) forward.View {
 	now := time.Now()
+	storeNow, storeTimeKnown := d.storeClock.Now()
 	staleness := d.staleness()
 	age := func(u *fleet.Registration) (time.Duration, bool) {
-		for _, m := range u.Models {
-			w := d.view.goals[m.Name]
-			if w == nil {
-				continue
-			}
-			if since, old := w.SupersededSince(m.Version); old {
-				return now.Sub(since), true
-			}
+		since, old := d.supersededSince(u)
+		switch {
+		case !old:
+			return 0, false
+		case !storeTimeKnown:
+			return unknownAge, true
+		default:
+			return max(0, storeNow.Sub(since)), true
 		}
-		return 0, false
 	}
 	var engines []rollout.Serving
 	for _, u := range snapshot.ByID {
@@ -177,10 +195,10 @@
 	}
 	expired := staleness.Expired(engines)
 	d.recordExpired(expired, engines)
-	usableUntil := map[string]time.Time{}
+	usableUntil := map[string]platform.StoreTime{}
 	for _, u := range snapshot.ByID {
 		if a, old := age(u); old && staleness.MaxAgeWithoutOther > 0 {
-			usableUntil[u.ID] = now.Add(staleness.MaxAgeWithoutOther - a)
+			usableUntil[u.ID] = storeNow.Add(staleness.MaxAgeWithoutOther - a)
 		}
 	}
 	d.view.usableUntil.Store(&usableUntil)
@@ -208,7 +226,11 @@
 func (d *Daemon) recordExpired(expired map[string]bool, engines []rollout.Serving) {
 	for _, e := range engines {
 		if expired[e.ID] && !d.view.expired[e.ID] {
-			d.log.Emit(eventlog.WeightsExpired, eventlog.Fields{Service: e.Service, Upstream: e.ID, Detail: "superseded for " + e.Age.Round(time.Millisecond).String()})
+			detail := "superseded for " + e.Age.Round(time.Millisecond).String()
+			if e.Age == unknownAge {
+				detail = "superseded since an unknown time"
+			}
+			d.log.Emit(eventlog.WeightsExpired, eventlog.Fields{Service: e.Service, Upstream: e.ID, Detail: detail})
 		}
 	}
 	d.view.expired = expired
@@ -218,17 +240,23 @@
 // usableUntil returns the time by which requests at an upstream must have ended
 // because of its weights; ok is false if there is none.
 func (d *Daemon) usableUntil(id string) (until time.Time, ok bool) {
-	if times := d.view.usableUntil.Load(); times != nil {
-		until, ok = (*times)[id]
+	times := d.view.usableUntil.Load()
+	if times == nil {
+		return time.Time{}, false
+	}
+	at, ok := (*times)[id]
+	if !ok {
+		return time.Time{}, false
 	}
-	return until, ok
+	storeNow, _ := d.storeClock.Now() // 0 before the first reading, like in servicesView
+	return time.Now().Add(at.Sub(storeNow)), true
 }
 
 // switchWeights keeps engines at the goal versions: while any is behind, it
 // competes for the lease and sends orders as its holder. It returns when ctx
 // ends.
 func (d *Daemon) switchWeights(ctx context.Context) error {
-	settings := lease.Settings{Name: switchLeaseName, Holder: d.settings.Name, Duration: d.settings.LeaseDuration, MinHandoverPause: d.settings.LeaseDuration}
+	settings := lease.Settings{Name: switchLeaseName, Holder: d.settings.Name, SinceBoot: d.settings.SinceBoot, Duration: d.settings.LeaseDuration, MinHandoverPause: d.settings.LeaseDuration}
 	if !d.settings.FencedOrders {
 		settings.MaxActionDelay = rollout.MaxOrderDelay
 	}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -28,6 +28,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/boottime"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -78,7 +79,7 @@
 		s.Duration = DefaultDuration
 	}
 	if s.SinceBoot == nil {
-		s.SinceBoot = sinceBoot
+		s.SinceBoot = boottime.Now
 	}
 	return &Keeper{table: table, settings: s, log: log}
 }
--- a/internal/lease/timepoint.go
+++ b/internal/lease/timepoint.go
@@ -1,10 +1,6 @@
 package lease
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // timePoint is a point in time on two clocks that are never set: the monotonic
 // one, which stops while the machine is suspended, and the time since boot,
@@ -14,15 +10,6 @@
 	sinceBoot time.Duration
 }
 
-// sinceBoot returns the time since the machine booted, including suspended time.
-func sinceBoot() time.Duration {
-	var t unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
-		return 0 // without CLOCK_BOOTTIME only the monotonic clock counts
-	}
-	return time.Duration(t.Nano())
-}
-
 func (m timePoint) add(d time.Duration) timePoint {
 	return timePoint{m.monotonic.Add(d), m.sinceBoot + d}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -47,12 +47,22 @@
 	// them. After an outage, missing rows are kept for the reappearanceWindow.
 	RowsExpire bool
 	// OnChange is called with all rows after each change; calls do not overlap.
-	OnChange func(rows map[string]platform.Change, version uint64)
+	OnChange func(rows map[string]platform.Change, read Read)
 	// OnStoreRead is called after each read of the store, with its error; may
 	// be nil.
 	OnStoreRead func(err error)
 }
 
+// Read describes how the rows of a copy were read.
+type Read struct {
+	// Version is the store's version.
+	Version uint64
+	// First is set for the first read: changes before it were not seen.
+	First bool
+	// At is when the store read the rows; 0 if they are a peer's copy.
+	At platform.StoreTime
+}
+
 // Mirror is a copy of one table. It is safe for concurrent use.
 type Mirror struct {
 	settings Settings
@@ -226,7 +236,8 @@
 		m.mu.Unlock()
 		return
 	}
-	changed := !m.synced
+	first := !m.synced
+	changed := first
 	if c.Whole {
 		changed = m.removeMissing(c) || changed
 	}
@@ -234,7 +245,7 @@
 		changed = m.applyRow(row) || changed
 	}
 	m.version, m.synced = c.Version, true
-	rows, version := m.rows, m.version
+	rows := m.rows
 	if changed {
 		next := make(map[string]platform.Change, len(m.rows))
 		for k, v := range m.rows {
@@ -246,7 +257,7 @@
 	}
 	m.mu.Unlock()
 	if changed {
-		m.settings.OnChange(rows, version)
+		m.settings.OnChange(rows, Read{Version: c.Version, First: first, At: c.ReadAt})
 	}
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -106,12 +106,12 @@
 			unreachable := &fakeStore{down: true}
 			var mu sync.Mutex
 			lastVersions := map[string]uint64{}
-			checkVersions := func(name string) func(map[string]platform.Change, uint64) {
-				return func(_ map[string]platform.Change, version uint64) {
+			checkVersions := func(name string) func(map[string]platform.Change, Read) {
+				return func(_ map[string]platform.Change, read Read) {
 					mu.Lock()
 					defer mu.Unlock()
-					assert.Assert(t, version >= lastVersions[name], "the version of %s decreased", name)
-					lastVersions[name] = version
+					assert.Assert(t, read.Version >= lastVersions[name], "the version of %s decreased", name)
+					lastVersions[name] = read.Version
 				}
 			}
 			settings := Settings{Table: table, MinInterval: 50 * time.Millisecond, MaxWait: time.Second, RowsExpire: true}
@@ -168,8 +168,8 @@
 		store := &hangingStore{fakeStore{rows: map[string]platform.Change{}}}
 		store.write("a", false)
 		var adopted atomic.Uint64
-		m := New(Settings{Table: table, MaxWait: 20 * time.Second, OnChange: func(_ map[string]platform.Change, version uint64) {
-			adopted.Store(version)
+		m := New(Settings{Table: table, MaxWait: 20 * time.Second, OnChange: func(_ map[string]platform.Change, read Read) {
+			adopted.Store(read.Version)
 		}}, store, store, eventlog.Discard())
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan error)
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -26,6 +26,8 @@
 	Version uint64
 	// Whole is set when Rows are all rows of the table.
 	Whole bool
+	// ReadAt is when the store read Rows; 0 if it did not say, as in the copies of peers.
+	ReadAt StoreTime
 }
 
 // Feed reads tables and their changes. Versions come from one counter for all
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -73,7 +73,7 @@
 	if err := c.call(ctx, http.MethodGet, "/table/rows/"+url.PathEscape(key), nil, &row); err != nil {
 		return platform.Row{}, err
 	}
-	return platform.Row(row), nil
+	return platform.Row{Key: row.Key, Value: row.Value, Version: row.Version}, nil
 }
 
 // List implements platform.Table.
@@ -85,7 +85,7 @@
 	}
 	out := make([]platform.Row, len(rows.Rows))
 	for i, r := range rows.Rows {
-		out[i] = platform.Row(r)
+		out[i] = platform.Row{Key: r.Key, Value: r.Value, Version: r.Version}
 	}
 	return out, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,8 +23,20 @@
 	Value []byte
 	// Version changes with each write of the row; it is at least 1.
 	Version uint64
+	// ReadAt is when the store read the row; 0 if it did not say.
+	ReadAt StoreTime
 }
 
+// StoreTime is a time on the store's clock, in milliseconds. That clock is steady,
+// the same for all daemons, and unrelated to the time of day.
+type StoreTime int64
+
+// Add returns t plus d.
+func (t StoreTime) Add(d time.Duration) StoreTime { return t + StoreTime(d.Milliseconds()) }
+
+// Sub returns the time from u to t.
+func (t StoreTime) Sub(u StoreTime) time.Duration { return time.Duration(t-u) * time.Millisecond }
+
 // Condition requires a row to have a version; 0 requires that it does not exist.
 type Condition struct {
 	Key     string
--- a/internal/rollout/goalhistory.go
+++ b/internal/rollout/goalhistory.go
@@ -3,7 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
+
+	"github.com/verbenabend/verbenabend/internal/platform"
 )
 
 // maxVersions bounds the versions remembered for a model; older ones are no
@@ -11,7 +12,7 @@
 const maxVersions = 64
 
 // GoalHistory records the versions that operators requested for a model and when
-// each became known. The zero value is empty.
+// each became known, on the store's clock. The zero value is empty.
 type GoalHistory struct {
 	// goals is ordered by version. Versions above newest were only reported by
 	// peers.
@@ -22,12 +23,12 @@
 // versionGoal is a requested version and when a daemon first learnt of it.
 type versionGoal struct {
 	version   int
-	firstSeen time.Time
+	firstSeen platform.StoreTime
 }
 
 // AdoptGoal records a version that operators requested and reports whether it is
 // newer than all before; an older one is ignored.
-func (h *GoalHistory) AdoptGoal(version int, at time.Time) bool {
+func (h *GoalHistory) AdoptGoal(version int, at platform.StoreTime) bool {
 	if version <= h.newest {
 		return false
 	}
@@ -38,10 +39,10 @@
 
 // RecordPeerGoal records that a peer learnt of a version at a time, which may be earlier
 // than this daemon did. It does not make the version a goal.
-func (h *GoalHistory) RecordPeerGoal(version int, at time.Time) {
+func (h *GoalHistory) RecordPeerGoal(version int, at platform.StoreTime) {
 	i, known := slices.BinarySearchFunc(h.goals, version, func(n versionGoal, v int) int { return cmp.Compare(n.version, v) })
 	if known {
-		if at.Before(h.goals[i].firstSeen) {
+		if at < h.goals[i].firstSeen {
 			h.goals[i].firstSeen = at
 		}
 		return
@@ -54,13 +55,13 @@
 
 // FirstSeen returns when a version became known; ok is false if it is not, or no
 // longer, recorded.
-func (h *GoalHistory) FirstSeen(version int) (at time.Time, ok bool) {
+func (h *GoalHistory) FirstSeen(version int) (at platform.StoreTime, ok bool) {
 	for _, goal := range h.goals {
 		if goal.version == version {
 			return goal.firstSeen, true
 		}
 	}
-	return time.Time{}, false
+	return 0, false
 }
 
 // Version returns the newest requested version, 0 when there is none.
@@ -68,9 +69,9 @@
 
 // SupersededSince returns when the first version newer than the given one was
 // requested; later versions do not change that. ok is false when there is none.
-func (h *GoalHistory) SupersededSince(version int) (since time.Time, ok bool) {
+func (h *GoalHistory) SupersededSince(version int) (since platform.StoreTime, ok bool) {
 	for _, goal := range h.goals {
-		if goal.version > version && goal.version <= h.newest && (!ok || goal.firstSeen.Before(since)) {
+		if goal.version > version && goal.version <= h.newest && (!ok || goal.firstSeen < since) {
 			since, ok = goal.firstSeen, true
 		}
 	}
--- a/internal/rollout/goalhistory_test.go
+++ b/internal/rollout/goalhistory_test.go
@@ -2,16 +2,17 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/platform"
 )
 
 // The age of old weights counts from the first newer version. When it counted
 // from the newest, a new version every 10 s made engines with old weights count
 // as up to date again each time.
 func TestOldWeightsAgeFromTheFirstNewerVersion(t *testing.T) {
-	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	at := func(s int) platform.StoreTime { return platform.StoreTime(1000 * s) }
 	var history GoalHistory
 	_, old := history.SupersededSince(1)
 	assert.Assert(t, !old)
@@ -22,7 +23,7 @@
 	assert.Equal(t, history.Version(), 5)
 	for version, want := range map[int]int{1: 4, 2: 6, 3: 16, 4: 16} {
 		since, old := history.SupersededSince(version)
-		assert.Assert(t, old && since.Equal(at(want)), "version %d: since %s", version, since)
+		assert.Assert(t, old && since == at(want), "version %d: since %d", version, since)
 	}
 	_, old = history.SupersededSince(5)
 	assert.Assert(t, !old)
@@ -30,13 +31,13 @@
 		history.AdoptGoal(v, at(20+v))
 	}
 	since, old := history.SupersededSince(1)
-	assert.Assert(t, old && since.Before(at(20+10*maxVersions)))
+	assert.Assert(t, old && since < at(20+10*maxVersions))
 }
 
 // A starting daemon learns from its peers when versions were requested, before
 // or after it reads the goal itself; peers' reports alone set no goal.
 func TestPeersReportWhenGoalsWereSet(t *testing.T) {
-	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	at := func(s int) platform.StoreTime { return platform.StoreTime(1000 * s) }
 	for _, order := range []string{"peers first", "operators first"} {
 		var history GoalHistory
 		reportPeers := func() {
@@ -58,7 +59,7 @@
 		assert.Equal(t, history.Version(), 4)
 		for version, want := range map[int]int{3: 15, 2: 6} {
 			since, old := history.SupersededSince(version)
-			assert.Assert(t, old && since.Equal(at(want)), "%s, version %d: since %s", order, version, since)
+			assert.Assert(t, old && since == at(want), "%s, version %d: since %d", order, version, since)
 		}
 		_, old := history.SupersededSince(4)
 		assert.Assert(t, !old, order)
--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -21,6 +21,8 @@
 	Unresponsive bool
 	// RefuseWrites refuses every write with status 503.
 	RefuseWrites bool
+	// RefuseWritesTo, if not empty, refuses writes of rows whose keys start with it.
+	RefuseWritesTo string
 	// DropResponses applies writes and then closes their connection.
 	DropResponses bool
 }
@@ -47,11 +49,15 @@
 	changed          chan struct{}
 	faults           map[string]Fault
 	calls            map[string]int
+	// startedAt is the zero of the store's clock, skipped the time by which it was put
+	// forward.
+	startedAt time.Time
+	skipped   time.Duration
 }
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{rows: map[rowKey]storeRow{}, changed: make(chan struct{}), faults: map[string]Fault{}, calls: map[string]int{}}
+	return &Store{rows: map[rowKey]storeRow{}, changed: make(chan struct{}), faults: map[string]Fault{}, calls: map[string]int{}, startedAt: time.Now()}
 }
 
 // Put writes a row as JSON, with the rights of operators and upstreams.
@@ -157,8 +163,18 @@
 	NowMs   int64      `json:"nowMs"`
 }
 
+// nowMS returns the store's clock. s.mu must be held.
+func (s *Store) nowMS() int64 { return (time.Since(s.startedAt) + s.skipped).Milliseconds() }
+
+// SkipTime puts the store's clock forward. To daemons that is as if they had been
+// suspended for that time.
+func (s *Store) SkipTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skipped += d
+}
+
 func writeResponse(w http.ResponseWriter, status int, resp storeResponse) {
-	resp.NowMs = time.Now().UnixMilli()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(resp) // fails only if the client disconnected
@@ -174,7 +190,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	resp := storeResponse{Ver: s.version}
+	resp := storeResponse{Ver: s.version, NowMs: s.nowMS()}
 	for k, row := range s.rows {
 		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") && (q.Get("to") == "" || k.key < q.Get("to")) {
 			resp.Rows = append(resp.Rows, row)
@@ -195,7 +211,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		resp := storeResponse{Ver: s.version}
+		resp := storeResponse{Ver: s.version, NowMs: s.nowMS()}
 		compacted := after < s.compactedVersion
 		for _, row := range s.history {
 			if row.Table == q.Get("table") && row.Ver > after {
@@ -215,6 +231,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			s.mu.Lock()
+			resp.NowMs = s.nowMS()
+			s.mu.Unlock()
 			writeResponse(w, http.StatusOK, resp)
 			return
 		case <-r.Context().Done():
@@ -245,7 +264,11 @@
 func (s *Store) apply(t storeTxn, client string) (status int, resp storeResponse, dropResponse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	refused := s.faults[client].RefuseWritesTo
 	for _, row := range slices.Concat(t.Puts, t.Deletes) {
+		if refused != "" && strings.HasPrefix(row.Key, refused) {
+			return http.StatusServiceUnavailable, resp, false
+		}
 		if row.Table == "op" || row.Table == "servers" {
 			return http.StatusForbidden, resp, false
 		}
@@ -253,7 +276,7 @@
 	for _, c := range t.ExpectedRev {
 		row := s.rows[rowKey{c.Table, c.Part, c.Key}]
 		if row.Ver != c.Ver {
-			return http.StatusPreconditionFailed, storeResponse{Rows: []storeRow{row}, Ver: s.version}, false
+			return http.StatusPreconditionFailed, storeResponse{Rows: []storeRow{row}, Ver: s.version, NowMs: s.nowMS()}, false
 		}
 	}
 	s.version++
@@ -266,5 +289,5 @@
 		s.write(row)
 	}
 	s.notifyWatchers()
-	return http.StatusOK, storeResponse{Ver: s.version}, s.faults[client].DropResponses
+	return http.StatusOK, storeResponse{Ver: s.version, NowMs: s.nowMS()}, s.faults[client].DropResponses
 }
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -104,6 +104,10 @@
 	revision     uint64
 	desiredState map[string]any
 	requestCount atomic.Int64
+	// bootedAt is the zero of the daemons' time since boot, suspended the time for which
+	// they were suspended, in nanoseconds.
+	bootedAt  time.Time
+	suspended atomic.Int64
 }
 
 // runOnDeployment runs a test on a deployment that is ready.
@@ -138,7 +142,7 @@
 }
 
 func newDeployment(t *testing.T, engineCount int) *deployment {
-	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}}
+	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}, bootedAt: time.Now()}
 	for i := range engineCount {
 		d.engines = append(d.engines, &site.Upstream{
 			ID: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.8.0.%d:80", i+1), Service: "bench", Zone: "a", Model: model,
@@ -262,6 +266,7 @@
 	assert.NilError(d.t, err)
 	settings.Gateway.MetricsListen = p.address(metricsPort)
 	settings.Gateway.FleetKey = fleetKey
+	settings.Gateway.SinceBoot = func() time.Duration { return time.Since(d.bootedAt) + time.Duration(d.suspended.Load()) }
 	network := gateway.Network{Listen: d.net.Listen, Dial: d.net.Dialer(p.name)}
 	store := platform.NewStore(storeAddress, network.Dial)
 	pool := httpconn.NewPool(network.Dial)
