Record in the store when versions of weights were requested

Callers: after all daemons had lost power during a rollout, requests ran on weights superseded for up to twice the limit.

Cause: only the daemons and their gossip knew when a version was requested. The store's row names the newest version, not since when, so daemons that all start anew took it for new and counted from their start.

Ruled out: a wait in the engine's queue (145 ms there).

Fix: the row weights/goals of our own table holds the versions of each model with the store's time at which they were first seen, and a time at which all requested versions were in it. The first daemon in the order of rendezvous hashing writes it at once and renews its time each 2 s; each next one waits half a second longer for a fact that says that the version is recorded. A starting daemon reads it before it is ready; until then, weights that the first read of the goals shows as superseded have an unknown age and are not used. A version that the row does not contain was requested after its time: the age is bounded from above, never from below. Events 508 to 510 tell by what a version is dated; verbenabend_goals_undated counts those without a date.

Two calls each 2 s and two to four a version, whatever the number of daemons; one read for each start of a daemon. Treating unknown ages as expired instead would cost nothing, but every engine would be refused after a loss of power in which a version was named (TestAgeOfUnrecordedVersionIsBounded).

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -45,6 +45,9 @@
 	RowUnreadable              ID = 505
 	StateAdopted               ID = 506
 	GoalAdopted                ID = 507
+	GoalDated                  ID = 508
+	GoalRecorded               ID = 509
+	GoalRecordFailed           ID = 510
 	PeerConnected              ID = 601
 	PeerLost                   ID = 602
 	PeerRejected               ID = 603
@@ -103,6 +106,9 @@
 	{RowUnreadable, hclog.Warn, "malformed row skipped"},
 	{StateAdopted, hclog.Info, "desired state adopted"},
 	{GoalAdopted, hclog.Info, "weight version goal adopted"},
+	{GoalDated, hclog.Info, "weight version goal dated"},
+	{GoalRecorded, hclog.Info, "weight version goal recorded"},
+	{GoalRecordFailed, hclog.Warn, "record of weight version goals failed"},
 	{PeerConnected, hclog.Info, "peer connected"},
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,9 @@
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
 	goalQueue      *goalQueue
+	goalRecorder   *goalRecorder
 	storeClock     *storeclock.Clock
+	startedAt      time.Time
 }
 
 // New returns a daemon that listens but does not serve yet. pool holds the
@@ -133,7 +135,7 @@
 	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(), storeClock: storeclock.New(s.SinceBoot),
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(), goalRecorder: newGoalRecorder(), storeClock: storeclock.New(s.SinceBoot), startedAt: time.Now(),
 	}
 	d.log.Observe(d.metrics.CountEvent)
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
@@ -207,7 +209,8 @@
 
 // Ready reports whether the daemon accepts callers.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.view.table.Load() != nil && d.upstreamMirror.Synced()
+	agesKnown := d.goalRecorder.read.Load() || time.Since(d.startedAt) >= maxGoalRecordWait
+	return !d.draining.Load() && d.view.table.Load() != nil && d.upstreamMirror.Synced() && agesKnown
 }
 
 // Run serves until ctx ends, then drains and closes the daemon.
@@ -222,7 +225,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operatorMirror.Run, d.upstreamMirror.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror})
 		},
--- /dev/null
+++ b/internal/gateway/goalrecord.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+const (
+	// goalRecordKey is the key of the table row that records when versions were
+	// requested. It outlives all daemons.
+	goalRecordKey = "weights/goals"
+	// goalRecordInterval is the interval between writes of the row. A version that was
+	// requested right before all daemons were lost, so that none recorded it, counts as
+	// older than it is by at most this, besides the time without daemons.
+	goalRecordInterval = 2 * time.Second
+	// goalTakeoverStep is how much longer each next daemon waits before it records a
+	// version: the time in which the one before writes it and its fact arrives.
+	goalTakeoverStep = 500 * time.Millisecond
+	// goalRecordCheckInterval is the maximum interval between checks of whether this
+	// daemon has to write, since daemons come and go.
+	goalRecordCheckInterval = 500 * time.Millisecond
+	// maxGoalRecordWait is how long a starting daemon that cannot read the row delays its
+	// readiness.
+	maxGoalRecordWait = time.Second
+	// goalRecordTimeout limits one write, including retries.
+	goalRecordTimeout = 2 * platform.CallTimeout
+	// maxGoalRecordConflicts limits the attempts of one write that lose to other daemons.
+	maxGoalRecordConflicts = 3
+)
+
+// goalRecordBackoff is the backoff of reads and writes of the row that fail.
+var goalRecordBackoff = backoff.Policy{Min: 50 * time.Millisecond, Max: time.Second}
+
+// goalRecorder is what this daemon knows of the row under goalRecordKey.
+type goalRecorder struct {
+	// read is set once the row was read, or found missing.
+	read atomic.Bool
+	// goalsRead is set once the operators' goals were read.
+	goalsRead atomic.Bool
+	wake      chan struct{}
+
+	mu sync.Mutex
+	// asOf is the last known GoalRecord.AsOf.
+	asOf platform.StoreTime
+	// unrecorded holds the goals that may be missing in the row and when this daemon
+	// adopted them, by model.
+	unrecorded map[string]unrecordedGoal
+}
+
+type unrecordedGoal struct {
+	version int
+	since   time.Time
+}
+
+func newGoalRecorder() *goalRecorder {
+	return &goalRecorder{wake: make(chan struct{}, 1), unrecorded: map[string]unrecordedGoal{}}
+}
+
+// add notes a goal that the row may not contain.
+func (r *goalRecorder) add(g rollout.Goal) {
+	r.mu.Lock()
+	if r.unrecorded[g.Model].version < g.Version {
+		r.unrecorded[g.Model] = unrecordedGoal{g.Version, time.Now()}
+	}
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// remove notes that the row contains a version.
+func (r *goalRecorder) remove(model string, version int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g, ok := r.unrecorded[model]; ok && g.version <= version {
+		delete(r.unrecorded, model)
+	}
+}
+
+// contains reports whether the row is known to contain a daemon's goal.
+func (r *goalRecorder) contains(g rollout.Goal) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	missing, ok := r.unrecorded[g.Model]
+	return r.read.Load() && (!ok || missing.version > g.Version)
+}
+
+// recordedUntil returns the last known GoalRecord.AsOf.
+func (r *goalRecorder) recordedUntil() platform.StoreTime {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf
+}
+
+// oldest returns when the first goal that the row may not contain was adopted.
+func (r *goalRecorder) oldest() (since time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.unrecorded {
+		if !ok || g.since.Before(since) {
+			since, ok = g.since, true
+		}
+	}
+	return since, ok
+}
+
+// keepGoalRecord reads the row, so that versions have their dates although all
+// daemons were lost, and then writes it when it is this daemon's turn, until ctx ends.
+func (d *Daemon) keepGoalRecord(ctx context.Context) error {
+	for try := 0; ; try++ {
+		if _, _, err := d.readGoalRecord(ctx); err == nil {
+			break
+		}
+		if err := goalRecordBackoff.Wait(ctx, try); err != nil {
+			return err
+		}
+	}
+	var writtenAt time.Time
+	failures := 0
+	for {
+		if d.goalWriteDue(writtenAt) {
+			if err := d.writeGoalRecord(ctx); err != nil {
+				if failures++; failures == 1 {
+					d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
+				}
+				if err := goalRecordBackoff.Wait(ctx, failures); err != nil {
+					return err
+				}
+				continue
+			}
+			writtenAt, failures = time.Now(), 0
+		}
+		timer := time.NewTimer(goalRecordCheckInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-d.goalRecorder.wake:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// goalWriteDue reports whether this daemon has to write the row. The first daemon in
+// the order of rendezvous hashing does, and the others only where a goal stays
+// unrecorded.
+func (d *Daemon) goalWriteDue(writtenAt time.Time) bool {
+	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() {
+		return false
+	}
+	rank := d.rank(goalRecordKey, "")
+	if rank == 0 && time.Since(writtenAt) >= goalRecordInterval {
+		return true
+	}
+	since, ok := d.goalRecorder.oldest()
+	return ok && time.Since(since) >= time.Duration(rank)*goalTakeoverStep
+}
+
+// readGoalRecord reads the row and applies it. The version is 0 if there is none.
+func (d *Daemon) readGoalRecord(ctx context.Context) (record rollout.GoalRecord, version uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	row, err := d.platform.Table.Get(ctx, goalRecordKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return record, 0, err
+	}
+	if err == nil {
+		if record, err = rollout.DecodeGoalRecord(row.Value); err != nil {
+			// An unreadable row is replaced; it dates nothing.
+			d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
+			record = rollout.GoalRecord{}
+		}
+	}
+	d.applyGoalRecord(&record)
+	return record, row.Version, nil
+}
+
+// applyGoalRecord dates versions as the row does. A version that it does not contain
+// was requested after it was written.
+func (d *Daemon) applyGoalRecord(record *rollout.GoalRecord) {
+	r := d.goalRecorder
+	r.mu.Lock()
+	r.asOf = max(r.asOf, record.AsOf)
+	r.mu.Unlock()
+	r.read.Store(true)
+	d.view.mu.Lock()
+	for model, goals := range record.Models {
+		for _, g := range goals {
+			d.recordSight(rollout.Goal{Model: model, Version: g.Version}, g.RequestedAt, "the store's record")
+		}
+	}
+	d.boundUndatedGoals(record.AsOf)
+	d.view.mu.Unlock()
+	for model, goals := range record.Models {
+		for _, g := range goals {
+			r.remove(model, g.Version)
+		}
+	}
+	d.updateServices()
+}
+
+// boundUndatedGoals dates goals that nobody recorded. d.view.mu must be held.
+func (d *Daemon) boundUndatedGoals(after platform.StoreTime) {
+	for model, history := range d.view.goals {
+		for _, version := range history.BoundUndated(after) {
+			d.logGoalDate(rollout.Goal{Model: model, Version: version}, after, "the last time before it was requested")
+		}
+	}
+}
+
+// writeGoalRecord adds this daemon's goals to the row and renews its time.
+func (d *Daemon) writeGoalRecord(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, goalRecordTimeout)
+	defer cancel()
+	for try := 0; ; try++ {
+		record, version, err := d.readGoalRecord(ctx)
+		if err != nil {
+			return err
+		}
+		next := d.nextGoalRecord(&record)
+		err = d.commitGoalRecord(ctx, next, version)
+		if err == nil {
+			d.shareRecordedGoals(next)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) || try >= maxGoalRecordConflicts {
+			return err
+		}
+	}
+}
+
+func (d *Daemon) commitGoalRecord(ctx context.Context, record *rollout.GoalRecord, version uint64) error {
+	value, err := record.Encode()
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "write the record of weight versions")
+	}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: goalRecordKey, Version: version}},
+		Writes:     []platform.Write{{Key: goalRecordKey, Value: value}},
+	}
+	return platform.CommitResolved(ctx, d.platform.Table, txn, func(ctx context.Context) (bool, error) {
+		row, err := d.platform.Table.Get(ctx, goalRecordKey)
+		if err != nil {
+			if errors.Is(err, platform.ErrNotFound) {
+				err = nil
+			}
+			return false, err
+		}
+		current, err := rollout.DecodeGoalRecord(row.Value)
+		return current.Nonce == record.Nonce, err
+	})
+}
+
+// nextGoalRecord returns the row's next content. Its time does not advance while this
+// daemon may miss goals because it cannot read them.
+func (d *Daemon) nextGoalRecord(old *rollout.GoalRecord) *rollout.GoalRecord {
+	next := &rollout.GoalRecord{AsOf: old.AsOf, Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	now, ok := d.storeClock.Now()
+	if ok && !d.storeFailed.Load() {
+		next.AsOf = max(next.AsOf, now)
+	}
+	for model, history := range d.view.goals {
+		if goals := history.Recorded(now.Add(-goalTTL)); len(goals) > 0 {
+			next.Models[model] = goals
+		}
+	}
+	return next
+}
+
+// shareRecordedGoals tells peers which goals the row contains.
+func (d *Daemon) shareRecordedGoals(record *rollout.GoalRecord) {
+	for _, g := range d.Goals() {
+		if !record.Contains(g.Model, g.Version) {
+			continue
+		}
+		wasMissing := !d.goalRecorder.contains(g)
+		d.goalRecorder.remove(g.Model, g.Version)
+		if wasMissing {
+			d.log.Emit(eventlog.GoalRecorded, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
+			d.publishGoal(g)
+		}
+	}
+}
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -38,21 +38,56 @@
 	Version int
 }
 
-// The version of a gossip.KindGoalVersion fact is maxGoalFactVersion less twice the time at
-// which the goal was first seen: a daemon that learnt of the goal late does not reset its
-// age. Older daemons use versions up to maxUndatedFactVersion.
+// goalFactVersion is the version of a gossip.KindGoalVersion fact as a number: the
+// earlier the goal was requested, the greater it is, so that a daemon that learnt of the
+// goal late does not reset its age. A fact about a recorded goal replaces the one before.
+// Older daemons use versions up to maxUndatedFactVersion.
+type goalFactVersion struct {
+	requestedAt platform.StoreTime
+	// recorded is set if the row under goalRecordKey contains the goal.
+	recorded bool
+}
+
 const (
 	maxUndatedFactVersion = 1 << 62
 	maxGoalFactVersion    = 1 << 63
 )
 
-// goalFactTime returns when the goal of a fact was first seen; ok is false for facts of
-// older daemons.
-func goalFactTime(f gossip.Fact) (at platform.StoreTime, ok bool) {
-	if f.Version <= maxUndatedFactVersion || f.Version > maxGoalFactVersion {
-		return 0, false
+func (v goalFactVersion) encode() uint64 {
+	version := maxGoalFactVersion - 2*uint64(max(0, v.requestedAt))
+	if v.recorded {
+		version++
+	}
+	return version
+}
+
+// decodeGoalFactVersion is the inverse of encode; ok is false for facts of older daemons.
+func decodeGoalFactVersion(version uint64) (v goalFactVersion, ok bool) {
+	if version <= maxUndatedFactVersion || version > maxGoalFactVersion+1 {
+		return goalFactVersion{}, false
 	}
-	return platform.StoreTime((maxGoalFactVersion - f.Version) / 2), true
+	return goalFactVersion{platform.StoreTime((maxGoalFactVersion + 1 - version) / 2), version%2 == 1}, true
+}
+
+// minLoggedCorrection is the smallest change of a version's date that is logged: what
+// daemons see of a change differs by some milliseconds.
+const minLoggedCorrection = time.Second
+
+// recordSight records that a version was known at a time. d.view.mu must be held.
+func (d *Daemon) recordSight(g rollout.Goal, at platform.StoreTime, source string) {
+	wasUndated, earlierBy := d.view.goalHistory(g.Model).RecordSight(g.Version, at)
+	if wasUndated || earlierBy >= minLoggedCorrection {
+		d.logGoalDate(g, at, source)
+	}
+}
+
+// logGoalDate logs from where the date of a version is known.
+func (d *Daemon) logGoalDate(g rollout.Goal, at platform.StoreTime, source string) {
+	age := "unknown"
+	if now, ok := d.storeClock.Now(); ok {
+		age = now.Sub(at).String()
+	}
+	d.log.Emit(eventlog.GoalDated, eventlog.Fields{Detail: fmt.Sprintf("%s version %d, age %s, by %s", g.Model, g.Version, age, source)})
 }
 
 // goalHistory returns the goal versions of a model. v.mu must be held.
@@ -69,16 +104,16 @@
 // goalQueue holds the goals that are to be published.
 type goalQueue struct {
 	mu        sync.Mutex
-	publishAt map[goalFact]time.Time
+	publishAt map[rollout.Goal]time.Time
 	wake      chan struct{}
 }
 
 func newGoalQueue() *goalQueue {
-	return &goalQueue{publishAt: map[goalFact]time.Time{}, wake: make(chan struct{}, 1)}
+	return &goalQueue{publishAt: map[rollout.Goal]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
 // add queues a goal to be published at a time.
-func (q *goalQueue) add(g goalFact, at time.Time) {
+func (q *goalQueue) add(g rollout.Goal, at time.Time) {
 	q.mu.Lock()
 	q.publishAt[g] = at
 	q.mu.Unlock()
@@ -90,7 +125,7 @@
 
 // takeDue removes and returns the goals that are due, and returns when the next
 // one is; next is zero if there is none.
-func (q *goalQueue) takeDue(now time.Time) (due []goalFact, next time.Time) {
+func (q *goalQueue) takeDue(now time.Time) (due []rollout.Goal, next time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for g, at := range q.publishAt {
@@ -113,7 +148,7 @@
 }
 
 // queueGoal queues a goal that the daemon adopted, to be shared with peers.
-func (d *Daemon) queueGoal(g goalFact) {
+func (d *Daemon) queueGoal(g rollout.Goal) {
 	d.goalQueue.add(g, time.Now().Add(goalDelay(1+len(d.gossipNode.Peers()))))
 }
 
@@ -140,38 +175,48 @@
 	}
 }
 
-// publishGoal shares with peers when a version became the goal, unless a fact
-// about it is known. One fact serves the whole fleet.
-func (d *Daemon) publishGoal(g goalFact) {
+// publishGoal shares with peers when a version was requested, unless a fact that says
+// as much is known. One fact serves the whole fleet.
+func (d *Daemon) publishGoal(g rollout.Goal) {
 	d.view.mu.Lock()
-	firstSeen, known := d.view.goalHistory(g.Model).FirstSeen(g.Version)
+	at, dated := d.view.goalHistory(g.Model).RequestedAt(g.Version)
 	d.view.mu.Unlock()
 	now, ok := d.storeClock.Now()
-	if !known || !ok {
-		return // superseded by many newer versions
+	if !dated || !ok {
+		return // superseded by many newer versions, or a peer knows more
 	}
-	f, err := newGoalFact(g, firstSeen, now)
+	version := goalFactVersion{at, d.goalRecorder.contains(g)}
+	f, err := newGoalFact(g, version, now)
 	if err != nil {
 		d.log.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: "encode version goal: " + err.Error()})
 		return
 	}
-	if f.TTL <= 0 || slices.ContainsFunc(d.gossipNode.Facts(gossip.KindGoalVersion), func(other gossip.Fact) bool { return other.ID == f.ID }) {
+	if f.TTL <= 0 || d.goalFactKnown(f.ID, version.recorded) {
 		return
 	}
 	d.gossipNode.Publish(f)
 }
 
-// newGoalFact returns the fact that a version became the goal at firstSeen. The TTL is
-// not positive if the goal is older than goalTTL.
-func newGoalFact(g goalFact, firstSeen, now platform.StoreTime) (gossip.Fact, error) {
-	value, err := encodeFactValue(&g)
+// goalFactKnown reports whether a fact about a goal is known, one that says that the
+// goal is recorded if recorded is set.
+func (d *Daemon) goalFactKnown(id string, recorded bool) bool {
+	return slices.ContainsFunc(d.gossipNode.Facts(gossip.KindGoalVersion), func(f gossip.Fact) bool {
+		v, _ := decodeGoalFactVersion(f.Version)
+		return f.ID == id && (v.recorded || !recorded)
+	})
+}
+
+// newGoalFact returns the fact that a goal was requested. The TTL is not positive if the
+// goal is older than goalTTL.
+func newGoalFact(g rollout.Goal, v goalFactVersion, now platform.StoreTime) (gossip.Fact, error) {
+	value, err := encodeFactValue(&goalFact{g.Model, g.Version})
 	return gossip.Fact{
-		Kind: gossip.KindGoalVersion, ID: fmt.Sprintf("%s/%d", g.Model, g.Version), Version: maxGoalFactVersion - 2*uint64(max(0, firstSeen)),
-		TTL: goalTTL - now.Sub(firstSeen), Value: value,
+		Kind: gossip.KindGoalVersion, ID: fmt.Sprintf("%s/%d", g.Model, g.Version), Version: v.encode(),
+		TTL: goalTTL - now.Sub(v.requestedAt), Value: value,
 	}, err
 }
 
-// receiveGoal applies the time at which a peer learned of a goal version.
+// receiveGoal applies the time at which a version was requested, from a peer.
 func (d *Daemon) receiveGoal(f gossip.Fact) {
 	var g goalFact
 	if err := msgpack.Unmarshal(f.Value, &g); err != nil {
@@ -179,18 +224,21 @@
 		return
 	}
 	age := goalTTL - min(f.TTL, goalTTL)
-	at, dated := goalFactTime(f)
+	v, dated := decodeGoalFactVersion(f.Version)
 	if dated {
-		d.storeClock.Observe(at.Add(age)) // the only reading where the store cannot be read
+		d.storeClock.Observe(v.requestedAt.Add(age)) // the only reading where the store cannot be read
 	} else {
 		now, ok := d.storeClock.Now()
 		if !ok {
 			return
 		}
-		at = now.Add(-age)
+		v.requestedAt = now.Add(-age)
 	}
 	d.view.mu.Lock()
-	d.view.goalHistory(g.Model).RecordPeerGoal(g.Version, at)
+	d.recordSight(rollout.Goal{Model: g.Model, Version: g.Version}, v.requestedAt, "peer "+f.Origin)
 	d.view.mu.Unlock()
+	if v.recorded {
+		d.goalRecorder.remove(g.Model, g.Version)
+	}
 	d.updateServices()
 }
--- a/internal/gateway/goals_test.go
+++ b/internal/gateway/goals_test.go
@@ -8,25 +8,30 @@
 
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
 )
 
 // A goal's fact tells the age of the goal, not of the fact: a daemon publishes it
 // up to two seconds after it learnt of the goal.
 func TestGoalFactTellsAgeOfGoal(t *testing.T) {
 	const now = platform.StoreTime(10_000_000)
-	g := goalFact{Model: "opal", Version: 4}
-	younger := gossip.Fact{Version: maxUndatedFactVersion} // of an older daemon
+	g := rollout.Goal{Model: "opal", Version: 4}
+	older := gossip.Fact{Version: maxUndatedFactVersion} // of an older daemon
 	for _, age := range []time.Duration{0, 1700 * time.Millisecond, goalTTL, goalTTL + time.Second} {
-		f, err := newGoalFact(g, now.Add(-age), now)
-		assert.NilError(t, err)
-		assert.Equal(t, f.ID, "opal/4")
-		assert.Equal(t, goalTTL-f.TTL, age)
-		assert.Assert(t, f.Supersedes(younger), "the fact of a daemon that learnt of the goal earlier wins")
-		at, ok := goalFactTime(f)
-		assert.Assert(t, ok && at == now.Add(-age))
-		younger = f
+		for _, recorded := range []bool{false, true} {
+			v := goalFactVersion{now.Add(-age), recorded}
+			f, err := newGoalFact(g, v, now)
+			assert.NilError(t, err)
+			assert.Equal(t, f.ID, "opal/4")
+			assert.Equal(t, goalTTL-f.TTL, age)
+			assert.Assert(t, f.Supersedes(older), "the fact of a daemon that learnt of the goal earlier wins, then the one about a recorded goal")
+			decoded, ok := decodeGoalFactVersion(f.Version)
+			assert.Assert(t, ok)
+			assert.Equal(t, decoded, v)
+			older = f
+		}
 	}
-	_, ok := goalFactTime(gossip.Fact{Version: maxUndatedFactVersion})
+	_, ok := decodeGoalFactVersion(maxUndatedFactVersion)
 	assert.Assert(t, !ok)
 }
 
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -29,6 +29,7 @@
 		telemetry.NameGossipFacts:      func() float64 { return float64(d.gossipNode.Stats().Facts) },
 		telemetry.NameEnginesBehind:    func() float64 { return float64(d.enginesBehind()) },
 		telemetry.NameEnginesExpired:   func() float64 { return float64(d.expiredEngines.Load()) },
+		telemetry.NameGoalsUndated:     func() float64 { return float64(d.undatedGoals()) },
 		telemetry.NameLeaseHeld:        func() float64 { return boolGauge(d.leaseHeld.Load()) },
 		telemetry.NameStateRevision: func() float64 {
 			if table := d.view.table.Load(); table != nil {
@@ -62,6 +63,17 @@
 	return n
 }
 
+// undatedGoals returns how many goal versions have an unknown age.
+func (d *Daemon) undatedGoals() int {
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	n := 0
+	for _, history := range d.view.goals {
+		n += history.Undated()
+	}
+	return n
+}
+
 // timedTable records the latency of calls to a platform.Table, and the store's time.
 type timedTable struct {
 	platform.Table
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -71,22 +71,33 @@
 	d.updateServices()
 }
 
-// adoptGoals applies the goal versions by model.
+// adoptGoals applies the goal versions by model. The first read does not tell when
+// they were requested.
 func (d *Daemon) adoptGoals(goals map[string]int, read mirror.Read) {
-	at := read.At
-	if at == 0 {
-		at, _ = d.storeClock.Now() // 0, the earliest time, before the first reading
+	at, dated := read.At, read.At != 0
+	if !dated {
+		at, dated = d.storeClock.Now()
 	}
-	var adopted []goalFact
+	dated = dated && !read.First
+	var adopted []rollout.Goal
 	d.view.mu.Lock()
 	for model, version := range goals {
-		if d.view.goalHistory(model).AdoptGoal(version, at) {
-			adopted = append(adopted, goalFact{model, version})
+		history := d.view.goalHistory(model)
+		if dated && history.AdoptGoal(version, at) || !dated && history.AdoptUndatedGoal(version) {
+			adopted = append(adopted, rollout.Goal{Model: model, Version: version})
 		}
 	}
+	if d.goalRecorder.read.Load() {
+		d.boundUndatedGoals(d.goalRecorder.recordedUntil())
+	}
 	d.view.mu.Unlock()
+	d.goalRecorder.goalsRead.Store(true)
 	for _, g := range adopted {
 		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
+		if dated {
+			d.logGoalDate(g, at, "own sight")
+		}
+		d.goalRecorder.add(g)
 		d.queueGoal(g)
 	}
 }
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -159,16 +159,16 @@
 const unknownAge = 1000 * time.Hour
 
 // supersededSince returns when an upstream's weights were superseded; ok is false if
-// they were not. d.view.mu must be held.
-func (d *Daemon) supersededSince(u *fleet.Registration) (since platform.StoreTime, ok bool) {
+// they were not, and dated is false if it is not known when. d.view.mu must be held.
+func (d *Daemon) supersededSince(u *fleet.Registration) (since platform.StoreTime, dated, ok bool) {
 	for _, m := range u.Models {
 		if history := d.view.goals[m.Name]; history != nil {
-			if since, ok = history.SupersededSince(m.Version); ok {
-				return since, ok
+			if since, dated, ok = history.SupersededSince(m.Version); ok {
+				return since, dated, ok
 			}
 		}
 	}
-	return 0, false
+	return 0, false, false
 }
 
 // servicesView returns the schedulers' view of the upstreams. d.view.mu must be
@@ -178,11 +178,11 @@
 	storeNow, storeTimeKnown := d.storeClock.Now()
 	staleness := d.staleness()
 	age := func(u *fleet.Registration) (time.Duration, bool) {
-		since, old := d.supersededSince(u)
+		since, dated, old := d.supersededSince(u)
 		switch {
 		case !old:
 			return 0, false
-		case !storeTimeKnown:
+		case !dated || !storeTimeKnown:
 			return unknownAge, true
 		default:
 			return max(0, storeNow.Sub(since)), true
@@ -320,20 +320,26 @@
 	if lastOrderSender == d.settings.Name {
 		return 0
 	}
-	key := prefix.NodeHash(switchLeaseName)
+	wait := time.Duration(d.rank(switchLeaseName, lastOrderSender)) * successionStep
+	if sinceLastOrder := time.Since(lastOrderAt); lastOrderSender != "" && sinceLastOrder < successionStep {
+		wait = max(wait, successionStep-sinceLastOrder)
+	}
+	return wait
+}
+
+// rank returns how many available daemons come before this one in the order of
+// rendezvous hashing for a duty. The daemon named first, if any, comes before all others.
+func (d *Daemon) rank(duty, first string) int {
+	key := prefix.NodeHash(duty)
 	own := prefix.Score(key, prefix.NodeHash(d.settings.Name))
 	rank := 0
 	for _, m := range d.members.Live() {
 		if m.Draining || m.Name == d.settings.Name {
 			continue
 		}
-		if m.Name == lastOrderSender || prefix.Score(key, prefix.NodeHash(m.Name)) > own {
+		if m.Name == first || prefix.Score(key, prefix.NodeHash(m.Name)) > own {
 			rank++
 		}
 	}
-	wait := time.Duration(rank) * successionStep
-	if sinceLastOrder := time.Since(lastOrderAt); lastOrderSender != "" && sinceLastOrder < successionStep {
-		wait = max(wait, successionStep-sinceLastOrder)
-	}
-	return wait
+	return rank
 }
--- a/internal/rollout/goalhistory.go
+++ b/internal/rollout/goalhistory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/verbenabend/verbenabend/internal/platform"
 )
@@ -11,8 +12,8 @@
 // longer in use.
 const maxVersions = 64
 
-// GoalHistory records the versions that operators requested for a model and when
-// each became known, on the store's clock. The zero value is empty.
+// GoalHistory records the versions that operators requested for a model and when,
+// on the store's clock. The zero value is empty.
 type GoalHistory struct {
 	// goals is ordered by version. Versions above newest were only reported by
 	// peers.
@@ -20,45 +21,88 @@
 	newest int
 }
 
-// versionGoal is a requested version and when a daemon first learnt of it.
+// versionGoal is a requested version.
 type versionGoal struct {
-	version   int
-	firstSeen platform.StoreTime
+	version int
+	// requestedAt is when the version was first seen or, if nobody saw it in time, a
+	// time before it was requested. It is meaningless unless dated.
+	requestedAt platform.StoreTime
+	dated       bool
 }
 
-// AdoptGoal records a version that operators requested and reports whether it is
-// newer than all before; an older one is ignored.
+// AdoptGoal records a version that operators requested and that was first seen at a
+// time. It reports whether it is newer than all before; an older one is ignored.
 func (h *GoalHistory) AdoptGoal(version int, at platform.StoreTime) bool {
 	if version <= h.newest {
 		return false
 	}
 	h.newest = version
-	h.RecordPeerGoal(version, at)
+	h.RecordSight(version, at)
 	return true
 }
 
-// RecordPeerGoal records that a peer learnt of a version at a time, which may be earlier
-// than this daemon did. It does not make the version a goal.
-func (h *GoalHistory) RecordPeerGoal(version int, at platform.StoreTime) {
+// AdoptUndatedGoal is AdoptGoal for a version that may have been requested long
+// before it was seen.
+func (h *GoalHistory) AdoptUndatedGoal(version int) bool {
+	if version <= h.newest {
+		return false
+	}
+	h.newest = version
+	h.find(version)
+	return true
+}
+
+// RecordSight records that a version was known at a time, and returns whether it had
+// no date and how much earlier its date is now. It does not make the version a goal.
+func (h *GoalHistory) RecordSight(version int, at platform.StoreTime) (wasUndated bool, earlierBy time.Duration) {
+	goal := h.find(version)
+	switch {
+	case goal == nil:
+	case !goal.dated:
+		goal.requestedAt, goal.dated, wasUndated = at, true, true
+	case at < goal.requestedAt:
+		earlierBy = goal.requestedAt.Sub(at)
+		goal.requestedAt = at
+	}
+	return wasUndated, earlierBy
+}
+
+// BoundUndated dates the versions without a date as requested right after a time at
+// which they were not yet. It returns these versions.
+func (h *GoalHistory) BoundUndated(after platform.StoreTime) (versions []int) {
+	for i := range h.goals {
+		if g := &h.goals[i]; !g.dated {
+			g.requestedAt, g.dated = after, true
+			versions = append(versions, g.version)
+		}
+	}
+	return versions
+}
+
+// find returns the entry of a version, which it adds if it is missing; nil if the
+// version is older than all of maxVersions others.
+func (h *GoalHistory) find(version int) *versionGoal {
 	i, known := slices.BinarySearchFunc(h.goals, version, func(n versionGoal, v int) int { return cmp.Compare(n.version, v) })
 	if known {
-		if at < h.goals[i].firstSeen {
-			h.goals[i].firstSeen = at
-		}
-		return
+		return &h.goals[i]
 	}
-	h.goals = slices.Insert(h.goals, i, versionGoal{version, at})
+	h.goals = slices.Insert(h.goals, i, versionGoal{version: version})
 	if len(h.goals) > maxVersions {
 		h.goals = h.goals[1:]
+		i--
 	}
+	if i < 0 {
+		return nil
+	}
+	return &h.goals[i]
 }
 
-// FirstSeen returns when a version became known; ok is false if it is not, or no
-// longer, recorded.
-func (h *GoalHistory) FirstSeen(version int) (at platform.StoreTime, ok bool) {
+// RequestedAt returns when a version was requested; ok is false if that is not, or no
+// longer, known.
+func (h *GoalHistory) RequestedAt(version int) (at platform.StoreTime, ok bool) {
 	for _, goal := range h.goals {
 		if goal.version == version {
-			return goal.firstSeen, true
+			return goal.requestedAt, goal.dated
 		}
 	}
 	return 0, false
@@ -67,13 +111,31 @@
 // Version returns the newest requested version, 0 when there is none.
 func (h *GoalHistory) Version() int { return h.newest }
 
+// Undated returns how many versions have no date.
+func (h *GoalHistory) Undated() int {
+	n := 0
+	for _, goal := range h.goals {
+		if !goal.dated {
+			n++
+		}
+	}
+	return n
+}
+
 // SupersededSince returns when the first version newer than the given one was
-// requested; later versions do not change that. ok is false when there is none.
-func (h *GoalHistory) SupersededSince(version int) (since platform.StoreTime, ok bool) {
+// requested; later versions do not change that. ok is false when there is none, and
+// dated is false when its date is not known.
+func (h *GoalHistory) SupersededSince(version int) (since platform.StoreTime, dated, ok bool) {
 	for _, goal := range h.goals {
-		if goal.version > version && goal.version <= h.newest && (!ok || goal.firstSeen < since) {
-			since, ok = goal.firstSeen, true
+		if goal.version <= version || goal.version > h.newest {
+			continue
+		}
+		if !ok {
+			since, dated, ok = goal.requestedAt, goal.dated, true
+		}
+		if goal.dated && goal.requestedAt < since {
+			since = goal.requestedAt
 		}
 	}
-	return since, ok
+	return since, dated, ok
 }
--- a/internal/rollout/goalhistory_test.go
+++ b/internal/rollout/goalhistory_test.go
@@ -14,7 +14,7 @@
 func TestOldWeightsAgeFromTheFirstNewerVersion(t *testing.T) {
 	at := func(s int) platform.StoreTime { return platform.StoreTime(1000 * s) }
 	var history GoalHistory
-	_, old := history.SupersededSince(1)
+	_, _, old := history.SupersededSince(1)
 	assert.Assert(t, !old)
 	assert.Assert(t, history.AdoptGoal(2, at(4)))
 	assert.Assert(t, history.AdoptGoal(3, at(6)))
@@ -22,16 +22,16 @@
 	assert.Assert(t, history.AdoptGoal(5, at(16)))
 	assert.Equal(t, history.Version(), 5)
 	for version, want := range map[int]int{1: 4, 2: 6, 3: 16, 4: 16} {
-		since, old := history.SupersededSince(version)
-		assert.Assert(t, old && since == at(want), "version %d: since %d", version, since)
+		since, dated, old := history.SupersededSince(version)
+		assert.Assert(t, old && dated && since == at(want), "version %d: since %d", version, since)
 	}
-	_, old = history.SupersededSince(5)
+	_, _, old = history.SupersededSince(5)
 	assert.Assert(t, !old)
 	for v := range 10 * maxVersions {
 		history.AdoptGoal(v, at(20+v))
 	}
-	since, old := history.SupersededSince(1)
-	assert.Assert(t, old && since < at(20+10*maxVersions))
+	since, dated, old := history.SupersededSince(1)
+	assert.Assert(t, old && dated && since < at(20+10*maxVersions))
 }
 
 // A starting daemon learns from its peers when versions were requested, before
@@ -41,15 +41,15 @@
 	for _, order := range []string{"peers first", "operators first"} {
 		var history GoalHistory
 		reportPeers := func() {
-			history.RecordPeerGoal(4, at(15))
-			history.RecordPeerGoal(4, at(18))
-			history.RecordPeerGoal(3, at(6))
-			history.RecordPeerGoal(9, at(1))
+			history.RecordSight(4, at(15))
+			history.RecordSight(4, at(18))
+			history.RecordSight(3, at(6))
+			history.RecordSight(9, at(1))
 		}
 		if order == "peers first" {
 			reportPeers()
 			assert.Equal(t, history.Version(), 0)
-			_, old := history.SupersededSince(2)
+			_, _, old := history.SupersededSince(2)
 			assert.Assert(t, !old)
 		}
 		assert.Assert(t, history.AdoptGoal(4, at(18)))
@@ -58,10 +58,46 @@
 		}
 		assert.Equal(t, history.Version(), 4)
 		for version, want := range map[int]int{3: 15, 2: 6} {
-			since, old := history.SupersededSince(version)
-			assert.Assert(t, old && since == at(want), "%s, version %d: since %d", order, version, since)
+			since, dated, old := history.SupersededSince(version)
+			assert.Assert(t, old && dated && since == at(want), "%s, version %d: since %d", order, version, since)
 		}
-		_, old := history.SupersededSince(4)
+		_, _, old := history.SupersededSince(4)
 		assert.Assert(t, !old, order)
 	}
 }
+
+// A version that was requested before the daemon started has no date until a record or
+// a peer tells one; what is known of later versions does not replace it.
+func TestUndatedVersionIsNotTakenForNew(t *testing.T) {
+	var history GoalHistory
+	assert.Assert(t, history.AdoptUndatedGoal(3))
+	assert.Assert(t, history.AdoptGoal(4, 9000))
+	since, dated, old := history.SupersededSince(2)
+	assert.Assert(t, old && !dated, "superseded since %d", since)
+	assert.Equal(t, history.Undated(), 1)
+	since, dated, old = history.SupersededSince(3)
+	assert.Assert(t, old && dated && since == 9000)
+	assert.DeepEqual(t, history.BoundUndated(5000), []int{3})
+	since, dated, _ = history.SupersededSince(2)
+	assert.Assert(t, dated && since == 5000)
+	history.RecordSight(2, 1000)
+	since, dated, _ = history.SupersededSince(1)
+	assert.Assert(t, dated && since == 1000)
+	since, _, _ = history.SupersededSince(2)
+	assert.Equal(t, since, platform.StoreTime(5000))
+}
+
+// A record has the versions that engines may still use, whatever their number was.
+func TestRecordedVersions(t *testing.T) {
+	var history GoalHistory
+	for v := range 10 * maxVersions {
+		history.AdoptGoal(v, platform.StoreTime(v))
+	}
+	assert.Equal(t, len(history.Recorded(0)), maxVersions)
+	recorded := history.Recorded(10*maxVersions - 3)
+	assert.DeepEqual(t, recorded, []RecordedGoal{{10*maxVersions - 4, 10*maxVersions - 4}, {10*maxVersions - 3, 10*maxVersions - 3}, {10*maxVersions - 2, 10*maxVersions - 2}, {10*maxVersions - 1, 10*maxVersions - 1}})
+	var unwanted GoalHistory
+	unwanted.RecordSight(4, 100)
+	assert.Equal(t, len(unwanted.Recorded(50)), 1)
+	assert.Equal(t, len(unwanted.Recorded(200)), 0)
+}
--- /dev/null
+++ b/internal/rollout/goalrecord.go
@@ -0,0 +1,65 @@
+package rollout
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/verbenabend/verbenabend/internal/platform"
+)
+
+// GoalRecord is the content of the table row from which starting daemons learn when
+// versions were requested. Fields are encoded under their names.
+type GoalRecord struct {
+	// AsOf is a time at which all requested versions were recorded.
+	AsOf platform.StoreTime
+	// Models holds, by model, the versions in ascending order.
+	Models map[string][]RecordedGoal
+	// Nonce identifies the write.
+	Nonce string
+}
+
+// RecordedGoal is a version and when it was requested.
+type RecordedGoal struct {
+	Version     int
+	RequestedAt platform.StoreTime
+}
+
+// Encode returns the row's value.
+func (r *GoalRecord) Encode() ([]byte, error) {
+	value, err := msgpack.Marshal(r)
+	return value, errors.Wrap(err, "encode the record of weight versions")
+}
+
+// DecodeGoalRecord decodes a row's value.
+func DecodeGoalRecord(value []byte) (GoalRecord, error) {
+	var r GoalRecord
+	err := msgpack.Unmarshal(value, &r)
+	return r, errors.Wrap(err, "decode the record of weight versions")
+}
+
+// Contains reports whether a version of a model is recorded.
+func (r *GoalRecord) Contains(model string, version int) bool {
+	return slices.ContainsFunc(r.Models[model], func(g RecordedGoal) bool { return g.Version == version })
+}
+
+// Recorded returns the dated versions for a GoalRecord, without those that were
+// superseded before a time. There are none if operators request no version and the
+// last one is older than that.
+func (h *GoalHistory) Recorded(before platform.StoreTime) []RecordedGoal {
+	var out []RecordedGoal
+	for _, goal := range h.goals {
+		if !goal.dated {
+			continue
+		}
+		if goal.requestedAt < before {
+			out = out[:0]
+		}
+		out = append(out, RecordedGoal{goal.version, goal.requestedAt})
+	}
+	if h.newest == 0 && len(out) == 1 && out[0].RequestedAt < before {
+		return nil
+	}
+	return out
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -39,6 +39,7 @@
 	NameStateRevision    = "verbenabend_state_revision"
 	NameEnginesBehind    = "verbenabend_engines_behind"
 	NameEnginesExpired   = "verbenabend_engines_expired"
+	NameGoalsUndated     = "verbenabend_goals_undated"
 	NameLeaseHeld        = "verbenabend_lease_held"
 
 	resultOK          = "ok"
@@ -54,7 +55,7 @@
 var Names = []string{
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
-	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameLeaseHeld,
+	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -141,6 +141,15 @@
 	})
 }
 
+// losePower cuts off all daemons without a word. Daemons started later are others.
+func (d *deployment) losePower() {
+	unpowered := slices.Clone(d.processes)
+	d.net.SetBlackhole(func(from, address string) bool {
+		return slices.ContainsFunc(unpowered, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
+	})
+	d.firstDaemon = len(d.processes)
+}
+
 func newDeployment(t *testing.T, engineCount int) *deployment {
 	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}, bootedAt: time.Now()}
 	for i := range engineCount {
--- a/lab/sitepath/version_test.go
+++ b/lab/sitepath/version_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -367,11 +365,7 @@
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		g.nameAtFirstEngine(2)
 		time.Sleep(versionTimeLimit / 2)
-		unpowered := slices.Clone(d.processes)
-		d.net.SetBlackhole(func(from, address string) bool {
-			return slices.ContainsFunc(unpowered, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
-		})
-		d.firstDaemon = daemons
+		d.losePower()
 		d.startAll()
 		l := d.startTraffic(busyPeriod, d.processes[daemons:]...)
 		time.Sleep(versionTimeLimit)
--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/lab/site"
 )
 
+// maxGoalWrites is the number of writes of the record of versions that one version may
+// cause in a deployment of any size.
+const maxGoalWrites = 2
+
 // runWithoutRollout runs a test in which daemons may write to the store but cannot
 // acquire the lease: engines keep their weights.
 func runWithoutRollout(t *testing.T, daemonCount int, test func(d *deployment, g *versionGoals)) {
@@ -35,6 +41,90 @@
 	return n
 }
 
+// Ages outlive all daemons: old weights serve until their limit, and not longer, after
+// a loss of power at any time since the version was named.
+func TestAgesOutliveAllDaemons(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 5 * time.Second} {
+		t.Run(fmt.Sprintf("after-%s", delay), func(t *testing.T) {
+			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+				g.name(2)
+				time.Sleep(delay)
+				d.losePower()
+				time.Sleep(time.Second)
+				d.startAll()
+				l := d.startTraffic(requestPeriod, d.processes[daemons:]...)
+				time.Sleep(versionTimeLimit)
+				l.stop()
+				g.checkNoLateRuns()
+				limit := g.namedAt[2].Add(versionTimeLimit)
+				assert.Assert(t, d.countOldRuns(2, limit.Add(-time.Second), limit) > 0, "old weights serve until their limit")
+			})
+		})
+	}
+}
+
+// A version that was named while no daemon lived, or right before all were lost, has a
+// bounded age: engines with old weights serve, but not beyond the limit.
+func TestAgeOfUnrecordedVersionIsBounded(t *testing.T) {
+	for _, named := range []string{"before", "after"} {
+		t.Run(named, func(t *testing.T) {
+			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+				if named == "before" {
+					g.name(2)
+					d.losePower()
+				} else {
+					d.losePower()
+					g.name(2)
+				}
+				time.Sleep(2 * time.Second)
+				d.startAll()
+				started := time.Now()
+				l := d.startTraffic(requestPeriod, d.processes[daemons:]...)
+				time.Sleep(versionTimeLimit)
+				l.stop()
+				g.checkNoLateRuns()
+				assert.Assert(t, d.countOldRuns(2, started, started.Add(versionTimeLimit/2)) > 30, "old weights serve after the restart")
+			})
+		})
+	}
+}
+
+// Two versions named before all daemons were lost: the age of the first weights counts
+// from the first of them, which the store no longer lists.
+func TestAgeOfFirstVersionOutlivesAllDaemons(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		g.name(2)
+		time.Sleep(versionTimeLimit / 2)
+		g.name(3)
+		time.Sleep(time.Second)
+		d.losePower()
+		d.startAll()
+		l := d.startTraffic(requestPeriod, d.processes[daemons:]...)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
+
+// A started daemon uses no old weights before it has heard of their age, also when the
+// store refuses it and only peers know.
+func TestStartedDaemonWaitsForAges(t *testing.T) {
+	for _, fault := range []site.Fault{{}, {Status: 503}, {Unresponsive: true}} {
+		t.Run(fmt.Sprintf("%+v", fault), func(t *testing.T) {
+			runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
+				g.nameAtFirstEngine(2)
+				time.Sleep(versionTimeLimit + 2*time.Second)
+				d.store.SetFault(fmt.Sprintf("daemon-%d", daemons), fault)
+				l := d.startTraffic(requestPeriod/10, d.start(daemons))
+				time.Sleep(4 * time.Second)
+				l.stop()
+				assert.Assert(t, l.successful.Load() > 0)
+				g.checkNoLateRuns()
+			})
+		})
+	}
+}
+
 // Daemons that were suspended, so that their steady clocks stood still, count that time
 // in the ages of weights.
 func TestSuspendedDaemonsCountTheTime(t *testing.T) {
@@ -53,3 +143,40 @@
 		assert.Assert(t, d.countOldRuns(2, limit.Add(-time.Second), limit) > 0, "old weights serve until their limit")
 	})
 }
+
+// A version is recorded by one daemon, or by the next if the store refuses the first,
+// and not by each; the record is renewed by one.
+func TestOneDaemonRecordsVersions(t *testing.T) {
+	for _, count := range []int{3, 12} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			runWithoutRollout(t, count, func(d *deployment, g *versionGoals) {
+				first := d.recorders()
+				assert.Equal(t, len(first), 0)
+				g.name(2)
+				time.Sleep(5 * time.Second)
+				writers := d.recorders()
+				assert.Equal(t, len(writers), 1, "%v", writers)
+				d.store.SetFault(writers[0], site.Fault{RefuseWrites: true})
+				g.name(3)
+				time.Sleep(3 * time.Second)
+				second := d.recorders()[len(writers):]
+				assert.Assert(t, len(second) >= 1 && len(second) <= maxGoalWrites, "%v", second)
+				assert.Assert(t, strings.Contains(string(d.store.Value("verbenabend", "weights/goals")), model))
+			})
+		})
+	}
+}
+
+// recorders returns the names of the daemons that recorded a version, in the order of
+// the daemons, once for each version.
+func (d *deployment) recorders() []string {
+	var out []string
+	for _, p := range d.processes {
+		for _, e := range p.log.entries(d.t) {
+			if e.ID == eventlog.GoalRecorded {
+				out = append(out, p.name)
+			}
+		}
+	}
+	return out
+}
