Tell engines the time that is left when they get a request

Callers: a request sent right before the limit of old weights could begin after it, and engines were handed up to 300 ms more than a caller's own deadline left, when a new connection to the engine opened slowly.

Cause: the deadline on the wire is relative, and it was computed before the connection was opened, which may take dialTimeout, 300 ms: as much as the whole margin before the limit of old weights.

Fix: the header is made when the connection is open, and nothing is sent if no time is left. What remains in the margin of 300 ms is one way to the engine, with one retransmission (200 ms at least on Linux).

Evidence: TestTimeToConnectIsNotHandedOn failed before ("the engine may begin until 3.28s after the request was sent", deadline 3 s) and passes.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -305,7 +305,7 @@
 // upstreamRequest builds the request for an upstream. The scheduler's action
 // decides where cached prompts are fetched from and saved to.
 func (t *transfer) upstreamRequest(u *fleet.Registration, action routing.Action) *httpconn.Request {
-	d := &AttemptMetadata{UpstreamID: u.ID, TimeLeft: time.Until(t.attemptDeadline(u.ID)), LastEventID: t.lastEventID}
+	d := &AttemptMetadata{UpstreamID: u.ID, LastEventID: t.lastEventID}
 	if t.organisation != nil {
 		d.Organisation = t.organisation.Name
 	}
@@ -327,7 +327,13 @@
 	id := t.metadata.ID
 	return &httpconn.Request{
 		Method: t.callerRequest.Method, URI: t.callerRequest.RequestURI, Host: t.callerRequest.Host, Body: t.body,
-		Header: t.forwarder.Headers.UpstreamHeader(t.callerRequest.Header, d),
+		ReadyHeader: func() (http.Header, error) {
+			// The time left is relative, and opening the connection may take long.
+			if d.TimeLeft = time.Until(t.attemptDeadline(u.ID)); d.TimeLeft <= 0 {
+				return nil, context.DeadlineExceeded
+			}
+			return t.forwarder.Headers.UpstreamHeader(t.callerRequest.Header, d), nil
+		},
 		MatchesResponse: func(resp *http.Response) bool {
 			got := t.forwarder.Headers.ReadResponse(resp.StatusCode, resp.Header).RequestID
 			return got == "" || got == id
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -61,7 +61,10 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// ReadyHeader, if not nil, replaces Header. It is called when the connection is open;
+	// nothing is sent if it returns an error.
+	ReadyHeader func() (http.Header, error)
+	Body        []byte
 	// NewConnection forces a new connection.
 	NewConnection bool
 	// MaxIdleTime, if not 0, rules out connections that were idle for longer.
@@ -228,6 +231,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.ReadyHeader != nil {
+		ready := *r
+		if ready.Header, err = r.ReadyHeader(); err != nil {
+			c.Close()
+			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUpstreamFailed, "nothing was sent to "+t.ID)
+		}
+		r = &ready
+	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.run(r)
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -106,8 +107,10 @@
 	requestCount atomic.Int64
 	// bootedAt is the zero of the daemons' time since boot, suspended the time for which
 	// they were suspended, in nanoseconds.
-	bootedAt  time.Time
-	suspended atomic.Int64
+	bootedAt time.Time
+	// connectTime is how long opening a connection to an engine takes, in nanoseconds.
+	connectTime atomic.Int64
+	suspended   atomic.Int64
 }
 
 // runOnDeployment runs a test on a deployment that is ready.
@@ -276,7 +279,13 @@
 	settings.Gateway.MetricsListen = p.address(metricsPort)
 	settings.Gateway.FleetKey = fleetKey
 	settings.Gateway.SinceBoot = func() time.Duration { return time.Since(d.bootedAt) + time.Duration(d.suspended.Load()) }
-	network := gateway.Network{Listen: d.net.Listen, Dial: d.net.Dialer(p.name)}
+	dial := d.net.Dialer(p.name)
+	network := gateway.Network{Listen: d.net.Listen, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if slices.ContainsFunc(d.engines, func(e *site.Upstream) bool { return e.Address == address }) {
+			time.Sleep(time.Duration(d.connectTime.Load()))
+		}
+		return dial(ctx, network, address)
+	}}
 	store := platform.NewStore(storeAddress, network.Dial)
 	pool := httpconn.NewPool(network.Dial)
 	g, err := gateway.New(settings.Gateway, platform.NewGatewayPlatform(store, pool), pool, network, hclog.New(&hclog.LoggerOptions{Name: p.name, Output: &p.log, JSONFormat: true}))
--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -144,6 +146,30 @@
 	})
 }
 
+// An engine is told the time that is left when it gets a request. When the time to
+// connect to it was not counted, requests began in its queue after the limit.
+func TestTimeToConnectIsNotHandedOn(t *testing.T) {
+	const (
+		deadline    = 3 * time.Second
+		connectTime = 280 * time.Millisecond
+	)
+	runOnDeployment(t, func(d *deployment) {
+		d.connectTime.Store(int64(connectTime))
+		sentAt := time.Now()
+		a := d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", func(r *http.Request) {
+			r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+		})
+		assert.Equal(t, a.status, http.StatusOK)
+		runs := d.runs(a.header.Get("X-Request-Id"))
+		assert.Equal(t, len(runs), 1)
+		left, err := strconv.Atoi(runs[0].Header.Get("X-Deadline-Ms"))
+		assert.NilError(t, err)
+		latest := runs[0].ReceivedAt.Add(time.Duration(left) * time.Millisecond).Sub(sentAt)
+		assert.Assert(t, runs[0].ReceivedAt.Sub(sentAt) >= connectTime, "the connection was open already")
+		assert.Assert(t, latest <= deadline, "the engine may begin until %s after the request was sent", latest)
+	})
+}
+
 // A version is recorded by one daemon, or by the next if the store refuses the first,
 // and not by each; the record is renewed by one.
 func TestOneDaemonRecordsVersions(t *testing.T) {
