Keep the limit of old weights while the store fails for a moment

Callers: requests ran on expired weights while reads of the store failed, from the first failed read on.

Cause: a daemon that cannot read the store keeps using old weights that have no alternative, since weight switches need the store. One refused or lost read counted as such an outage and lifted the limit at the engine, too, although the rollout went on.

Fix: the limit is lifted once reads have failed for the duration of the lease, which is how long its holder goes on without the store.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,10 +113,10 @@
 	draining  atomic.Bool
 	everReady atomic.Bool
 	inFlight  inflight.Counter
-	// storeFailed is set while reads of the operators' table from the store
-	// fail.
-	storeFailed atomic.Bool
-	leaseHeld   atomic.Bool
+	// storeFailedSince is when reads of the operators' table from the store began to
+	// fail; nil while they do not.
+	storeFailedSince atomic.Pointer[time.Time]
+	leaseHeld        atomic.Bool
 	// expiredEngines counts the engines left out because of their weights.
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
@@ -162,7 +162,6 @@
 
 func (d *Daemon) provisionMirrors() {
 	peers := &mirror.Peers{Addresses: d.peerAddresses, Dial: d.network.Dial}
-	recordStoreRead := func(err error) { d.storeFailed.Store(err != nil) }
 	// The upstream table changes all the time, so reads of it are the first to
 	// reveal a dead connection to the store.
 	recheckOperators := func(err error) {
@@ -171,13 +170,23 @@
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
-		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: recordStoreRead,
+		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreamMirror = mirror.New(mirror.Settings{
 		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MinInterval: upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheckOperators,
 	}, d.platform.Feed, peers, d.log)
 }
 
+// recordStoreRead records whether a read of the operators' table failed.
+func (d *Daemon) recordStoreRead(err error) {
+	if err == nil {
+		d.storeFailedSince.Store(nil)
+		return
+	}
+	now := time.Now()
+	d.storeFailedSince.CompareAndSwap(nil, &now)
+}
+
 func (d *Daemon) listen() error {
 	s := &d.settings
 	var err error
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -272,7 +272,7 @@
 	d.view.mu.Lock()
 	defer d.view.mu.Unlock()
 	now, ok := d.storeClock.Now()
-	if ok && !d.storeFailed.Load() {
+	if ok && d.storeFailedSince.Load() == nil {
 		next.AsOf = max(next.AsOf, now)
 	}
 	for model, history := range d.view.goals {
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -22,7 +22,7 @@
 func (d *Daemon) registerGauges() {
 	for name, value := range map[string]func() float64{
 		telemetry.NameInFlightRequests: func() float64 { return float64(d.inFlight.Load()) },
-		telemetry.NamePlatformUp:       func() float64 { return boolGauge(!d.storeFailed.Load()) },
+		telemetry.NamePlatformUp:       func() float64 { return boolGauge(d.storeFailedSince.Load() == nil) },
 		telemetry.NamePeers:            func() float64 { return float64(len(d.gossipNode.Peers())) },
 		telemetry.NameGossipSent:       func() float64 { return float64(d.gossipNode.Stats().SentBytes) },
 		telemetry.NameGossipReceived:   func() float64 { return float64(d.gossipNode.Stats().ReceivedBytes) },
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -145,10 +145,12 @@
 
 // staleness returns the rules for the penalty of old weights. While this daemon
 // cannot read the store, which weight switches require, old weights without an
-// alternative stay in use.
+// alternative stay in use. A short failure does not count: the holder of the lease
+// goes on for as long as the lease lasts.
 func (d *Daemon) staleness() rollout.StalenessPolicy {
 	p := rollout.StalenessPolicy{GracePeriod: staleGracePeriod, CostPenalty: stalePenalty, MaxAge: d.settings.WeightSwitchTimeLimit - staleSendMargin}
-	if !d.storeFailed.Load() {
+	failedSince := d.storeFailedSince.Load()
+	if failedSince == nil || time.Since(*failedSince) < d.settings.LeaseDuration {
 		p.MaxAgeWithoutOther = d.settings.WeightSwitchTimeLimit - staleStartMargin
 	}
 	return p
--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -170,6 +170,30 @@
 	})
 }
 
+// Old weights are not used beyond their limit while the store does not answer for a
+// moment, which does not stop a rollout.
+func TestOldWeightsExpireWhileStoreIsBrieflyAway(t *testing.T) {
+	for _, fault := range []site.Fault{{Status: 503}, {Unresponsive: true}} {
+		t.Run(fmt.Sprintf("%+v", fault), func(t *testing.T) {
+			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+				g.name(2)
+				l := d.startTraffic(requestPeriod, d.processes...)
+				time.Sleep(versionTimeLimit - time.Second)
+				for _, p := range d.processes {
+					d.store.SetFault(p.name, fault)
+				}
+				time.Sleep(2500 * time.Millisecond)
+				for _, p := range d.processes {
+					d.store.SetFault(p.name, site.Fault{RefuseWritesTo: "lease/"})
+				}
+				time.Sleep(time.Second)
+				l.stop()
+				g.checkNoLateRuns()
+			})
+		})
+	}
+}
+
 // A version is recorded by one daemon, or by the next if the store refuses the first,
 // and not by each; the record is renewed by one.
 func TestOneDaemonRecordsVersions(t *testing.T) {
