--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/verbenabend/verbenabend/internal/boottime"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
@@ -23,6 +24,7 @@
 	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/routetable"
+	"github.com/verbenabend/verbenabend/internal/storeclock"
 	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -111,26 +113,33 @@
 	draining  atomic.Bool
 	everReady atomic.Bool
 	inFlight  inflight.Counter
-	// storeFailed is set while reads of the operators' table from the store
-	// fail.
-	storeFailed atomic.Bool
-	leaseHeld   atomic.Bool
+	// storeFailedSince is when reads of the operators' table from the store began to
+	// fail; nil while they do not.
+	storeFailedSince atomic.Pointer[time.Time]
+	leaseHeld        atomic.Bool
 	// expiredEngines counts the engines left out because of their weights.
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
 	goalQueue      *goalQueue
+	goalRecorder   *goalRecorder
+	storeClock     *storeclock.Clock
+	startedAt      time.Time
 }
 
 // New returns a daemon that listens but does not serve yet. pool holds the
 // connections to upstreams.
 func New(s Settings, p Platform, pool *httpconn.Pool, network Network, logger hclog.Logger) (*Daemon, error) {
 	network = network.WithDefaults()
+	if s.SinceBoot == nil {
+		s.SinceBoot = boottime.Now
+	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(),
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(), goalRecorder: newGoalRecorder(), storeClock: storeclock.New(s.SinceBoot), startedAt: time.Now(),
 	}
 	d.log.Observe(d.metrics.CountEvent)
-	d.platform.Table = timedTable{p.Table, d.metrics}
+	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
+	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
@@ -153,7 +162,6 @@
 
 func (d *Daemon) provisionMirrors() {
 	peers := &mirror.Peers{Addresses: d.peerAddresses, Dial: d.network.Dial}
-	recordStoreRead := func(err error) { d.storeFailed.Store(err != nil) }
 	// The upstream table changes all the time, so reads of it are the first to
 	// reveal a dead connection to the store.
 	recheckOperators := func(err error) {
@@ -162,13 +170,23 @@
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
-		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: recordStoreRead,
+		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreamMirror = mirror.New(mirror.Settings{
 		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MinInterval: upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheckOperators,
 	}, d.platform.Feed, peers, d.log)
 }
 
+// recordStoreRead records whether a read of the operators' table failed.
+func (d *Daemon) recordStoreRead(err error) {
+	if err == nil {
+		d.storeFailedSince.Store(nil)
+		return
+	}
+	now := time.Now()
+	d.storeFailedSince.CompareAndSwap(nil, &now)
+}
+
 func (d *Daemon) listen() error {
 	s := &d.settings
 	var err error
@@ -200,7 +218,8 @@
 
 // Ready reports whether the daemon accepts callers.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.view.table.Load() != nil && d.upstreamMirror.Synced()
+	agesKnown := d.goalRecorder.read.Load() || time.Since(d.startedAt) >= maxGoalRecordWait
+	return !d.draining.Load() && d.view.table.Load() != nil && d.upstreamMirror.Synced() && agesKnown
 }
 
 // Run serves until ctx ends, then drains and closes the daemon.
@@ -215,7 +234,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operatorMirror.Run, d.upstreamMirror.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror})
 		},
--- a/internal/gateway/goals_test.go
+++ b/internal/gateway/goals_test.go
@@ -7,22 +7,32 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
 )
 
 // A goal's fact tells the age of the goal, not of the fact: a daemon publishes it
 // up to two seconds after it learnt of the goal.
 func TestGoalFactTellsAgeOfGoal(t *testing.T) {
-	g := goalFact{Model: "opal", Version: 4}
-	now := time.Unix(1_800_000_000, 0)
-	var younger gossip.Fact
+	const now = platform.StoreTime(10_000_000)
+	g := rollout.Goal{Model: "opal", Version: 4}
+	older := gossip.Fact{Version: maxUndatedFactVersion} // of an older daemon
 	for _, age := range []time.Duration{0, 1700 * time.Millisecond, goalTTL, goalTTL + time.Second} {
-		f, err := newGoalFact(g, now.Add(-age), now)
-		assert.NilError(t, err)
-		assert.Equal(t, f.ID, "opal/4")
-		assert.Equal(t, goalTTL-f.TTL, age)
-		assert.Assert(t, f.Supersedes(younger), "the fact of a daemon that learnt of the goal earlier wins")
-		younger = f
+		for _, recorded := range []bool{false, true} {
+			v := goalFactVersion{now.Add(-age), recorded}
+			f, err := newGoalFact(g, v, now)
+			assert.NilError(t, err)
+			assert.Equal(t, f.ID, "opal/4")
+			assert.Equal(t, goalTTL-f.TTL, age)
+			assert.Assert(t, f.Supersedes(older), "the fact of a daemon that learnt of the goal earlier wins, then the one about a recorded goal")
+			decoded, ok := decodeGoalFactVersion(f.Version)
+			assert.Assert(t, ok)
+			assert.Equal(t, decoded, v)
+			older = f
+		}
 	}
+	_, ok := decodeGoalFactVersion(maxUndatedFactVersion)
+	assert.Assert(t, !ok)
 }
 
 // The delay of a goal's publication is bounded and its spread grows with the
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -104,6 +105,12 @@
 	revision     uint64
 	desiredState map[string]any
 	requestCount atomic.Int64
+	// bootedAt is the zero of the daemons' time since boot, suspended the time for which
+	// they were suspended, in nanoseconds.
+	bootedAt time.Time
+	// connectTime is how long opening a connection to an engine takes, in nanoseconds.
+	connectTime atomic.Int64
+	suspended   atomic.Int64
 }
 
 // runOnDeployment runs a test on a deployment that is ready.
@@ -137,8 +144,17 @@
 	})
 }
 
+// losePower cuts off all daemons without a word. Daemons started later are others.
+func (d *deployment) losePower() {
+	unpowered := slices.Clone(d.processes)
+	d.net.SetBlackhole(func(from, address string) bool {
+		return slices.ContainsFunc(unpowered, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
+	})
+	d.firstDaemon = len(d.processes)
+}
+
 func newDeployment(t *testing.T, engineCount int) *deployment {
-	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}}
+	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}, bootedAt: time.Now()}
 	for i := range engineCount {
 		d.engines = append(d.engines, &site.Upstream{
 			ID: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.8.0.%d:80", i+1), Service: "bench", Zone: "a", Model: model,
@@ -262,7 +278,14 @@
 	assert.NilError(d.t, err)
 	settings.Gateway.MetricsListen = p.address(metricsPort)
 	settings.Gateway.FleetKey = fleetKey
-	network := gateway.Network{Listen: d.net.Listen, Dial: d.net.Dialer(p.name)}
+	settings.Gateway.SinceBoot = func() time.Duration { return time.Since(d.bootedAt) + time.Duration(d.suspended.Load()) }
+	dial := d.net.Dialer(p.name)
+	network := gateway.Network{Listen: d.net.Listen, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if slices.ContainsFunc(d.engines, func(e *site.Upstream) bool { return e.Address == address }) {
+			time.Sleep(time.Duration(d.connectTime.Load()))
+		}
+		return dial(ctx, network, address)
+	}}
 	store := platform.NewStore(storeAddress, network.Dial)
 	pool := httpconn.NewPool(network.Dial)
 	g, err := gateway.New(settings.Gateway, platform.NewGatewayPlatform(store, pool), pool, network, hclog.New(&hclog.LoggerOptions{Name: p.name, Output: &p.log, JSONFormat: true}))
