--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -12,6 +12,7 @@
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/lease"
+	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/rollout"
@@ -146,11 +147,12 @@
 // staleness returns the rules for the penalty of old weights. While this daemon
 // cannot read the store, which weight switches require, old weights without an
 // alternative stay in use. A short failure does not count: the holder of the lease
-// goes on for as long as the lease lasts.
+// goes on for as long as the lease lasts, and the end of a failure is noticed with the
+// next read.
 func (d *Daemon) staleness() rollout.StalenessPolicy {
 	p := rollout.StalenessPolicy{GracePeriod: staleGracePeriod, CostPenalty: stalePenalty, MaxAge: d.settings.WeightSwitchTimeLimit - staleSendMargin}
 	failedSince := d.storeFailedSince.Load()
-	if failedSince == nil || time.Since(*failedSince) < d.settings.LeaseDuration {
+	if failedSince == nil || time.Since(*failedSince) < d.settings.LeaseDuration+mirror.MaxRetryInterval {
 		p.MaxAgeWithoutOther = d.settings.WeightSwitchTimeLimit - staleStartMargin
 	}
 	return p
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -31,8 +31,15 @@
 	reappearancePollInterval = 500 * time.Millisecond
 )
 
+// MaxRetryInterval is the maximum interval between two reads of the store while it
+// fails: a long poll at a peer, its timeout and the backoff.
+const MaxRetryInterval = peerMaxWait + callTimeout + maxRetryBackoff
+
+// maxRetryBackoff limits retryBackoff.
+const maxRetryBackoff = time.Second
+
 // retryBackoff is the backoff while neither the store nor a peer responds.
-var retryBackoff = backoff.Policy{Min: 50 * time.Millisecond, Max: time.Second}
+var retryBackoff = backoff.Policy{Min: 50 * time.Millisecond, Max: maxRetryBackoff}
 
 // Settings configures a Mirror.
 type Settings struct {
