--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -127,6 +127,24 @@
 	}
 }
 
+// A started daemon that no peer can tell the ages reads them from the store before it
+// uses old weights.
+func TestStartedDaemonReadsAgesFromStore(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		g.name(2)
+		time.Sleep(versionTimeLimit + time.Second)
+		alone := fmt.Sprintf("daemon-%d", daemons)
+		isDaemon := func(address string) bool { return strings.HasPrefix(address, "10.0.0.") }
+		d.net.SetBlackhole(func(from, address string) bool {
+			return isDaemon(address) && (from == alone || from != "caller" && strings.HasPrefix(address, hostOf(daemons)+":"))
+		})
+		l := d.startTraffic(requestPeriod/10, d.start(daemons))
+		time.Sleep(4 * time.Second)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
+
 // Daemons that were suspended, so that their steady clocks stood still, count that time
 // in the ages of weights.
 func TestSuspendedDaemonsCountTheTime(t *testing.T) {
