Apply the record of versions before it counts as read

By reading: a first read of the goals that came between bounded a version, for an instant, by the record's time although the record had its date.

--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -193,10 +193,6 @@
 // was requested after it was written.
 func (d *Daemon) applyGoalRecord(record *rollout.GoalRecord) {
 	r := d.goalRecorder
-	r.mu.Lock()
-	r.asOf = max(r.asOf, record.AsOf)
-	r.mu.Unlock()
-	r.read.Store(true)
 	d.view.mu.Lock()
 	for model, goals := range record.Models {
 		for _, g := range goals {
@@ -204,6 +200,10 @@
 		}
 	}
 	d.boundUndatedGoals(record.AsOf)
+	r.mu.Lock()
+	r.asOf = max(r.asOf, record.AsOf)
+	r.mu.Unlock()
+	r.read.Store(true) // not before: adoptGoals then bounds versions that the row does not contain
 	d.view.mu.Unlock()
 	for model, goals := range record.Models {
 		for _, g := range goals {
