Let the stand-in store notice that a client of an unanswered write has gone

A handler that leaves a call unanswered waits for the end of its connection. net/http sees that only once the request's body has been read, so an unanswered write blocked for ever, and a test in virtual time ended in a deadlock. The stand-in now reads the body first.

--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -139,6 +140,7 @@
 		s.mu.Unlock()
 		switch {
 		case f.Unresponsive:
+			_, _ = io.Copy(io.Discard, r.Body) // a server sees the end of a connection only after the body
 			<-r.Context().Done()
 		case f.Status != 0:
 			w.WriteHeader(f.Status)
