--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -53,6 +53,11 @@
 	OnceOutcomeUnknown         ID = 703
 	SuspectRecorded            ID = 801
 	RequestQuarantined         ID = 802
+	PartsSuspected             ID = 803
+	PartQuarantined            ID = 804
+	PartTrial                  ID = 805
+	PartCleared                ID = 806
+	PartRowFailed              ID = 807
 	LeaseAcquired              ID = 901
 	LeaseLost                  ID = 902
 	OrderSent                  ID = 903
@@ -111,6 +116,11 @@
 	{OnceOutcomeUnknown, hclog.Warn, "at-most-once outcome unknown"},
 	{SuspectRecorded, hclog.Warn, "request suspected of crashing an upstream"},
 	{RequestQuarantined, hclog.Warn, "request quarantined"},
+	{PartsSuspected, hclog.Warn, "prompt parts suspected of crashing an upstream"},
+	{PartQuarantined, hclog.Warn, "prompt part quarantined"},
+	{PartTrial, hclog.Info, "trial of a quarantined prompt part"},
+	{PartCleared, hclog.Info, "prompt part released from quarantine"},
+	{PartRowFailed, hclog.Warn, "row of a quarantined prompt part not written"},
 	{LeaseAcquired, hclog.Info, "lease acquired"},
 	{LeaseLost, hclog.Warn, "lease lost"},
 	{OrderSent, hclog.Info, "order sent"},
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -59,6 +59,8 @@
 	UsableUntil func(id string) (until time.Time, ok bool)
 	// Suspects tracks requests that may crash upstreams; may be nil.
 	Suspects SuspectTracker
+	// PromptParts tracks prompt parts that may crash upstreams; may be nil.
+	PromptParts PromptPartTracker
 	// OnOutcome is called with the outcome of each request; may be nil.
 	OnOutcome func(Outcome)
 	// OnWeightsVersion is called with each weights version that an upstream
@@ -99,7 +101,9 @@
 		c.Suspects = noSuspects{}
 	}
 	if c.Liveness != nil {
-		c.Liveness.onCrash = c.Suspects.UpstreamCrashed
+		c.Liveness.onCrash = func(service, id, incarnation string, requests []RunningRequest) {
+			reportCrash(c.Suspects, c.PromptParts, service, id, incarnation, requests)
+		}
 	}
 	f := &Forwarder{Config: c}
 	f.abortCtx, f.abort = context.WithCancel(context.Background())
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 )
@@ -44,9 +41,11 @@
 	// onChange is called when an upstream goes down or recovers.
 	onChange func(id string, down bool)
 	// onCrash is called when an incarnation of an upstream has ended, with the
-	// fingerprints of the requests whose connections it broke; may be nil.
-	onCrash func(id, incarnation string, requests []string)
-	log     *eventlog.Log
+	// requests whose connections it broke; may be nil.
+	onCrash func(service, id, incarnation string, requests []RunningRequest)
+	// wake holds a token while a probe is due at once.
+	wake chan struct{}
+	log  *eventlog.Log
 
 	mu        sync.Mutex
 	upstreams map[string]*upstreamHealth
@@ -67,17 +66,25 @@
 	// when it broke a request's connection. It applies from probeNotBefore on.
 	probeRequested bool
 	probeNotBefore time.Time
-	// incarnation is the one that requests were last sent to; brokenRequests
-	// are the requests whose connections it broke since the last probe.
-	incarnation    string
-	brokenRequests map[string]bool
-	lastProbeAt    time.Time // when the last probe ended
+	// incarnation is the one that requests were last sent to; broken are the
+	// requests whose connections the upstream broke since the last probe.
+	incarnation string
+	broken      []brokenRequest
+	lastProbeAt time.Time // when the last probe ended
+}
+
+// brokenRequest is a request whose connection an incarnation of an upstream broke.
+type brokenRequest struct {
+	RunningRequest
+	incarnation string
+	// crashed receives whether the incarnation has ended.
+	crashed chan<- bool
 }
 
 // NewLiveness returns a Liveness that probes with dial. onChange is called
 // when an upstream goes down or recovers.
 func NewLiveness(dial func(ctx context.Context, network, address string) (net.Conn, error), onChange func(id string, down bool), log *eventlog.Log) *Liveness {
-	return &Liveness{dial: dial, onChange: onChange, log: log, upstreams: map[string]*upstreamHealth{}}
+	return &Liveness{dial: dial, onChange: onChange, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
 }
 
 // Down reports whether an upstream is down.
@@ -99,10 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.health(u)
-	if h.incarnation != u.Incarnation() {
-		h.incarnation = u.Incarnation()
-		clear(h.brokenRequests)
-	}
+	h.incarnation = u.Incarnation()
 	if len(h.cancels) == 0 {
 		h.busySince = time.Now()
 	}
@@ -132,15 +136,24 @@
 	}
 }
 
-// recordBrokenConnection records that an upstream broke the connection of a
-// request, and requests a probe.
-func (l *Liveness) recordBrokenConnection(id, request string) {
+// recordBrokenConnection records that an incarnation of an upstream broke the
+// connection of a request, and requests a probe. The returned channel receives whether
+// the incarnation has ended; it is nil if that won't be known.
+func (l *Liveness) recordBrokenConnection(id, incarnation string, r RunningRequest) <-chan bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if h := l.upstreams[id]; h != nil {
-		h.brokenRequests[request] = true
-		h.probeRequested, h.probeNotBefore = true, time.Time{}
+	h := l.upstreams[id]
+	if h == nil {
+		return nil
+	}
+	crashed := make(chan bool, 1)
+	h.broken = append(h.broken, brokenRequest{r, incarnation, crashed})
+	h.probeRequested, h.probeNotBefore = true, time.Time{}
+	select {
+	case l.wake <- struct{}{}:
+	default:
 	}
+	return crashed
 }
 
 // health returns the state of an upstream, creating it if needed. l.mu must be
@@ -148,7 +161,10 @@
 func (l *Liveness) health(u *fleet.Registration) *upstreamHealth {
 	h := l.upstreams[u.ID]
 	if h == nil || h.address != u.Address {
-		h = &upstreamHealth{address: u.Address, service: u.Service, cancels: map[*transfer]context.CancelCauseFunc{}, brokenRequests: map[string]bool{}}
+		if h != nil {
+			h.dropBroken()
+		}
+		h = &upstreamHealth{address: u.Address, service: u.Service, cancels: map[*transfer]context.CancelCauseFunc{}}
 		l.upstreams[u.ID] = h
 	}
 	return h
@@ -160,17 +176,26 @@
 	defer l.mu.Unlock()
 	for id, h := range l.upstreams {
 		if !keep(id) && len(h.cancels) == 0 {
+			h.dropBroken()
 			delete(l.upstreams, id)
 		}
 	}
 }
 
+// dropBroken gives up finding out whether the upstream has crashed. l.mu must be held.
+func (h *upstreamHealth) dropBroken() {
+	for _, b := range h.broken {
+		close(b.crashed)
+	}
+	h.broken = nil
+}
+
 // Run probes upstreams until ctx ends.
 func (l *Liveness) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
-		if err := backoff.Sleep(ctx, livenessInterval); err != nil {
+		if err := l.awaitTick(ctx); err != nil {
 			return err
 		}
 		for id, h := range l.dueProbes(time.Now()) {
@@ -179,6 +204,18 @@
 	}
 }
 
+// awaitTick waits for the next poll, or until a probe is due at once.
+func (l *Liveness) awaitTick(ctx context.Context) error {
+	timer := time.NewTimer(livenessInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.wake:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // dueProbes returns the upstreams to probe now and marks them as being probed.
 func (l *Liveness) dueProbes(now time.Time) map[string]*upstreamHealth {
 	l.mu.Lock()
@@ -199,7 +236,8 @@
 
 // probe tries to connect to an upstream and records the result.
 func (l *Liveness) probe(ctx context.Context, id string, h *upstreamHealth) {
-	incarnation, broken := l.takeBrokenRequests(h)
+	broken := l.takeBrokenRequests(h)
+	ended := false
 	attempts := probeAttempts
 	if l.Down(id) {
 		attempts = 1
@@ -213,9 +251,7 @@
 		if err == nil {
 			conn.Close()
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) && len(broken) > 0 && l.onCrash != nil {
-			l.onCrash(id, incarnation, broken) // the process no longer listens
-		}
+		ended = errors.Is(err, syscall.ECONNREFUSED) // the process no longer listens
 		// A refused connection proves that the host responds: the next request
 		// fails at once and can be retried at another upstream.
 		if responds = err == nil || !timedOut; responds || ctx.Err() != nil {
@@ -223,18 +259,41 @@
 		}
 	}
 	if ctx.Err() == nil {
+		l.reportBroken(id, h, broken, ended)
 		l.recordProbe(id, h, responds)
 	}
 }
 
 // takeBrokenRequests returns and clears the requests whose connections the
-// upstream broke, with its incarnation.
-func (l *Liveness) takeBrokenRequests(h *upstreamHealth) (incarnation string, requests []string) {
+// upstream broke.
+func (l *Liveness) takeBrokenRequests(h *upstreamHealth) []brokenRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	requests = slices.Collect(maps.Keys(h.brokenRequests))
-	clear(h.brokenRequests)
-	return h.incarnation, requests
+	broken := h.broken
+	h.broken = nil
+	return broken
+}
+
+// reportBroken reports the crash of each incarnation that broke connections and has
+// ended: the upstream does not listen, or has registered another incarnation.
+func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, ended bool) {
+	l.mu.Lock()
+	current := h.incarnation
+	l.mu.Unlock()
+	crashed := map[string][]RunningRequest{}
+	for _, b := range broken {
+		if ended || b.incarnation != current {
+			crashed[b.incarnation] = append(crashed[b.incarnation], b.RunningRequest)
+		}
+	}
+	for incarnation, requests := range crashed {
+		if l.onCrash != nil {
+			l.onCrash(h.service, id, incarnation, requests)
+		}
+	}
+	for _, b := range broken {
+		b.crashed <- ended || b.incarnation != current
+	}
 }
 
 // isTimeout reports whether a connection attempt timed out. The dialer's own
--- /dev/null
+++ b/internal/forward/promptparts.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/verdict"
+)
+
+// PromptPartTracker tracks, over all daemons, the prompt parts that may crash the
+// upstreams that begin an answer on them. Parts are given by their keys.
+type PromptPartTracker interface {
+	// Key returns the key of a part of prompts for a model of a service. Parts of
+	// different owners have different keys.
+	Key(service, model, owner, id string) string
+	// Known reports whether any part is suspected; if not, only UpstreamCrashed and Begun
+	// are called.
+	Known() bool
+	// Suspected returns those of the parts that may crash upstreams.
+	Suspected(parts []string) []string
+	// Refusing returns those of a prompt's parts because of which it must not run.
+	Refusing(parts []string) []string
+	// ClaimTrial reports whether one request may run although its prompt must not.
+	ClaimTrial(ctx context.Context, service string, parts []string) bool
+	// Begun records that a request with the parts began its answer.
+	Begun(service string, parts []string)
+	// UpstreamCrashed records that an incarnation of an upstream ended before it had
+	// begun the answers of requests.
+	UpstreamCrashed(service, upstream, incarnation string, requests []RunningRequest)
+}
+
+// RunningRequest is a request that an upstream was running when it broke the
+// connection.
+type RunningRequest struct {
+	// Fingerprint is the same for equal requests of one organisation.
+	Fingerprint string
+	// SharedParts are the keys of the prompt parts that other prompts may share.
+	SharedParts []string
+	// OwnPart is the ID of the prompt's last part.
+	OwnPart      string
+	Organisation string
+	// Begun is set if a complete event or body of the answer has arrived.
+	Begun            bool
+	SentAt, BrokenAt time.Time
+}
+
+// crashRetryDelay is the time from a crash to the retry of a request whose prompt may
+// be its cause. By then all daemons know of the crash, and a failure of several
+// upstreams at once is over.
+const crashRetryDelay = 300 * time.Millisecond
+
+// suspicionPollInterval is how often such a request looks whether its prompt has been
+// cleared meanwhile.
+const suspicionPollInterval = 30 * time.Millisecond
+
+// sharedParts returns the keys of the prompt parts that other prompts may share: all
+// but the last.
+func (t *transfer) sharedParts() []string {
+	p := t.metadata.Prompt
+	if p == nil || len(p.Parts) < 2 || t.forwarder.PromptParts == nil {
+		return nil
+	}
+	out := make([]string, len(p.Parts)-1)
+	for i := range out {
+		out[i] = t.forwarder.PromptParts.Key(t.serviceName, p.Model, t.cacheOwner(), p.Parts[i].ID)
+	}
+	return out
+}
+
+// knownParts returns the shared parts, or nil if no part of any prompt is suspected.
+func (t *transfer) knownParts() []string {
+	if t.forwarder.PromptParts == nil || !t.forwarder.PromptParts.Known() {
+		return nil
+	}
+	return t.sharedParts()
+}
+
+// partQuarantineError returns an error if a part of the prompt is quarantined and this
+// request is not its trial.
+func (t *transfer) partQuarantineError(ctx context.Context) error {
+	parts := t.knownParts()
+	if len(parts) == 0 || t.onTrial && t.attemptsRun == 0 {
+		return nil
+	}
+	tracker := t.forwarder.PromptParts
+	if len(tracker.Refusing(parts)) == 0 {
+		return nil
+	}
+	if !t.onTrial && t.attemptsRun == 0 && tracker.ClaimTrial(ctx, t.serviceName, parts) {
+		t.onTrial = true
+		return nil
+	}
+	e := verdict.New(verdict.NotRun, verdict.CodeQuarantined, "a part of the prompt is quarantined: upstreams crashed while running requests with it")
+	e.RetryAfter = quarantineRetryAfter
+	return e
+}
+
+// recordBegin records that the upstream has sent a complete event or body.
+func (t *transfer) recordBegin() {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	if parts := t.sharedParts(); len(parts) > 0 {
+		t.forwarder.PromptParts.Begun(t.serviceName, parts)
+	}
+}
+
+// awaitCrashCheck delays a retry until it is known whether the upstream that broke the
+// connection has crashed. If so and the prompt is suspected, it waits until the prompt
+// is cleared or crashRetryDelay has passed. It returns early when ctx ends.
+func (t *transfer) awaitCrashCheck(ctx context.Context) {
+	check := t.crashCheck
+	t.crashCheck = nil
+	if check == nil {
+		return
+	}
+	select {
+	case crashed := <-check:
+		if !crashed {
+			return
+		}
+	case <-ctx.Done():
+		return
+	}
+	parts := t.sharedParts()
+	for time.Since(t.brokenAt) < crashRetryDelay && len(t.forwarder.PromptParts.Suspected(parts)) > 0 {
+		if backoff.Sleep(ctx, suspicionPollInterval) != nil {
+			return
+		}
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -98,6 +98,7 @@
 			return relayed, verdict.Wrap(err, verdict.Ran, verdict.CodeStreamLost, "the event stream broke off")
 		}
 		t.recordByte()
+		t.recordBegin()
 		if t.alreadyRelayed(e.id) {
 			continue
 		}
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -77,6 +78,24 @@
 	}
 }
 
+// reportCrash reports the end of an upstream's incarnation to the trackers.
+func reportCrash(suspects SuspectTracker, parts PromptPartTracker, service, upstream, incarnation string, requests []RunningRequest) {
+	var fingerprints []string
+	var unbegun []RunningRequest
+	for _, r := range requests {
+		if !slices.Contains(fingerprints, r.Fingerprint) {
+			fingerprints = append(fingerprints, r.Fingerprint)
+		}
+		if !r.Begun {
+			unbegun = append(unbegun, r)
+		}
+	}
+	suspects.UpstreamCrashed(upstream, incarnation, fingerprints)
+	if parts != nil && len(unbegun) > 0 {
+		parts.UpstreamCrashed(service, upstream, incarnation, unbegun)
+	}
+}
+
 // isConnectionLoss reports whether the upstream broke the connection, as a
 // crash does.
 func isConnectionLoss(err error) bool {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -48,6 +48,15 @@
 	responseStarted bool
 	lastEventID     string
 
+	// begun is set once the upstream of the current attempt has sent a complete event
+	// or body. onTrial is set if the request runs in spite of a quarantined part.
+	begun   bool
+	onTrial bool
+	// sentAt is when the current attempt was sent, brokenAt when its connection broke.
+	// crashCheck then receives whether the upstream has crashed.
+	sentAt, brokenAt time.Time
+	crashCheck       <-chan bool
+
 	// revision is the revision of the desired state that the request is served
 	// by.
 	revision uint64
@@ -67,6 +76,10 @@
 			t.failOrAbort(err)
 			return
 		}
+		if err := t.partQuarantineError(ctx); err != nil {
+			t.failOrAbort(err)
+			return
+		}
 		err := t.attempt(ctx, s)
 		if err == nil {
 			return
@@ -80,6 +93,7 @@
 			t.failOrAbort(err)
 			return
 		}
+		t.awaitCrashCheck(ctx)
 	}
 }
 
@@ -170,6 +184,7 @@
 	defer untrack()
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
+	t.begun, t.sentAt = false, time.Now()
 	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.upstreamRequest(u, action))
 	if err != nil {
 		return t.recordNoResponse(s, action, withCause(ctx, err))
@@ -197,7 +212,7 @@
 		err = withCause(ctx, err)
 		resp.Body.Close()
 		t.finishAttempt(s, action, t.attemptOutcome(u.ID, err), events)
-		t.recordBrokenConnection(u.ID, err)
+		t.recordBrokenConnection(action, err)
 		t.failedUpstreams = append(t.failedUpstreams, u.ID)
 		t.logEvent(eventlog.AttemptFailed, u.ID, err)
 		return &attemptError{error: err, reached: true}
@@ -223,6 +238,7 @@
 		result = ResultUpstreamError
 	} else {
 		t.clearSuspicion()
+		t.recordBegin()
 	}
 	t.recordOutcome(result, verdict.Ran)
 	t.forwarder.Log.EmitSampled(eventlog.RequestFinished, func() eventlog.Fields {
@@ -257,7 +273,7 @@
 	outcome := t.attemptOutcome(action.Endpoint, err)
 	t.finishAttempt(s, action, outcome, 0)
 	if reached {
-		t.recordBrokenConnection(action.Endpoint, err)
+		t.recordBrokenConnection(action, err)
 	}
 	t.failedUpstreams = append(t.failedUpstreams, action.Endpoint)
 	t.logEvent(eventlog.AttemptFailed, action.Endpoint, err)
@@ -266,9 +282,21 @@
 
 // recordBrokenConnection requests a probe of an upstream that broke the
 // connection: it may have crashed because of this request.
-func (t *transfer) recordBrokenConnection(upstream string, err error) {
-	if isConnectionLoss(err) && t.attemptOutcome(upstream, err) == routing.Failed {
-		t.forwarder.Liveness.recordBrokenConnection(upstream, t.fingerprint())
+func (t *transfer) recordBrokenConnection(action routing.Action, err error) {
+	if !isConnectionLoss(err) || t.attemptOutcome(action.Endpoint, err) != routing.Failed {
+		return
+	}
+	t.brokenAt = time.Now()
+	r := RunningRequest{Fingerprint: t.fingerprint(), SharedParts: t.sharedParts(), Begun: t.begun, SentAt: t.sentAt, BrokenAt: t.brokenAt}
+	if p := t.metadata.Prompt; p != nil && len(p.Parts) > 0 {
+		r.OwnPart = p.Parts[len(p.Parts)-1].ID
+	}
+	if t.organisation != nil {
+		r.Organisation = t.organisation.Name
+	}
+	check := t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, action.Incarnation, r)
+	if !t.begun && len(r.SharedParts) > 0 {
+		t.crashCheck = check
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,11 +44,14 @@
 type Platform struct {
 	Table platform.Table
 	Feed  platform.Feed
-	// OperatorTable and UpstreamTable are table names in Feed.
-	OperatorTable string
-	UpstreamTable string
-	Rows          RowDecoder
-	Wire          forward.HeaderCodec
+	// Quarantine is a table for the rows of quarantined prompt parts only.
+	Quarantine platform.Table
+	// OperatorTable, UpstreamTable and QuarantineTable are table names in Feed.
+	OperatorTable   string
+	UpstreamTable   string
+	QuarantineTable string
+	Rows            RowDecoder
+	Wire            forward.HeaderCodec
 	// Switches sends weight switch orders to engines, over the daemon's
 	// connections.
 	Switches upstream.Switches
@@ -98,12 +101,15 @@
 	liveness       *forward.Liveness
 	forwarder      *forward.Forwarder
 	suspects       *suspects.Registry
+	promptParts    *suspects.Parts
 	members        *membership.Members
 	gossipNode     *gossip.Node
 	operatorMirror *mirror.Mirror
 	upstreamMirror *mirror.Mirror
-	registry       *fleet.Registry
-	view           view
+	// quarantineMirror is the copy of the table of quarantined prompt parts.
+	quarantineMirror *mirror.Mirror
+	registry         *fleet.Registry
+	view             view
 
 	callerServer, readinessServer, directoryServer, metricsServer *server
 	peerListener                                                  net.Listener
@@ -131,6 +137,7 @@
 	}
 	d.log.Observe(d.metrics.CountEvent)
 	d.platform.Table = timedTable{p.Table, d.metrics}
+	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
@@ -138,9 +145,10 @@
 		return nil, err
 	}
 	d.suspects = suspects.New(s.Name, d.gossipNode, d.platform.Table, d.log, minCrashInterval)
+	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.platform.Quarantine, d.log, minCrashInterval)
 	d.forwarder = forward.New(forward.Config{
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Suspects: suspectTracker{d.suspects}, OnWeightsVersion: d.learnVersion, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
+		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.registerGauges()
@@ -156,16 +164,20 @@
 	recordStoreRead := func(err error) { d.storeFailed.Store(err != nil) }
 	// The upstream table changes all the time, so reads of it are the first to
 	// reveal a dead connection to the store.
-	recheckOperators := func(err error) {
+	recheck := func(err error) {
 		if err != nil && !errors.Is(err, context.Canceled) {
 			d.operatorMirror.Recheck()
+			d.quarantineMirror.Recheck()
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
 		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: recordStoreRead,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreamMirror = mirror.New(mirror.Settings{
-		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MinInterval: upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheckOperators,
+		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MinInterval: upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
+	}, d.platform.Feed, peers, d.log)
+	d.quarantineMirror = mirror.New(mirror.Settings{
+		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, OnChange: d.promptParts.ApplyRows,
 	}, d.platform.Feed, peers, d.log)
 }
 
@@ -214,10 +226,10 @@
 	group, work := errgroup.WithContext(work)
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
-		d.operatorMirror.Run, d.upstreamMirror.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
+		d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
 		d.publishLoads, d.publishGoals, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
-			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror})
+			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror, d.platform.QuarantineTable: d.quarantineMirror})
 		},
 	} {
 		group.Go(func() error { return ignoreShutdown(loop(work)) })
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -28,6 +28,8 @@
 		telemetry.NameGossipFacts:      func() float64 { return float64(d.gossipNode.Stats().Facts) },
 		telemetry.NameEnginesBehind:    func() float64 { return float64(d.enginesBehind()) },
 		telemetry.NameEnginesExpired:   func() float64 { return float64(d.expiredEngines.Load()) },
+		telemetry.NameSuspectedParts:   func() float64 { return float64(d.promptParts.SuspectedCount()) },
+		telemetry.NameQuarantinedParts: func() float64 { return float64(d.promptParts.QuarantinedCount()) },
 		telemetry.NameLeaseHeld:        func() float64 { return boolGauge(d.leaseHeld.Load()) },
 		telemetry.NameStateRevision: func() float64 {
 			if table := d.view.table.Load(); table != nil {
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -6,7 +6,7 @@
 type priority uint8
 
 const (
-	// priorityUrgent facts skip the flush delay: documents, suspects, weight
+	// priorityUrgent facts skip the flush delay: documents, suspects, prompt parts, weight
 	// switches, unresponsive upstreams and goal versions.
 	priorityUrgent priority = iota
 	// priorityDaemon is for facts that daemons publish about themselves: the
@@ -28,7 +28,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion:
+	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun:
 		if valueBytes > maxUrgentValueBytes {
 			return priorityLargeValue
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -36,6 +36,13 @@
 	// KindGoalVersion announces when a daemon learnt of a model's goal version. ID is
 	// model/version: one fact serves all daemons.
 	KindGoalVersion Kind = 8
+	// KindPartCrash announces the prompt parts of requests that an upstream had not begun
+	// to answer when it crashed. ID is the digest of the upstream's incarnation and the
+	// daemon that sent the requests.
+	KindPartCrash Kind = 9
+	// KindPartBegun announces that a request with a suspected prompt part began its
+	// answer. ID is the part's digest.
+	KindPartBegun Kind = 10
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- /dev/null
+++ b/internal/suspects/parts.go
@@ -0,0 +1,494 @@
+package suspects
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/platform"
+)
+
+const (
+	// maxPartsPerRequest is how many parts of one request are suspected; of more, a
+	// random choice.
+	maxPartsPerRequest = 16
+	// maxPartsPerCrash is how many parts one daemon suspects after one crash.
+	maxPartsPerCrash = 32
+	// quarantineRowTTL is how long a quarantine lasts without a trial.
+	quarantineRowTTL = 2 * maxTrialInterval
+	// trialClaimTimeout bounds the claim of a trial in the table.
+	trialClaimTimeout = time.Second
+	// trialClaimInterval is the minimum interval between a daemon's claims for a part.
+	trialClaimInterval = 2 * time.Second
+	// rowWriteTimeout bounds the writing or deletion of a part's row, with retries.
+	rowWriteTimeout    = time.Minute
+	partExpiryInterval = time.Minute
+	// beginReportSpread is the time over which daemons spread their reports of begins of
+	// a part, so that one report serves all.
+	beginReportSpread = 150 * time.Millisecond
+	// maxRecentParts bounds the parts of recent begins that a daemon remembers, in each of
+	// two generations.
+	maxRecentParts = 2 << 10
+)
+
+// rowBackoff is the backoff between tries to change a part's row.
+var rowBackoff = backoff.Policy{Min: 100 * time.Millisecond, Max: 5 * time.Second}
+
+// PartKey returns the key of a part of prompts for a model of a service. Parts of
+// different owners have different keys.
+func PartKey(service, model, owner, id string) string {
+	return digestBytesOf(service, model, owner, id)
+}
+
+// partName returns the readable form of a part's key, which its row has as key.
+func partName(part string) string { return hex.EncodeToString([]byte(part)) }
+
+// digestBytesOf returns the truncated digest of a list of strings.
+func digestBytesOf(fields ...string) string {
+	h := sha256.New()
+	for _, f := range fields {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(f), f) // hash.Hash.Write never fails
+	}
+	return string(h.Sum(nil)[:digestBytes])
+}
+
+// UnbegunRequest is a request whose engine crashed before it sent a complete event of
+// the answer.
+type UnbegunRequest struct {
+	// ID is the same for equal requests only.
+	ID string
+	// Parts are those that other prompts may share.
+	Parts        []string
+	Organisation string
+	SentAt       time.Time
+	// BrokenAt is when the engine broke the connection.
+	BrokenAt time.Time
+}
+
+// Parts tracks, across all daemons, the prompt parts that may crash engines. Every
+// daemon publishes the parts of the requests that had not begun an answer when an
+// engine crashed, and the parts that begin one later. A part is quarantined when an
+// engine crashed while running a request that was sent after an earlier crash with the
+// part, and none has begun since. Quarantined parts are also rows of the table, which
+// every daemon follows. At growing intervals one request of the fleet runs as a trial.
+type Parts struct {
+	daemonName string
+	bus        gossip.Bus
+	table      platform.Table
+	log        *eventlog.Log
+
+	known  atomic.Bool // if false, requests need no look-up
+	recent recentBegins
+	mu     sync.Mutex
+	state  *partState
+	// ctx ends the writing of rows in the background.
+	ctx  context.Context
+	stop context.CancelFunc
+}
+
+// NewParts returns the tracker of the daemon with the given name. table holds the rows
+// of quarantined parts and nothing else. Crashes less than minCrashInterval apart are
+// taken for one failure.
+func NewParts(daemonName string, bus gossip.Bus, table platform.Table, log *eventlog.Log, minCrashInterval time.Duration) *Parts {
+	p := &Parts{daemonName: daemonName, bus: bus, table: table, log: log, state: newPartState(minCrashInterval)}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	bus.Subscribe(gossip.KindPartCrash, p.receiveCrash)
+	bus.Subscribe(gossip.KindPartBegun, p.receiveBegin)
+	return p
+}
+
+// Known reports whether any part is suspected or quarantined.
+func (p *Parts) Known() bool { return p.known.Load() }
+
+// Suspected returns those of the parts that may have crashed an engine.
+func (p *Parts) Suspected(parts []string) []string {
+	if !p.Known() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return !p.state.isSuspected(part) })
+}
+
+// Refusing returns those of a prompt's parts because of which it must not run.
+func (p *Parts) Refusing(parts []string) []string {
+	if !p.Known() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.refusing(parts)
+}
+
+// SuspectedCount returns the number of suspected parts.
+func (p *Parts) SuspectedCount() int { return p.countIf(p.state.isSuspected) }
+
+// QuarantinedCount returns the number of quarantined parts.
+func (p *Parts) QuarantinedCount() int { return p.countIf(p.state.isQuarantined) }
+
+func (p *Parts) countIf(match func(part string) bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for part := range p.state.parts {
+		if match(part) {
+			n++
+		}
+	}
+	return n
+}
+
+// EngineCrashed records that an incarnation of an engine ended while it had not begun
+// the answers of requests, and publishes their parts.
+func (p *Parts) EngineCrashed(service, engine, incarnation string, requests []UnbegunRequest) {
+	crash := digestBytesOf(engine, incarnation)
+	fact := crashFact{Crash: crash}
+	var at time.Time
+	p.mu.Lock()
+	p.applyRecentBegins(requests)
+	for _, i := range rand.Perm(len(requests)) {
+		r := requests[i]
+		at = r.BrokenAt
+		parts := choose(r.Parts)
+		if len(fact.Parts)+len(parts) > maxPartsPerCrash {
+			continue
+		}
+		quarantined := p.state.selectQuarantined(parts)
+		request := digestBytesOf(r.ID)
+		for part, depth := range p.state.recordCrash(parts, crash, request, r.SentAt, r.BrokenAt) {
+			fact.Parts = append(fact.Parts, crashedPart{part, request, depth, p.state.parts[part].crashes[crash].companions})
+			if p.state.isQuarantined(part) && !slices.Contains(quarantined, part) {
+				p.quarantine(service, engine, part, r.Organisation)
+			}
+		}
+	}
+	p.updateKnown()
+	p.mu.Unlock()
+	if len(fact.Parts) == 0 {
+		return
+	}
+	value, err := msgpack.Marshal(&fact)
+	if err != nil {
+		p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: "not published: " + err.Error()})
+		return
+	}
+	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartCrash, ID: hex.EncodeToString([]byte(crash)) + "/" + partName(digestBytesOf(p.daemonName, string(value))), TTL: CrashTTL - time.Since(at), Value: value})
+	p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: fmt.Sprintf("%d requests had not begun: %s", len(requests), fact)})
+}
+
+// choose returns up to maxPartsPerRequest of the parts. The choice is random so that no
+// part is left out of every request's.
+func choose(parts []string) []string {
+	if len(parts) <= maxPartsPerRequest {
+		return parts
+	}
+	out := make([]string, maxPartsPerRequest)
+	for i, j := range rand.Perm(len(parts))[:maxPartsPerRequest] {
+		out[i] = parts[j]
+	}
+	return out
+}
+
+// quarantine logs that a part is quarantined and writes its row. p.mu must be held.
+func (p *Parts) quarantine(service, engine, part, organisation string) {
+	p.log.Emit(eventlog.PartQuarantined, eventlog.Fields{Service: service, Upstream: engine, Organisation: organisation, Detail: "part " + partName(part)})
+	go p.writeRow(part, organisation)
+}
+
+// Begun records that a request with the parts began its answer, which shows that they
+// don't crash engines.
+func (p *Parts) Begun(service string, parts []string) {
+	p.recent.add(parts, time.Now())
+	for _, part := range p.Suspected(parts) {
+		p.clear(service, part)
+	}
+}
+
+// clear clears a part here and at peers.
+func (p *Parts) clear(service, part string) {
+	p.mu.Lock()
+	suspected, quarantined := p.state.begin(part, time.Now())
+	if !suspected { // a peer was faster
+		p.mu.Unlock()
+		return
+	}
+	r := p.state.parts[part]
+	row := r.row
+	r.cleared = true
+	p.updateKnown()
+	p.mu.Unlock()
+	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL})
+	if row != nil {
+		go p.deleteRow(part, row.version)
+	}
+	if quarantined {
+		p.log.Emit(eventlog.PartCleared, eventlog.Fields{Service: service, Detail: "part " + partName(part)})
+	}
+}
+
+// applyRecentBegins applies what this daemon knows of begins before a crash. p.mu must
+// be held.
+func (p *Parts) applyRecentBegins(requests []UnbegunRequest) {
+	for _, r := range requests {
+		for _, part := range r.Parts {
+			if at, ok := p.recent.latest(part); ok && at.Before(r.BrokenAt) {
+				p.state.begin(part, at)
+			}
+		}
+	}
+}
+
+// reportRecentBegin publishes that a part that a peer suspects began an answer here
+// shortly before, unless another daemon does so first. p.mu must be held.
+func (p *Parts) reportRecentBegin(part string) {
+	at, ok := p.recent.latest(part)
+	if !ok || p.state.isProven(part) {
+		return
+	}
+	time.AfterFunc(rand.N(beginReportSpread), func() {
+		p.mu.Lock()
+		proven := p.state.isProven(part)
+		p.state.begin(part, at)
+		p.updateKnown()
+		p.mu.Unlock()
+		if !proven {
+			p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL - time.Since(at)})
+		}
+	})
+}
+
+// updateKnown sets known. p.mu must be held.
+func (p *Parts) updateKnown() { p.known.Store(p.state.known()) }
+
+// crashFact is the value of a KindPartCrash fact. Fields are encoded under their names.
+type crashFact struct {
+	Crash string
+	Parts []crashedPart
+}
+
+// crashedPart is a part of a request that an engine was running when it crashed.
+type crashedPart struct {
+	Part    string
+	Request string
+	Depth   int
+	// Companions are the other parts that the crash quarantined.
+	Companions []string
+}
+
+func (f crashFact) String() string {
+	var b strings.Builder
+	for i, c := range f.Parts {
+		if i > 0 {
+			b.WriteString(", ")
+		}
+		fmt.Fprintf(&b, "part %s crash %d", partName(c.Part), c.Depth)
+	}
+	return b.String()
+}
+
+// receiveCrash applies a peer's crash. Invalid facts are ignored.
+func (p *Parts) receiveCrash(f gossip.Fact) {
+	var fact crashFact
+	if err := msgpack.Unmarshal(f.Value, &fact); err != nil || len(fact.Crash) != digestBytes || len(fact.Parts) > maxPartsPerCrash {
+		return
+	}
+	at := publishedAt(f)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range fact.Parts {
+		if len(c.Part) == digestBytes && len(c.Request) == digestBytes && len(c.Companions) < maxPartsPerRequest && c.Depth >= 1 {
+			p.state.addCrash(c.Part, fact.Crash, partCrash{c.Request, at, min(c.Depth, provenPartDepth), c.Companions})
+			p.reportRecentBegin(c.Part)
+		}
+	}
+	p.updateKnown()
+}
+
+// receiveBegin applies that a request with a part began an answer at a peer.
+func (p *Parts) receiveBegin(f gossip.Fact) {
+	part, err := hex.DecodeString(f.ID)
+	if err != nil || len(part) != digestBytes {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.begin(string(part), publishedAt(f))
+	p.updateKnown()
+}
+
+// publishedAt returns when a fact that is valid for CrashTTL was published.
+func publishedAt(f gossip.Fact) time.Time {
+	return time.Now().Add(min(f.TTL, CrashTTL) - CrashTTL)
+}
+
+// Run forgets what has expired until ctx ends. It returns the context's error.
+func (p *Parts) Run(ctx context.Context) error {
+	defer p.stop()
+	for {
+		if err := backoff.Sleep(ctx, backoff.JitterInterval(partExpiryInterval)); err != nil {
+			return err
+		}
+		p.mu.Lock()
+		now := time.Now()
+		for _, part := range p.state.expire(now.Add(-CrashTTL), now.Add(-quarantineRowTTL)) {
+			version := p.state.parts[part].row.version
+			go p.deleteRow(part, version)
+		}
+		p.updateKnown()
+		p.mu.Unlock()
+	}
+}
+
+// rowValue is the value of a part's row. Fields are encoded under their names.
+type rowValue struct {
+	Trials       int
+	Organisation string // digest
+	Companions   []string
+}
+
+// ApplyRows applies the rows of all quarantined parts, as the table has them. Invalid
+// rows are ignored.
+func (p *Parts) ApplyRows(rows map[string]platform.Change, _ uint64) {
+	now := time.Now()
+	decoded := map[string]quarantineRow{}
+	for key, row := range rows {
+		part, err := hex.DecodeString(key)
+		var v rowValue
+		if err != nil || len(part) != digestBytes || msgpack.Unmarshal(row.Value, &v) != nil {
+			continue
+		}
+		decoded[string(part)] = quarantineRow{version: row.Version, trials: max(0, v.Trials), since: now, organisation: v.Organisation, companions: v.Companions}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range p.state.setRows(decoded) {
+		go p.deleteRow(part, decoded[part].version)
+	}
+	p.updateKnown()
+}
+
+// ClaimTrial reports whether one request may run although parts of its prompt refuse
+// it: a trial is due for all of these and no other daemon has claimed it.
+func (p *Parts) ClaimTrial(ctx context.Context, service string, prompt []string) bool {
+	txn, ok := p.trialTxn(prompt)
+	if !ok || len(txn.Writes) == 0 {
+		return ok
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+	defer cancel()
+	if p.table.Commit(ctx, txn) != nil { // claimed by another daemon, or not known to be claimed
+		return false
+	}
+	for _, w := range txn.Writes {
+		p.log.Emit(eventlog.PartTrial, eventlog.Fields{Service: service, Detail: "part " + w.Key})
+	}
+	return true
+}
+
+// trialTxn returns the transaction that claims a trial; ok is false if none is due.
+func (p *Parts) trialTxn(prompt []string) (txn platform.Txn, ok bool) {
+	suspected := len(p.Suspected(prompt))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	parts := p.state.refusing(prompt)
+	if !p.state.trialDue(parts, suspected, now) {
+		return txn, false
+	}
+	for _, part := range parts {
+		r := p.state.parts[part]
+		r.retryClaimAt = now.Add(trialClaimInterval)
+		v, version := r.rowValue()
+		_, trials := r.quarantinedSince()
+		v.Trials = trials + 1
+		txn = appendPut(txn, part, version, v)
+	}
+	return txn, true
+}
+
+// rowValue returns the value and version of the part's row, or those of a new one.
+func (r *partRecord) rowValue() (v rowValue, version uint64) {
+	if r.row != nil {
+		return rowValue{r.row.trials, r.row.organisation, r.row.companions}, r.row.version
+	}
+	return rowValue{Companions: r.companions()}, 0
+}
+
+func appendPut(txn platform.Txn, part string, version uint64, v rowValue) platform.Txn {
+	var buf bytes.Buffer
+	_ = msgpack.NewEncoder(&buf).Encode(&v) // strings and integers can be encoded
+	txn.Conditions = append(txn.Conditions, platform.Condition{Key: partName(part), Version: version})
+	txn.Writes = append(txn.Writes, platform.Write{Key: partName(part), Value: buf.Bytes()})
+	return txn
+}
+
+// writeRow creates the row of a part, unless it has one. It gives up after
+// rowWriteTimeout; gossip still distributes the crashes.
+func (p *Parts) writeRow(part, organisation string) {
+	p.commit(part, func() (platform.Txn, bool) {
+		r := p.state.parts[part]
+		if !p.state.isQuarantined(part) || r.hasRow() {
+			return platform.Txn{}, false
+		}
+		_, version := r.rowValue()
+		txn := appendPut(platform.Txn{}, part, version, rowValue{Organisation: digestBytesOf(organisation), Companions: r.companions()})
+		if evicted, full := p.state.rowToEvict(); full {
+			txn = appendDelete(txn, evicted, p.state.parts[evicted].row.version)
+		}
+		return txn, true
+	})
+}
+
+// deleteRow deletes the row of a part unless it has changed.
+func (p *Parts) deleteRow(part string, version uint64) {
+	p.commit(part, func() (platform.Txn, bool) { return appendDelete(platform.Txn{}, part, version), true })
+}
+
+func appendDelete(txn platform.Txn, part string, version uint64) platform.Txn {
+	txn.Conditions = append(txn.Conditions, platform.Condition{Key: partName(part), Version: version})
+	txn.Writes = append(txn.Writes, platform.Write{Key: partName(part), Delete: true})
+	return txn
+}
+
+// commit commits the transaction that next returns until it is applied, conflicts with
+// another daemon's, is no longer needed or rowWriteTimeout has passed.
+func (p *Parts) commit(part string, next func() (platform.Txn, bool)) {
+	ctx, cancel := context.WithTimeout(p.ctx, rowWriteTimeout)
+	defer cancel()
+	for try := 0; ; try++ {
+		p.mu.Lock()
+		txn, needed := next()
+		p.mu.Unlock()
+		if !needed {
+			return
+		}
+		err := p.commitOnce(ctx, txn)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return
+		}
+		if rowBackoff.Wait(ctx, try) != nil {
+			p.log.Emit(eventlog.PartRowFailed, eventlog.Fields{Detail: "part " + partName(part) + ": " + err.Error()})
+			return
+		}
+	}
+}
+
+func (p *Parts) commitOnce(ctx context.Context, txn platform.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	return p.table.Commit(ctx, txn)
+}
--- /dev/null
+++ b/internal/suspects/parts_test.go
@@ -0,0 +1,147 @@
+package suspects
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/platform/platformtest"
+)
+
+// partFleet is a set of daemons that share a table.
+type partFleet struct {
+	platform *platformtest.Platform
+	daemons  []*Parts
+	crashes  int
+}
+
+func newPartFleet(n int) *partFleet {
+	f := &partFleet{platform: platformtest.New()}
+	var peers []*connectedBus
+	for i := range n {
+		bus := &connectedBus{peers: &peers}
+		peers = append(peers, bus)
+		f.daemons = append(f.daemons, NewParts(fmt.Sprintf("d%d", i), bus, f.platform.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), testCrashInterval))
+	}
+	return f
+}
+
+// crash crashes an engine with a request of its own that a daemon just sent.
+func (f *partFleet) crash(daemon int, parts ...string) {
+	f.crashes++
+	name := fmt.Sprint(f.crashes)
+	sentAt := time.Now()
+	time.Sleep(time.Second)
+	f.daemons[daemon].EngineCrashed("s", "engine", name, []UnbegunRequest{{ID: name, Parts: parts, Organisation: "o", SentAt: sentAt, BrokenAt: time.Now()}})
+	synctest.Wait()
+}
+
+// readRows lets all daemons read the table.
+func (f *partFleet) readRows(t *testing.T) map[string]platform.Change {
+	rows, err := f.platform.Client().List(t.Context(), "", "", 100)
+	assert.NilError(t, err)
+	out := map[string]platform.Change{}
+	for _, r := range rows {
+		out[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
+	}
+	for _, p := range f.daemons {
+		p.ApplyRows(out, 0)
+	}
+	return out
+}
+
+// A trial of a quarantined part must run at one daemon only, and a later one only after a
+// longer time.
+func TestTrialIsClaimedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(4)
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		assert.Equal(t, len(f.daemons[3].Suspected([]string{part})), 1)
+		assert.Equal(t, len(f.daemons[3].Refusing([]string{part})), 0)
+		f.crash(1, part)
+		f.readRows(t)
+		claims := func() int {
+			n := 0
+			for _, p := range f.daemons {
+				assert.Equal(t, len(p.Refusing([]string{part})), 1)
+				if p.ClaimTrial(context.Background(), "s", []string{part}) {
+					n++
+				}
+			}
+			return n
+		}
+		assert.Equal(t, claims(), 0)
+		time.Sleep(firstTrialInterval)
+		assert.Equal(t, claims(), 1)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		assert.Equal(t, claims(), 0)
+		time.Sleep(firstTrialInterval * trialIntervalFactor)
+		assert.Equal(t, claims(), 1)
+	})
+}
+
+// A part that begins an answer must be released at all daemons, and its row deleted, also
+// if the row is written while the answer begins.
+func TestBeginReleasesPart(t *testing.T) {
+	for name, rowFirst := range map[string]bool{"row known": true, "row in flight": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newPartFleet(3)
+				part := PartKey("s", "m", "", "sound")
+				f.crash(0, part)
+				f.crash(1, part)
+				if rowFirst {
+					assert.Equal(t, len(f.readRows(t)), 1)
+				}
+				f.daemons[2].Begun("s", []string{part})
+				synctest.Wait()
+				f.readRows(t)
+				time.Sleep(time.Second)
+				assert.Equal(t, len(f.readRows(t)), 0)
+				for _, p := range f.daemons {
+					assert.Equal(t, len(p.Suspected([]string{part})), 0)
+				}
+			})
+		})
+	}
+}
+
+// A daemon that only reads the table must refuse a quarantined part.
+func TestRowsQuarantineParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(2)
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		f.crash(1, part)
+		alone := newPartFleet(1).daemons[0]
+		f.daemons = append(f.daemons, alone)
+		f.readRows(t)
+		assert.Equal(t, len(alone.Refusing([]string{part})), 1)
+		assert.Equal(t, len(alone.Refusing([]string{PartKey("s", "m", "o", "bad")})), 0, "parts of other owners are others")
+	})
+}
+
+// A peer's report that answers on a part were begun shortly before the crash must keep a
+// second crash from quarantining it.
+func TestPeersReportRecentBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "popular")
+		f.daemons[2].Begun("s", []string{part})
+		time.Sleep(time.Second)
+		f.crash(0, part)
+		f.crash(1, part)
+		assert.Equal(t, len(f.daemons[0].Refusing([]string{part})), 0)
+		f.crash(0, part)
+		assert.Equal(t, len(f.daemons[1].Refusing([]string{part})), 1)
+	})
+}
--- /dev/null
+++ b/internal/suspects/partstate.go
@@ -0,0 +1,459 @@
+package suspects
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// newPartDepth is the depth of a crash that quarantines a part, provenPartDepth that
+	// for a part on which answers were begun within provenWindow before its first crash:
+	// such a part may have turned bad, but was more likely run beside the cause.
+	newPartDepth    = 2
+	provenPartDepth = 3
+	provenWindow    = time.Minute
+	// maxSuspicions bounds the crashes remembered for all parts together, without those
+	// that may quarantine. When it is reached, the oldest 1/roomDivisor are dropped.
+	maxSuspicions = 8 << 10
+	roomDivisor   = 8
+	// maxParts bounds the parts of which anything is remembered.
+	maxParts = 2 * maxSuspicions
+	// maxQuarantinedParts bounds the parts in quarantine. When it is reached, the oldest
+	// part of the organisation that has most is dropped for a new one.
+	maxQuarantinedParts = 1 << 10
+	// firstTrialInterval is the time from a part's quarantine to its first trial; each
+	// later interval is trialIntervalFactor times as long, up to maxTrialInterval. A part
+	// that crashed more than freeCrashes engines before its first trial waits as if these
+	// had been trials.
+	firstTrialInterval  = 5 * time.Second
+	trialIntervalFactor = 8
+	maxTrialInterval    = 24 * time.Hour
+	freeCrashes         = 3
+)
+
+// partCrash is an engine crash while a request with a part had not begun its answer.
+type partCrash struct {
+	// request is the digest of that request. A retry of the same request is no new
+	// evidence: all its parts are the same.
+	request string
+	at      time.Time
+	// depth is 1 if no other request with the part was at an engine that had crashed
+	// before this one was sent, else one more than that crash's. A failure of several
+	// engines at once has depth 1 everywhere.
+	depth int
+	// companions are the other parts of the request that were quarantined with this one.
+	// The cause may be any of them, so requests without them are not refused.
+	companions []string
+}
+
+// quarantineRow is a part's row in the table.
+type quarantineRow struct {
+	version uint64
+	// trials is the number of requests that were run in spite of the quarantine, or
+	// count as such.
+	trials int
+	// since is when this daemon first saw this version of the row. Trials are timed
+	// by it, so that they don't depend on any clock.
+	since        time.Time
+	organisation string
+	companions   []string
+}
+
+// partRecord is what is known of one part.
+type partRecord struct {
+	// crashes are keyed by the digest of the crash.
+	crashes map[string]partCrash
+	// begunAt is the latest known time at which a request with the part began an answer;
+	// crashes until then don't count.
+	begunAt time.Time
+	row     *quarantineRow
+	// voidVersion is the version of the row that was there when the part began an answer.
+	voidVersion uint64
+	// cleared is set while a row that a peer wrote before the part began an answer here
+	// may still appear.
+	cleared bool
+	// retryClaimAt is when this daemon may next try to claim a trial.
+	retryClaimAt time.Time
+}
+
+// partState is the knowledge of all parts. It has no clock and does no I/O.
+type partState struct {
+	// minCrashInterval is the minimum time between two crashes of different depth.
+	minCrashInterval time.Duration
+	parts            map[string]*partRecord
+	// suspicions and quarantined count the crashes below and from newPartDepth on, rows
+	// the parts with a row.
+	suspicions, quarantined, rows int
+}
+
+// known reports whether any part is suspected.
+func (s *partState) known() bool { return s.suspicions+s.quarantined+s.rows > 0 }
+
+func newPartState(minCrashInterval time.Duration) *partState {
+	return &partState{minCrashInterval: minCrashInterval, parts: map[string]*partRecord{}}
+}
+
+// recordCrash adds a crash that this daemon observed while a request had not begun its
+// answer, and returns the depths of the parts for which it is new. sentAt is when the
+// request was sent. If parts of the request are quarantined already, they explain the
+// crash, and it is not held against the others.
+func (s *partState) recordCrash(parts []string, crash, request string, sentAt, at time.Time) map[string]int {
+	if explained := s.selectQuarantined(parts); len(explained) > 0 {
+		parts = explained
+	}
+	depths := map[string]int{}
+	var deep []string
+	for _, part := range parts {
+		depths[part] = s.depthOf(part, crash, request, sentAt, at)
+		if depths[part] >= s.quarantineDepth(part) {
+			deep = append(deep, part)
+		}
+	}
+	for part, depth := range depths {
+		c := partCrash{request: request, at: at, depth: depth}
+		if slices.Contains(deep, part) {
+			c.companions = without(deep, part)
+		}
+		if !s.addCrash(part, crash, c) {
+			delete(depths, part)
+		}
+	}
+	return depths
+}
+
+// without returns the parts other than one.
+func without(parts []string, part string) []string {
+	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return p == part })
+}
+
+// selectQuarantined returns the parts that are quarantined.
+func (s *partState) selectQuarantined(parts []string) []string {
+	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return !s.isQuarantined(p) })
+}
+
+// depthOf returns the depth of a crash for a part.
+func (s *partState) depthOf(part, crash, request string, sentAt, at time.Time) int {
+	depth := 1
+	if r := s.parts[part]; r != nil {
+		for other, c := range r.crashes {
+			if other != crash && r.counts(c) && c.request != request && !sentAt.Before(c.at) && at.Sub(c.at) >= s.minCrashInterval {
+				depth = min(provenPartDepth, max(depth, c.depth+1))
+			}
+		}
+	}
+	return depth
+}
+
+// quarantineDepth returns the depth of a crash that quarantines the part.
+func (s *partState) quarantineDepth(part string) int {
+	if r := s.parts[part]; r != nil {
+		return r.quarantineDepth()
+	}
+	return newPartDepth
+}
+
+func (r *partRecord) quarantineDepth() int {
+	var first time.Time
+	for _, c := range r.crashes {
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
+		}
+	}
+	if !r.begunAt.IsZero() && first.Sub(r.begunAt) < provenWindow {
+		return provenPartDepth
+	}
+	return newPartDepth
+}
+
+// addCrash adds a crash, or raises the depth of a known one. It reports whether that
+// changed anything.
+func (s *partState) addCrash(part, crash string, c partCrash) bool {
+	r := s.record(part)
+	if r == nil {
+		return false
+	}
+	old, known := r.crashes[crash]
+	if !r.counts(c) || known && old.depth >= c.depth {
+		return false
+	}
+	if known {
+		s.count(old, -1)
+	} else {
+		s.makeRoom(c.depth)
+	}
+	s.parts[part] = r
+	r.crashes[crash] = c
+	s.count(c, 1)
+	return true
+}
+
+// record returns the record of a part, or a new one that is not stored yet; nil if
+// there are too many.
+func (s *partState) record(part string) *partRecord {
+	if r := s.parts[part]; r != nil {
+		return r
+	}
+	if len(s.parts) >= maxParts {
+		return nil
+	}
+	return &partRecord{crashes: map[string]partCrash{}}
+}
+
+// makeRoom drops the oldest crashes that count like one of the given depth if there are
+// too many.
+func (s *partState) makeRoom(depth int) {
+	limit, n := maxSuspicions, s.suspicions
+	if depth >= newPartDepth {
+		limit, n = maxQuarantinedParts, s.quarantined
+	}
+	if n < limit {
+		return
+	}
+	type entry struct {
+		part, crash string
+		at          time.Time
+	}
+	var entries []entry
+	for part, r := range s.parts {
+		for crash, c := range r.crashes {
+			if (c.depth >= newPartDepth) == (depth >= newPartDepth) {
+				entries = append(entries, entry{part, crash, c.at})
+			}
+		}
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return a.at.Compare(b.at) })
+	for _, e := range entries[:limit/roomDivisor] {
+		s.removeCrash(e.part, e.crash)
+	}
+}
+
+func (s *partState) count(c partCrash, n int) {
+	if c.depth >= newPartDepth {
+		s.quarantined += n
+	} else {
+		s.suspicions += n
+	}
+}
+
+func (s *partState) removeCrash(part, crash string) {
+	r := s.parts[part]
+	if r == nil {
+		return
+	}
+	if c, known := r.crashes[crash]; known {
+		delete(r.crashes, crash)
+		s.count(c, -1)
+	}
+	s.dropIfUnused(part)
+}
+
+// dropIfUnused removes the record of a part of which nothing has to be known.
+func (s *partState) dropIfUnused(part string) {
+	if r := s.parts[part]; r != nil && len(r.crashes) == 0 && r.row == nil && r.begunAt.IsZero() {
+		delete(s.parts, part)
+	}
+}
+
+// counts reports whether the crash happened after the part last began an answer.
+func (r *partRecord) counts(c partCrash) bool { return c.at.After(r.begunAt) }
+
+// begin applies that a request with the part began an answer at a time. It reports
+// whether the part was suspected until then, and whether it was quarantined.
+func (s *partState) begin(part string, at time.Time) (suspected, quarantined bool) {
+	r := s.record(part)
+	if r == nil || !at.After(r.begunAt) {
+		return false, false
+	}
+	suspected, quarantined = s.isSuspected(part), s.isQuarantined(part)
+	s.parts[part] = r
+	r.begunAt = at
+	if r.row != nil && !r.row.since.After(at) {
+		r.voidVersion = r.row.version
+	}
+	for crash, c := range r.crashes {
+		if !r.counts(c) {
+			delete(r.crashes, crash)
+			s.count(c, -1)
+		}
+	}
+	return suspected, quarantined
+}
+
+// isSuspected reports whether an engine crashed while it ran a request with the part
+// and none has begun an answer since.
+func (s *partState) isSuspected(part string) bool {
+	r := s.parts[part]
+	return r != nil && (len(r.crashes) > 0 || r.hasRow())
+}
+
+// isProven reports whether answers on the part were begun shortly before its first crash.
+func (s *partState) isProven(part string) bool { return s.quarantineDepth(part) == provenPartDepth }
+
+// isQuarantined reports whether requests with the part, and with its companions if it
+// has any, must not run.
+func (s *partState) isQuarantined(part string) bool {
+	r := s.parts[part]
+	return r != nil && (r.hasRow() || r.depth() >= r.quarantineDepth())
+}
+
+// refusing returns those of a prompt's parts because of which it must not run: the
+// quarantined ones whose companions, if they are still quarantined, are among the parts
+// too.
+func (s *partState) refusing(parts []string) []string {
+	return slices.DeleteFunc(slices.Clone(parts), func(part string) bool {
+		r := s.parts[part]
+		if r == nil {
+			return true
+		}
+		complete := func(companions []string) bool {
+			return !slices.ContainsFunc(companions, func(c string) bool { return s.isQuarantined(c) && !slices.Contains(parts, c) })
+		}
+		if r.hasRow() && complete(r.row.companions) {
+			return false
+		}
+		for _, c := range r.crashes {
+			if c.depth >= r.quarantineDepth() && complete(c.companions) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (r *partRecord) hasRow() bool { return r.row != nil && r.row.version != r.voidVersion }
+
+// companions returns the fewest companions that any quarantining crash left the part
+// with.
+func (r *partRecord) companions() []string {
+	var fewest []string
+	found := false
+	for _, c := range r.crashes {
+		if c.depth >= r.quarantineDepth() && (!found || len(c.companions) < len(fewest)) {
+			fewest, found = c.companions, true
+		}
+	}
+	return fewest
+}
+
+// depth returns the greatest depth of the part's crashes.
+func (r *partRecord) depth() int {
+	depth := 0
+	for _, c := range r.crashes {
+		depth = max(depth, c.depth)
+	}
+	return depth
+}
+
+// trialDue reports whether one request that the given parts keep from running may run
+// now. suspected is the number of all suspected parts of the prompt: requests with fewer
+// go first, since they tell which part is the cause.
+func (s *partState) trialDue(parts []string, suspected int, now time.Time) bool {
+	for _, part := range parts {
+		r := s.parts[part]
+		if r == nil || now.Before(r.retryClaimAt) {
+			return false
+		}
+		since, trials := r.quarantinedSince()
+		if now.Sub(since) < time.Duration(suspected)*trialInterval(trials) {
+			return false
+		}
+	}
+	return true
+}
+
+// quarantinedSince returns when the part's quarantine or its last trial became known,
+// and the number of trials.
+func (r *partRecord) quarantinedSince() (since time.Time, trials int) {
+	trials = max(0, len(r.crashes)-freeCrashes)
+	if r.hasRow() {
+		return r.row.since, max(trials, r.row.trials)
+	}
+	for _, c := range r.crashes {
+		if c.depth >= r.quarantineDepth() && c.at.After(since) {
+			since = c.at
+		}
+	}
+	return since, trials
+}
+
+// trialInterval returns the time before a trial that follows the given number of
+// trials.
+func trialInterval(trials int) time.Duration {
+	interval := float64(firstTrialInterval) * math.Pow(trialIntervalFactor, float64(trials))
+	return time.Duration(min(interval, float64(maxTrialInterval)))
+}
+
+// setRows replaces the rows of all parts. Rows whose version is known keep the time at
+// which it was first seen. It returns the parts whose new row is out of date: they have
+// begun an answer here since their last crash.
+func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
+	s.rows = 0
+	for part, r := range s.parts {
+		if _, present := rows[part]; !present && r.row != nil {
+			r.row = nil
+			s.dropIfUnused(part)
+		}
+	}
+	for part, row := range rows {
+		r := s.record(part)
+		if r == nil {
+			continue
+		}
+		s.parts[part] = r
+		s.rows++
+		if r.row != nil && r.row.version == row.version {
+			continue
+		}
+		r.row = &row
+		if r.cleared && len(r.crashes) == 0 && row.trials == 0 {
+			r.voidVersion = row.version
+			outdated = append(outdated, part)
+		}
+	}
+	return outdated
+}
+
+// rowToEvict returns the part whose row has to make room for a new one; ok is false
+// if there is room.
+func (s *partState) rowToEvict() (part string, ok bool) {
+	counts := map[string]int{}
+	var parts []string
+	for p, r := range s.parts {
+		if r.row != nil {
+			counts[r.row.organisation]++
+			parts = append(parts, p)
+		}
+	}
+	if len(parts) < maxQuarantinedParts {
+		return "", false
+	}
+	return slices.MaxFunc(parts, func(a, b string) int {
+		x, y := s.parts[a].row, s.parts[b].row
+		return cmp.Or(cmp.Compare(counts[x.organisation], counts[y.organisation]), cmp.Compare(x.organisation, y.organisation), y.since.Compare(x.since))
+	}), true
+}
+
+// expire is called at intervals. It forgets crashes and begins from before a time, and returns the parts whose
+// rows are older than rowLimit.
+func (s *partState) expire(before, rowLimit time.Time) []string {
+	var old []string
+	for part, r := range maps.Clone(s.parts) {
+		for crash, c := range maps.Clone(r.crashes) {
+			if c.at.Before(before) {
+				s.removeCrash(part, crash)
+			}
+		}
+		r.cleared = false
+		if r.begunAt.Before(before) {
+			r.begunAt = time.Time{}
+		}
+		if r.row != nil && r.row.since.Before(rowLimit) {
+			old = append(old, part)
+		}
+		s.dropIfUnused(part)
+	}
+	return old
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -40,6 +40,8 @@
 	NameEnginesBehind    = "verbenabend_engines_behind"
 	NameEnginesExpired   = "verbenabend_engines_expired"
 	NameLeaseHeld        = "verbenabend_lease_held"
+	NameSuspectedParts   = "verbenabend_suspected_prompt_parts"
+	NameQuarantinedParts = "verbenabend_quarantined_prompt_parts"
 
 	resultOK          = "ok"
 	labelledForwarded = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
@@ -55,6 +57,7 @@
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameLeaseHeld,
+	NameSuspectedParts, NameQuarantinedParts,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -46,6 +46,9 @@
 	OmitStamp
 	// NeverEnd sends the upstream's Endless response.
 	NeverEnd
+	// StallInFirstEvent sends the head of a stream and a part of its first event, and
+	// then nothing until the connection closes.
+	StallInFirstEvent
 )
 
 // Endless is a response, or bytes that are none, without an end.
@@ -280,6 +283,8 @@
 		u.respondForeignFirst(w, run)
 	case NeverEnd:
 		u.respondEndlessly(w, run)
+	case StallInFirstEvent:
+		u.stallInFirstEvent(w, r)
 	default:
 		u.respond(w, r, behaviour, run)
 	}
@@ -381,6 +386,15 @@
 	}
 }
 
+// stallInFirstEvent sends the beginning of a stream and waits until the connection
+// closes.
+func (u *Upstream) stallInFirstEvent(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, "id: 1\ndata: to")
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
+
 // respondForeignFirst sends a response to another request, then the right one.
 func (u *Upstream) respondForeignFirst(w http.ResponseWriter, run *Run) {
 	conn, out, err := http.NewResponseController(w).Hijack()
