Make the facts of crashes small enough to be urgent

The fact of a crash held up to 32 parts with the names of its fields, about 2.4 KB, and facts over 1 KB wait behind those of daemons. It now holds up to 24 parts, encoded by position: TestCrashFactIsSmall holds it to 1 KB.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -26,8 +26,9 @@
 	// maxPartsPerRequest is how many parts of one request are suspected; of more, a
 	// random choice.
 	maxPartsPerRequest = 16
-	// maxPartsPerCrash is how many parts one daemon suspects after one crash.
-	maxPartsPerCrash = 32
+	// maxPartsPerCrash is how many parts one daemon suspects after one crash. Their fact
+	// is small enough to be urgent.
+	maxPartsPerCrash = 24
 	// quarantineRowTTL is how long a quarantine lasts without a trial.
 	quarantineRowTTL = 2 * maxTrialInterval
 	// trialClaimTimeout bounds the claim of a trial in the table.
@@ -170,7 +171,7 @@
 		quarantined := p.state.selectQuarantined(parts)
 		request := digestBytesOf(r.ID)
 		for part, depth := range p.state.recordCrash(parts, crash, request, r.SentAt, r.BrokenAt) {
-			fact.Parts = append(fact.Parts, crashedPart{part, request, depth, p.state.parts[part].crashes[crash].companions})
+			fact.Parts = append(fact.Parts, crashedPart{Part: part, Request: request, Depth: depth, Companions: p.state.parts[part].crashes[crash].companions})
 			if p.state.isQuarantined(part) && !slices.Contains(quarantined, part) {
 				p.quarantine(service, engine, part, r.Organisation)
 			}
@@ -181,7 +182,7 @@
 	if len(fact.Parts) == 0 {
 		return
 	}
-	value, err := msgpack.Marshal(&fact)
+	value, err := fact.encode()
 	if err != nil {
 		p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: "not published: " + err.Error()})
 		return
@@ -274,7 +275,8 @@
 // updateKnown sets known. p.mu must be held.
 func (p *Parts) updateKnown() { p.known.Store(p.state.known()) }
 
-// crashFact is the value of a KindPartCrash fact. Fields are encoded under their names.
+// crashFact is the value of a KindPartCrash fact. Fields are encoded by position: their
+// order is part of the protocol, and new ones come last.
 type crashFact struct {
 	Crash string
 	Parts []crashedPart
@@ -289,6 +291,15 @@
 	Companions []string
 }
 
+func (f crashFact) encode() ([]byte, error) {
+	var buf bytes.Buffer
+	e := msgpack.NewEncoder(&buf)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	err := e.Encode(&f)
+	return buf.Bytes(), err
+}
+
 func (f crashFact) String() string {
 	var b strings.Builder
 	for i, c := range f.Parts {
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
@@ -145,3 +146,18 @@
 		assert.Equal(t, len(f.daemons[1].Refusing([]string{part})), 1)
 	})
 }
+
+// A crash of as many parts as one daemon reports must fit into an urgent fact.
+func TestCrashFactIsSmall(t *testing.T) {
+	const maxUrgentBytes = 1 << 10
+	fact := crashFact{Crash: digestBytesOf("engine")}
+	for i := range maxPartsPerCrash {
+		fact.Parts = append(fact.Parts, crashedPart{Part: PartKey("s", "m", "", fmt.Sprint(i)), Request: digestBytesOf("r"), Depth: 1})
+	}
+	value, err := fact.encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) <= maxUrgentBytes, "%d bytes", len(value))
+	var decoded crashFact
+	assert.NilError(t, msgpack.Unmarshal(value, &decoded))
+	assert.Equal(t, decoded.String(), fact.String())
+}
