Check once more whether an engine that broke a connection has ended

Callers: the third engine, one more than promised, crashed under repeats of one request.

Cause: when an engine breaks a connection, one new connection tells whether it has ended. A process may end its connections before it stops listening; a probe in between is accepted, and the crash counts for nothing, against the request and against its prompt parts.

Fix: an accepted probe rules a crash out only 100 ms after the connection broke; before that the request is checked by a second probe. The first one answers the retry that waits, so that no caller waits longer. It costs one more connection for each broken answer of an engine that goes on.

Evidence: TestCrashIsFoundWhenListenerClosesLast failed before (no crash reported) and passes. Ruled out: crashes closer than 300 ms, which count once (the test's requests are 700 ms apart).

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -31,6 +31,9 @@
 	// downProbeInterval is the interval between probes of an upstream that is
 	// down.
 	downProbeInterval = 300 * time.Millisecond
+	// exitTime is how long a process that ends may go on listening after its
+	// connections have ended.
+	exitTime = 100 * time.Millisecond
 )
 
 // Liveness detects upstreams that stopped responding without closing
@@ -77,8 +80,11 @@
 type brokenRequest struct {
 	RunningRequest
 	incarnation string
-	// crashed receives whether the incarnation has ended.
+	// crashed receives whether the first probe finds that the incarnation has ended;
+	// nil once it has.
 	crashed chan<- bool
+	// settledAt is when a probe that is accepted rules a crash out.
+	settledAt time.Time
 }
 
 // NewLiveness returns a Liveness that probes with dial. onChange is called
@@ -147,7 +153,7 @@
 		return nil
 	}
 	crashed := make(chan bool, 1)
-	h.broken = append(h.broken, brokenRequest{r, incarnation, crashed})
+	h.broken = append(h.broken, brokenRequest{RunningRequest: r, incarnation: incarnation, crashed: crashed, settledAt: time.Now().Add(exitTime)})
 	h.probeRequested, h.probeNotBefore = true, time.Time{}
 	select {
 	case l.wake <- struct{}{}:
@@ -185,7 +191,9 @@
 // dropBroken gives up finding out whether the upstream has crashed. l.mu must be held.
 func (h *upstreamHealth) dropBroken() {
 	for _, b := range h.broken {
-		close(b.crashed)
+		if b.crashed != nil {
+			close(b.crashed)
+		}
 	}
 	h.broken = nil
 }
@@ -275,7 +283,8 @@
 }
 
 // reportBroken reports the crash of each incarnation that broke connections and has
-// ended: the upstream does not listen, or has registered another incarnation.
+// ended: the upstream does not listen, or has registered another incarnation. Other
+// requests that broke just now are checked once more.
 func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, ended bool) {
 	l.mu.Lock()
 	current := h.incarnation
@@ -291,8 +300,26 @@
 			l.onCrash(h.service, id, incarnation, requests)
 		}
 	}
-	for _, b := range broken {
-		b.crashed <- ended || b.incarnation != current
+	for i := range broken {
+		b := &broken[i]
+		hasEnded := ended || b.incarnation != current
+		if b.crashed != nil {
+			b.crashed <- hasEnded
+			b.crashed = nil
+		}
+		if !hasEnded && time.Now().Before(b.settledAt) {
+			l.recheckBroken(h, *b)
+		}
+	}
+}
+
+// recheckBroken requests a probe for when an upstream that has ended no longer listens.
+func (l *Liveness) recheckBroken(h *upstreamHealth, b brokenRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h.broken = append(h.broken, b)
+	if !h.probeRequested {
+		h.probeRequested, h.probeNotBefore = true, b.settledAt
 	}
 }
 
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -113,3 +113,44 @@
 		assert.Equal(t, total, daemons)
 	})
 }
+
+// Guards against missing the crash of a process whose connections end shortly before
+// it stops listening: the request that crashed it was not counted.
+func TestCrashIsFoundWhenListenerClosesLast(t *testing.T) {
+	const listenerCloses = 20 * time.Millisecond // after the connections
+	for name, wantCrash := range map[string]bool{"process ends": true, "process goes on": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(context.Background())
+				var brokenAt time.Time
+				dial := func(context.Context, string, string) (net.Conn, error) {
+					if wantCrash && time.Since(brokenAt) >= listenerCloses {
+						return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+					}
+					client, server := net.Pipe()
+					server.Close()
+					return client, nil
+				}
+				l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+				var crashed []RunningRequest
+				l.onCrash = func(_, _, _ string, requests []RunningRequest) { crashed = append(crashed, requests...) }
+				var wg sync.WaitGroup
+				wg.Go(func() { _ = l.Run(ctx) })
+				u := &fleet.Registration{ID: "e", Address: "10.0.0.1:80"}
+				_, untrack := l.track(u, &transfer{}, func(error) {})
+				untrack()
+				brokenAt = time.Now()
+				check := l.recordBrokenConnection(u.ID, u.Incarnation(), RunningRequest{Fingerprint: "f"})
+				select {
+				case <-check:
+				case <-time.After(probeTimeout):
+					t.Error("a retry waits longer than for one probe")
+				}
+				time.Sleep(time.Second)
+				stop()
+				wg.Wait()
+				assert.Equal(t, len(crashed) == 1, wantCrash)
+			})
+		})
+	}
+}
