Send no work to an upstream whose response says that it leaves

Cause: a new rule of the users. An upstream that leaves says so in all its responses (Server-Leaving: 1); a daemon that has passed one on may send it nothing that was sent to the daemon later than 2 s after that. Only the state in the upstream's row was read, which may stay "ready" for long, or be out of reach.

What callers saw: requests at an upstream about to exit. Where it refused them, the retries used up the budget: 7 of 62 requests were not served.

For each response that belongs to the request, whatever its status, forward calls OnLeaving before it relays anything; the gateway keeps the upstream by ID and start time and sets Leaving in its registration, so that the scheduler, weight orders and reads of cache events treat it as one whose row says "draining". Each attempt (retries, resumed streams, requests that waited) asks the scheduler, so none goes there.

A 421 does not count: another upstream may have sent it. What was said holds until the upstream has another start time, and for ten minutes after its row has gone, since rows that expire while the store is away come back; after that it has exited, so the memory is bounded by the upstreams registered and those that left within ten minutes. Callers still get the header. Daemons do not tell each other, and responses to orders, reports and reads of cache events are not used: the rule binds each daemon by the responses that it passes on.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -66,7 +66,10 @@
 	// OnWeightsVersion is called with each weights version that an upstream
 	// reports; may be nil.
 	OnWeightsVersion func(u *fleet.Registration, model string, version int)
-	Log              *eventlog.Log
+	// OnLeaving is called, before the response is relayed, for each response in which
+	// an upstream says that it leaves; may be nil.
+	OnLeaving func(u *fleet.Registration)
+	Log       *eventlog.Log
 	// MaxBodyBytes limits the total size of request bodies held in memory; 0
 	// means no limit.
 	MaxBodyBytes int64
@@ -91,6 +94,9 @@
 	if c.OnWeightsVersion == nil {
 		c.OnWeightsVersion = func(*fleet.Registration, string, int) {}
 	}
+	if c.OnLeaving == nil {
+		c.OnLeaving = func(*fleet.Registration) {}
+	}
 	if c.OnOutcome == nil {
 		c.OnOutcome = func(Outcome) {}
 	}
--- a/internal/forward/metadata.go
+++ b/internal/forward/metadata.go
@@ -80,6 +80,8 @@
 	WeightsVersion int
 	// Load is nil if not stated.
 	Load *Load
+	// Leaving is set if the sender of the response leaves.
+	Leaving bool
 	// HasOriginProof is set if the response proves that an upstream of the deployment
 	// sent it.
 	HasOriginProof bool
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -379,8 +379,8 @@
 	}
 }
 
-// recordResponseMetadata applies the load and the weights version that a
-// response reports.
+// recordResponseMetadata applies the load, the weights version and the leaving that
+// a response reports. A misdirected request may have been answered by another upstream.
 func (t *transfer) recordResponseMetadata(s *service, u *fleet.Registration, metadata ResponseMetadata) {
 	if l := metadata.Load; l != nil {
 		s.runner.Do(func(sched routing.Scheduler, now time.Time) {
@@ -390,6 +390,9 @@
 	if p := t.metadata.Prompt; p != nil && metadata.WeightsVersion > 0 && !metadata.Misdirected {
 		t.forwarder.OnWeightsVersion(u, p.Model, metadata.WeightsVersion)
 	}
+	if metadata.Leaving && !metadata.Misdirected {
+		t.forwarder.OnLeaving(u)
+	}
 }
 
 func (t *transfer) logEvent(id eventlog.ID, upstream string, err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,7 @@
 	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.platform.Quarantine, d.log, minCrashInterval)
 	d.forwarder = forward.New(forward.Config{
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
+		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.registerGauges()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -16,13 +16,15 @@
 	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
-// view is the daemon's knowledge of the deployment. Requests read the atomic
-// pointers; mu guards the rest.
+// view is the daemon's knowledge of the deployment. Requests use the fields above mu,
+// which guards the rest.
 type view struct {
 	table atomic.Pointer[routetable.Table]
 	// usableUntil holds, by upstream ID, when requests at upstreams with
 	// superseded weights must have ended. The map is never modified.
 	usableUntil atomic.Pointer[map[string]platform.StoreTime]
+	// leaving are the upstreams that said in a response that they leave.
+	leaving leavingUpstreams
 
 	mu       sync.Mutex
 	goals    map[string]*rollout.GoalHistory // by model
@@ -38,7 +40,8 @@
 	// skippedRows are the keys of rows that were logged as unreadable, with the
 	// version logged.
 	skippedRows map[string]uint64
-	// registered is the content of the upstream table, without learnedVersions.
+	// registered is the content of the upstream table, without learnedVersions and
+	// leaving.
 	registered []fleet.Registration
 	// learnedVersions are newer weights versions that engines reported since
 	// they registered.
@@ -150,6 +153,7 @@
 	d.view.mu.Lock()
 	d.view.registered = list
 	d.pruneLearnedVersions()
+	d.view.leaving.prune(time.Now(), list)
 	d.view.mu.Unlock()
 	d.updateServices()
 }
@@ -208,6 +212,7 @@
 			models[j] = m
 		}
 		u.Models = models
+		u.Leaving = u.Leaving || d.view.leaving.contains(startOf(&u))
 		list[i] = u
 	}
 	snapshot := d.registry.Replace(list)
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -117,6 +118,8 @@
 	ChooseBehaviour func(r *http.Request) Behaviour
 	// Endless is the response to requests with the behaviour NeverEnd.
 	Endless Endless
+	// Leaving is set while all responses say that the upstream leaves. Its row does not.
+	Leaving atomic.Bool
 
 	mu              sync.Mutex
 	version         int
@@ -157,8 +160,9 @@
 }
 
 // Restart begins a new incarnation under the same ID: the row's start time
-// changes, and sequence number and fencing token are reset.
+// changes, sequence number and fencing token are reset, and it does not leave.
 func (u *Upstream) Restart(s *Store) {
+	u.Leaving.Store(false)
 	u.mu.Lock()
 	u.restarts++
 	u.seq, u.fencingToken, u.switching = 0, 0, false
@@ -209,6 +213,9 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.Leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != u.ID {
 		w.Header().Set("X-Instance-Id", u.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
