Do not take an unnamed response for the next request's

An engine that sent an earlier refusal once more on a kept connection, without the id of its request, refused the next request: it ran there and, since "not run" was believed, at a second engine too. A repeated 400 went to the caller of another request.

Cause: a response without a request id matched every request.

Engines name the request in their responses. On a connection that carried an earlier request, a response that names none is therefore not known to belong to this one, and the request may have run. The first response on a connection can't repeat one, so it still counts. Repetitions that name their request were skipped before, and still are.

The stand-in's ChooseScript sends given bytes on a connection, and the in-memory network can reset connections.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -192,6 +192,10 @@
 	}
 	recordByte()
 	metadata := t.forwarder.Headers.ReadResponse(resp.StatusCode, resp.Header)
+	if metadata.RequestID == "" && resp.Reused {
+		resp.Body.Close() // it may be a repeated response to an earlier request
+		return t.recordNoResponse(s, action, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response on a reused connection does not name its request"))
+	}
 	t.recordResponseMetadata(s, u, metadata)
 	if metadata.NotRun && resp.StatusCode != http.StatusBadRequest {
 		t.attemptsSent++
--- a/lab/fabric/fabric.go
+++ b/lab/fabric/fabric.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -44,6 +46,22 @@
 type connEnd struct {
 	net.Conn
 	blackholed *atomic.Bool
+	reset      *atomic.Bool
+}
+
+// Read implements net.Conn.
+func (e connEnd) Read(b []byte) (int, error) {
+	n, err := e.Conn.Read(b)
+	if errors.Is(err, io.EOF) && e.reset.Load() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// SetLinger is like that of *net.TCPConn: after SetLinger(0), Close resets the connection.
+func (e connEnd) SetLinger(sec int) error {
+	e.reset.Store(sec == 0)
+	return nil
 }
 
 // Write implements net.Conn.
@@ -182,10 +200,10 @@
 
 func (l *Listener) dial(ctx context.Context) (connEnd, error) {
 	client, server := net.Pipe()
-	blackholed := &atomic.Bool{}
+	blackholed, reset := &atomic.Bool{}, &atomic.Bool{}
 	select {
-	case l.conns <- connEnd{server, blackholed}:
-		return connEnd{client, blackholed}, nil
+	case l.conns <- connEnd{server, blackholed, reset}:
+		return connEnd{client, blackholed, reset}, nil
 	case <-l.closed:
 		return connEnd{}, syscall.ECONNREFUSED
 	case <-ctx.Done():
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -65,8 +67,43 @@
 	Slow bool
 }
 
-// Identity is a placeholder in the Start of an Endless response.
-const Identity = "<identity>\r\n"
+// Placeholders in the Start of an Endless response and the Writes of a Step.
+const (
+	// Identity stands for the headers that name the request and prove that the upstream
+	// sent the response.
+	Identity = "<identity>\r\n"
+	// FirstIdentity stands for those of the connection's first request. Only a Step has it.
+	FirstIdentity = "<first identity>\r\n"
+	// Answer stands for a whole response to the request. Only a Step has it.
+	Answer = "<answer>\r\n"
+)
+
+// Step is what an upstream sends for one request of a scripted connection, byte for byte.
+type Step struct {
+	// NotRun is set if the upstream does not run the request.
+	NotRun bool
+	// Writes are sent one after the other, each after scriptInterval but the first. The
+	// next request is read meanwhile.
+	Writes []string
+	// End is what happens to the connection afterwards.
+	End End
+	// Reached, if not nil, is set once the head of the request has arrived or the
+	// connection was closed instead.
+	Reached *atomic.Bool
+}
+
+// End is how a connection ends.
+type End int
+
+// Ends.
+const (
+	KeepOpen End = iota
+	Close
+	Reset
+)
+
+// scriptInterval is the interval between two writes of a Step.
+const scriptInterval = 10 * time.Millisecond
 
 const (
 	endlessWriteBytes = 64 << 10
@@ -117,6 +154,10 @@
 	ChooseBehaviour func(r *http.Request) Behaviour
 	// Endless is the response to requests with the behaviour NeverEnd.
 	Endless Endless
+	// ChooseScript, if not nil, returns the steps of the connection on which r arrived,
+	// beginning with that for r, or none to serve it as usual. Requests after the last
+	// step get an Answer.
+	ChooseScript func(r *http.Request) []Step
 
 	mu              sync.Mutex
 	version         int
@@ -232,6 +273,12 @@
 		return
 	}
 	receivedAt := time.Now()
+	if u.ChooseScript != nil {
+		if steps := u.ChooseScript(r); len(steps) > 0 {
+			u.followScript(w, r, string(body), steps)
+			return
+		}
+	}
 	behaviour := Serve
 	if u.ChooseBehaviour != nil {
 		behaviour = u.ChooseBehaviour(r)
@@ -255,17 +302,9 @@
 		return
 	}
 	defer u.releaseSlot()
-	run := &Run{ID: r.Header.Get("X-Request-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body), ReceivedAt: receivedAt, StartedAt: time.Now()}
-	u.mu.Lock()
-	version = u.version
-	run.Version = version
-	u.runs = append(u.runs, run)
-	u.mu.Unlock()
-	defer func() {
-		u.mu.Lock()
-		run.EndedAt = time.Now()
-		u.mu.Unlock()
-	}()
+	run := u.beginRun(r, string(body), receivedAt)
+	defer u.endRun(run)
+	version = run.Version
 	if behaviour != OmitStamp {
 		h.Set("X-Response-Stamp", "proof-"+u.ID)
 	}
@@ -295,6 +334,20 @@
 	}
 }
 
+func (u *Upstream) beginRun(r *http.Request, body string, receivedAt time.Time) *Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	run := &Run{ID: r.Header.Get("X-Request-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: body, ReceivedAt: receivedAt, StartedAt: time.Now(), Version: u.version}
+	u.runs = append(u.runs, run)
+	return run
+}
+
+func (u *Upstream) endRun(run *Run) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	run.EndedAt = time.Now()
+}
+
 // untilDeadline returns the context of a request that ends at the deadline that its
 // header states.
 func untilDeadline(r *http.Request) (context.Context, context.CancelFunc) {
@@ -454,6 +507,88 @@
 	}
 }
 
+// followScript serves a connection by steps, from its request r on.
+func (u *Upstream) followScript(w http.ResponseWriter, r *http.Request, body string, steps []Step) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	pending := make(chan Step, maxScriptRequests)
+	defer close(pending)
+	go sendSteps(conn, pending)
+	first := u.identityOf(r)
+	for range maxScriptRequests {
+		step := Step{Writes: []string{Answer}}
+		if len(steps) > 0 {
+			step, steps = steps[0], steps[1:]
+		}
+		if !step.NotRun {
+			defer u.endRun(u.beginRun(r, body, time.Now()))
+		}
+		values := strings.NewReplacer(Answer, u.answerTo(r), Identity, u.identityOf(r), FirstIdentity, first)
+		writes := make([]string, len(step.Writes))
+		for i, text := range step.Writes {
+			writes[i] = values.Replace(text)
+		}
+		pending <- Step{Writes: writes, End: step.End}
+		r, err = http.ReadRequest(buffered.Reader)
+		if len(steps) > 0 && steps[0].Reached != nil {
+			steps[0].Reached.Store(true)
+		}
+		if err != nil {
+			return
+		}
+		content, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		body = string(content)
+	}
+}
+
+// maxScriptRequests bounds the requests of a scripted connection.
+const maxScriptRequests = 100
+
+// sendSteps sends steps until one ends the connection or a write fails.
+func sendSteps(conn net.Conn, steps <-chan Step) {
+	for step := range steps {
+		for i, text := range step.Writes {
+			if i > 0 {
+				time.Sleep(scriptInterval)
+			}
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
+		if step.End == Reset {
+			_ = conn.(interface{ SetLinger(sec int) error }).SetLinger(0)
+		}
+		if step.End != KeepOpen {
+			conn.Close()
+			return
+		}
+	}
+}
+
+// identityOf returns the headers that Identity stands for.
+func (u *Upstream) identityOf(r *http.Request) string {
+	return fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Stamp: proof-%s\r\n", r.Header.Get("X-Request-Id"), u.ID)
+}
+
+// answerTo returns the response that Answer stands for.
+func (u *Upstream) answerTo(r *http.Request) string {
+	media, body := "text/plain", "answer from "+u.ID
+	if r.Header.Get("X-Prompt-Prefix") != "" {
+		media, body = "text/event-stream", ""
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for i := after + 1; i <= u.StreamEvents; i++ {
+			body += fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
+		}
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", u.identityOf(r), media, len(body), body)
+}
+
 func (u *Upstream) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Op          string `json:"op"`
