Send no request on a connection whose last one had its id

A caller whose request was refused and that sent another with the same id was told "not run" for it, though an engine ran it: the engine repeated its refusal on the kept connection, and the id matched.

The daemon itself sends one request to an engine only once, since each failed attempt excludes its engine; only a caller's second use of an id puts it twice on a connection. The pool now keeps the id of a connection's last request and opens another connection for an equal one.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -368,7 +368,7 @@
 	}
 	id := t.metadata.ID
 	return &httpconn.Request{
-		Method: t.callerRequest.Method, URI: t.callerRequest.RequestURI, Host: t.callerRequest.Host, Body: t.body,
+		ID: id, Method: t.callerRequest.Method, URI: t.callerRequest.RequestURI, Host: t.callerRequest.Host, Body: t.body,
 		ReadyHeader: func() (http.Header, error) {
 			// The time left is relative, and opening the connection may take long.
 			if d.TimeLeft = time.Until(t.attemptDeadline(u.ID)); d.TimeLeft <= 0 {
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -56,6 +56,9 @@
 
 // Request is an HTTP request to an upstream.
 type Request struct {
+	// ID, if not empty, names the request. It is not sent on a connection whose last
+	// request had the same ID: a late response to that one would match this one.
+	ID     string
 	Method string
 	// URI is the request target, encoded as on the wire.
 	URI    string
@@ -121,6 +124,7 @@
 	source    *source
 	reader    *bufio.Reader // reads from source
 	reused    bool
+	lastID    string // of the newest request
 	idleSince time.Time
 	expiresAt time.Time
 	expiry    *time.Timer // closes the connection at expiresAt; set while it is idle
@@ -151,7 +155,7 @@
 	return n, err
 }
 
-func (p *Pool) takeIdle(t Target, maxIdle time.Duration) *conn {
+func (p *Pool) takeIdle(t Target, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -161,7 +165,9 @@
 		list = list[:len(list)-1]
 		p.idle[t.ID] = list
 		c.expiry.Stop()
-		if c.target == t && now.Before(c.expiresAt) && (maxIdle == 0 || now.Sub(c.idleSince) < maxIdle) && c.reader.Buffered() == 0 && isReusable(c.Conn) {
+		fresh := now.Before(c.expiresAt) && (r.MaxIdleTime == 0 || now.Sub(c.idleSince) < r.MaxIdleTime)
+		sameID := r.ID != "" && r.ID == c.lastID
+		if c.target == t && fresh && !sameID && c.reader.Buffered() == 0 && isReusable(c.Conn) {
 			return c
 		}
 		c.Close()
@@ -201,7 +207,7 @@
 
 func (p *Pool) connect(ctx context.Context, r *Request, t Target) (*conn, error) {
 	if !r.NewConnection {
-		if c := p.takeIdle(t, r.MaxIdleTime); c != nil {
+		if c := p.takeIdle(t, r); c != nil {
 			return c, nil
 		}
 	}
@@ -239,6 +245,7 @@
 		}
 		r = &ready
 	}
+	c.lastID = r.ID
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.run(r)
--- a/lab/sitepath/faultyanswers_test.go
+++ b/lab/sitepath/faultyanswers_test.go
@@ -246,3 +246,32 @@
 		}
 	}
 }
+
+// A caller that uses an ID again must not get the repeated refusal of its earlier request,
+// which bears the same ID.
+func TestRepeatedRefusalAnswersNoRequestWithSameID(t *testing.T) {
+	for _, f := range framings {
+		for _, when := range []moment{whileIdle, inTwoParts, beforeAnswer} {
+			t.Run(string(f)+"/"+string(when), func(t *testing.T) {
+				runOnDeploymentOf(t, daemons, 1, func(d *deployment) {
+					script := repetition{http.StatusServiceUnavailable, site.FirstIdentity + notRunPromise, f, when}.script()
+					d.setScripts(script)
+					ask := func() answer {
+						return d.ask(d.processes[0], http.MethodPost, modelHost, "/once/1", func(r *http.Request) { r.Header.Set("X-Request-Id", "again") })
+					}
+					assert.Equal(d.t, ask().status, http.StatusServiceUnavailable)
+					assert.Equal(d.t, len(d.runs("again")), 0)
+					time.Sleep(repetitionTime)
+					a := ask()
+					runs := len(d.runs("again"))
+					if a.err != nil || a.status != http.StatusOK {
+						d.checkUnknown(onceCaller, a, runs)
+						return
+					}
+					d.checkWhole(onceCaller, a)
+					assert.Equal(d.t, runs, 1)
+				})
+			})
+		}
+	}
+}
