End a resumed stream at an event without an id

A stream had begun and broke off, and the next engine answered 200 with its error as an event stream: the text, or a whole head, stood in the middle of the caller's stream, which then ended as complete.

Cause: every block of lines of the second response was passed on as an event. The platform's events have increasing ids, and a stream is resumed by them, so a block with fields but no id can't be the stream's next event. The resumption now counts as failed there; comments still pass.

Not told apart: text inside an event that has an id, and a gap in the ids, which need only increase.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -84,7 +84,8 @@
 func (t *transfer) relayEvents(resp *httpconn.Response) (int, error) {
 	events := &eventReader{source: bufio.NewReader(resp.Body)}
 	controller := http.NewResponseController(t.writer)
-	if !t.responseStarted {
+	resumed := t.responseStarted
+	if !resumed {
 		t.copyHeaders(resp, true)
 		t.writer.WriteHeader(resp.StatusCode)
 	}
@@ -98,6 +99,9 @@
 			return relayed, verdict.Wrap(err, verdict.Ran, verdict.CodeStreamLost, "the event stream broke off")
 		}
 		t.recordByte()
+		if resumed && e.id == "" && e.hasFields {
+			return relayed, verdict.New(verdict.Ran, verdict.CodeStreamLost, "the upstream did not resume the stream: an event has no ID")
+		}
 		t.recordBegin()
 		if t.alreadyRelayed(e.id) {
 			continue
@@ -127,6 +131,8 @@
 type event struct {
 	raw []byte
 	id  string
+	// hasFields is set unless the event consists of comments only.
+	hasFields bool
 }
 
 // eventReader splits a stream into events.
@@ -163,5 +169,6 @@
 			e.raw = r.buffer
 			return e, nil
 		}
+		e.hasFields = e.hasFields || text[0] != ':'
 	}
 }
