--- a/lab/sitepath/failedresumption_test.go
+++ b/lab/sitepath/failedresumption_test.go
@@ -95,3 +95,26 @@
 		})
 	}
 }
+
+// A resumed stream of which only a head arrives before the connection ends has not been
+// resumed, and must not look complete.
+func TestResumptionWithOnlyHeadIsNotComplete(t *testing.T) {
+	head := byConnection.response(http.StatusOK, site.Identity+eventStream, "")
+	for name, first := range cutStreams() {
+		t.Run(name, func(t *testing.T) {
+			runOnDeployment(t, func(d *deployment) {
+				d.setScripts([]site.Step{first}, []site.Step{{Writes: []string{head}, End: site.Close}})
+				d.checkCutStream(resumeCaller, 2)
+			})
+		})
+	}
+	t.Run("resumed by its caller", func(t *testing.T) {
+		runOnDeployment(t, func(d *deployment) {
+			d.setScripts([]site.Step{{Writes: []string{head}, End: site.Close}})
+			a := d.ask(d.processes[0], resumeCaller.method, resumeCaller.host, resumeCaller.path, func(r *http.Request) { r.Header.Set("Last-Event-Id", "4") })
+			assert.NilError(d.t, a.err)
+			assert.Equal(d.t, a.body, strings.TrimPrefix(wholeStream(10), wholeStream(4)))
+			assert.Equal(d.t, len(d.runs("request-1")), 2)
+		})
+	})
+}
