Continue only streams whose position is known

On a route with resumable streams, a plain body or a failure too long to be buffered broke off after a part was relayed: the events of a second response followed it and ended the caller's answer as complete. Events without ids that broke off were followed by the whole stream from its start. On safe routes such a break made the request run a second time, whose response was thrown away.

Cause: a retry was allowed whatever had been relayed. A begun response is now continued only if it is a stream and what was relayed of it ends with an event that has an id, or holds no event yet.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -87,6 +87,7 @@
 	resumed := t.responseStarted
 	if !resumed {
 		t.copyHeaders(resp, true)
+		t.resumable = true
 		t.writer.WriteHeader(resp.StatusCode)
 	}
 	relayed := 0
@@ -116,6 +117,7 @@
 		if e.id != "" {
 			t.lastEventID = e.id
 		}
+		t.resumable = e.id != "" || !e.hasFields && t.resumable
 	}
 }
 
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -44,9 +44,12 @@
 	// recordByte reports received data to Liveness.
 	recordByte func()
 	// responseStarted is set once the headers of a response were relayed before
-	// its end, so that no other response can replace it; lastEventID is that of
-	// the last relayed event.
+	// its end, so that no other response can replace it. resumable is set while
+	// another can continue it: it is a stream, and what was relayed of it, if
+	// anything, ends with an event that has an ID. lastEventID is that of the last
+	// relayed event.
 	responseStarted bool
+	resumable       bool
 	lastEventID     string
 
 	// begun is set once the upstream of the current attempt has sent a complete event
@@ -102,7 +105,7 @@
 // before the deadline.
 func (t *transfer) canRetry(s *service, err error) bool {
 	var refused *refusedError
-	if errors.As(err, &refused) || time.Until(t.deadline) <= 0 {
+	if errors.As(err, &refused) || time.Until(t.deadline) <= 0 || t.responseStarted && !t.resumable {
 		return false
 	}
 	var failed *attemptError
