Parse a long line of a stream as one line

A line of an event that was longer than the read buffer (4 KiB) was parsed in parts: a part that began with "id:" became the event's id, an empty one ended the event. A stream that broke off afterwards was resumed at the wrong place. Found by reading.

The line is now taken from the event's buffer once it is complete. TestLongLineIsOneLine failed before (id "9" for a comment that holds it) and passes after.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -148,9 +148,10 @@
 func (r *eventReader) next() (event, error) {
 	r.buffer = r.buffer[:0]
 	var e event
+	lineStart := 0
 	for {
-		line, err := r.source.ReadSlice('\n')
-		r.buffer = append(r.buffer, line...)
+		part, err := r.source.ReadSlice('\n')
+		r.buffer = append(r.buffer, part...)
 		if len(r.buffer) > maxEventBytes {
 			return event{}, errors.Newf("stream event exceeds %d bytes", maxEventBytes)
 		}
@@ -163,7 +164,8 @@
 			}
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(r.buffer[lineStart:], "\r\n")
+		lineStart = len(r.buffer)
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -34,3 +35,24 @@
 		assert.Assert(t, cap(events.buffer) <= 2*maxEventBytes, "%d bytes kept", cap(events.buffer))
 	}
 }
+
+// A line longer than the reader's buffer is one line: a part of it that looks like an ID or
+// a comment is none. A wrong ID would resume the stream elsewhere.
+func TestLongLineIsOneLine(t *testing.T) {
+	for _, part := range []string{"id: 9", ": x"} {
+		source := bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", 10)+part+"\nid: 1\n\n"+": "+strings.Repeat("y", 14)+part+"\n\n"), 16)
+		events := &eventReader{source: source}
+		e, err := events.next()
+		assert.NilError(t, err)
+		assert.Equal(t, e.id, "1")
+		assert.Assert(t, e.hasFields)
+		e, err = events.next()
+		assert.NilError(t, err)
+		assert.Equal(t, e.id, "")
+		assert.Assert(t, !e.hasFields)
+	}
+	source := bufio.NewReaderSize(strings.NewReader("id: 1\ndata: "+strings.Repeat("x", 10)+"id: 9\n\n"), 16)
+	e, err := (&eventReader{source: source}).next()
+	assert.NilError(t, err)
+	assert.Equal(t, e.id, "1")
+}
