--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -84,8 +84,10 @@
 func (t *transfer) relayEvents(resp *httpconn.Response) (int, error) {
 	events := &eventReader{source: bufio.NewReader(resp.Body)}
 	controller := http.NewResponseController(t.writer)
-	if !t.responseStarted {
+	resumed := t.responseStarted
+	if !resumed {
 		t.copyHeaders(resp, true)
+		t.resumable = true
 		t.writer.WriteHeader(resp.StatusCode)
 	}
 	relayed := 0
@@ -98,6 +100,9 @@
 			return relayed, verdict.Wrap(err, verdict.Ran, verdict.CodeStreamLost, "the event stream broke off")
 		}
 		t.recordByte()
+		if resumed && e.id == "" && e.hasFields {
+			return relayed, verdict.New(verdict.Ran, verdict.CodeStreamLost, "the upstream did not resume the stream: an event has no ID")
+		}
 		t.recordBegin()
 		if t.alreadyRelayed(e.id) {
 			continue
@@ -112,6 +117,7 @@
 		if e.id != "" {
 			t.lastEventID = e.id
 		}
+		t.resumable = e.id != "" || !e.hasFields && t.resumable
 	}
 }
 
@@ -127,6 +133,8 @@
 type event struct {
 	raw []byte
 	id  string
+	// hasFields is set unless the event consists of comments only.
+	hasFields bool
 }
 
 // eventReader splits a stream into events.
@@ -140,9 +148,10 @@
 func (r *eventReader) next() (event, error) {
 	r.buffer = r.buffer[:0]
 	var e event
+	lineStart := 0
 	for {
-		line, err := r.source.ReadSlice('\n')
-		r.buffer = append(r.buffer, line...)
+		part, err := r.source.ReadSlice('\n')
+		r.buffer = append(r.buffer, part...)
 		if len(r.buffer) > maxEventBytes {
 			return event{}, errors.Newf("stream event exceeds %d bytes", maxEventBytes)
 		}
@@ -155,7 +164,8 @@
 			}
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(r.buffer[lineStart:], "\r\n")
+		lineStart = len(r.buffer)
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
@@ -163,5 +173,6 @@
 			e.raw = r.buffer
 			return e, nil
 		}
+		e.hasFields = e.hasFields || text[0] != ':'
 	}
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -44,9 +44,12 @@
 	// recordByte reports received data to Liveness.
 	recordByte func()
 	// responseStarted is set once the headers of a response were relayed before
-	// its end, so that no other response can replace it; lastEventID is that of
-	// the last relayed event.
+	// its end, so that no other response can replace it. resumable is set while
+	// another can continue it: it is a stream, and what was relayed of it, if
+	// anything, ends with an event that has an ID. lastEventID is that of the last
+	// relayed event.
 	responseStarted bool
+	resumable       bool
 	lastEventID     string
 
 	// begun is set once the upstream of the current attempt has sent a complete event
@@ -102,7 +105,7 @@
 // before the deadline.
 func (t *transfer) canRetry(s *service, err error) bool {
 	var refused *refusedError
-	if errors.As(err, &refused) || time.Until(t.deadline) <= 0 {
+	if errors.As(err, &refused) || time.Until(t.deadline) <= 0 || t.responseStarted && !t.resumable {
 		return false
 	}
 	var failed *attemptError
@@ -192,6 +195,10 @@
 	}
 	recordByte()
 	metadata := t.forwarder.Headers.ReadResponse(resp.StatusCode, resp.Header)
+	if metadata.RequestID == "" && resp.Reused {
+		resp.Body.Close() // it may be a repeated response to an earlier request
+		return t.recordNoResponse(s, action, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response on a reused connection does not name its request"))
+	}
 	t.recordResponseMetadata(s, u, metadata)
 	if metadata.NotRun && resp.StatusCode != http.StatusBadRequest {
 		t.attemptsSent++
@@ -209,8 +216,8 @@
 		sched.FirstToken(now, t.metadata.ID, action.Endpoint, routing.CachedUnknown)
 	})
 	events, err := t.relay(resp)
-	if err == nil && events == 0 && t.lastEventID == "" && endsWithConnection(resp) {
-		err = verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeStreamLost, "the connection ended before the first event of the stream")
+	if err == nil && events == 0 && !t.begun && endsWithConnection(resp) {
+		err = verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeStreamLost, "the connection ended before the upstream's first event")
 	}
 	if err != nil {
 		err = withCause(ctx, err)
@@ -364,7 +371,7 @@
 	}
 	id := t.metadata.ID
 	return &httpconn.Request{
-		Method: t.callerRequest.Method, URI: t.callerRequest.RequestURI, Host: t.callerRequest.Host, Body: t.body,
+		ID: id, Method: t.callerRequest.Method, URI: t.callerRequest.RequestURI, Host: t.callerRequest.Host, Body: t.body,
 		ReadyHeader: func() (http.Header, error) {
 			// The time left is relative, and opening the connection may take long.
 			if d.TimeLeft = time.Until(t.attemptDeadline(u.ID)); d.TimeLeft <= 0 {
