Check the quarantine once more before a request is sent

Callers: requests that waited in a daemon for a place at an engine were sent although a part of their prompts had been quarantined meanwhile; each may crash one more engine. The wait is up to an eighth of the route's goal.

Cause: the quarantine was looked up before the wait only. It is looked up again when an engine has been chosen, without claiming a trial.

--- a/internal/forward/promptparts.go
+++ b/internal/forward/promptparts.go
@@ -79,18 +79,28 @@
 // partQuarantineError returns an error if a part of the prompt is quarantined and this
 // request is not its trial.
 func (t *transfer) partQuarantineError(ctx context.Context) error {
-	parts := t.knownParts()
-	if len(parts) == 0 || t.onTrial && t.attemptsRun == 0 {
+	parts := t.refusedParts()
+	if len(parts) == 0 {
 		return nil
 	}
-	tracker := t.forwarder.PromptParts
-	if len(tracker.Refusing(parts)) == 0 {
+	if !t.onTrial && t.attemptsRun == 0 && t.forwarder.PromptParts.ClaimTrial(ctx, t.serviceName, parts) {
+		t.onTrial = true
 		return nil
 	}
-	if !t.onTrial && t.attemptsRun == 0 && tracker.ClaimTrial(ctx, t.serviceName, parts) {
-		t.onTrial = true
+	return errPartQuarantined()
+}
+
+// refusedParts returns the shared parts if the request must not run because of some of
+// them, otherwise nil.
+func (t *transfer) refusedParts() []string {
+	parts := t.knownParts()
+	if len(parts) == 0 || t.onTrial && t.attemptsRun == 0 || len(t.forwarder.PromptParts.Refusing(parts)) == 0 {
 		return nil
 	}
+	return parts
+}
+
+func errPartQuarantined() error {
 	e := verdict.New(verdict.NotRun, verdict.CodeQuarantined, "a part of the prompt is quarantined: upstreams crashed while running requests with it")
 	e.RetryAfter = quarantineRetryAfter
 	return e
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -71,6 +71,18 @@
 	return e
 }
 
+// quarantinedWhileQueued returns an error if the request or a part of its prompt was
+// quarantined while it waited for an upstream.
+func (t *transfer) quarantinedWhileQueued() error {
+	if err := t.quarantineError(); err != nil {
+		return err
+	}
+	if len(t.refusedParts()) > 0 {
+		return errPartQuarantined()
+	}
+	return nil
+}
+
 // clearSuspicion records that the request ran to completion without a crash.
 func (t *transfer) clearSuspicion() {
 	if t.forwarder.Suspects.Known() {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -182,6 +182,10 @@
 		t.failedUpstreams = append(t.failedUpstreams, u.ID)
 		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, u.ID+" may not be used any longer; the request was not sent")}
 	}
+	if err := t.quarantinedWhileQueued(); err != nil {
+		t.finishAttempt(s, action, routing.Canceled, 0)
+		return err
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	recordByte, untrack := t.forwarder.Liveness.track(u, t, cancel)
