Send nothing to an engine while its Retry-After lasts

An engine that answers 503 may state in Retry-After for how long it wants no more requests from this machine. Nothing read that header: the daemon went on sending as before, each time to be refused again.

The header of a 503 is now decoded to ResponseMetadata.HoldOff (up to 24 hours; anything but a positive number of seconds is ignored), whether or not the response says that nothing ran; the verdict stays as it was. The service's scheduler then keeps the engine out of every choice: first attempts, retries, hedges, probes, last resorts. A request that was given to the engine before is checked once more when its connection is open; it goes elsewhere, and counts as canceled, not as the engine's failure.

The ends are kept by run of the engine's process (ID and start), apart from the list of engines. So neither an absence nor new weights end a hold-off, and a restart does. Each answer counts to its own end: the latest end holds, a shorter one later shortens nothing. Ended entries are dropped, so there are no more than engines that asked within their time.

Callers see: requests go to other engines meanwhile, up to 16 of the pool if all homes are held off. If no engine takes a request before its wait ends, it is refused at once, not run, with the first end as Retry-After, spread upwards only and capped to a third of the time left as before. One line (event 307) is logged per hold-off.

Taking engines out of the list was ruled out (pools of the fleet rebuilt each time, forgotten with the list), and so was the pause of admission.Limit (one incarnation, 1.6 s at most).

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -135,6 +135,9 @@
 	return q.expiry[0]
 }
 
+// Items returns the waiting items, in no particular order.
+func (q *Queue[T]) Items() []*Item[T] { return slices.Clone(q.expiry) }
+
 // Charge counts the work of an item that starts without waiting in the queue
 // against its organisation.
 func (q *Queue[T]) Charge(it *Item[T]) {
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -34,6 +34,7 @@
 	UpstreamIncarnationChanged ID = 304
 	CacheEventsUnreadable      ID = 305
 	CacheEventsReadable        ID = 306
+	UpstreamHeldOff            ID = 307
 	DocumentAdopted            ID = 401
 	DocumentAccepted           ID = 402
 	DocumentRejected           ID = 403
@@ -100,6 +101,7 @@
 	{UpstreamIncarnationChanged, hclog.Info, "upstream incarnation changed"},
 	{CacheEventsUnreadable, hclog.Info, "cache events of an engine are unreadable"},
 	{CacheEventsReadable, hclog.Info, "cache events of an engine are readable again"},
+	{UpstreamHeldOff, hclog.Info, "upstream asks for no requests"},
 	{DocumentAdopted, hclog.Info, "document adopted"},
 	{DocumentAccepted, hclog.Info, "document accepted"},
 	{DocumentRejected, hclog.Info, "document rejected"},
--- a/internal/forward/errorresponse.go
+++ b/internal/forward/errorresponse.go
@@ -36,7 +36,13 @@
 func (t *transfer) writeError(err error) {
 	status, code := t.errorStatus(err)
 	if e, ok := verdict.As(err); ok && status == http.StatusServiceUnavailable {
-		after := t.jitteredRetryAfter(max(e.RetryAfter, minRetryAfter))
+		after := max(e.RetryAfter, minRetryAfter)
+		var refused *refusedError
+		if errors.As(err, &refused) && refused.heldOff {
+			after = t.retryAfterAtLeast(after)
+		} else {
+			after = t.jitteredRetryAfter(after)
+		}
 		if after > 0 {
 			t.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -236,7 +236,16 @@
 // together do not all retry at the same time. It is capped by the caller's
 // remaining time.
 func (t *transfer) jitteredRetryAfter(d time.Duration) time.Duration {
-	d = d/2 + time.Duration(rand.Int64N(int64(d)+1))
+	return t.capRetryAfter(d/2 + time.Duration(rand.Int64N(int64(d)+1)))
+}
+
+// retryAfterAtLeast returns a random delay from d on, capped as above: a retry before d
+// has passed would be refused again.
+func (t *transfer) retryAfterAtLeast(d time.Duration) time.Duration {
+	return t.capRetryAfter(d + time.Duration(rand.Int64N(int64(d)/2+1)))
+}
+
+func (t *transfer) capRetryAfter(d time.Duration) time.Duration {
 	if t.deadline.IsZero() {
 		return d
 	}
--- a/internal/forward/metadata.go
+++ b/internal/forward/metadata.go
@@ -80,6 +80,9 @@
 	WeightsVersion int
 	// Load is nil if not stated.
 	Load *Load
+	// HoldOff is how long the upstream wants no more requests from this daemon; 0 if
+	// not stated.
+	HoldOff time.Duration
 	// HasOriginProof is set if the response proves that an upstream of the deployment
 	// sent it.
 	HasOriginProof bool
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -130,7 +130,7 @@
 		if u.Leaving || v.Unavailable != nil && v.Unavailable(u) {
 			continue
 		}
-		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), Slots: u.Slots, DataCentre: u.DataCentre, Delay: s.delay(u.DataCentre), Hash: u.Hash}
+		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), StartedAt: u.StartedAt, Slots: u.Slots, DataCentre: u.DataCentre, Delay: s.delay(u.DataCentre), Hash: u.Hash}
 		if def.Engine != nil {
 			ep.TransferPerToken = transferTimePerToken(def.Engine)
 		}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -128,6 +128,9 @@
 	// refusal is logged but not sent to callers, since it reveals the load
 	// caused by other callers.
 	refusal routing.Refusal
+	// heldOff is set if no upstream takes the request before the cause's RetryAfter
+	// has passed.
+	heldOff bool
 }
 
 // Error implements error.
@@ -159,7 +162,7 @@
 		if action.Kind == routing.Refuse {
 			e := verdict.New(verdict.NotRun, action.Code, "no upstream can accept the request in time")
 			e.RetryAfter = action.RetryAfter
-			return &refusedError{e, action.Refusal}
+			return &refusedError{e, action.Refusal, action.HeldOff}
 		}
 		return t.send(ctx, s, action)
 	case <-ctx.Done():
@@ -186,7 +189,7 @@
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
 	t.begun, t.sentAt = false, time.Now()
-	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.upstreamRequest(u, action))
+	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.upstreamRequest(s, u, action))
 	if err != nil {
 		return t.recordNoResponse(s, action, withCause(ctx, err))
 	}
@@ -264,9 +267,10 @@
 }
 
 // attemptOutcome counts an error as the upstream's failure unless the caller
-// disconnected or the deadline of the request or of the attempt passed.
+// disconnected, the deadline of the request or of the attempt passed, or the upstream
+// is held off.
 func (t *transfer) attemptOutcome(upstream string, err error) routing.Outcome {
-	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(t.attemptDeadline(upstream)) {
+	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errHeldOff) || !time.Now().Before(t.attemptDeadline(upstream)) {
 		return routing.Canceled
 	}
 	return routing.Failed
@@ -342,7 +346,7 @@
 
 // upstreamRequest builds the request for an upstream. The scheduler's action
 // decides where cached prompts are fetched from and saved to.
-func (t *transfer) upstreamRequest(u *fleet.Registration, action routing.Action) *httpconn.Request {
+func (t *transfer) upstreamRequest(s *service, u *fleet.Registration, action routing.Action) *httpconn.Request {
 	d := &AttemptMetadata{UpstreamID: u.ID, LastEventID: t.lastEventID}
 	if t.organisation != nil {
 		d.Organisation = t.organisation.Name
@@ -370,6 +374,9 @@
 			if d.TimeLeft = time.Until(t.attemptDeadline(u.ID)); d.TimeLeft <= 0 {
 				return nil, context.DeadlineExceeded
 			}
+			if s.heldOff(u) {
+				return nil, errHeldOff
+			}
 			return t.forwarder.Headers.UpstreamHeader(t.callerRequest.Header, d), nil
 		},
 		MatchesResponse: func(resp *http.Response) bool {
@@ -379,9 +386,12 @@
 	}
 }
 
-// recordResponseMetadata applies the load and the weights version that a
+// recordResponseMetadata applies the hold-off, the load and the weights version that a
 // response reports.
 func (t *transfer) recordResponseMetadata(s *service, u *fleet.Registration, metadata ResponseMetadata) {
+	if metadata.HoldOff > 0 && s.holdOff(u, metadata.HoldOff) {
+		t.forwarder.Log.Emit(eventlog.UpstreamHeldOff, eventlog.Fields{Service: s.name, Upstream: u.ID, RequestID: t.metadata.ID, Detail: "for " + metadata.HoldOff.String()})
+	}
 	if l := metadata.Load; l != nil {
 		s.runner.Do(func(sched routing.Scheduler, now time.Time) {
 			sched.ApplyLoadReport(now, routing.LoadReport{Endpoint: u.ID, At: now, Running: l.Running, Queued: l.Queued, Slowdown: l.Slowdown})
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -355,6 +355,9 @@
 
 // excluded reports whether the engine must not get the request, even if idle.
 func (p *Policy) excluded(now time.Time, e *engine, r *Request) bool {
+	if now.Before(e.heldOffUntil) {
+		return true
+	}
 	if slices.Contains(r.ExcludedEndpoints, e.ep.ID) || r.Isolated && e.ownIsolated > 0 {
 		return true
 	}
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -32,6 +32,7 @@
 		p.checkedAt = now
 		p.recheckAt = now.Add(recheckInterval)
 		p.queue.Dispatch(func(it *admission.Item[*queuedRequest]) bool { return p.tryStart(now, it) })
+		p.refuseHeldOff(now)
 	}
 	for i, it := range p.arrivals {
 		p.handleArrival(now, it)
@@ -62,6 +63,9 @@
 		p.queue.Charge(it)
 		return
 	}
+	if p.refuseIfHeldOff(now, it) {
+		return
+	}
 	if p.rules.earlyRefusal {
 		if wait, late := p.predictLate(now, it); late {
 			p.refuseItem(it, wait)
@@ -207,7 +211,7 @@
 
 // refusal returns the details of a refusal.
 func (p *Policy) refusal(r *Request, waited time.Duration) Refusal {
-	out := Refusal{Waited: waited, Ejected: p.ejectedEngines, Queued: p.queue.Len(), Load: p.load(), PeersKnown: len(p.peers), Peers: p.daemonCount - 1}
+	out := Refusal{Waited: waited, Ejected: p.ejectedEngines, HeldOff: len(p.holdOffs), Queued: p.queue.Len(), Load: p.load(), PeersKnown: len(p.peers), Peers: p.daemonCount - 1}
 	if pool := p.pool(r); pool != nil {
 		out.Engines = len(pool.Members)
 	}
@@ -231,6 +235,11 @@
 	if pool == nil {
 		return nil
 	}
+	return p.replaceHeldOff(now, r, pool, p.pickHomes(now, r, pool))
+}
+
+// pickHomes returns the homes of a request, whether or not they take it at present.
+func (p *Policy) pickHomes(now time.Time, r *Request, pool *placement.Pool) []int {
 	if len(r.Chain.Levels) == 0 {
 		// Without a prompt there is no cache to return to.
 		p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, p.draw(r, orderKey))
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -24,6 +24,7 @@
 		}
 		e.ep = ep
 		e.present = true
+		e.heldOffUntil = p.holdOffs[process{ep.ID, ep.StartedAt}]
 		p.totalSlots += ep.Slots
 		p.byID[ep.ID] = e
 		p.addToPools(len(p.engines), e)
@@ -37,6 +38,7 @@
 	p.sumPeers()
 	p.engineGeneration++
 	p.recheckNow = true
+	p.checkHeldOff = true
 }
 
 // keepRemoved keeps removed engines that still run this daemon's attempts, so that
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -52,6 +52,8 @@
 	ejectedUntil time.Time
 	// probing is true while an attempt tests the engine after failures.
 	probing bool
+	// heldOffUntil is when the engine's hold-off ends.
+	heldOffUntil time.Time
 }
 
 // peerTotals sums the loads that peers shared for an engine.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -44,9 +44,17 @@
 	// splitPools are the pools divided into reserved and other engines, by weights.
 	splitPools     map[string]*splitPool
 	homesBuffer    []int
+	sparesBuffer   []int
 	ejectedEngines int
-	// engineGeneration counts calls of SetEndpoints; it invalidates stored homes.
+	// engineGeneration counts changes of the engines and of their hold-offs; it
+	// invalidates stored homes.
 	engineGeneration int
+	// holdOffs holds the ends of hold-offs, of engines that are not listed too.
+	holdOffs map[process]time.Time
+	// holdOffsEndAt is no later than the first end of a hold-off; zero if there is none.
+	holdOffsEndAt time.Time
+	// checkHeldOff is true if queued requests may have lost their last engine.
+	checkHeldOff bool
 
 	inFlight   map[string]*inFlight
 	queue      *admission.Queue[*queuedRequest]
@@ -113,7 +121,7 @@
 	p := &Policy{
 		rules: newRules(s.DisabledRules), settings: s, daemonCount: 1,
 		byID: map[string]*engine{}, pools: map[string]*placement.Pool{},
-		inFlight: map[string]*inFlight{}, peers: map[string]*peerState{},
+		inFlight: map[string]*inFlight{}, peers: map[string]*peerState{}, holdOffs: map[process]time.Time{},
 		speed:       placement.NewPrefillSpeed(),
 		hedgeBudget: admission.NewBudget(s.HedgePercent, 0),
 		retryBudget: admission.NewBudget(s.RetryPercent, initialRetryBudget),
@@ -234,6 +242,7 @@
 	clear(p.submitRefusals)
 	p.submitRefusals = p.submitRefusals[:0]
 	p.expirePeers(now)
+	p.endHoldOffs(now)
 	p.dispatch(now)
 	p.expire(now)
 	p.hedge(now)
@@ -252,7 +261,7 @@
 		wake = earlier(wake, p.hedges[0].at)
 	}
 	if p.queue.Len() > 0 {
-		wake = earlier(wake, p.recheckAt)
+		wake = earlier(earlier(wake, p.recheckAt), p.holdOffsEndAt)
 	}
 	return wake
 }
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -170,6 +170,11 @@
 				now = until
 				advance(t)
 			},
+			"hold off": func(t *rapid.T) {
+				ep := rapid.SampledFrom(p.engines).Draw(t, "engine").ep
+				p.HoldOff(now, ep.ID, ep.StartedAt, now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond))
+				advance(t)
+			},
 			"learn": func(t *rapid.T) {
 				p.SetDaemonCount(now, 2)
 				p.ApplyPeerLoads(now, "b", []PeerLoad{{Endpoint: "10.0.0.1:1", Incarnation: "1", Requests: rapid.IntRange(0, slots).Draw(t, "requests"), PendingTokens: 500, Slowdown: 3}})
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -18,6 +18,9 @@
 	// ID is the engine's address.
 	ID          string
 	Incarnation string
+	// StartedAt identifies the run of the engine's process; Incarnation also changes
+	// with the engine's weights.
+	StartedAt int64
 	// Weights lists the weights that the engine has loaded, Versions the version of
 	// each; a cached prompt is valid only for the version that computed it.
 	Weights  []string
@@ -111,6 +114,9 @@
 	Code       verdict.Code
 	RetryAfter time.Duration
 	Refusal    Refusal
+	// HeldOff is set for Refuse if no engine takes the request before RetryAfter has
+	// passed.
+	HeldOff bool
 }
 
 // Refusal holds the details of a refusal, for the log.
@@ -118,8 +124,9 @@
 	// Waited is how long the request waited.
 	Waited time.Duration
 	// Engines is how many engines have the request's weights, Ejected how many
-	// engines of the service are ejected after failures.
-	Engines, Ejected int
+	// engines of the service are ejected after failures, HeldOff how many engines are
+	// held off.
+	Engines, Ejected, HeldOff int
 	// Queued is how many requests wait in this daemon.
 	Queued int
 	// Load is the fraction of all engines' slots known to be in use.
@@ -130,7 +137,7 @@
 
 // String implements fmt.Stringer.
 func (r Refusal) String() string {
-	return fmt.Sprintf("waited %s, %d engines, %d ejected, %d queued in this daemon, load %.2f, loads of %d of %d peers known", r.Waited.Round(time.Millisecond), r.Engines, r.Ejected, r.Queued, r.Load, r.PeersKnown, r.Peers)
+	return fmt.Sprintf("waited %s, %d engines, %d ejected, %d held off, %d queued in this daemon, load %.2f, loads of %d of %d peers known", r.Waited.Round(time.Millisecond), r.Engines, r.Ejected, r.HeldOff, r.Queued, r.Load, r.PeersKnown, r.Peers)
 }
 
 // Reasons holds the estimates behind a choice of engine, for the log.
@@ -296,6 +303,16 @@
 	Requests(endpoint string) (requests, pendingTokens int)
 }
 
+// HoldOffKeeper is implemented by a Scheduler that starts nothing at engines that are
+// held off: they have asked this daemon for no requests until a time.
+type HoldOffKeeper interface {
+	// HoldOff holds off one run of an engine's process until a time, or until the end
+	// of an earlier call if that is later. It reports whether a hold-off begins.
+	HoldOff(now time.Time, endpoint string, startedAt int64, until time.Time) bool
+	// HeldOff reports whether a run of an engine's process is held off.
+	HeldOff(now time.Time, endpoint string, startedAt int64) bool
+}
+
 // ShareNotifier is implemented by a Scheduler that reports when its loads should be
 // shared with peers at once instead of after the interval.
 type ShareNotifier interface {
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -30,6 +30,8 @@
 	Serve Behaviour = iota
 	// Shed refuses the request and states that it was not executed.
 	Shed
+	// ShedSilently refuses the request and does not state whether it was executed.
+	ShedSilently
 	// TruncateResponse closes the connection in the middle of the response.
 	TruncateResponse
 	// DropResponse runs the request and closes the connection without a response.
@@ -117,6 +119,9 @@
 	ChooseBehaviour func(r *http.Request) Behaviour
 	// Endless is the response to requests with the behaviour NeverEnd.
 	Endless Endless
+	// RetryAfter is the Retry-After header of refusals by Shed and ShedSilently; empty
+	// for none.
+	RetryAfter string
 
 	mu              sync.Mutex
 	version         int
@@ -249,8 +254,14 @@
 	}
 	inTime, cancel := untilDeadline(r)
 	defer cancel()
-	if switching || behaviour == Shed || !u.takeSlot(inTime) {
-		h.Set("X-Not-Executed", "1")
+	shed := behaviour == Shed || behaviour == ShedSilently
+	if shed && u.RetryAfter != "" {
+		h.Set("Retry-After", u.RetryAfter)
+	}
+	if switching || shed || !u.takeSlot(inTime) {
+		if behaviour != ShedSilently {
+			h.Set("X-Not-Executed", "1")
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
