--- a/internal/forward/metadata.go
+++ b/internal/forward/metadata.go
@@ -82,6 +82,9 @@
 	Load *Load
 	// Leaving is set if the sender of the response leaves.
 	Leaving bool
+	// HoldOff is how long the upstream wants no more requests from this daemon; 0 if
+	// not stated.
+	HoldOff time.Duration
 	// HasOriginProof is set if the response proves that an upstream of the deployment
 	// sent it.
 	HasOriginProof bool
