Read the operators' rows anew when peers know newer ones

What callers saw: where the store's response about a change of the operators' rows to one daemon was lost, this daemon served by the old rows for 21.5 s. A dropped route was served for 21.4 s, and requests began on old weights up to 20 s after a newer version was named (limit 10 s).

Cause: these rows are read by one long poll of up to 20 s, and a connection on which a response was lost says nothing more. The poll is repeated earlier only when a read of the upstreams' table fails too. Peers' facts named the version, but only its date was used; of the desired state peers said nothing.

What is done: a daemon that hears of a version or a revision above its own waits 0.3 s and a random part of a spread that grows with the daemons (10 ms each, at most 0.7 s), and reads the rows if its own poll has not delivered meanwhile, once for each version or revision. That is event 511. A new kind of fact names the greatest revision in force: one fact from all daemons, its version is the revision and it has no value. Each daemon publishes it 0.5 to 2 s after it read the revision, like facts of versions, if no peer's has come. Older daemons store and pass on kinds that they do not know, and no subscriber gets them. goalQueue became the generic delayQueue, which also serves revisions and the checks.

Decisions: facts still set no goal and no state; they only cause a read, so a wrong one costs one call. If that read fails, the daemon follows peers and tries the store again, as after any failure. Not chosen: a shorter poll, which costs each daemon calls all the time (3 s: seven times as many for these rows). Open: if the responses to all daemons are lost at once and no read of the upstreams' table fails, all wait for the polls to end.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -48,6 +48,7 @@
 	GoalDated                  ID = 508
 	GoalRecorded               ID = 509
 	GoalRecordFailed           ID = 510
+	OperatorRowsLate           ID = 511
 	PeerConnected              ID = 601
 	PeerLost                   ID = 602
 	PeerRejected               ID = 603
@@ -114,6 +115,7 @@
 	{GoalDated, hclog.Info, "weight version goal dated"},
 	{GoalRecorded, hclog.Info, "weight version goal recorded"},
 	{GoalRecordFailed, hclog.Warn, "record of weight version goals failed"},
+	{OperatorRowsLate, hclog.Info, "change feed of the operators' rows late"},
 	{PeerConnected, hclog.Info, "peer connected"},
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/storeclock"
 	"github.com/verbenabend/verbenabend/internal/suspects"
@@ -126,7 +127,9 @@
 	// expiredEngines counts the engines left out because of their weights.
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
-	goalQueue      *goalQueue
+	goalQueue      *delayQueue[rollout.Goal]
+	revisionQueue  *delayQueue[uint64]
+	newsQueue      *delayQueue[operatorNews]
 	goalRecorder   *goalRecorder
 	storeClock     *storeclock.Clock
 	startedAt      time.Time
@@ -141,7 +144,8 @@
 	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newGoalQueue(), goalRecorder: newGoalRecorder(), storeClock: storeclock.New(s.SinceBoot), startedAt: time.Now(),
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newDelayQueue[rollout.Goal](), revisionQueue: newDelayQueue[uint64](), newsQueue: newDelayQueue[operatorNews](),
+		goalRecorder: newGoalRecorder(), storeClock: storeclock.New(s.SinceBoot), startedAt: time.Now(),
 	}
 	d.log.Observe(d.metrics.CountEvent)
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
@@ -246,7 +250,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror, d.platform.QuarantineTable: d.quarantineMirror})
 		},
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -21,11 +20,11 @@
 	// version became the goal. Engines that cannot be switched may keep old
 	// weights far longer than the time limit.
 	goalTTL = time.Hour
-	// All daemons learn of a goal at about the same time. Each publishes it after
-	// minGoalDelay and a random part of the spread, unless a peer's fact arrives
-	// first. The spread grows with the number of daemons, so that few publish
-	// while the first fact is on its way. minGoalDelay lets a starting daemon
-	// receive the facts of its peers.
+	// All daemons learn of a goal or a desired state at about the same time. Each
+	// publishes it after minGoalDelay and a random part of the spread, unless a
+	// peer's fact arrives first. The spread grows with the number of daemons, so that
+	// few publish while the first fact is on its way. minGoalDelay lets a starting
+	// daemon receive the facts of its peers.
 	minGoalDelay        = 500 * time.Millisecond
 	goalSpreadPerDaemon = 50 * time.Millisecond
 	maxGoalSpread       = 1500 * time.Millisecond
@@ -101,47 +100,8 @@
 	return v.goals[model]
 }
 
-// goalQueue holds the goals that are to be published.
-type goalQueue struct {
-	mu        sync.Mutex
-	publishAt map[rollout.Goal]time.Time
-	wake      chan struct{}
-}
-
-func newGoalQueue() *goalQueue {
-	return &goalQueue{publishAt: map[rollout.Goal]time.Time{}, wake: make(chan struct{}, 1)}
-}
-
-// add queues a goal to be published at a time.
-func (q *goalQueue) add(g rollout.Goal, at time.Time) {
-	q.mu.Lock()
-	q.publishAt[g] = at
-	q.mu.Unlock()
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
-// takeDue removes and returns the goals that are due, and returns when the next
-// one is; next is zero if there is none.
-func (q *goalQueue) takeDue(now time.Time) (due []rollout.Goal, next time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for g, at := range q.publishAt {
-		switch {
-		case !at.After(now):
-			due = append(due, g)
-			delete(q.publishAt, g)
-		case next.IsZero() || at.Before(next):
-			next = at
-		}
-	}
-	return due, next
-}
-
 // goalDelay returns a random delay after which one of a number of daemons
-// publishes a goal.
+// publishes a goal or the revision of a desired state.
 func goalDelay(daemons int) time.Duration {
 	spread := min(time.Duration(daemons)*goalSpreadPerDaemon, maxGoalSpread)
 	return minGoalDelay + rand.N(spread)
@@ -149,30 +109,12 @@
 
 // queueGoal queues a goal that the daemon adopted, to be shared with peers.
 func (d *Daemon) queueGoal(g rollout.Goal) {
-	d.goalQueue.add(g, time.Now().Add(goalDelay(1+len(d.gossipNode.Peers()))))
+	d.goalQueue.add(g, time.Now().Add(goalDelay(d.daemonCount())))
 }
 
 // publishGoals publishes the queued goals until ctx ends.
 func (d *Daemon) publishGoals(ctx context.Context) error {
-	timer := time.NewTimer(time.Nanosecond)
-	defer timer.Stop()
-	for {
-		due, next := d.goalQueue.takeDue(time.Now())
-		for _, g := range due {
-			d.publishGoal(g)
-		}
-		var timeout <-chan time.Time
-		if !next.IsZero() {
-			timer.Reset(max(time.Until(next), time.Nanosecond))
-			timeout = timer.C
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-d.goalQueue.wake:
-		case <-timeout:
-		}
-	}
+	return d.goalQueue.run(ctx, d.publishGoal)
 }
 
 // publishGoal shares with peers when a version was requested, unless a fact that says
@@ -223,6 +165,9 @@
 		d.log.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: "decode version goal from " + f.Origin + ": " + err.Error()})
 		return
 	}
+	if g.Model != "" && g.Version > 0 {
+		d.hearNews(operatorNews{g.Model, uint64(g.Version)})
+	}
 	age := goalTTL - min(f.TTL, goalTTL)
 	v, dated := decodeGoalFactVersion(f.Version)
 	if dated {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -28,6 +28,7 @@
 
 	mu       sync.Mutex
 	goals    map[string]*rollout.GoalHistory // by model
+	news     map[string]uint64               // newest operatorNews.number by model
 	switches map[string]ongoingSwitch        // by engine ID
 	// notices are the newest switch notices by engine ID; they count the
 	// accepted orders.
@@ -122,6 +123,7 @@
 	}
 	d.view.table.Store(table)
 	d.callerServer.setLimits(state.Limits)
+	d.queueRevision(state.Revision)
 	d.log.Emit(eventlog.StateAdopted, eventlog.Fields{Detail: fmt.Sprintf("revision %d: %d routes, %d organisations", state.Revision, len(state.Routes), len(state.Organisations))})
 }
 
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -43,6 +43,9 @@
 	// KindPartBegun announces that a request with a suspected prompt part began its
 	// answer. ID is the part's digest.
 	KindPartBegun Kind = 10
+	// KindStateRevision announces that a desired state is in force. Version is its
+	// revision: one fact serves all daemons.
+	KindStateRevision Kind = 11
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -110,8 +110,8 @@
 }
 
 // Recheck replaces a long poll in progress by a read of the whole table. It is
-// called when the store was seen to fail, since the poll's connection may be
-// dead.
+// called when the store was seen to fail or when peers have newer rows, since the
+// poll's connection may be dead.
 func (m *Mirror) Recheck() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
