Take the earliest time for engines with several models

What callers would see: requests on weights beyond their limit, at engines that hold several models.

Cause: supersededSince returned when the engine's first superseded model was, in the order of its row, not when the earliest one was. Where operators name versions of two models at different times, the later one could hide the earlier.

What is done: the earliest time counts. If the time of one model is not known, that of the engine is not: its weights count as expired, as before for an engine with one model.

--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -162,17 +162,25 @@
 // are: it exceeds all limits.
 const unknownAge = 1000 * time.Hour
 
-// supersededSince returns when an upstream's weights were superseded; ok is false if
-// they were not, and dated is false if it is not known when. d.view.mu must be held.
+// supersededSince returns when the first of an upstream's weights was superseded; ok is
+// false if none was, and dated is false if it is not known when one of them was.
+// d.view.mu must be held.
 func (d *Daemon) supersededSince(u *fleet.Registration) (since platform.StoreTime, dated, ok bool) {
 	for _, m := range u.Models {
-		if history := d.view.goals[m.Name]; history != nil {
-			if since, dated, ok = history.SupersededSince(m.Version); ok {
-				return since, dated, ok
-			}
+		history := d.view.goals[m.Name]
+		if history == nil {
+			continue
+		}
+		at, modelDated, superseded := history.SupersededSince(m.Version)
+		switch {
+		case !superseded:
+		case !ok:
+			since, dated, ok = at, modelDated, true
+		default:
+			since, dated = min(since, at), dated && modelDated
 		}
 	}
-	return 0, false, false
+	return since, dated, ok
 }
 
 // servicesView returns the schedulers' view of the upstreams. d.view.mu must be
