End requests that wait at weights beyond their limit

What callers would see: a request with a deadline beyond versionMs that waits in an engine's queue since before a newer version was requested begins there after the limit.

Cause: the limit is part of the deadline that the engine is told only if the weights are superseded when the request is sent. Later nothing ended it.

The attempt counts as one that may have run and not as a failure of the upstream: it is repeated where the route allows it, within the limits on retries; else the caller gets 502, or 504 past the deadline, never 503.

Decisions: a cap on all deadlines was not chosen, since it would cut long runs where no version is requested. The cost of this one: an engine's response that is sent only when it is complete is lost if it takes longer than the limit. Streams that have begun go on. Where the store has been away for as long as the lease lasts, there is no limit, as before. Not covered: the few engines that go on with a request after its connection has closed.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -101,12 +101,13 @@
 		c.OnOutcome = func(Outcome) {}
 	}
 	if c.UsableUntil == nil {
-		c.UsableUntil = func(string) (time.Time, bool) { return time.Time{}, false }
+		c.UsableUntil = noLimit
 	}
 	if c.Suspects == nil {
 		c.Suspects = noSuspects{}
 	}
 	if c.Liveness != nil {
+		c.Liveness.usableUntil = c.UsableUntil
 		c.Liveness.onCrash = func(service, id, incarnation string, requests []RunningRequest) {
 			reportCrash(c.Suspects, c.PromptParts, service, id, incarnation, requests)
 		}
@@ -116,6 +117,8 @@
 	return f
 }
 
+func noLimit(string) (time.Time, bool) { return time.Time{}, false }
+
 // SetStopTime caps the deadlines of requests that arrive from now on.
 func (f *Forwarder) SetStopTime(at time.Time) { f.stopAt.Store(&at) }
 
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -46,6 +46,8 @@
 	// onCrash is called when an incarnation of an upstream has ended, with the
 	// requests whose connections it broke; may be nil.
 	onCrash func(service, id, incarnation string, requests []RunningRequest)
+	// usableUntil is Config.UsableUntil.
+	usableUntil func(id string) (until time.Time, ok bool)
 	// wake holds a token while a probe is due at once.
 	wake chan struct{}
 	log  *eventlog.Log
@@ -61,10 +63,10 @@
 	// lastByteAt is when the last byte arrived; busySince is when a request was
 	// last sent while no other was running.
 	lastByteAt, busySince time.Time
-	// cancels holds the cancel function of each request in flight.
-	cancels map[*transfer]context.CancelCauseFunc
-	down    bool
-	probing bool
+	down                  bool
+	probing               bool
+	// requests are those in flight.
+	requests map[*transfer]*requestInFlight
 	// probeRequested is set when a peer reported the upstream unresponsive, or
 	// when it broke a request's connection. It applies from probeNotBefore on.
 	probeRequested bool
@@ -90,7 +92,7 @@
 // NewLiveness returns a Liveness that probes with dial. onChange is called
 // when an upstream goes down or recovers.
 func NewLiveness(dial func(ctx context.Context, network, address string) (net.Conn, error), onChange func(id string, down bool), log *eventlog.Log) *Liveness {
-	return &Liveness{dial: dial, onChange: onChange, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
+	return &Liveness{dial: dial, onChange: onChange, usableUntil: noLimit, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
 }
 
 // Down reports whether an upstream is down.
@@ -106,25 +108,27 @@
 var errUpstreamUnresponsive = errors.New("the upstream stopped responding")
 
 // track registers a request that is about to be sent. When the upstream goes
-// down, cancel is called with errUpstreamUnresponsive. recordByte must be
-// called for received data and untrack at the end of the request.
+// down, cancel is called with errUpstreamUnresponsive; when it may not be used any
+// longer before a byte of the response has arrived, with errUpstreamExpired. recordByte
+// must be called for received data and untrack at the end of the request.
 func (l *Liveness) track(u *fleet.Registration, t *transfer, cancel context.CancelCauseFunc) (recordByte, untrack func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.health(u)
 	h.incarnation = u.Incarnation()
-	if len(h.cancels) == 0 {
+	if len(h.requests) == 0 {
 		h.busySince = time.Now()
 	}
-	h.cancels[t] = cancel
+	r := &requestInFlight{cancel: cancel, deadline: t.upstreamDeadline}
+	h.requests[t] = r
 	recordByte = func() {
 		l.mu.Lock()
-		h.lastByteAt = time.Now()
+		h.lastByteAt, r.answered = time.Now(), true
 		l.mu.Unlock()
 	}
 	untrack = func() {
 		l.mu.Lock()
-		delete(h.cancels, t)
+		delete(h.requests, t)
 		l.mu.Unlock()
 	}
 	return recordByte, untrack
@@ -170,7 +174,7 @@
 		if h != nil {
 			h.dropBroken()
 		}
-		h = &upstreamHealth{address: u.Address, service: u.Service, cancels: map[*transfer]context.CancelCauseFunc{}}
+		h = &upstreamHealth{address: u.Address, service: u.Service, requests: map[*transfer]*requestInFlight{}}
 		l.upstreams[u.ID] = h
 	}
 	return h
@@ -181,7 +185,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, h := range l.upstreams {
-		if !keep(id) && len(h.cancels) == 0 {
+		if !keep(id) && len(h.requests) == 0 {
 			h.dropBroken()
 			delete(l.upstreams, id)
 		}
@@ -198,7 +202,7 @@
 	h.broken = nil
 }
 
-// Run probes upstreams until ctx ends.
+// Run probes upstreams and cancels requests at expired ones until ctx ends.
 func (l *Liveness) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -206,6 +210,7 @@
 		if err := l.awaitTick(ctx); err != nil {
 			return err
 		}
+		l.cancelExpired(time.Now())
 		for id, h := range l.dueProbes(time.Now()) {
 			wg.Go(func() { l.probe(ctx, id, h) })
 		}
@@ -233,7 +238,7 @@
 		if h.probing {
 			continue
 		}
-		silent := len(h.cancels) > 0 && now.Sub(h.lastByteAt) > silenceThreshold && now.Sub(h.busySince) > silenceThreshold && now.Sub(h.lastProbeAt) > silenceProbeInterval
+		silent := len(h.requests) > 0 && now.Sub(h.lastByteAt) > silenceThreshold && now.Sub(h.busySince) > silenceThreshold && now.Sub(h.lastProbeAt) > silenceProbeInterval
 		if silent || h.probeRequested && !h.down && !now.Before(h.probeNotBefore) || h.down && now.Sub(h.lastProbeAt) > downProbeInterval {
 			h.probing, h.probeRequested = true, false
 			out[id] = h
@@ -338,8 +343,8 @@
 	h.down = !responds
 	var cancels []context.CancelCauseFunc
 	if changed && h.down {
-		for _, cancel := range h.cancels {
-			cancels = append(cancels, cancel)
+		for _, r := range h.requests {
+			cancels = append(cancels, r.cancel)
 		}
 	}
 	l.mu.Unlock()
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -154,3 +154,55 @@
 		})
 	}
 }
+
+// Requests that wait in the queue of an upstream when it may not be used any longer are
+// cancelled. Those that are being answered go on, and those whose deadline the upstream
+// was told are left to it: it says that they have not run.
+func TestWaitingRequestsAreCancelledAtLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+		start := time.Now()
+		limit := start.Add(5 * time.Second)
+		l.usableUntil = func(id string) (time.Time, bool) { return limit, id == "old" }
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = l.Run(ctx) })
+		type request struct {
+			name, upstream string
+			deadline       time.Time
+			answered       bool
+			cancelledAfter time.Duration
+		}
+		requests := []*request{
+			{name: "waiting", upstream: "old", deadline: limit.Add(time.Second)},
+			{name: "answered", upstream: "old", deadline: limit.Add(time.Second), answered: true},
+			{name: "told the limit", upstream: "old", deadline: limit},
+			{name: "told a limit since corrected", upstream: "old", deadline: limit.Add(maxLimitCorrection)},
+			{name: "elsewhere", upstream: "new", deadline: limit.Add(time.Second)},
+		}
+		for _, r := range requests {
+			u := &fleet.Registration{ID: r.upstream, Address: "10.0.0.1:80"}
+			recordByte, untrack := l.track(u, &transfer{upstreamDeadline: r.deadline}, func(err error) {
+				assert.Check(t, errors.Is(err, errUpstreamExpired))
+				if r.cancelledAfter == 0 {
+					r.cancelledAfter = time.Since(start)
+				}
+			})
+			defer untrack()
+			if r.answered {
+				recordByte()
+			}
+		}
+		time.Sleep(6 * time.Second)
+		stop()
+		wg.Wait()
+		for _, r := range requests {
+			if r.name == "waiting" {
+				assert.Check(t, r.cancelledAfter >= 5*time.Second && r.cancelledAfter <= 5*time.Second+livenessInterval, "cancelled after %s", r.cancelledAfter)
+			} else {
+				assert.Check(t, r.cancelledAfter == 0, "%s: cancelled after %s", r.name, r.cancelledAfter)
+			}
+		}
+	})
+}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -57,6 +57,8 @@
 	// crashCheck then receives whether the upstream has crashed.
 	sentAt, brokenAt time.Time
 	crashCheck       <-chan bool
+	// upstreamDeadline is the deadline of the current attempt.
+	upstreamDeadline time.Time
 
 	// revision is the revision of the desired state that the request is served
 	// by.
@@ -174,7 +176,8 @@
 		t.finishAttempt(s, action, routing.Canceled, 0)
 		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, action.Endpoint+" was replaced or removed; the request was not sent")}
 	}
-	if !time.Now().Before(t.attemptDeadline(u.ID)) {
+	t.upstreamDeadline = t.attemptDeadline(u.ID)
+	if !time.Now().Before(t.upstreamDeadline) {
 		t.finishAttempt(s, action, routing.Canceled, 0)
 		t.failedUpstreams = append(t.failedUpstreams, u.ID)
 		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, u.ID+" may not be used any longer; the request was not sent")}
@@ -235,7 +238,7 @@
 // withCause adds the reason to an error that this daemon's own cancellation
 // caused.
 func withCause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); errors.Is(cause, errUpstreamUnresponsive) {
+	if cause := context.Cause(ctx); errors.Is(cause, errUpstreamUnresponsive) || errors.Is(cause, errUpstreamExpired) {
 		return errors.Wrap(err, cause.Error())
 	}
 	return err
@@ -332,7 +335,8 @@
 
 // attemptDeadline returns the deadline of an attempt: that of the request, or an
 // earlier one by which the upstream must have ended it. An upstream rejects a
-// request whose deadline passes in its queue, so none begins there later.
+// request whose deadline passes in its queue, so none begins there later. A limit
+// that becomes known after the request was sent is Liveness's matter.
 func (t *transfer) attemptDeadline(upstream string) time.Time {
 	if until, ok := t.forwarder.UsableUntil(upstream); ok && until.Before(t.deadline) {
 		return until
--- a/lab/sitepath/version_test.go
+++ b/lab/sitepath/version_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -358,6 +360,80 @@
 	})
 }
 
+// Requests that wait at full engines when a version is named do not begin there after
+// the time limit.
+func TestRequestsQueuedBeforeVersionDoNotBeginLate(t *testing.T) {
+	const (
+		routeTimeoutMS = 14000
+		streamEvents   = 20
+		eventInterval  = 540 * time.Millisecond
+		burstPeriod    = 10 * time.Millisecond
+		burstDuration  = 600 * time.Millisecond
+	)
+	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
+		d.desiredState["routes"].([]map[string]any)[0]["timeoutMs"] = routeTimeoutMS
+		d.publish()
+		for _, e := range d.engines {
+			e.QueueLength, e.StreamEvents, e.EventInterval = busyQueueLength, streamEvents, eventInterval
+		}
+		time.Sleep(time.Second)
+		l := d.startTraffic(burstPeriod, d.processes...)
+		time.Sleep(burstDuration)
+		g.name(2)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
+
+// A request that has no response from an engine when the limit of its weights comes is
+// cancelled there. It is repeated where the route allows it; otherwise it may have run,
+// and the caller is not told that it has not.
+func TestUnansweredRequestEndsAtLimitOfWeights(t *testing.T) {
+	const routeTimeoutMS = 14000
+	for path, wantStatus := range map[string]int{"/chat/1": http.StatusOK, "/once/1": http.StatusBadGateway} {
+		t.Run(strings.Trim(path, "/1"), func(t *testing.T) {
+			runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
+				for _, route := range d.desiredState["routes"].([]map[string]any) {
+					route["timeoutMs"] = routeTimeoutMS
+				}
+				d.publish()
+				time.Sleep(time.Second)
+				d.setFirstRequestBehaviour(site.Hang)
+				answers := make(chan answer, 1)
+				go func() {
+					answers <- d.ask(d.processes[0], http.MethodPost, modelHost, path, func(r *http.Request) {
+						r.Header.Set("X-Deadline-Ms", requestDeadlineMS)
+					})
+				}()
+				time.Sleep(100 * time.Millisecond)
+				g.name(2)
+				updated := d.engines[0]
+				if len(updated.Runs()) > 0 {
+					updated = d.engines[1]
+				}
+				updated.SetVersion(2)
+				updated.Restart(d.store)
+				a := <-answers
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, wantStatus, a.body)
+				var runs []site.Run
+				for _, e := range d.engines {
+					runs = append(runs, e.Runs()...)
+				}
+				slices.SortFunc(runs, func(a, b site.Run) int { return a.StartedAt.Compare(b.StartedAt) })
+				ended := runs[0].EndedAt.Sub(g.namedAt[2])
+				assert.Check(t, ended > versionTimeLimit-time.Second && ended < versionTimeLimit, "ended after %s", ended)
+				if wantStatus == http.StatusOK {
+					assert.Equal(t, len(runs), 2)
+					assert.Equal(t, runs[1].Version, 2)
+				} else {
+					assert.Equal(t, len(runs), 1)
+				}
+			})
+		})
+	}
+}
+
 // Daemons that all lose power at once and start anew count the age of old weights from
 // when the newer version was named.
 func TestOldWeightsExpireAfterAllLosePower(t *testing.T) {
