Tell each begin of a prompt part from earlier ones

Cause: facts of begins (KindPartBegun) had no value. A daemon's gossip drops a fact that it knows with the same value and with more than half of its TTL left, so the second begin of a part within half an hour, a release or the report of a begin just before a crash, stayed at the daemon that saw it. Also, daemons remember begins longer than the minute that counts while no others follow, and a report of such an old one would have kept the report of a recent one back.

What callers saw: a sound part that was quarantined by mistake for the second time stayed refused until it had passed a trial at each daemon.

What is done: a begin that clears a part has a random value. Reports of a begin before a crash have that crash as value, so that those of several daemons still are one fact, and are made only if the begin is less than provenWindow before it. A daemon that has heard of the begin no longer suspects the part and publishes nothing, so clears are no more facts than before.

Compatibility: an older build reads neither value and takes each such fact for a begin, as it is; it publishes an empty value, which is taken the same way.

--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -41,7 +41,7 @@
 	// daemon that sent the requests.
 	KindPartCrash Kind = 9
 	// KindPartBegun announces that a request with a suspected prompt part began its
-	// answer. ID is the part's digest.
+	// answer. ID is the part's digest; Value tells the begin from earlier ones.
 	KindPartBegun Kind = 10
 )
 
--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
@@ -232,7 +233,9 @@
 	r.cleared = true
 	p.updateKnown()
 	p.mu.Unlock()
-	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL})
+	// The value tells this begin from earlier ones, which gossip still has.
+	value := binary.BigEndian.AppendUint64(nil, rand.Uint64())
+	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL, Value: value})
 	if row != nil {
 		go p.deleteRow(part, row.version)
 	}
@@ -253,11 +256,11 @@
 	}
 }
 
-// reportRecentBegin publishes that a part that a peer suspects began an answer here
-// shortly before, unless another daemon does so first. p.mu must be held.
-func (p *Parts) reportRecentBegin(part string) {
+// reportRecentBegin publishes that a part began an answer here shortly before a crash for
+// which a peer suspects it, unless another daemon does so first. p.mu must be held.
+func (p *Parts) reportRecentBegin(part, crash string, crashedAt time.Time) {
 	at, ok := p.recent.latest(part)
-	if !ok || p.state.isProven(part) {
+	if !ok || crashedAt.Sub(at) >= provenWindow || p.state.isProven(part) {
 		return
 	}
 	time.AfterFunc(rand.N(beginReportSpread), func() {
@@ -267,7 +270,8 @@
 		p.updateKnown()
 		p.mu.Unlock()
 		if !proven {
-			p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL - time.Since(at)})
+			// All daemons that report for the same crash publish the same fact.
+			p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL - time.Since(at), Value: []byte(crash)})
 		}
 	})
 }
@@ -323,7 +327,7 @@
 	for _, c := range fact.Parts {
 		if len(c.Part) == digestBytes && len(c.Request) == digestBytes && len(c.Companions) < maxPartsPerRequest && c.Depth >= 1 {
 			p.state.addCrash(c.Part, fact.Crash, partCrash{c.Request, at, min(c.Depth, provenPartDepth), c.Companions})
-			p.reportRecentBegin(c.Part)
+			p.reportRecentBegin(c.Part, fact.Crash, at)
 		}
 	}
 	p.updateKnown()
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// A part must be released at all daemons, and a begin before a crash be known to all, also
+// if the part was released within the time in which gossip keeps that.
+func TestPartIsReleasedEverywhereAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "sound")
+		for range 3 {
+			f.crash(0, part)
+			f.crash(1, part)
+			assert.Equal(t, len(f.daemons[0].Refusing([]string{part})), 1)
+			f.daemons[2].Begun("s", []string{part})
+			synctest.Wait()
+			for i, p := range f.daemons {
+				assert.Equal(t, len(p.Suspected([]string{part})), 0, "daemon %d", i)
+			}
+			time.Sleep(2 * provenWindow)
+			f.daemons[2].Begun("s", []string{part})
+			f.crash(0, part)
+			time.Sleep(beginReportSpread)
+			f.crash(1, part)
+			assert.Equal(t, len(f.daemons[0].Refusing([]string{part})), 0, "the part has just begun")
+			f.daemons[1].Begun("s", []string{part})
+			time.Sleep(2 * provenWindow)
+		}
+	})
+}
+
 // A daemon that only reads the table must refuse a quarantined part.
 func TestRowsQuarantineParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/suspects/registry_test.go
+++ b/internal/suspects/registry_test.go
@@ -22,11 +22,36 @@
 
 func TestMain(m *testing.M) { testseed.Main(m) }
 
-// connectedBus passes published facts to its peers immediately.
+// connectedBus passes published facts to its peers immediately, without those that a
+// gossip.Node drops: equal ones that are still valid for more than half of their TTL.
 type connectedBus struct {
 	gossip.LocalBus
 	peers       *[]*connectedBus
 	subscribers []func(gossip.Fact)
+
+	mu    sync.Mutex
+	known map[string]knownFact
+}
+
+type knownFact struct {
+	value   string
+	expires time.Time
+}
+
+// learn records a fact. It reports whether an equal one is known and fresh.
+func (b *connectedBus) learn(f gossip.Fact) (fresh bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := fmt.Sprint(f.Kind, "/", f.ID)
+	old, ok := b.known[key]
+	fresh = ok && old.value == string(f.Value) && time.Until(old.expires) > f.TTL/2
+	if b.known == nil {
+		b.known = map[string]knownFact{}
+	}
+	if !fresh {
+		b.known[key] = knownFact{string(f.Value), time.Now().Add(f.TTL)}
+	}
+	return fresh
 }
 
 func (b *connectedBus) Subscribe(_ gossip.Kind, fn func(gossip.Fact)) {
@@ -34,10 +59,14 @@
 }
 
 func (b *connectedBus) Publish(f gossip.Fact) {
+	if b.learn(f) {
+		return
+	}
 	for _, p := range *b.peers {
 		if p == b {
 			continue
 		}
+		p.learn(f)
 		for _, fn := range p.subscribers {
 			fn(f)
 		}
