Release a part whose trial begins before its claim is read

Cause: a claim moves the part's row to a new version with one trial more. A daemon that released the part before its copy of the table had that version deleted the row on condition of the old one, took the conflict for done, and then took only rows without trials for out of date. The claimed row quarantined the part everywhere until the next trial, 40 s later. The same happened when one daemon saw a begin while another claimed a trial.

What is done: a daemon that releases a part remembers when, and how many trials it knew of. For a minute (releaseWindow) it takes each new version of the row with at most one trial more for out of date, and deletes it, unless it knows of a crash since. The minute is counted from the release; until now it ended at the next run of the expiry, anywhere within a minute. A conflict in deleteRow needs no repetition: the version that caused it is judged when the copy shows it.

Why it works: a daemon claims only if it has not heard of the release, so the trials it knows are those known before the release, and its claim adds one. If its request crashes an engine after all, that crash is later than the begin, counts, and keeps the row.

Compatibility: no row or fact has changed.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -223,14 +223,12 @@
 // clear clears a part here and at peers.
 func (p *Parts) clear(service, part string) {
 	p.mu.Lock()
-	suspected, quarantined := p.state.begin(part, time.Now())
+	suspected, quarantined := p.state.release(part, time.Now())
 	if !suspected { // a peer was faster
 		p.mu.Unlock()
 		return
 	}
-	r := p.state.parts[part]
-	row := r.row
-	r.cleared = true
+	row := p.state.parts[part].row
 	p.updateKnown()
 	p.mu.Unlock()
 	// The value tells this begin from earlier ones, which gossip still has.
@@ -468,7 +466,8 @@
 	})
 }
 
-// deleteRow deletes the row of a part unless it has changed.
+// deleteRow deletes the row of a part unless it has changed. If it has, ApplyRows decides
+// on the new version.
 func (p *Parts) deleteRow(part string, version uint64) {
 	p.commit(part, func() (platform.Txn, bool) { return appendDelete(platform.Txn{}, part, version), true })
 }
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -188,3 +188,69 @@
 	assert.NilError(t, msgpack.Unmarshal(value, &decoded))
 	assert.Equal(t, decoded.String(), fact.String())
 }
+
+// A part whose trial begins an answer must be released at all daemons, also if the answer
+// begins before the daemons have read the claim of the trial from the table.
+func TestTrialThatBeginsAtOnceReleasesPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "sound")
+		f.crash(0, part)
+		f.crash(1, part)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		assert.Assert(t, f.daemons[2].ClaimTrial(context.Background(), "s", []string{part}))
+		f.daemons[2].Begun("s", []string{part})
+		synctest.Wait()
+		f.readRows(t)
+		time.Sleep(time.Second)
+		f.readRows(t)
+		for i, p := range f.daemons {
+			assert.Equal(t, len(p.Refusing([]string{part})), 0, "daemon %d", i)
+		}
+	})
+}
+
+// A part on which an answer begins at one daemon must be released at all, also if another
+// has just claimed a trial and not heard of it; a later quarantine must stand.
+func TestReleaseOutlastsPeersClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "sound")
+		f.crash(0, part)
+		f.crash(1, part)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		assert.Assert(t, f.daemons[1].ClaimTrial(context.Background(), "s", []string{part}))
+		f.daemons[2].Begun("s", []string{part})
+		synctest.Wait()
+		f.readRows(t)
+		synctest.Wait()
+		assert.Equal(t, len(f.readRows(t)), 0)
+		f.crash(0, part)
+		f.crash(1, part)
+		f.crash(1, part)
+		f.readRows(t)
+		synctest.Wait()
+		assert.Equal(t, len(f.readRows(t)), 1)
+		for i, p := range f.daemons {
+			assert.Equal(t, len(p.Refusing([]string{part})), 1, "daemon %d", i)
+		}
+	})
+}
+
+// A row that is written long after a part's release must stand, also at a daemon that has
+// heard of no crash since.
+func TestLaterRowOutlastsRelease(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	row := func(since time.Time) map[string]quarantineRow {
+		return map[string]quarantineRow{"p": {version: uint64(since.Unix()), since: since}}
+	}
+	s.setRows(row(at))
+	s.release("p", at.Add(time.Second))
+	assert.DeepEqual(t, s.setRows(row(at.Add(2*time.Second))), []string{"p"})
+	assert.Assert(t, !s.isQuarantined("p"))
+	assert.Equal(t, len(s.setRows(row(at.Add(2*releaseWindow)))), 0)
+	assert.Assert(t, s.isQuarantined("p"))
+}
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -32,6 +32,9 @@
 	trialIntervalFactor = 8
 	maxTrialInterval    = 24 * time.Hour
 	freeCrashes         = 3
+	// releaseWindow is the time after a part's release within which rows may appear that
+	// peers wrote before they heard of it.
+	releaseWindow = time.Minute
 )
 
 // partCrash is an engine crash while a request with a part had not begun its answer.
@@ -72,9 +75,10 @@
 	row     *quarantineRow
 	// voidVersion is the version of the row that was there when the part began an answer.
 	voidVersion uint64
-	// cleared is set while a row that a peer wrote before the part began an answer here
-	// may still appear.
-	cleared bool
+	// releasedAt is when this daemon last released the part, releasedTrials the number of
+	// trials that daemons that had not heard of it may have claimed by then.
+	releasedAt     time.Time
+	releasedTrials int
 	// retryClaimAt is when this daemon may next try to claim a trial.
 	retryClaimAt time.Time
 }
@@ -282,6 +286,21 @@
 	return suspected, quarantined
 }
 
+// release applies that a request with the part began an answer at this daemon. Row
+// versions that peers write before they hear of it are out of date.
+func (s *partState) release(part string, at time.Time) (suspected, quarantined bool) {
+	trials := 0
+	if r := s.parts[part]; r != nil {
+		_, trials = r.quarantinedSince()
+	}
+	suspected, quarantined = s.begin(part, at)
+	if suspected {
+		r := s.parts[part]
+		r.releasedAt, r.releasedTrials = at, trials+1
+	}
+	return suspected, quarantined
+}
+
 // isSuspected reports whether an engine crashed while it ran a request with the part
 // and none has begun an answer since.
 func (s *partState) isSuspected(part string) bool {
@@ -387,8 +406,8 @@
 }
 
 // setRows replaces the rows of all parts. Rows whose version is known keep the time at
-// which it was first seen. It returns the parts whose new row is out of date: they have
-// begun an answer here since their last crash.
+// which it was first seen. It returns the parts whose new row is out of date: this daemon
+// has released them since their last crash.
 func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
 	s.rows = 0
 	for part, r := range s.parts {
@@ -408,7 +427,7 @@
 			continue
 		}
 		r.row = &row
-		if r.cleared && len(r.crashes) == 0 && row.trials == 0 {
+		if len(r.crashes) == 0 && row.trials <= r.releasedTrials && row.since.Sub(r.releasedAt) < releaseWindow {
 			r.voidVersion = row.version
 			outdated = append(outdated, part)
 		}
@@ -446,7 +465,6 @@
 				s.removeCrash(part, crash)
 			}
 		}
-		r.cleared = false
 		if r.begunAt.Before(before) {
 			r.begunAt = time.Time{}
 		}
