Keep trials of a quarantined part rare once its crashes are forgotten

Cause: crashes beyond the third count as trials, but only while they are remembered, an hour. The row did not say how many there were. So an hour after the quarantine, or after a loss of power everywhere, trials began anew at intervals of 5 s, 40 s and 5 min, each at the cost of an engine.

What is done: each daemon keeps the number of crashes beyond the third until the part begins an answer or its quarantine ends. The row is written with it, and written again by the daemons that observe a crash that raises it. A change of a row that conflicts with another daemon's is considered anew once the copy of the table shows that one, instead of given up; this also covers a conflict that only the evicted row caused. A new version of the row starts the time to the next trial anew, which here counts from the latest crash, as it does without a row.

Compatibility: the row has the same fields; an older build reads the greater number as trials, waits that long, and raises it by its own.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
@@ -174,7 +173,10 @@
 		for part, depth := range p.state.recordCrash(parts, crash, request, r.SentAt, r.BrokenAt) {
 			fact.Parts = append(fact.Parts, crashedPart{Part: part, Request: request, Depth: depth, Companions: p.state.parts[part].crashes[crash].companions})
 			if p.state.isQuarantined(part) && !slices.Contains(quarantined, part) {
-				p.quarantine(service, engine, part, r.Organisation)
+				p.log.Emit(eventlog.PartQuarantined, eventlog.Fields{Service: service, Upstream: engine, Organisation: r.Organisation, Detail: "part " + partName(part)})
+			}
+			if p.state.rowOutdated(part) {
+				go p.writeRow(part, r.Organisation)
 			}
 		}
 	}
@@ -205,12 +207,6 @@
 	return out
 }
 
-// quarantine logs that a part is quarantined and writes its row. p.mu must be held.
-func (p *Parts) quarantine(service, engine, part, organisation string) {
-	p.log.Emit(eventlog.PartQuarantined, eventlog.Fields{Service: service, Upstream: engine, Organisation: organisation, Detail: "part " + partName(part)})
-	go p.writeRow(part, organisation)
-}
-
 // Begun records that a request with the parts began its answer, which shows that they
 // don't crash engines.
 func (p *Parts) Begun(service string, parts []string) {
@@ -426,19 +422,24 @@
 		r := p.state.parts[part]
 		r.retryClaimAt = now.Add(trialClaimInterval)
 		v, version := r.rowValue()
-		_, trials := r.quarantinedSince()
-		v.Trials = trials + 1
+		v.Trials++
 		txn = appendPut(txn, part, version, v)
 	}
 	return txn, true
 }
 
-// rowValue returns the value and version of the part's row, or those of a new one.
+// rowValue returns the value that the part's row should have, and the version that it
+// has; 0 if there is none.
 func (r *partRecord) rowValue() (v rowValue, version uint64) {
+	v.Companions = r.companions()
+	_, v.Trials = r.quarantinedSince()
 	if r.row != nil {
-		return rowValue{r.row.trials, r.row.organisation, r.row.companions}, r.row.version
+		v.Organisation, version = r.row.organisation, r.row.version
 	}
-	return rowValue{Companions: r.companions()}, 0
+	if r.hasRow() {
+		v.Companions = r.row.companions
+	}
+	return v, version
 }
 
 func appendPut(txn platform.Txn, part string, version uint64, v rowValue) platform.Txn {
@@ -449,17 +450,20 @@
 	return txn
 }
 
-// writeRow creates the row of a part, unless it has one. It gives up after
+// writeRow writes the row of a part if it is out of date. It gives up after
 // rowWriteTimeout; gossip still distributes the crashes.
 func (p *Parts) writeRow(part, organisation string) {
 	p.commit(part, func() (platform.Txn, bool) {
-		r := p.state.parts[part]
-		if !p.state.isQuarantined(part) || r.hasRow() {
+		if !p.state.rowOutdated(part) {
 			return platform.Txn{}, false
 		}
-		_, version := r.rowValue()
-		txn := appendPut(platform.Txn{}, part, version, rowValue{Organisation: digestBytesOf(organisation), Companions: r.companions()})
-		if evicted, full := p.state.rowToEvict(); full {
+		r := p.state.parts[part]
+		v, version := r.rowValue()
+		if !r.hasRow() {
+			v.Organisation = digestBytesOf(organisation)
+		}
+		txn := appendPut(platform.Txn{}, part, version, v)
+		if evicted, full := p.state.rowToEvict(); full && r.row == nil {
 			txn = appendDelete(txn, evicted, p.state.parts[evicted].row.version)
 		}
 		return txn, true
@@ -469,7 +473,10 @@
 // deleteRow deletes the row of a part unless it has changed. If it has, ApplyRows decides
 // on the new version.
 func (p *Parts) deleteRow(part string, version uint64) {
-	p.commit(part, func() (platform.Txn, bool) { return appendDelete(platform.Txn{}, part, version), true })
+	p.commit(part, func() (platform.Txn, bool) {
+		r := p.state.parts[part]
+		return appendDelete(platform.Txn{}, part, version), r != nil && r.row != nil && r.row.version == version
+	})
 }
 
 func appendDelete(txn platform.Txn, part string, version uint64) platform.Txn {
@@ -478,8 +485,9 @@
 	return txn
 }
 
-// commit commits the transaction that next returns until it is applied, conflicts with
-// another daemon's, is no longer needed or rowWriteTimeout has passed.
+// commit commits the transaction that next returns until it is applied, is no longer
+// needed or rowWriteTimeout has passed. After a conflict the copy of the table soon shows
+// what another daemon wrote, and next decides anew.
 func (p *Parts) commit(part string, next func() (platform.Txn, bool)) {
 	ctx, cancel := context.WithTimeout(p.ctx, rowWriteTimeout)
 	defer cancel()
@@ -491,7 +499,7 @@
 			return
 		}
 		err := p.commitOnce(ctx, txn)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil {
 			return
 		}
 		if rowBackoff.Wait(ctx, try) != nil {
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -23,8 +23,10 @@
 	crashes  int
 }
 
-func newPartFleet(n int) *partFleet {
-	f := &partFleet{platform: platformtest.New()}
+func newPartFleet(n int) *partFleet { return newPartFleetOn(platformtest.New(), n) }
+
+func newPartFleetOn(platform *platformtest.Platform, n int) *partFleet {
+	f := &partFleet{platform: platform}
 	var peers []*connectedBus
 	for i := range n {
 		bus := &connectedBus{peers: &peers}
@@ -90,6 +92,28 @@
 	})
 }
 
+// Crashes beyond the free ones must count as trials also after a loss of power everywhere,
+// when only the row is left of them.
+func TestRowKeepsCrashesAfterPowerLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const surplus = 3
+		f := newPartFleet(2)
+		part := PartKey("s", "m", "", "bad")
+		for i := range freeCrashes + surplus {
+			f.crash(i%2, part)
+			f.readRows(t)
+		}
+		time.Sleep(time.Second)
+		restarted := newPartFleetOn(f.platform, 1)
+		restarted.readRows(t)
+		claim := func() bool { return restarted.daemons[0].ClaimTrial(t.Context(), "s", []string{part}) }
+		time.Sleep(trialInterval(surplus) - time.Second)
+		assert.Assert(t, !claim())
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, claim())
+	})
+}
+
 // A part that begins an answer must be released at all daemons, and its row deleted, also
 // if the row is written while the answer begins.
 func TestBeginReleasesPart(t *testing.T) {
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -69,6 +69,9 @@
 type partRecord struct {
 	// crashes are keyed by the digest of the crash.
 	crashes map[string]partCrash
+	// surplus is the greatest number of crashes beyond freeCrashes since the part last
+	// began an answer. Unlike crashes it doesn't expire while the part is quarantined.
+	surplus int
 	// begunAt is the latest known time at which a request with the part began an answer;
 	// crashes until then don't count.
 	begunAt time.Time
@@ -190,6 +193,7 @@
 	}
 	s.parts[part] = r
 	r.crashes[crash] = c
+	r.surplus = max(r.surplus, len(r.crashes)-freeCrashes)
 	s.count(c, 1)
 	return true
 }
@@ -256,7 +260,12 @@
 
 // dropIfUnused removes the record of a part of which nothing has to be known.
 func (s *partState) dropIfUnused(part string) {
-	if r := s.parts[part]; r != nil && len(r.crashes) == 0 && r.row == nil && r.begunAt.IsZero() {
+	r := s.parts[part]
+	if r == nil || len(r.crashes) > 0 || r.row != nil {
+		return
+	}
+	r.surplus = 0
+	if r.begunAt.IsZero() {
 		delete(s.parts, part)
 	}
 }
@@ -283,6 +292,7 @@
 			s.count(c, -1)
 		}
 	}
+	r.surplus = max(0, len(r.crashes)-freeCrashes)
 	return suspected, quarantined
 }
 
@@ -386,16 +396,22 @@
 // quarantinedSince returns when the part's quarantine or its last trial became known,
 // and the number of trials.
 func (r *partRecord) quarantinedSince() (since time.Time, trials int) {
-	trials = max(0, len(r.crashes)-freeCrashes)
 	if r.hasRow() {
-		return r.row.since, max(trials, r.row.trials)
+		return r.row.since, max(r.surplus, r.row.trials)
 	}
 	for _, c := range r.crashes {
 		if c.depth >= r.quarantineDepth() && c.at.After(since) {
 			since = c.at
 		}
 	}
-	return since, trials
+	return since, r.surplus
+}
+
+// rowOutdated reports whether the part is quarantined and has no row, or one that does
+// not say all that is known here.
+func (s *partState) rowOutdated(part string) bool {
+	r := s.parts[part]
+	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials)
 }
 
 // trialInterval returns the time before a trial that follows the given number of
--- a/internal/suspects/partstate_test.go
+++ b/internal/suspects/partstate_test.go
@@ -181,3 +181,41 @@
 	}
 	assert.Assert(t, !newPartState(0).trialDue([]string{"unknown"}, 1, time.Unix(1000, 0)))
 }
+
+// No more than three requests with a part that goes on crashing engines must reach engines
+// within a day after the fifth crash, also once the first crashes are forgotten.
+func TestTrialsStayRareWhenCrashesExpire(t *testing.T) {
+	for crashes := 2; crashes <= 12; crashes++ {
+		at := time.Unix(1000, 0)
+		s := newPartState(testCrashInterval)
+		row := quarantineRow{version: 1, since: at}
+		crash := func(now time.Time, n int) {
+			s.recordCrash([]string{"p"}, fmt.Sprint(n), fmt.Sprint(n), at, now)
+		}
+		for i := range crashes {
+			crash(at.Add(time.Duration(i)*time.Second), i)
+		}
+		total, afterFifth := crashes, 0
+		var when []time.Duration
+		for now := at.Add(time.Minute); now.Before(at.Add(24 * time.Hour)); now = now.Add(time.Second) {
+			s.setRows(map[string]quarantineRow{"p": row})
+			if now.Sub(at)%partExpiryInterval == 0 {
+				s.expire(now.Add(-CrashTTL), at)
+			}
+			if !s.trialDue([]string{"p"}, 1, now) {
+				continue
+			}
+			_, trials := s.parts["p"].quarantinedSince()
+			row = quarantineRow{version: row.version + 1, trials: trials + 1, since: now}
+			total++
+			crash(now, total)
+			if total > 5 {
+				afterFifth++
+				when = append(when, now.Sub(at))
+			}
+		}
+		if !assert.Check(t, afterFifth <= 3, "%d crashes before the quarantine, %d trials after the fifth: %v", crashes, afterFifth, when) {
+			continue
+		}
+	}
+}
