Write the row of a part again when a crash leaves it fewer companions

Cause: the row kept the companions of the crash that quarantined the part first. A later crash without them reached the daemons' facts, but not the row.

What callers saw: a daemon that knows only rows (just started, or without peers) let a request with the crashing part and parts other than the companions run.

What is done: companions() counts the row too, and the daemons that observe a crash that leaves fewer write the row again, on condition of its version. A claim writes the fewest as well. Companions only become fewer, so there are at most 15 such writes a part.

Evidence: TestRowNamesTheFewestCompanions (by the reviewer) fails before ("0 != 1") and passes.

Compatibility: no field has changed; an older build reads the fewer companions and refuses more prompts.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -436,9 +436,6 @@
 	if r.row != nil {
 		v.Organisation, version = r.row.organisation, r.row.version
 	}
-	if r.hasRow() {
-		v.Companions = r.row.companions
-	}
 	return v, version
 }
 
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -278,3 +278,60 @@
 	assert.Equal(t, len(s.setRows(row(at.Add(2*releaseWindow)))), 0)
 	assert.Assert(t, s.isQuarantined("p"))
 }
+
+// A daemon that knows only the rows must refuse a part that a later crash has shown to be
+// the cause without its companions.
+func TestRowNamesTheFewestCompanions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(2)
+		part := func(id string) string { return PartKey("s", "m", "", id) }
+		f.crash(0, part("bad"), part("beside"))
+		f.crash(1, part("bad"), part("beside"))
+		f.readRows(t)
+		prompt := []string{part("bad"), part("other")}
+		assert.Equal(t, len(f.daemons[0].Refusing(prompt)), 0)
+		f.crash(1, prompt...)
+		assert.Equal(t, len(f.daemons[0].Refusing(prompt)), 1)
+		f.readRows(t)
+		alone := newPartFleet(1).daemons[0]
+		f.daemons = append(f.daemons, alone)
+		f.readRows(t)
+		assert.Equal(t, len(alone.Refusing(prompt)), 1)
+	})
+}
+
+// A row must be written where rows are as many as may be, also if the row that makes room
+// for it changes meanwhile.
+func TestRowIsWrittenWhenEvictedRowChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(1)
+		table := f.platform.Client()
+		var txn platform.Txn
+		for i := range maxQuarantinedParts {
+			txn = appendPut(txn, PartKey("s", "m", "", fmt.Sprint(i)), 0, rowValue{})
+		}
+		assert.NilError(t, table.Commit(t.Context(), txn))
+		read := func() map[string]platform.Change {
+			rows, err := table.List(t.Context(), "", "", 2*maxQuarantinedParts)
+			assert.NilError(t, err)
+			out := map[string]platform.Change{}
+			for _, r := range rows {
+				out[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
+			}
+			f.daemons[0].ApplyRows(out)
+			return out
+		}
+		for _, row := range read() {
+			assert.NilError(t, table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: row.Key, Value: row.Value}}}))
+		}
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		f.crash(0, part)
+		read()
+		time.Sleep(rowBackoff.Max)
+		rows := read()
+		_, ok := rows[partName(part)]
+		assert.Assert(t, ok)
+		assert.Equal(t, len(rows), maxQuarantinedParts)
+	})
+}
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -354,11 +354,14 @@
 
 func (r *partRecord) hasRow() bool { return r.row != nil && r.row.version != r.voidVersion }
 
-// companions returns the fewest companions that any quarantining crash left the part
-// with.
+// companions returns the fewest companions that the row or any quarantining crash leaves
+// the part with.
 func (r *partRecord) companions() []string {
 	var fewest []string
-	found := false
+	found := r.hasRow()
+	if found {
+		fewest = r.row.companions
+	}
 	for _, c := range r.crashes {
 		if c.depth >= r.quarantineDepth() && (!found || len(c.companions) < len(fewest)) {
 			fewest, found = c.companions, true
@@ -411,7 +414,7 @@
 // not say all that is known here.
 func (s *partState) rowOutdated(part string) bool {
 	r := s.parts[part]
-	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials)
+	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions))
 }
 
 // trialInterval returns the time before a trial that follows the given number of
