Forget the oldest begins of prompt parts when memory is full

Cause: a part that was suspected and cleared is remembered for an hour, because of the time of its begin. At maxParts no new part was remembered, so after 16,384 cleared parts within an hour no crash was held against any new part: the memory failed open.

What is done: when it is full, the oldest eighth of the records with neither crash nor row goes. Crashes and rows together are at most 10,240, so there always are such records. What is lost is that a part began lately: it may be quarantined by two crashes instead of three, until it begins again.

Compatibility: no row or fact has changed.

--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -19,7 +19,8 @@
 	// that may quarantine. When it is reached, the oldest 1/roomDivisor are dropped.
 	maxSuspicions = 8 << 10
 	roomDivisor   = 8
-	// maxParts bounds the parts of which anything is remembered.
+	// maxParts bounds the parts of which anything is remembered. It is more than can have
+	// a crash or a row; when it is reached, the oldest begins are dropped.
 	maxParts = 2 * maxSuspicions
 	// maxQuarantinedParts bounds the parts in quarantine. When it is reached, the oldest
 	// part of the organisation that has most is dropped for a new one.
@@ -204,12 +205,30 @@
 	if r := s.parts[part]; r != nil {
 		return r
 	}
+	if len(s.parts) >= maxParts {
+		s.forgetBegins()
+	}
 	if len(s.parts) >= maxParts {
 		return nil
 	}
 	return &partRecord{crashes: map[string]partCrash{}}
 }
 
+// forgetBegins drops the records of which only the begin is known, the oldest
+// maxParts/roomDivisor of them.
+func (s *partState) forgetBegins() {
+	var parts []string
+	for part, r := range s.parts {
+		if len(r.crashes) == 0 && r.row == nil {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b string) int { return s.parts[a].begunAt.Compare(s.parts[b].begunAt) })
+	for _, part := range parts[:min(len(parts), maxParts/roomDivisor)] {
+		delete(s.parts, part)
+	}
+}
+
 // makeRoom drops the oldest crashes that count like one of the given depth if there are
 // too many.
 func (s *partState) makeRoom(depth int) {
--- a/internal/suspects/partstate_test.go
+++ b/internal/suspects/partstate_test.go
@@ -219,3 +219,20 @@
 		}
 	}
 }
+
+// Parts that began answers after a crash must not keep later crashes from being
+// remembered.
+func TestClearedPartsLeaveRoomForSuspicions(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	for i := range maxParts {
+		part := fmt.Sprint("sound", i)
+		s.recordCrash([]string{part}, fmt.Sprint("crash", i/100), fmt.Sprint("r", i), at, at)
+		s.begin(part, at.Add(time.Second))
+	}
+	for i := range 5 {
+		now := at.Add(time.Duration(2+i) * time.Second)
+		s.recordCrash([]string{"cause"}, fmt.Sprint("later", i), fmt.Sprint("bad", i), now.Add(-time.Second/2), now)
+	}
+	assert.Assert(t, s.isQuarantined("cause"))
+}
