Suspect the likeliest parts first, and more of them after a crash

Cause: of the requests that had not begun at a crash, a daemon suspected parts up to 24, chosen at random. Where one daemon had many requests in an engine, the cause often was not among them, also when an earlier crash had made it suspect.

What callers saw: one part crashed engine after engine, up to 16, before it was quarantined (31 requests of one daemon).

What is done: first come the requests with a part that is quarantined, or suspected and not known to have begun just before; then those with a part that did not begin just before; then the rest. The parts of a request with more than 16 are ordered the same way. Since no order helps at the first crash, a daemon now suspects up to 96 parts, published as facts of 24, each small enough to be urgent as before. The parts published for a crash are bounded by the engine's requests, so a fleet where each daemon has one or two in an engine publishes what it did; with few daemons it is up to four facts each.

TestSuspectPartsComeFirst (192 requests of 48 parts) fails without the order. Gossip bytes were not measured.

Compatibility: a fact has at most 24 parts, as older builds require.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -23,12 +24,15 @@
 )
 
 const (
-	// maxPartsPerRequest is how many parts of one request are suspected; of more, a
-	// random choice.
+	// maxPartsPerRequest is how many parts of one request are suspected; of more, those
+	// first that are the likeliest causes.
 	maxPartsPerRequest = 16
-	// maxPartsPerCrash is how many parts one daemon suspects after one crash. Their fact
-	// is small enough to be urgent.
-	maxPartsPerCrash = 24
+	// maxPartsPerCrash is how many parts one daemon suspects after one crash, those of the
+	// likeliest requests first.
+	maxPartsPerCrash = 96
+	// maxPartsPerFact is how many of them are published in one fact, which is small enough
+	// to be urgent.
+	maxPartsPerFact = 24
 	// quarantineRowTTL is how long a quarantine lasts without a trial.
 	quarantineRowTTL = 2 * maxTrialInterval
 	// trialClaimTimeout bounds the claim of a trial in the table.
@@ -161,10 +165,9 @@
 	var at time.Time
 	p.mu.Lock()
 	p.applyRecentBegins(requests)
-	for _, i := range rand.Perm(len(requests)) {
-		r := requests[i]
+	for _, r := range p.likeliestCauses(requests) {
 		at = r.BrokenAt
-		parts := choose(r.Parts)
+		parts := r.Parts
 		if len(fact.Parts)+len(parts) > maxPartsPerCrash {
 			continue
 		}
@@ -185,25 +188,36 @@
 	if len(fact.Parts) == 0 {
 		return
 	}
-	value, err := fact.encode()
-	if err != nil {
-		p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: "not published: " + err.Error()})
-		return
-	}
-	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartCrash, ID: hex.EncodeToString([]byte(crash)) + "/" + partName(digestBytesOf(p.daemonName, string(value))), TTL: CrashTTL - time.Since(at), Value: value})
 	p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: fmt.Sprintf("%d requests had not begun: %s", len(requests), fact)})
+	for parts := range slices.Chunk(fact.Parts, maxPartsPerFact) {
+		value, err := crashFact{Crash: crash, Parts: parts}.encode()
+		if err != nil {
+			p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: "not published: " + err.Error()})
+			return
+		}
+		p.bus.Publish(gossip.Fact{Kind: gossip.KindPartCrash, ID: hex.EncodeToString([]byte(crash)) + "/" + partName(digestBytesOf(p.daemonName, string(value))), TTL: CrashTTL - time.Since(at), Value: value})
+	}
 }
 
-// choose returns up to maxPartsPerRequest of the parts. The choice is random so that no
-// part is left out of every request's.
-func choose(parts []string) []string {
-	if len(parts) <= maxPartsPerRequest {
-		return parts
-	}
-	out := make([]string, maxPartsPerRequest)
-	for i, j := range rand.Perm(len(parts))[:maxPartsPerRequest] {
-		out[i] = parts[j]
+// likeliestCauses returns the requests, those first that are the likeliest causes of a
+// crash, each with at most maxPartsPerRequest parts. Among equals the order is random, so
+// that none is left out each time. p.mu must be held.
+func (p *Parts) likeliestCauses(requests []UnbegunRequest) []UnbegunRequest {
+	out := slices.Clone(requests)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	likelihood := make(map[string]int, len(out))
+	for i, r := range out {
+		parts := slices.Clone(r.Parts)
+		rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		slices.SortStableFunc(parts, func(a, b string) int {
+			return cmp.Compare(p.state.likelihood(b, r.BrokenAt), p.state.likelihood(a, r.BrokenAt))
+		})
+		out[i].Parts = parts[:min(len(parts), maxPartsPerRequest)]
+		if len(parts) > 0 {
+			likelihood[r.ID] = p.state.likelihood(parts[0], r.BrokenAt)
+		}
 	}
+	slices.SortStableFunc(out, func(a, b UnbegunRequest) int { return cmp.Compare(likelihood[b.ID], likelihood[a.ID]) })
 	return out
 }
 
@@ -312,7 +326,7 @@
 // receiveCrash applies a peer's crash. Invalid facts are ignored.
 func (p *Parts) receiveCrash(f gossip.Fact) {
 	var fact crashFact
-	if err := msgpack.Unmarshal(f.Value, &fact); err != nil || len(fact.Crash) != digestBytes || len(fact.Parts) > maxPartsPerCrash {
+	if err := msgpack.Unmarshal(f.Value, &fact); err != nil || len(fact.Crash) != digestBytes || len(fact.Parts) > maxPartsPerFact {
 		return
 	}
 	at := publishedAt(f)
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -198,11 +198,39 @@
 	})
 }
 
-// A crash of as many parts as one daemon reports must fit into an urgent fact.
+// A part that an earlier crash makes suspect must be among those of the next crash, also
+// beside more requests and parts than are suspected, and at peers.
+func TestSuspectPartsComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests, partsEach = 2 * maxPartsPerCrash, 3 * maxPartsPerRequest
+		f := newPartFleet(2)
+		bad := PartKey("s", "m", "", "bad")
+		f.crash(0, bad)
+		sentAt := time.Now()
+		time.Sleep(time.Second)
+		var running []UnbegunRequest
+		for i := range requests {
+			r := UnbegunRequest{ID: fmt.Sprint("r", i), SentAt: sentAt, BrokenAt: time.Now()}
+			for j := range partsEach {
+				r.Parts = append(r.Parts, PartKey("s", "m", "", fmt.Sprint("sound", i, "/", j)))
+			}
+			running = append(running, r)
+		}
+		running[requests/2].Parts[partsEach/2] = bad
+		f.daemons[0].EngineCrashed("s", "engine", "many", running)
+		synctest.Wait()
+		for _, p := range f.daemons {
+			assert.Equal(t, len(p.Refusing([]string{bad})), 1)
+			assert.Equal(t, p.SuspectedCount(), maxPartsPerCrash)
+		}
+	})
+}
+
+// A crash of as many parts as one daemon reports in a fact must fit into an urgent fact.
 func TestCrashFactIsSmall(t *testing.T) {
 	const maxUrgentBytes = 1 << 10
 	fact := crashFact{Crash: digestBytesOf("engine")}
-	for i := range maxPartsPerCrash {
+	for i := range maxPartsPerFact {
 		fact.Parts = append(fact.Parts, crashedPart{Part: PartKey("s", "m", "", fmt.Sprint(i)), Request: digestBytesOf("r"), Depth: 1})
 	}
 	value, err := fact.encode()
@@ -335,3 +363,34 @@
 		assert.Equal(t, len(rows), maxQuarantinedParts)
 	})
 }
+
+// The cause of crashes is quarantined after few crashes, however many requests were
+// waiting in the engine.
+func TestCauseAmongManyRequestsIsQuarantined(t *testing.T) {
+	const rounds, requests, maxCrashes = 20, 30, 5
+	late := 0
+	for round := range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPartFleet(1)
+			bad := PartKey("s", "m", "", "bad")
+			crashes := 0
+			for len(f.daemons[0].Refusing([]string{bad})) == 0 && crashes < 100 {
+				crashes++
+				sentAt := time.Now()
+				time.Sleep(time.Second)
+				running := []UnbegunRequest{{ID: fmt.Sprint("bad", crashes), Parts: []string{bad}, SentAt: sentAt, BrokenAt: time.Now()}}
+				for i := range requests {
+					id := fmt.Sprint("sound", round, crashes, i)
+					running = append(running, UnbegunRequest{ID: id, Parts: []string{PartKey("s", "m", "", id), PartKey("s", "m", "", id+"b")}, SentAt: sentAt, BrokenAt: time.Now()})
+				}
+				f.daemons[0].EngineCrashed("s", "engine", fmt.Sprint(crashes), running)
+				synctest.Wait()
+			}
+			t.Logf("quarantined after %d crashes", crashes)
+			if crashes > maxCrashes {
+				late++
+			}
+		})
+	}
+	assert.Equal(t, late, 0, "of %d", rounds)
+}
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -337,6 +337,21 @@
 	return r != nil && (len(r.crashes) > 0 || r.hasRow())
 }
 
+// likelihood ranks a part among the possible causes of a crash at a time: above the
+// others those that an earlier crash makes suspect, below them those that began answers
+// just before.
+func (s *partState) likelihood(part string, at time.Time) int {
+	r := s.parts[part]
+	switch {
+	case s.isQuarantined(part), s.isSuspected(part) && r.quarantineDepth() == newPartDepth:
+		return 2
+	case r == nil, at.Sub(r.begunAt) >= provenWindow && len(r.crashes) == 0:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // isProven reports whether answers on the part were begun shortly before its first crash.
 func (s *partState) isProven(part string) bool { return s.quarantineDepth(part) == provenPartDepth }
 
