--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
@@ -13,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
@@ -23,12 +24,15 @@
 )
 
 const (
-	// maxPartsPerRequest is how many parts of one request are suspected; of more, a
-	// random choice.
+	// maxPartsPerRequest is how many parts of one request are suspected; of more, those
+	// first that are the likeliest causes.
 	maxPartsPerRequest = 16
-	// maxPartsPerCrash is how many parts one daemon suspects after one crash. Their fact
-	// is small enough to be urgent.
-	maxPartsPerCrash = 24
+	// maxPartsPerCrash is how many parts one daemon suspects after one crash, those of the
+	// likeliest requests first.
+	maxPartsPerCrash = 96
+	// maxPartsPerFact is how many of them are published in one fact, which is small enough
+	// to be urgent.
+	maxPartsPerFact = 24
 	// quarantineRowTTL is how long a quarantine lasts without a trial.
 	quarantineRowTTL = 2 * maxTrialInterval
 	// trialClaimTimeout bounds the claim of a trial in the table.
@@ -161,10 +165,9 @@
 	var at time.Time
 	p.mu.Lock()
 	p.applyRecentBegins(requests)
-	for _, i := range rand.Perm(len(requests)) {
-		r := requests[i]
+	for _, r := range p.likeliestCauses(requests) {
 		at = r.BrokenAt
-		parts := choose(r.Parts)
+		parts := r.Parts
 		if len(fact.Parts)+len(parts) > maxPartsPerCrash {
 			continue
 		}
@@ -173,7 +176,10 @@
 		for part, depth := range p.state.recordCrash(parts, crash, request, r.SentAt, r.BrokenAt) {
 			fact.Parts = append(fact.Parts, crashedPart{Part: part, Request: request, Depth: depth, Companions: p.state.parts[part].crashes[crash].companions})
 			if p.state.isQuarantined(part) && !slices.Contains(quarantined, part) {
-				p.quarantine(service, engine, part, r.Organisation)
+				p.log.Emit(eventlog.PartQuarantined, eventlog.Fields{Service: service, Upstream: engine, Organisation: r.Organisation, Detail: "part " + partName(part)})
+			}
+			if p.state.rowOutdated(part) {
+				go p.writeRow(part, r.Organisation)
 			}
 		}
 	}
@@ -182,34 +188,39 @@
 	if len(fact.Parts) == 0 {
 		return
 	}
-	value, err := fact.encode()
-	if err != nil {
-		p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: "not published: " + err.Error()})
-		return
-	}
-	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartCrash, ID: hex.EncodeToString([]byte(crash)) + "/" + partName(digestBytesOf(p.daemonName, string(value))), TTL: CrashTTL - time.Since(at), Value: value})
 	p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: fmt.Sprintf("%d requests had not begun: %s", len(requests), fact)})
+	for parts := range slices.Chunk(fact.Parts, maxPartsPerFact) {
+		value, err := crashFact{Crash: crash, Parts: parts}.encode()
+		if err != nil {
+			p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: "not published: " + err.Error()})
+			return
+		}
+		p.bus.Publish(gossip.Fact{Kind: gossip.KindPartCrash, ID: hex.EncodeToString([]byte(crash)) + "/" + partName(digestBytesOf(p.daemonName, string(value))), TTL: CrashTTL - time.Since(at), Value: value})
+	}
 }
 
-// choose returns up to maxPartsPerRequest of the parts. The choice is random so that no
-// part is left out of every request's.
-func choose(parts []string) []string {
-	if len(parts) <= maxPartsPerRequest {
-		return parts
-	}
-	out := make([]string, maxPartsPerRequest)
-	for i, j := range rand.Perm(len(parts))[:maxPartsPerRequest] {
-		out[i] = parts[j]
+// likeliestCauses returns the requests, those first that are the likeliest causes of a
+// crash, each with at most maxPartsPerRequest parts. Among equals the order is random, so
+// that none is left out each time. p.mu must be held.
+func (p *Parts) likeliestCauses(requests []UnbegunRequest) []UnbegunRequest {
+	out := slices.Clone(requests)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	likelihood := make(map[string]int, len(out))
+	for i, r := range out {
+		parts := slices.Clone(r.Parts)
+		rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		slices.SortStableFunc(parts, func(a, b string) int {
+			return cmp.Compare(p.state.likelihood(b, r.BrokenAt), p.state.likelihood(a, r.BrokenAt))
+		})
+		out[i].Parts = parts[:min(len(parts), maxPartsPerRequest)]
+		if len(parts) > 0 {
+			likelihood[r.ID] = p.state.likelihood(parts[0], r.BrokenAt)
+		}
 	}
+	slices.SortStableFunc(out, func(a, b UnbegunRequest) int { return cmp.Compare(likelihood[b.ID], likelihood[a.ID]) })
 	return out
 }
 
-// quarantine logs that a part is quarantined and writes its row. p.mu must be held.
-func (p *Parts) quarantine(service, engine, part, organisation string) {
-	p.log.Emit(eventlog.PartQuarantined, eventlog.Fields{Service: service, Upstream: engine, Organisation: organisation, Detail: "part " + partName(part)})
-	go p.writeRow(part, organisation)
-}
-
 // Begun records that a request with the parts began its answer, which shows that they
 // don't crash engines.
 func (p *Parts) Begun(service string, parts []string) {
@@ -222,17 +233,17 @@
 // clear clears a part here and at peers.
 func (p *Parts) clear(service, part string) {
 	p.mu.Lock()
-	suspected, quarantined := p.state.begin(part, time.Now())
+	suspected, quarantined := p.state.release(part, time.Now())
 	if !suspected { // a peer was faster
 		p.mu.Unlock()
 		return
 	}
-	r := p.state.parts[part]
-	row := r.row
-	r.cleared = true
+	row := p.state.parts[part].row
 	p.updateKnown()
 	p.mu.Unlock()
-	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL})
+	// The value tells this begin from earlier ones, which gossip still has.
+	value := binary.BigEndian.AppendUint64(nil, rand.Uint64())
+	p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL, Value: value})
 	if row != nil {
 		go p.deleteRow(part, row.version)
 	}
@@ -253,11 +264,11 @@
 	}
 }
 
-// reportRecentBegin publishes that a part that a peer suspects began an answer here
-// shortly before, unless another daemon does so first. p.mu must be held.
-func (p *Parts) reportRecentBegin(part string) {
+// reportRecentBegin publishes that a part began an answer here shortly before a crash for
+// which a peer suspects it, unless another daemon does so first. p.mu must be held.
+func (p *Parts) reportRecentBegin(part, crash string, crashedAt time.Time) {
 	at, ok := p.recent.latest(part)
-	if !ok || p.state.isProven(part) {
+	if !ok || crashedAt.Sub(at) >= provenWindow || p.state.isProven(part) {
 		return
 	}
 	time.AfterFunc(rand.N(beginReportSpread), func() {
@@ -267,7 +278,8 @@
 		p.updateKnown()
 		p.mu.Unlock()
 		if !proven {
-			p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL - time.Since(at)})
+			// All daemons that report for the same crash publish the same fact.
+			p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL - time.Since(at), Value: []byte(crash)})
 		}
 	})
 }
@@ -314,7 +326,7 @@
 // receiveCrash applies a peer's crash. Invalid facts are ignored.
 func (p *Parts) receiveCrash(f gossip.Fact) {
 	var fact crashFact
-	if err := msgpack.Unmarshal(f.Value, &fact); err != nil || len(fact.Crash) != digestBytes || len(fact.Parts) > maxPartsPerCrash {
+	if err := msgpack.Unmarshal(f.Value, &fact); err != nil || len(fact.Crash) != digestBytes || len(fact.Parts) > maxPartsPerFact {
 		return
 	}
 	at := publishedAt(f)
@@ -323,7 +335,7 @@
 	for _, c := range fact.Parts {
 		if len(c.Part) == digestBytes && len(c.Request) == digestBytes && len(c.Companions) < maxPartsPerRequest && c.Depth >= 1 {
 			p.state.addCrash(c.Part, fact.Crash, partCrash{c.Request, at, min(c.Depth, provenPartDepth), c.Companions})
-			p.reportRecentBegin(c.Part)
+			p.reportRecentBegin(c.Part, fact.Crash, at)
 		}
 	}
 	p.updateKnown()
@@ -424,19 +436,21 @@
 		r := p.state.parts[part]
 		r.retryClaimAt = now.Add(trialClaimInterval)
 		v, version := r.rowValue()
-		_, trials := r.quarantinedSince()
-		v.Trials = trials + 1
+		v.Trials++
 		txn = appendPut(txn, part, version, v)
 	}
 	return txn, true
 }
 
-// rowValue returns the value and version of the part's row, or those of a new one.
+// rowValue returns the value that the part's row should have, and the version that it
+// has; 0 if there is none.
 func (r *partRecord) rowValue() (v rowValue, version uint64) {
+	v.Companions = r.companions()
+	_, v.Trials = r.quarantinedSince()
 	if r.row != nil {
-		return rowValue{r.row.trials, r.row.organisation, r.row.companions}, r.row.version
+		v.Organisation, version = r.row.organisation, r.row.version
 	}
-	return rowValue{Companions: r.companions()}, 0
+	return v, version
 }
 
 func appendPut(txn platform.Txn, part string, version uint64, v rowValue) platform.Txn {
@@ -447,26 +461,33 @@
 	return txn
 }
 
-// writeRow creates the row of a part, unless it has one. It gives up after
+// writeRow writes the row of a part if it is out of date. It gives up after
 // rowWriteTimeout; gossip still distributes the crashes.
 func (p *Parts) writeRow(part, organisation string) {
 	p.commit(part, func() (platform.Txn, bool) {
-		r := p.state.parts[part]
-		if !p.state.isQuarantined(part) || r.hasRow() {
+		if !p.state.rowOutdated(part) {
 			return platform.Txn{}, false
 		}
-		_, version := r.rowValue()
-		txn := appendPut(platform.Txn{}, part, version, rowValue{Organisation: digestBytesOf(organisation), Companions: r.companions()})
-		if evicted, full := p.state.rowToEvict(); full {
+		r := p.state.parts[part]
+		v, version := r.rowValue()
+		if !r.hasRow() {
+			v.Organisation = digestBytesOf(organisation)
+		}
+		txn := appendPut(platform.Txn{}, part, version, v)
+		if evicted, full := p.state.rowToEvict(); full && r.row == nil {
 			txn = appendDelete(txn, evicted, p.state.parts[evicted].row.version)
 		}
 		return txn, true
 	})
 }
 
-// deleteRow deletes the row of a part unless it has changed.
+// deleteRow deletes the row of a part unless it has changed. If it has, ApplyRows decides
+// on the new version.
 func (p *Parts) deleteRow(part string, version uint64) {
-	p.commit(part, func() (platform.Txn, bool) { return appendDelete(platform.Txn{}, part, version), true })
+	p.commit(part, func() (platform.Txn, bool) {
+		r := p.state.parts[part]
+		return appendDelete(platform.Txn{}, part, version), r != nil && r.row != nil && r.row.version == version
+	})
 }
 
 func appendDelete(txn platform.Txn, part string, version uint64) platform.Txn {
@@ -475,8 +496,9 @@
 	return txn
 }
 
-// commit commits the transaction that next returns until it is applied, conflicts with
-// another daemon's, is no longer needed or rowWriteTimeout has passed.
+// commit commits the transaction that next returns until it is applied, is no longer
+// needed or rowWriteTimeout has passed. After a conflict the copy of the table soon shows
+// what another daemon wrote, and next decides anew.
 func (p *Parts) commit(part string, next func() (platform.Txn, bool)) {
 	ctx, cancel := context.WithTimeout(p.ctx, rowWriteTimeout)
 	defer cancel()
@@ -488,7 +510,7 @@
 			return
 		}
 		err := p.commitOnce(ctx, txn)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil {
 			return
 		}
 		if rowBackoff.Wait(ctx, try) != nil {
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -23,8 +23,10 @@
 	crashes  int
 }
 
-func newPartFleet(n int) *partFleet {
-	f := &partFleet{platform: platformtest.New()}
+func newPartFleet(n int) *partFleet { return newPartFleetOn(platformtest.New(), n) }
+
+func newPartFleetOn(platform *platformtest.Platform, n int) *partFleet {
+	f := &partFleet{platform: platform}
 	var peers []*connectedBus
 	for i := range n {
 		bus := &connectedBus{peers: &peers}
@@ -90,6 +92,28 @@
 	})
 }
 
+// Crashes beyond the free ones must count as trials also after a loss of power everywhere,
+// when only the row is left of them.
+func TestRowKeepsCrashesAfterPowerLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const surplus = 3
+		f := newPartFleet(2)
+		part := PartKey("s", "m", "", "bad")
+		for i := range freeCrashes + surplus {
+			f.crash(i%2, part)
+			f.readRows(t)
+		}
+		time.Sleep(time.Second)
+		restarted := newPartFleetOn(f.platform, 1)
+		restarted.readRows(t)
+		claim := func() bool { return restarted.daemons[0].ClaimTrial(t.Context(), "s", []string{part}) }
+		time.Sleep(trialInterval(surplus) - time.Second)
+		assert.Assert(t, !claim())
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, claim())
+	})
+}
+
 // A part that begins an answer must be released at all daemons, and its row deleted, also
 // if the row is written while the answer begins.
 func TestBeginReleasesPart(t *testing.T) {
@@ -116,6 +140,33 @@
 	}
 }
 
+// A part must be released at all daemons, and a begin before a crash be known to all, also
+// if the part was released within the time in which gossip keeps that.
+func TestPartIsReleasedEverywhereAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "sound")
+		for range 3 {
+			f.crash(0, part)
+			f.crash(1, part)
+			assert.Equal(t, len(f.daemons[0].Refusing([]string{part})), 1)
+			f.daemons[2].Begun("s", []string{part})
+			synctest.Wait()
+			for i, p := range f.daemons {
+				assert.Equal(t, len(p.Suspected([]string{part})), 0, "daemon %d", i)
+			}
+			time.Sleep(2 * provenWindow)
+			f.daemons[2].Begun("s", []string{part})
+			f.crash(0, part)
+			time.Sleep(beginReportSpread)
+			f.crash(1, part)
+			assert.Equal(t, len(f.daemons[0].Refusing([]string{part})), 0, "the part has just begun")
+			f.daemons[1].Begun("s", []string{part})
+			time.Sleep(2 * provenWindow)
+		}
+	})
+}
+
 // A daemon that only reads the table must refuse a quarantined part.
 func TestRowsQuarantineParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -147,11 +198,39 @@
 	})
 }
 
-// A crash of as many parts as one daemon reports must fit into an urgent fact.
+// A part that an earlier crash makes suspect must be among those of the next crash, also
+// beside more requests and parts than are suspected, and at peers.
+func TestSuspectPartsComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests, partsEach = 2 * maxPartsPerCrash, 3 * maxPartsPerRequest
+		f := newPartFleet(2)
+		bad := PartKey("s", "m", "", "bad")
+		f.crash(0, bad)
+		sentAt := time.Now()
+		time.Sleep(time.Second)
+		var running []UnbegunRequest
+		for i := range requests {
+			r := UnbegunRequest{ID: fmt.Sprint("r", i), SentAt: sentAt, BrokenAt: time.Now()}
+			for j := range partsEach {
+				r.Parts = append(r.Parts, PartKey("s", "m", "", fmt.Sprint("sound", i, "/", j)))
+			}
+			running = append(running, r)
+		}
+		running[requests/2].Parts[partsEach/2] = bad
+		f.daemons[0].EngineCrashed("s", "engine", "many", running)
+		synctest.Wait()
+		for _, p := range f.daemons {
+			assert.Equal(t, len(p.Refusing([]string{bad})), 1)
+			assert.Equal(t, p.SuspectedCount(), maxPartsPerCrash)
+		}
+	})
+}
+
+// A crash of as many parts as one daemon reports in a fact must fit into an urgent fact.
 func TestCrashFactIsSmall(t *testing.T) {
 	const maxUrgentBytes = 1 << 10
 	fact := crashFact{Crash: digestBytesOf("engine")}
-	for i := range maxPartsPerCrash {
+	for i := range maxPartsPerFact {
 		fact.Parts = append(fact.Parts, crashedPart{Part: PartKey("s", "m", "", fmt.Sprint(i)), Request: digestBytesOf("r"), Depth: 1})
 	}
 	value, err := fact.encode()
@@ -161,3 +240,157 @@
 	assert.NilError(t, msgpack.Unmarshal(value, &decoded))
 	assert.Equal(t, decoded.String(), fact.String())
 }
+
+// A part whose trial begins an answer must be released at all daemons, also if the answer
+// begins before the daemons have read the claim of the trial from the table.
+func TestTrialThatBeginsAtOnceReleasesPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "sound")
+		f.crash(0, part)
+		f.crash(1, part)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		assert.Assert(t, f.daemons[2].ClaimTrial(context.Background(), "s", []string{part}))
+		f.daemons[2].Begun("s", []string{part})
+		synctest.Wait()
+		f.readRows(t)
+		time.Sleep(time.Second)
+		f.readRows(t)
+		for i, p := range f.daemons {
+			assert.Equal(t, len(p.Refusing([]string{part})), 0, "daemon %d", i)
+		}
+	})
+}
+
+// A part on which an answer begins at one daemon must be released at all, also if another
+// has just claimed a trial and not heard of it; a later quarantine must stand.
+func TestReleaseOutlastsPeersClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "sound")
+		f.crash(0, part)
+		f.crash(1, part)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		assert.Assert(t, f.daemons[1].ClaimTrial(context.Background(), "s", []string{part}))
+		f.daemons[2].Begun("s", []string{part})
+		synctest.Wait()
+		f.readRows(t)
+		synctest.Wait()
+		assert.Equal(t, len(f.readRows(t)), 0)
+		f.crash(0, part)
+		f.crash(1, part)
+		f.crash(1, part)
+		f.readRows(t)
+		synctest.Wait()
+		assert.Equal(t, len(f.readRows(t)), 1)
+		for i, p := range f.daemons {
+			assert.Equal(t, len(p.Refusing([]string{part})), 1, "daemon %d", i)
+		}
+	})
+}
+
+// A row that is written long after a part's release must stand, also at a daemon that has
+// heard of no crash since.
+func TestLaterRowOutlastsRelease(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	row := func(since time.Time) map[string]quarantineRow {
+		return map[string]quarantineRow{"p": {version: uint64(since.Unix()), since: since}}
+	}
+	s.setRows(row(at))
+	s.release("p", at.Add(time.Second))
+	assert.DeepEqual(t, s.setRows(row(at.Add(2*time.Second))), []string{"p"})
+	assert.Assert(t, !s.isQuarantined("p"))
+	assert.Equal(t, len(s.setRows(row(at.Add(2*releaseWindow)))), 0)
+	assert.Assert(t, s.isQuarantined("p"))
+}
+
+// A daemon that knows only the rows must refuse a part that a later crash has shown to be
+// the cause without its companions.
+func TestRowNamesTheFewestCompanions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(2)
+		part := func(id string) string { return PartKey("s", "m", "", id) }
+		f.crash(0, part("bad"), part("beside"))
+		f.crash(1, part("bad"), part("beside"))
+		f.readRows(t)
+		prompt := []string{part("bad"), part("other")}
+		assert.Equal(t, len(f.daemons[0].Refusing(prompt)), 0)
+		f.crash(1, prompt...)
+		assert.Equal(t, len(f.daemons[0].Refusing(prompt)), 1)
+		f.readRows(t)
+		alone := newPartFleet(1).daemons[0]
+		f.daemons = append(f.daemons, alone)
+		f.readRows(t)
+		assert.Equal(t, len(alone.Refusing(prompt)), 1)
+	})
+}
+
+// A row must be written where rows are as many as may be, also if the row that makes room
+// for it changes meanwhile.
+func TestRowIsWrittenWhenEvictedRowChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(1)
+		table := f.platform.Client()
+		var txn platform.Txn
+		for i := range maxQuarantinedParts {
+			txn = appendPut(txn, PartKey("s", "m", "", fmt.Sprint(i)), 0, rowValue{})
+		}
+		assert.NilError(t, table.Commit(t.Context(), txn))
+		read := func() map[string]platform.Change {
+			rows, err := table.List(t.Context(), "", "", 2*maxQuarantinedParts)
+			assert.NilError(t, err)
+			out := map[string]platform.Change{}
+			for _, r := range rows {
+				out[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
+			}
+			f.daemons[0].ApplyRows(out)
+			return out
+		}
+		for _, row := range read() {
+			assert.NilError(t, table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: row.Key, Value: row.Value}}}))
+		}
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		f.crash(0, part)
+		read()
+		time.Sleep(rowBackoff.Max)
+		rows := read()
+		_, ok := rows[partName(part)]
+		assert.Assert(t, ok)
+		assert.Equal(t, len(rows), maxQuarantinedParts)
+	})
+}
+
+// The cause of crashes is quarantined after few crashes, however many requests were
+// waiting in the engine.
+func TestCauseAmongManyRequestsIsQuarantined(t *testing.T) {
+	const rounds, requests, maxCrashes = 20, 30, 5
+	late := 0
+	for round := range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPartFleet(1)
+			bad := PartKey("s", "m", "", "bad")
+			crashes := 0
+			for len(f.daemons[0].Refusing([]string{bad})) == 0 && crashes < 100 {
+				crashes++
+				sentAt := time.Now()
+				time.Sleep(time.Second)
+				running := []UnbegunRequest{{ID: fmt.Sprint("bad", crashes), Parts: []string{bad}, SentAt: sentAt, BrokenAt: time.Now()}}
+				for i := range requests {
+					id := fmt.Sprint("sound", round, crashes, i)
+					running = append(running, UnbegunRequest{ID: id, Parts: []string{PartKey("s", "m", "", id), PartKey("s", "m", "", id+"b")}, SentAt: sentAt, BrokenAt: time.Now()})
+				}
+				f.daemons[0].EngineCrashed("s", "engine", fmt.Sprint(crashes), running)
+				synctest.Wait()
+			}
+			t.Logf("quarantined after %d crashes", crashes)
+			if crashes > maxCrashes {
+				late++
+			}
+		})
+	}
+	assert.Equal(t, late, 0, "of %d", rounds)
+}
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -19,7 +19,8 @@
 	// that may quarantine. When it is reached, the oldest 1/roomDivisor are dropped.
 	maxSuspicions = 8 << 10
 	roomDivisor   = 8
-	// maxParts bounds the parts of which anything is remembered.
+	// maxParts bounds the parts of which anything is remembered. It is more than can have
+	// a crash or a row; when it is reached, the oldest begins are dropped.
 	maxParts = 2 * maxSuspicions
 	// maxQuarantinedParts bounds the parts in quarantine. When it is reached, the oldest
 	// part of the organisation that has most is dropped for a new one.
@@ -32,6 +33,9 @@
 	trialIntervalFactor = 8
 	maxTrialInterval    = 24 * time.Hour
 	freeCrashes         = 3
+	// releaseWindow is the time after a part's release within which rows may appear that
+	// peers wrote before they heard of it.
+	releaseWindow = time.Minute
 )
 
 // partCrash is an engine crash while a request with a part had not begun its answer.
@@ -66,15 +70,19 @@
 type partRecord struct {
 	// crashes are keyed by the digest of the crash.
 	crashes map[string]partCrash
+	// surplus is the greatest number of crashes beyond freeCrashes since the part last
+	// began an answer. Unlike crashes it doesn't expire while the part is quarantined.
+	surplus int
 	// begunAt is the latest known time at which a request with the part began an answer;
 	// crashes until then don't count.
 	begunAt time.Time
 	row     *quarantineRow
 	// voidVersion is the version of the row that was there when the part began an answer.
 	voidVersion uint64
-	// cleared is set while a row that a peer wrote before the part began an answer here
-	// may still appear.
-	cleared bool
+	// releasedAt is when this daemon last released the part, releasedTrials the number of
+	// trials that daemons that had not heard of it may have claimed by then.
+	releasedAt     time.Time
+	releasedTrials int
 	// retryClaimAt is when this daemon may next try to claim a trial.
 	retryClaimAt time.Time
 }
@@ -186,6 +194,7 @@
 	}
 	s.parts[part] = r
 	r.crashes[crash] = c
+	r.surplus = max(r.surplus, len(r.crashes)-freeCrashes)
 	s.count(c, 1)
 	return true
 }
@@ -196,12 +205,30 @@
 	if r := s.parts[part]; r != nil {
 		return r
 	}
+	if len(s.parts) >= maxParts {
+		s.forgetBegins()
+	}
 	if len(s.parts) >= maxParts {
 		return nil
 	}
 	return &partRecord{crashes: map[string]partCrash{}}
 }
 
+// forgetBegins drops the records of which only the begin is known, the oldest
+// maxParts/roomDivisor of them.
+func (s *partState) forgetBegins() {
+	var parts []string
+	for part, r := range s.parts {
+		if len(r.crashes) == 0 && r.row == nil {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b string) int { return s.parts[a].begunAt.Compare(s.parts[b].begunAt) })
+	for _, part := range parts[:min(len(parts), maxParts/roomDivisor)] {
+		delete(s.parts, part)
+	}
+}
+
 // makeRoom drops the oldest crashes that count like one of the given depth if there are
 // too many.
 func (s *partState) makeRoom(depth int) {
@@ -252,7 +279,12 @@
 
 // dropIfUnused removes the record of a part of which nothing has to be known.
 func (s *partState) dropIfUnused(part string) {
-	if r := s.parts[part]; r != nil && len(r.crashes) == 0 && r.row == nil && r.begunAt.IsZero() {
+	r := s.parts[part]
+	if r == nil || len(r.crashes) > 0 || r.row != nil {
+		return
+	}
+	r.surplus = 0
+	if r.begunAt.IsZero() {
 		delete(s.parts, part)
 	}
 }
@@ -279,6 +311,22 @@
 			s.count(c, -1)
 		}
 	}
+	r.surplus = max(0, len(r.crashes)-freeCrashes)
+	return suspected, quarantined
+}
+
+// release applies that a request with the part began an answer at this daemon. Row
+// versions that peers write before they hear of it are out of date.
+func (s *partState) release(part string, at time.Time) (suspected, quarantined bool) {
+	trials := 0
+	if r := s.parts[part]; r != nil {
+		_, trials = r.quarantinedSince()
+	}
+	suspected, quarantined = s.begin(part, at)
+	if suspected {
+		r := s.parts[part]
+		r.releasedAt, r.releasedTrials = at, trials+1
+	}
 	return suspected, quarantined
 }
 
@@ -289,6 +337,21 @@
 	return r != nil && (len(r.crashes) > 0 || r.hasRow())
 }
 
+// likelihood ranks a part among the possible causes of a crash at a time: above the
+// others those that an earlier crash makes suspect, below them those that began answers
+// just before.
+func (s *partState) likelihood(part string, at time.Time) int {
+	r := s.parts[part]
+	switch {
+	case s.isQuarantined(part), s.isSuspected(part) && r.quarantineDepth() == newPartDepth:
+		return 2
+	case r == nil, at.Sub(r.begunAt) >= provenWindow && len(r.crashes) == 0:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // isProven reports whether answers on the part were begun shortly before its first crash.
 func (s *partState) isProven(part string) bool { return s.quarantineDepth(part) == provenPartDepth }
 
@@ -325,11 +388,14 @@
 
 func (r *partRecord) hasRow() bool { return r.row != nil && r.row.version != r.voidVersion }
 
-// companions returns the fewest companions that any quarantining crash left the part
-// with.
+// companions returns the fewest companions that the row or any quarantining crash leaves
+// the part with.
 func (r *partRecord) companions() []string {
 	var fewest []string
-	found := false
+	found := r.hasRow()
+	if found {
+		fewest = r.row.companions
+	}
 	for _, c := range r.crashes {
 		if c.depth >= r.quarantineDepth() && (!found || len(c.companions) < len(fewest)) {
 			fewest, found = c.companions, true
@@ -367,16 +433,22 @@
 // quarantinedSince returns when the part's quarantine or its last trial became known,
 // and the number of trials.
 func (r *partRecord) quarantinedSince() (since time.Time, trials int) {
-	trials = max(0, len(r.crashes)-freeCrashes)
 	if r.hasRow() {
-		return r.row.since, max(trials, r.row.trials)
+		return r.row.since, max(r.surplus, r.row.trials)
 	}
 	for _, c := range r.crashes {
 		if c.depth >= r.quarantineDepth() && c.at.After(since) {
 			since = c.at
 		}
 	}
-	return since, trials
+	return since, r.surplus
+}
+
+// rowOutdated reports whether the part is quarantined and has no row, or one that does
+// not say all that is known here.
+func (s *partState) rowOutdated(part string) bool {
+	r := s.parts[part]
+	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions))
 }
 
 // trialInterval returns the time before a trial that follows the given number of
@@ -387,8 +459,8 @@
 }
 
 // setRows replaces the rows of all parts. Rows whose version is known keep the time at
-// which it was first seen. It returns the parts whose new row is out of date: they have
-// begun an answer here since their last crash.
+// which it was first seen. It returns the parts whose new row is out of date: this daemon
+// has released them since their last crash.
 func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
 	s.rows = 0
 	for part, r := range s.parts {
@@ -408,7 +480,7 @@
 			continue
 		}
 		r.row = &row
-		if r.cleared && len(r.crashes) == 0 && row.trials == 0 {
+		if len(r.crashes) == 0 && row.trials <= r.releasedTrials && row.since.Sub(r.releasedAt) < releaseWindow {
 			r.voidVersion = row.version
 			outdated = append(outdated, part)
 		}
@@ -446,7 +518,6 @@
 				s.removeCrash(part, crash)
 			}
 		}
-		r.cleared = false
 		if r.begunAt.Before(before) {
 			r.begunAt = time.Time{}
 		}
