Name what is known of a part's begins as it is

isProven was also true of a part without any crash. It is recentBeginKnown now, with a comment that says so. No change of behaviour.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -268,16 +268,16 @@
 // which a peer suspects it, unless another daemon does so first. p.mu must be held.
 func (p *Parts) reportRecentBegin(part, crash string, crashedAt time.Time) {
 	at, ok := p.recent.latest(part)
-	if !ok || crashedAt.Sub(at) >= provenWindow || p.state.isProven(part) {
+	if !ok || crashedAt.Sub(at) >= provenWindow || p.state.recentBeginKnown(part) {
 		return
 	}
 	time.AfterFunc(rand.N(beginReportSpread), func() {
 		p.mu.Lock()
-		proven := p.state.isProven(part)
+		known := p.state.recentBeginKnown(part)
 		p.state.begin(part, at)
 		p.updateKnown()
 		p.mu.Unlock()
-		if !proven {
+		if !known {
 			// All daemons that report for the same crash publish the same fact.
 			p.bus.Publish(gossip.Fact{Kind: gossip.KindPartBegun, ID: partName(part), TTL: CrashTTL - time.Since(at), Value: []byte(crash)})
 		}
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -352,8 +352,11 @@
 	}
 }
 
-// isProven reports whether answers on the part were begun shortly before its first crash.
-func (s *partState) isProven(part string) bool { return s.quarantineDepth(part) == provenPartDepth }
+// recentBeginKnown reports whether a begin of the part shortly before its first crash is
+// known. If no crash is, any begin will do.
+func (s *partState) recentBeginKnown(part string) bool {
+	return s.quarantineDepth(part) == provenPartDepth
+}
 
 // isQuarantined reports whether requests with the part, and with its companions if it
 // has any, must not run.
