Keep the bound of a version's age apart from a sight of it

Callers: after a daemon had started right after a version of weights was named, every request for the model could be refused at all daemons, long before the limit of the old weights.

Cause: a starting daemon knows no peers, so it was the first in the order of rendezvous hashing and wrote the record of versions at once. A version that the record did not contain was dated by the record's time, which stayed behind while the store refused the one daemon that renews it; that date, a guess from above, went into the record and into gossip, and the earlier date wins everywhere.

Fix: a bound is kept as such. A sight replaces it although it is later; it is in no fact, and in the row with a flag. It is in the row since the row's time means that all versions are in it: without it, one version that nobody saw named would stop the renewals for an hour. Older daemons ignore the flag and take the version for as old as its bound, as before: older than it is, never younger. A later version's bound does not date an earlier one. A daemon does not write in the first second after its start. Each next daemon renews the time half a second later unless a fact says that it was done: one fact each 2 s for the fleet, which also tells daemons that the goals they know are recorded. After a failure the pause grows with a daemon's place in the order, so that the rate of a large fleet stays bounded while the store refuses writes.

--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -26,7 +27,8 @@
 	// older than it is by at most this, besides the time without daemons.
 	goalRecordInterval = 2 * time.Second
 	// goalTakeoverStep is how much longer each next daemon waits before it records a
-	// version: the time in which the one before writes it and its fact arrives.
+	// version or renews the row: the time in which the one before writes it and its fact
+	// arrives.
 	goalTakeoverStep = 500 * time.Millisecond
 	// goalRecordCheckInterval is the maximum interval between checks of whether this
 	// daemon has to write, since daemons come and go.
@@ -34,6 +36,14 @@
 	// maxGoalRecordWait is how long a starting daemon that cannot read the row delays its
 	// readiness.
 	maxGoalRecordWait = time.Second
+	// goalRecordStartDelay is how long a started daemon does not write the row: it does
+	// not know its peers yet, nor which versions they saw named.
+	goalRecordStartDelay = time.Second
+	// goalRetryPerRank is the minimum time between writes that fail, for each daemon that
+	// comes before this one, so that the fleet's rate does not grow with its size.
+	goalRetryPerRank = 50 * time.Millisecond
+	// goalRecordFactTTL is how long the fact of a renewal is spread.
+	goalRecordFactTTL = 2 * goalRecordInterval
 	// goalRecordTimeout limits one write, including retries.
 	goalRecordTimeout = 2 * platform.CallTimeout
 	// maxGoalRecordConflicts limits the attempts of one write that lose to other daemons.
@@ -52,8 +62,10 @@
 	wake      chan struct{}
 
 	mu sync.Mutex
-	// asOf is the last known GoalRecord.AsOf.
+	// asOf is GoalRecord.AsOf of the row as it was last read.
 	asOf platform.StoreTime
+	// renewedUntil is the last known GoalRecord.AsOf, also of rows that were not read.
+	renewedUntil platform.StoreTime
 	// unrecorded holds the goals that may be missing in the row and when this daemon
 	// adopted them, by model.
 	unrecorded map[string]unrecordedGoal
@@ -62,17 +74,19 @@
 type unrecordedGoal struct {
 	version int
 	since   time.Time
+	// requestedBefore is a time at which the version was known; 0 if there is none.
+	requestedBefore platform.StoreTime
 }
 
 func newGoalRecorder() *goalRecorder {
 	return &goalRecorder{wake: make(chan struct{}, 1), unrecorded: map[string]unrecordedGoal{}}
 }
 
-// add notes a goal that the row may not contain.
-func (r *goalRecorder) add(g rollout.Goal) {
+// add notes a goal that the row may not contain and that was requested before a time.
+func (r *goalRecorder) add(g rollout.Goal, requestedBefore platform.StoreTime) {
 	r.mu.Lock()
 	if r.unrecorded[g.Model].version < g.Version {
-		r.unrecorded[g.Model] = unrecordedGoal{g.Version, time.Now()}
+		r.unrecorded[g.Model] = unrecordedGoal{g.Version, time.Now(), requestedBefore}
 	}
 	r.mu.Unlock()
 	select {
@@ -98,7 +112,27 @@
 	return r.read.Load() && (!ok || missing.version > g.Version)
 }
 
-// recordedUntil returns the last known GoalRecord.AsOf.
+// renewed notes the time of a row that some daemon wrote. It contains all goals that
+// were requested before.
+func (r *goalRecorder) renewed(asOf platform.StoreTime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renewedUntil = max(r.renewedUntil, asOf)
+	for model, g := range r.unrecorded {
+		if g.requestedBefore > 0 && g.requestedBefore <= asOf {
+			delete(r.unrecorded, model)
+		}
+	}
+}
+
+// lastRenewal returns the last known GoalRecord.AsOf.
+func (r *goalRecorder) lastRenewal() platform.StoreTime {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.renewedUntil
+}
+
+// recordedUntil returns GoalRecord.AsOf of the row as it was last read.
 func (r *goalRecorder) recordedUntil() platform.StoreTime {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -132,11 +166,11 @@
 	failures := 0
 	for {
 		if d.goalWriteDue(writtenAt) {
-			if err := d.writeGoalRecord(ctx); err != nil {
+			if err := d.writeGoalRecord(ctx, writtenAt); err != nil {
 				if failures++; failures == 1 {
 					d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
 				}
-				if err := goalRecordBackoff.Wait(ctx, failures); err != nil {
+				if err := backoff.Sleep(ctx, d.goalRetryPause(failures)); err != nil {
 					return err
 				}
 				continue
@@ -155,19 +189,24 @@
 	}
 }
 
-// goalWriteDue reports whether this daemon has to write the row. The first daemon in
-// the order of rendezvous hashing does, and the others only where a goal stays
-// unrecorded.
+// goalRetryPause returns the pause after a number of failed writes.
+func (d *Daemon) goalRetryPause(failures int) time.Duration {
+	return max(goalRecordBackoff.Delay(failures), time.Duration(d.rank(goalRecordKey, ""))*goalRetryPerRank)
+}
+
+// goalWriteDue reports whether this daemon has to write the row, which it last did at
+// writtenAt: because its time is due to be renewed, or a goal stays unrecorded. Each
+// next daemon in the order of rendezvous hashing does so later.
 func (d *Daemon) goalWriteDue(writtenAt time.Time) bool {
-	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() {
+	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() || time.Since(d.startedAt) < goalRecordStartDelay {
 		return false
 	}
-	rank := d.rank(goalRecordKey, "")
-	if rank == 0 && time.Since(writtenAt) >= goalRecordInterval {
+	turn := time.Duration(d.rank(goalRecordKey, "")) * goalTakeoverStep
+	if since, ok := d.goalRecorder.oldest(); ok && time.Since(since) >= turn {
 		return true
 	}
-	since, ok := d.goalRecorder.oldest()
-	return ok && time.Since(since) >= time.Duration(rank)*goalTakeoverStep
+	now, ok := d.storeClock.Now()
+	return ok && time.Since(writtenAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= goalRecordInterval+turn
 }
 
 // readGoalRecord reads the row and applies it. The version is 0 if there is none.
@@ -196,7 +235,11 @@
 	d.view.mu.Lock()
 	for model, goals := range record.Models {
 		for _, g := range goals {
-			d.recordSight(rollout.Goal{Model: model, Version: g.Version}, g.RequestedAt, "the store's record")
+			if g.Bounded {
+				d.view.goalHistory(model).RecordBound(g.Version, g.RequestedAt)
+			} else {
+				d.recordSight(rollout.Goal{Model: model, Version: g.Version}, g.RequestedAt, "the store's record")
+			}
 		}
 	}
 	d.boundUndatedGoals(record.AsOf)
@@ -210,6 +253,7 @@
 			r.remove(model, g.Version)
 		}
 	}
+	r.renewed(record.AsOf)
 	d.updateServices()
 }
 
@@ -222,8 +266,9 @@
 	}
 }
 
-// writeGoalRecord adds this daemon's goals to the row and renews its time.
-func (d *Daemon) writeGoalRecord(ctx context.Context) error {
+// writeGoalRecord adds this daemon's goals to the row and renews its time, unless
+// another daemon did, as the row tells.
+func (d *Daemon) writeGoalRecord(ctx context.Context, writtenAt time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, goalRecordTimeout)
 	defer cancel()
 	for try := 0; ; try++ {
@@ -231,6 +276,9 @@
 		if err != nil {
 			return err
 		}
+		if !d.goalWriteDue(writtenAt) {
+			return nil
+		}
 		next := d.nextGoalRecord(&record)
 		err = d.commitGoalRecord(ctx, next, version)
 		if err == nil {
@@ -283,7 +331,8 @@
 	return next
 }
 
-// shareRecordedGoals tells peers which goals the row contains.
+// shareRecordedGoals tells peers which goals the row contains and its time. One fact
+// with the time serves the whole fleet.
 func (d *Daemon) shareRecordedGoals(record *rollout.GoalRecord) {
 	for _, g := range d.Goals() {
 		if !record.Contains(g.Model, g.Version) {
@@ -296,4 +345,14 @@
 			d.publishGoal(g)
 		}
 	}
+	if record.AsOf == 0 {
+		return
+	}
+	d.goalRecorder.renewed(record.AsOf)
+	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindGoalRecord, ID: goalRecordKey, Version: uint64(record.AsOf), TTL: goalRecordFactTTL})
+}
+
+// receiveGoalRecord notes that a peer renewed the row.
+func (d *Daemon) receiveGoalRecord(f gossip.Fact) {
+	d.goalRecorder.renewed(platform.StoreTime(f.Version))
 }
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -75,8 +75,8 @@
 
 // recordSight records that a version was known at a time. d.view.mu must be held.
 func (d *Daemon) recordSight(g rollout.Goal, at platform.StoreTime, source string) {
-	wasUndated, earlierBy := d.view.goalHistory(g.Model).RecordSight(g.Version, at)
-	if wasUndated || earlierBy >= minLoggedCorrection {
+	first, earlierBy := d.view.goalHistory(g.Model).RecordSight(g.Version, at)
+	if first || earlierBy >= minLoggedCorrection {
 		d.logGoalDate(g, at, source)
 	}
 }
@@ -179,11 +179,11 @@
 // as much is known. One fact serves the whole fleet.
 func (d *Daemon) publishGoal(g rollout.Goal) {
 	d.view.mu.Lock()
-	at, dated := d.view.goalHistory(g.Model).RequestedAt(g.Version)
+	at, sighted := d.view.goalHistory(g.Model).SightedAt(g.Version)
 	d.view.mu.Unlock()
 	now, ok := d.storeClock.Now()
-	if !dated || !ok {
-		return // superseded by many newer versions, or a peer knows more
+	if !sighted || !ok {
+		return // superseded by many newer versions, or a peer may know more
 	}
 	version := goalFactVersion{at, d.goalRecorder.contains(g)}
 	f, err := newGoalFact(g, version, now)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -85,6 +85,7 @@
 	node.Subscribe(gossip.KindWeightSwitch, d.receiveSwitch)
 	node.Subscribe(gossip.KindUnresponsive, d.receiveUnresponsive)
 	node.Subscribe(gossip.KindGoalVersion, d.receiveGoal)
+	node.Subscribe(gossip.KindGoalRecord, d.receiveGoalRecord)
 	return nil
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -81,6 +81,7 @@
 	if !dated {
 		at, dated = d.storeClock.Now()
 	}
+	requestedBefore := at // 0 if unknown
 	dated = dated && !read.First
 	var adopted []rollout.Goal
 	d.view.mu.Lock()
@@ -100,7 +101,7 @@
 		if dated {
 			d.logGoalDate(g, at, "own sight")
 		}
-		d.goalRecorder.add(g)
+		d.goalRecorder.add(g, requestedBefore)
 		d.queueGoal(g)
 	}
 }
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -7,7 +7,7 @@
 
 const (
 	// priorityUrgent facts skip the flush delay: documents, suspects, prompt parts, weight
-	// switches, unresponsive upstreams and goal versions.
+	// switches, unresponsive upstreams, goal versions and their record.
 	priorityUrgent priority = iota
 	// priorityDaemon is for facts that daemons publish about themselves: the
 	// overlay depends on them, and their rate is bounded by the number of daemons.
@@ -28,7 +28,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun:
+	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun, KindGoalRecord:
 		if valueBytes > maxUrgentValueBytes {
 			return priorityLargeValue
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -43,6 +43,9 @@
 	// KindPartBegun announces that a request with a suspected prompt part began its
 	// answer. ID is the part's digest.
 	KindPartBegun Kind = 10
+	// KindGoalRecord announces that the record of goal versions was renewed. ID is the
+	// record's, Version the time on the store's clock at which it was complete.
+	KindGoalRecord Kind = 11
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/rollout/goalhistory.go
+++ b/internal/rollout/goalhistory.go
@@ -24,12 +24,15 @@
 // versionGoal is a requested version.
 type versionGoal struct {
 	version int
-	// requestedAt is when the version was first seen or, if nobody saw it in time, a
-	// time before it was requested. It is meaningless unless dated.
-	requestedAt platform.StoreTime
-	dated       bool
+	// requestedAt is when the version was first seen or, if bounded, a time before it
+	// was requested. It is meaningless unless dated.
+	requestedAt    platform.StoreTime
+	dated, bounded bool
 }
 
+// sighted reports whether it is known when the version was first seen.
+func (g *versionGoal) sighted() bool { return g.dated && !g.bounded }
+
 // AdoptGoal records a version that operators requested and that was first seen at a
 // time. It reports whether it is newer than all before; an older one is ignored.
 func (h *GoalHistory) AdoptGoal(version int, at platform.StoreTime) bool {
@@ -52,30 +55,40 @@
 	return true
 }
 
-// RecordSight records that a version was known at a time, and returns whether it had
-// no date and how much earlier its date is now. It does not make the version a goal.
-func (h *GoalHistory) RecordSight(version int, at platform.StoreTime) (wasUndated bool, earlierBy time.Duration) {
+// RecordSight records that a version was known at a time. It returns whether this is the
+// first known sight, which replaces a bound, and how much earlier the known sight is now.
+// It does not make the version a goal.
+func (h *GoalHistory) RecordSight(version int, at platform.StoreTime) (first bool, earlierBy time.Duration) {
 	goal := h.find(version)
 	switch {
 	case goal == nil:
-	case !goal.dated:
-		goal.requestedAt, goal.dated, wasUndated = at, true, true
+	case !goal.sighted():
+		goal.requestedAt, goal.dated, goal.bounded, first = at, true, false, true
 	case at < goal.requestedAt:
 		earlierBy = goal.requestedAt.Sub(at)
 		goal.requestedAt = at
 	}
-	return wasUndated, earlierBy
+	return first, earlierBy
 }
 
-// BoundUndated dates the versions without a date as requested right after a time at
-// which they were not yet. It returns these versions.
+// RecordBound records a time before a version was requested. It does not replace a sight.
+func (h *GoalHistory) RecordBound(version int, after platform.StoreTime) {
+	if goal := h.find(version); goal != nil && !goal.sighted() && (!goal.dated || after < goal.requestedAt) {
+		goal.requestedAt, goal.dated, goal.bounded = after, true, true
+	}
+}
+
+// BoundUndated records a time before the versions without a date were requested. It
+// returns these versions.
 func (h *GoalHistory) BoundUndated(after platform.StoreTime) (versions []int) {
-	for i := range h.goals {
-		if g := &h.goals[i]; !g.dated {
-			g.requestedAt, g.dated = after, true
+	for _, g := range h.goals {
+		if !g.dated {
 			versions = append(versions, g.version)
 		}
 	}
+	for _, v := range versions {
+		h.RecordBound(v, after)
+	}
 	return versions
 }
 
@@ -97,12 +110,12 @@
 	return &h.goals[i]
 }
 
-// RequestedAt returns when a version was requested; ok is false if that is not, or no
+// SightedAt returns when a version was first seen; ok is false if that is not, or no
 // longer, known.
-func (h *GoalHistory) RequestedAt(version int) (at platform.StoreTime, ok bool) {
+func (h *GoalHistory) SightedAt(version int) (at platform.StoreTime, ok bool) {
 	for _, goal := range h.goals {
 		if goal.version == version {
-			return goal.requestedAt, goal.dated
+			return goal.requestedAt, goal.sighted()
 		}
 	}
 	return 0, false
@@ -133,7 +146,7 @@
 		if !ok {
 			since, dated, ok = goal.requestedAt, goal.dated, true
 		}
-		if goal.dated && goal.requestedAt < since {
+		if goal.sighted() && goal.requestedAt < since {
 			since = goal.requestedAt
 		}
 	}
--- a/internal/rollout/goalhistory_test.go
+++ b/internal/rollout/goalhistory_test.go
@@ -95,9 +95,43 @@
 	}
 	assert.Equal(t, len(history.Recorded(0)), maxVersions)
 	recorded := history.Recorded(10*maxVersions - 3)
-	assert.DeepEqual(t, recorded, []RecordedGoal{{10*maxVersions - 4, 10*maxVersions - 4}, {10*maxVersions - 3, 10*maxVersions - 3}, {10*maxVersions - 2, 10*maxVersions - 2}, {10*maxVersions - 1, 10*maxVersions - 1}})
+	assert.DeepEqual(t, recorded, []RecordedGoal{{10*maxVersions - 4, 10*maxVersions - 4, false}, {10*maxVersions - 3, 10*maxVersions - 3, false}, {10*maxVersions - 2, 10*maxVersions - 2, false}, {10*maxVersions - 1, 10*maxVersions - 1, false}})
 	var unwanted GoalHistory
 	unwanted.RecordSight(4, 100)
 	assert.Equal(t, len(unwanted.Recorded(50)), 1)
 	assert.Equal(t, len(unwanted.Recorded(200)), 0)
 }
+
+// A bound never counts as the date of a version that somebody saw named, whichever
+// arrives first, and says nothing of versions before. When it did, all daemons took
+// weights for as old as the guess of one.
+func TestSightReplacesBound(t *testing.T) {
+	for _, order := range []string{"bound first", "sight first"} {
+		var history GoalHistory
+		history.AdoptUndatedGoal(3)
+		if order == "sight first" {
+			history.RecordSight(3, 9000)
+		}
+		history.RecordBound(3, 5000)
+		if order == "bound first" {
+			since, dated, _ := history.SupersededSince(2)
+			assert.Assert(t, dated && since == 5000, "superseded since %d", since)
+			_, ok := history.SightedAt(3)
+			assert.Assert(t, !ok, "a bound is no sight")
+			assert.DeepEqual(t, history.Recorded(0), []RecordedGoal{{3, 5000, true}})
+			history.RecordBound(3, 7000)
+			since, _, _ = history.SupersededSince(2)
+			assert.Equal(t, since, platform.StoreTime(5000))
+			first, _ := history.RecordSight(3, 9000)
+			assert.Assert(t, first)
+		}
+		assert.Assert(t, len(history.BoundUndated(1000)) == 0, order)
+		at, ok := history.SightedAt(3)
+		assert.Assert(t, ok && at == 9000, "%s: %d", order, at)
+		assert.DeepEqual(t, history.Recorded(0), []RecordedGoal{{3, 9000, false}})
+		history.AdoptUndatedGoal(4)
+		history.RecordBound(4, 2000)
+		since, dated, _ := history.SupersededSince(2)
+		assert.Assert(t, dated && since == 9000, "%s: the first weights are superseded since %d", order, since)
+	}
+}
--- a/internal/rollout/goalrecord.go
+++ b/internal/rollout/goalrecord.go
@@ -24,6 +24,9 @@
 type RecordedGoal struct {
 	Version     int
 	RequestedAt platform.StoreTime
+	// Bounded is set if nobody saw the version named: RequestedAt is a time before that.
+	// Older daemons ignore it and take the version to be as old as that.
+	Bounded bool `msgpack:",omitempty"`
 }
 
 // Encode returns the row's value.
@@ -56,7 +59,7 @@
 		if goal.requestedAt < before {
 			out = out[:0]
 		}
-		out = append(out, RecordedGoal{goal.version, goal.requestedAt})
+		out = append(out, RecordedGoal{goal.version, goal.requestedAt, goal.bounded})
 	}
 	if h.newest == 0 && len(out) == 1 && out[0].RequestedAt < before {
 		return nil
--- /dev/null
+++ b/lab/sitepath/goalrecord_test.go
@@ -0,0 +1,82 @@
+package sitepath
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenabend/verbenabend/internal/rollout"
+	"github.com/verbenabend/verbenabend/lab/site"
+)
+
+// The age of a version that a starting daemon bounds by the record's old time does not
+// become that of daemons that saw it named: old weights serve until their limit.
+func TestBoundOfStartedDaemonDoesNotReplaceSight(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		for i := range daemons {
+			d.store.SetFault(fmt.Sprintf("daemon-%d", i), site.Fault{RefuseWrites: true})
+		}
+		time.Sleep(30 * time.Second) // the record's time is old
+		g.name(2)
+		time.Sleep(100 * time.Millisecond)
+		d.start(daemons)
+		time.Sleep(3 * time.Second)
+		for i := range daemons {
+			d.store.SetFault(fmt.Sprintf("daemon-%d", i), site.Fault{RefuseWritesTo: "lease/"})
+		}
+		time.Sleep(time.Second)
+		l := d.startTraffic(requestPeriod, d.processes[:daemons]...)
+		time.Sleep(2 * time.Second)
+		l.stop()
+		assert.Check(t, l.successful.Load() > l.sent.Load()/2, "old weights serve until their limit, which is %s from now", time.Until(g.namedAt[2].Add(versionTimeLimit)))
+	})
+}
+
+// goalRecord returns the record of versions in the store.
+func (d *deployment) goalRecord() rollout.GoalRecord {
+	d.t.Helper()
+	record, err := rollout.DecodeGoalRecord(d.store.Value("verbenabend", "weights/goals"))
+	assert.NilError(d.t, err)
+	return record
+}
+
+// The record is renewed by another daemon while the store refuses the writes of the one
+// that does so. When it was not, a version named then counted as older by all that time.
+func TestAnotherDaemonRenewsRecord(t *testing.T) {
+	const maxRenewalInterval = 4 * time.Second
+	for _, count := range []int{3, 12} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			runWithoutRollout(t, count, func(d *deployment, _ *versionGoals) {
+				for i := range count {
+					refused := fmt.Sprintf("daemon-%d", i)
+					d.store.SetFault(refused, site.Fault{RefuseWrites: true})
+					for range 3 {
+						before := d.goalRecord().AsOf
+						time.Sleep(maxRenewalInterval)
+						assert.Check(t, d.goalRecord().AsOf > before, "the record is not renewed while %s is refused", refused)
+					}
+					d.store.SetFault(refused, site.Fault{RefuseWritesTo: "lease/"})
+				}
+			})
+		})
+	}
+}
+
+// A version that nobody saw named is recorded as such, and does not keep the record from
+// being renewed.
+func TestBoundStaysBoundInRecord(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		d.losePower()
+		time.Sleep(2 * time.Second)
+		g.name(2)
+		d.startAll()
+		time.Sleep(4 * time.Second)
+		goals := d.goalRecord().Models[model]
+		assert.Assert(t, len(goals) > 0 && goals[len(goals)-1].Version == 2 && goals[len(goals)-1].Bounded, "%v", goals)
+		asOf := d.goalRecord().AsOf
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, d.goalRecord().AsOf > asOf, "a version that nobody saw named keeps the record from being renewed")
+	})
+}
