Let the record's time not pass what its writer knows

Callers: after a loss of power, requests could begin on weights up to half as old again as their limit allows, if a version had been named shortly before and the store's answers about it had been lost.

Cause: the writer of the record took its copy of the operators' goals for current as long as no read of it had failed. A long poll whose answer was lost has not failed for up to 21.5 s; meanwhile the record's time went on, past a version that was not in it. A daemon that was frozen until after its poll had expired had the same gap.

Fix: the time is that of a read of all goal versions right before the write. Versions that this read shows and the daemon does not know keep the time back; normally their sight arrives within milliseconds. Those that are still unknown at the next read, half a second later, are adopted with the row's time as their bound, since a sight that late would make them younger than they are.

Weighed: conditions on the operators' rows in the same transaction. The read is one call more each 2 s for the fleet, three in all, and one more for each write that a version causes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,10 @@
 	Feed  platform.Feed
 	// Quarantine is a table for the rows of quarantined prompt parts only.
 	Quarantine platform.Table
+	// Operators is the operators' table, which may only be read, and VersionGoalPrefix
+	// what the keys of its goal versions begin with.
+	Operators         platform.Table
+	VersionGoalPrefix string
 	// OperatorTable, UpstreamTable and QuarantineTable are table names in Feed.
 	OperatorTable   string
 	UpstreamTable   string
@@ -147,6 +151,7 @@
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
 	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
 	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics, d.storeClock}
+	d.platform.Operators = timedTable{p.Operators, d.metrics, d.storeClock}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -46,6 +46,8 @@
 	goalRecordFactTTL = 2 * goalRecordInterval
 	// goalRecordTimeout limits one write, including retries.
 	goalRecordTimeout = 2 * platform.CallTimeout
+	// goalPageRows is the number of goals that are read at once.
+	goalPageRows = 500
 	// maxGoalRecordConflicts limits the attempts of one write that lose to other daemons.
 	maxGoalRecordConflicts = 3
 )
@@ -60,6 +62,9 @@
 	// goalsRead is set once the operators' goals were read.
 	goalsRead atomic.Bool
 	wake      chan struct{}
+	// missed holds the versions, by model, that were new at the last read of the goals
+	// for the row; only keepGoalRecord uses it.
+	missed map[string]int
 
 	mu sync.Mutex
 	// asOf is GoalRecord.AsOf of the row as it was last read.
@@ -162,11 +167,12 @@
 			return err
 		}
 	}
-	var writtenAt time.Time
+	var renewedAt time.Time
 	failures := 0
 	for {
-		if d.goalWriteDue(writtenAt) {
-			if err := d.writeGoalRecord(ctx, writtenAt); err != nil {
+		if d.goalWriteDue(renewedAt) {
+			renewed, err := d.writeGoalRecord(ctx, renewedAt)
+			if err != nil {
 				if failures++; failures == 1 {
 					d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
 				}
@@ -175,7 +181,10 @@
 				}
 				continue
 			}
-			writtenAt, failures = time.Now(), 0
+			failures = 0
+			if renewed {
+				renewedAt = time.Now()
+			}
 		}
 		timer := time.NewTimer(goalRecordCheckInterval)
 		select {
@@ -194,10 +203,10 @@
 	return max(goalRecordBackoff.Delay(failures), time.Duration(d.rank(goalRecordKey, ""))*goalRetryPerRank)
 }
 
-// goalWriteDue reports whether this daemon has to write the row, which it last did at
-// writtenAt: because its time is due to be renewed, or a goal stays unrecorded. Each
-// next daemon in the order of rendezvous hashing does so later.
-func (d *Daemon) goalWriteDue(writtenAt time.Time) bool {
+// goalWriteDue reports whether this daemon has to write the row, whose time it last
+// renewed at renewedAt: because that is due again, or a goal stays unrecorded. Each next
+// daemon in the order of rendezvous hashing does so later.
+func (d *Daemon) goalWriteDue(renewedAt time.Time) bool {
 	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() || time.Since(d.startedAt) < goalRecordStartDelay {
 		return false
 	}
@@ -206,7 +215,7 @@
 		return true
 	}
 	now, ok := d.storeClock.Now()
-	return ok && time.Since(writtenAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= goalRecordInterval+turn
+	return ok && time.Since(renewedAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= goalRecordInterval+turn
 }
 
 // readGoalRecord reads the row and applies it. The version is 0 if there is none.
@@ -267,26 +276,33 @@
 }
 
 // writeGoalRecord adds this daemon's goals to the row and renews its time, unless
-// another daemon did, as the row tells.
-func (d *Daemon) writeGoalRecord(ctx context.Context, writtenAt time.Time) error {
+// another daemon did, as the row tells. It reports whether it renewed the time.
+func (d *Daemon) writeGoalRecord(ctx context.Context, renewedAt time.Time) (renewed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, goalRecordTimeout)
 	defer cancel()
 	for try := 0; ; try++ {
 		record, version, err := d.readGoalRecord(ctx)
 		if err != nil {
-			return err
+			return false, err
 		}
-		if !d.goalWriteDue(writtenAt) {
-			return nil
+		if !d.goalWriteDue(renewedAt) {
+			return false, nil
+		}
+		completeAt, err := d.goalsCompleteAt(ctx, record.AsOf)
+		if err != nil {
+			return false, err
 		}
-		next := d.nextGoalRecord(&record)
+		if _, ok := d.goalRecorder.oldest(); !ok && completeAt == 0 {
+			return false, nil
+		}
+		next := d.nextGoalRecord(&record, completeAt)
 		err = d.commitGoalRecord(ctx, next, version)
 		if err == nil {
 			d.shareRecordedGoals(next)
-			return nil
+			return completeAt > 0, nil
 		}
 		if !errors.Is(err, platform.ErrConflict) || try >= maxGoalRecordConflicts {
-			return err
+			return false, err
 		}
 	}
 }
@@ -313,16 +329,99 @@
 	})
 }
 
-// nextGoalRecord returns the row's next content. Its time does not advance while this
-// daemon may miss goals because it cannot read them.
-func (d *Daemon) nextGoalRecord(old *rollout.GoalRecord) *rollout.GoalRecord {
-	next := &rollout.GoalRecord{AsOf: old.AsOf, Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
+// goalsCompleteAt returns a time at which this daemon knows all requested versions: it
+// reads the operators' goals, since the answer to a read that waits for their changes may
+// be lost. The time is 0 if versions are new to it. These may be on their way and are
+// dated by their sight, then. Those that are still new at the next call have no sight;
+// they were requested after the row's time.
+func (d *Daemon) goalsCompleteAt(ctx context.Context, asOf platform.StoreTime) (platform.StoreTime, error) {
+	before, ok := d.storeClock.Now()
+	goals, err := d.readGoals(ctx)
+	if err != nil || !ok {
+		return 0, err
+	}
 	d.view.mu.Lock()
-	defer d.view.mu.Unlock()
-	now, ok := d.storeClock.Now()
-	if ok && d.storeFailedSince.Load() == nil {
-		next.AsOf = max(next.AsOf, now)
+	missed := map[string]int{}
+	for model, version := range goals {
+		if version > d.view.goalHistory(model).Version() {
+			missed[model] = version
+		}
+	}
+	d.view.mu.Unlock()
+	if len(missed) == 0 {
+		d.goalRecorder.missed = nil
+		return before, nil
+	}
+	overdue := map[string]int{}
+	for model, version := range missed {
+		if d.goalRecorder.missed[model] == version {
+			overdue[model] = version
+		}
+	}
+	d.goalRecorder.missed = missed
+	if len(overdue) > 0 {
+		d.adoptMissedGoals(overdue, asOf)
+		d.operatorMirror.Recheck()
+	}
+	return 0, nil
+}
+
+// readGoals reads the operators' goal versions, by model.
+func (d *Daemon) readGoals(ctx context.Context) (map[string]int, error) {
+	goals := map[string]int{}
+	for after := ""; ; {
+		rows, err := d.listGoals(ctx, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			model, version, ok, err := d.platform.Rows.VersionGoal(row.Key, row.Value)
+			if err != nil {
+				d.logSkippedRow(platform.Change{Key: row.Key, Version: row.Version}, err)
+			} else if ok {
+				goals[model] = version
+			}
+			after = row.Key
+		}
+		if len(rows) < goalPageRows {
+			return goals, nil
+		}
 	}
+}
+
+func (d *Daemon) listGoals(ctx context.Context, after string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	return d.platform.Operators.List(ctx, d.platform.VersionGoalPrefix, after, goalPageRows)
+}
+
+// adoptMissedGoals adopts versions whose sight was lost and that were requested after a
+// time.
+func (d *Daemon) adoptMissedGoals(goals map[string]int, after platform.StoreTime) {
+	now, _ := d.storeClock.Now() // 0 if unknown
+	var adopted []rollout.Goal
+	d.view.mu.Lock()
+	for model, version := range goals {
+		if d.view.goalHistory(model).AdoptUndatedGoal(version) {
+			adopted = append(adopted, rollout.Goal{Model: model, Version: version})
+		}
+	}
+	d.boundUndatedGoals(after)
+	d.view.mu.Unlock()
+	for _, g := range adopted {
+		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
+		d.goalRecorder.add(g, now)
+	}
+	d.updateServices()
+}
+
+// nextGoalRecord returns the row's next content. This daemon knows all versions that were
+// requested by completeAt, which is 0 if it does not know such a time.
+func (d *Daemon) nextGoalRecord(old *rollout.GoalRecord, completeAt platform.StoreTime) *rollout.GoalRecord {
+	next := &rollout.GoalRecord{AsOf: max(old.AsOf, completeAt), Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
+	now, _ := d.storeClock.Now() // 0 if unknown: nothing is left out
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
 	for model, history := range d.view.goals {
 		if goals := history.Recorded(now.Add(-goalTTL)); len(goals) > 0 {
 			next.Models[model] = goals
--- a/lab/sitepath/goalrecord_test.go
+++ b/lab/sitepath/goalrecord_test.go
@@ -80,3 +80,27 @@
 		assert.Assert(t, d.goalRecord().AsOf > asOf, "a version that nobody saw named keeps the record from being renewed")
 	})
 }
+
+// The time of the record is not later than the operators' rows that its writer knows: a
+// version that no daemon has seen, since the answers were lost, has a bounded age.
+func TestRecordIsNoNewerThanKnownVersions(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		var lose []func()
+		for i := range daemons {
+			lose = append(lose, d.loseNextOperatorAnswer(i))
+		}
+		for _, f := range lose {
+			f()
+		}
+		d.publish() // lost by all
+		time.Sleep(time.Second)
+		g.name(2)
+		time.Sleep(6 * time.Second)
+		d.losePower()
+		d.startAll()
+		l := d.startTraffic(requestPeriod, d.processes[daemons:]...)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
