Write the record of versions a few times when all daemons start

Callers: none; the store: the start of a fleet cost as many reads and writes of the record of versions as it has daemons, and writes that lost to one another.

Cause: daemons that start together take themselves for the first until they know their peers; each noted the versions of its first read as unrecorded although the row had them; and after the read of the row none looked again whether a write was still needed.

Fix: a started daemon writes after 1 s and a random part of another, and then in its turn; a version that the row is known to contain is not noted; whether a write is due is checked again after the read of the row.

--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	mathrand "math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,9 +37,12 @@
 	// maxGoalRecordWait is how long a starting daemon that cannot read the row delays its
 	// readiness.
 	maxGoalRecordWait = time.Second
-	// goalRecordStartDelay is how long a started daemon does not write the row: it does
-	// not know its peers yet, nor which versions they saw named.
-	goalRecordStartDelay = time.Second
+	// goalRecordStartDelay and a random part of goalRecordStartSpread is how long a
+	// started daemon does not write the row: it does not know its peers yet, nor which
+	// versions they saw named. Of daemons that start together, the first to write tells
+	// the others.
+	goalRecordStartDelay  = time.Second
+	goalRecordStartSpread = time.Second
 	// goalRetryPerRank is the minimum time between writes that fail, for each daemon that
 	// comes before this one, so that the fleet's rate does not grow with its size.
 	goalRetryPerRank = 50 * time.Millisecond
@@ -62,6 +66,8 @@
 	// goalsRead is set once the operators' goals were read.
 	goalsRead atomic.Bool
 	wake      chan struct{}
+	// startDelay is how long after its start this daemon does not write the row.
+	startDelay time.Duration
 	// missed holds the versions, by model, that were new at the last read of the goals
 	// for the row; only keepGoalRecord uses it.
 	missed map[string]int
@@ -74,6 +80,8 @@
 	// unrecorded holds the goals that may be missing in the row and when this daemon
 	// adopted them, by model.
 	unrecorded map[string]unrecordedGoal
+	// recorded holds the newest version that the row contains, by model.
+	recorded map[string]int
 }
 
 type unrecordedGoal struct {
@@ -84,13 +92,17 @@
 }
 
 func newGoalRecorder() *goalRecorder {
-	return &goalRecorder{wake: make(chan struct{}, 1), unrecorded: map[string]unrecordedGoal{}}
+	return &goalRecorder{wake: make(chan struct{}, 1), startDelay: goalRecordStartDelay + mathrand.N(goalRecordStartSpread), unrecorded: map[string]unrecordedGoal{}, recorded: map[string]int{}}
 }
 
 // add notes a goal that the row may not contain and that was requested before a time.
 func (r *goalRecorder) add(g rollout.Goal, requestedBefore platform.StoreTime) {
 	r.mu.Lock()
-	if r.unrecorded[g.Model].version < g.Version {
+	known := max(r.unrecorded[g.Model].version, r.recorded[g.Model])
+	if requestedBefore > 0 && requestedBefore <= r.renewedUntil {
+		known = g.Version
+	}
+	if known < g.Version {
 		r.unrecorded[g.Model] = unrecordedGoal{g.Version, time.Now(), requestedBefore}
 	}
 	r.mu.Unlock()
@@ -104,6 +116,7 @@
 func (r *goalRecorder) remove(model string, version int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recorded[model] = max(r.recorded[model], version)
 	if g, ok := r.unrecorded[model]; ok && g.version <= version {
 		delete(r.unrecorded, model)
 	}
@@ -207,10 +220,10 @@
 // renewed at renewedAt: because that is due again, or a goal stays unrecorded. Each next
 // daemon in the order of rendezvous hashing does so later.
 func (d *Daemon) goalWriteDue(renewedAt time.Time) bool {
-	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() || time.Since(d.startedAt) < goalRecordStartDelay {
+	turn := time.Duration(d.rank(goalRecordKey, "")) * goalTakeoverStep
+	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() || time.Since(d.startedAt) < d.goalRecorder.startDelay+turn {
 		return false
 	}
-	turn := time.Duration(d.rank(goalRecordKey, "")) * goalTakeoverStep
 	if since, ok := d.goalRecorder.oldest(); ok && time.Since(since) >= turn {
 		return true
 	}
--- a/lab/sitepath/goalrecord_test.go
+++ b/lab/sitepath/goalrecord_test.go
@@ -1,7 +1,12 @@
 package sitepath
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,6 +86,41 @@
 	})
 }
 
+// The start of all daemons writes the record of versions a few times, whatever their
+// number.
+func TestStartOfAllDaemonsWritesRecordFewTimes(t *testing.T) {
+	for _, count := range []int{3, 12, 40} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			runWithoutRollout(t, count, func(d *deployment, g *versionGoals) {
+				g.name(2)
+				time.Sleep(5 * time.Second)
+				d.losePower()
+				var writes, reads atomic.Int64
+				for i := range count {
+					name := fmt.Sprintf("daemon-%d", d.firstDaemon+i)
+					inner := d.store.HandlerFor(name)
+					d.wrapStore[d.firstDaemon+i] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if r.Method == http.MethodPost {
+							body, _ := io.ReadAll(r.Body)
+							r.Body = io.NopCloser(bytes.NewReader(body))
+							if strings.Contains(string(body), "weights/goals") {
+								writes.Add(1)
+							}
+						} else if strings.HasPrefix(r.URL.Query().Get("from"), "weights/goals") {
+							reads.Add(1)
+						}
+						inner.ServeHTTP(w, r)
+					})
+				}
+				d.startAll()
+				time.Sleep(4 * time.Second)
+				t.Logf("%d daemons: %d writes, %d reads of the record", count, writes.Load(), reads.Load())
+				assert.Check(t, writes.Load() <= 6, "%d writes", writes.Load())
+			})
+		})
+	}
+}
+
 // The time of the record is not later than the operators' rows that its writer knows: a
 // version that no daemon has seen, since the answers were lost, has a bounded age.
 func TestRecordIsNoNewerThanKnownVersions(t *testing.T) {
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -111,6 +111,8 @@
 	// connectTime is how long opening a connection to an engine takes, in nanoseconds.
 	connectTime atomic.Int64
 	suspended   atomic.Int64
+	// wrapStore replaces the store's handlers of daemons that are started later, by index.
+	wrapStore map[int]http.Handler
 }
 
 // runOnDeployment runs a test on a deployment that is ready.
@@ -154,7 +156,7 @@
 }
 
 func newDeployment(t *testing.T, engineCount int) *deployment {
-	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}, bootedAt: time.Now()}
+	d := &deployment{t: t, net: fabric.New(), store: site.NewStore(), cacheStore: &site.CacheStore{Address: "10.8.2.1:80"}, stopHeartbeats: make(chan struct{}), revision: 1, servers: map[string]*http.Server{}, wrapStore: map[int]http.Handler{}, bootedAt: time.Now()}
 	for i := range engineCount {
 		d.engines = append(d.engines, &site.Upstream{
 			ID: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.8.0.%d:80", i+1), Service: "bench", Zone: "a", Model: model,
@@ -266,7 +268,11 @@
 func (d *deployment) start(i int) *process {
 	p := &process{name: fmt.Sprintf("daemon-%d", i), host: hostOf(i), done: make(chan error, 1)}
 	storeAddress := fmt.Sprintf("10.9.0.%d:80", i+1)
-	d.serve(storeAddress, d.store.HandlerFor(p.name))
+	handler := d.store.HandlerFor(p.name)
+	if h := d.wrapStore[i]; h != nil {
+		handler = h
+	}
+	d.serve(storeAddress, handler)
 	settings, err := platform.ParseSettings([]byte(strings.Join([]string{
 		"node=" + p.name, "zone=a", "zones.a=r", "ip=" + p.host,
 		"listen.front=" + p.address(callerPort), "listen.ready=" + p.address(readyPort),
