Test that weights of unknown age are not used, and the wait for the record

No test failed when the age of weights that are superseded since an unknown time was taken for 0, or when a daemon did not wait for the record of versions before it said that it is ready (the reviewer's mutations).

--- a/lab/sitepath/goalrecord_test.go
+++ b/lab/sitepath/goalrecord_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/lab/site"
 )
@@ -144,3 +146,62 @@
 		g.checkNoLateRuns()
 	})
 }
+
+// delayRecord makes the store hold back its answers about the record of versions to a
+// daemon that is started later.
+func (d *deployment) delayRecord(daemon int, delay time.Duration) {
+	inner := d.store.HandlerFor(fmt.Sprintf("daemon-%d", daemon))
+	d.wrapStore[daemon] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Query().Get("from"), "weights/goals") {
+			select {
+			case <-time.After(delay):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		inner.ServeHTTP(w, r)
+	})
+}
+
+// Weights that are superseded since an unknown time are not used. Otherwise daemons that
+// cannot read the record after a loss of power take expired weights for new.
+func TestWeightsOfUnknownAgeAreNotUsed(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		g.name(2)
+		time.Sleep(versionTimeLimit)
+		d.losePower()
+		for i := range daemons {
+			d.delayRecord(d.firstDaemon+i, time.Minute)
+		}
+		d.startAll()
+		l := d.startTraffic(requestPeriod, d.processes[daemons:]...)
+		time.Sleep(4 * time.Second)
+		l.stop()
+		assert.Assert(t, l.sent.Load() > 0)
+		g.checkNoLateRuns()
+	})
+}
+
+// A daemon is not ready before it has read the record, unless that takes too long.
+// Otherwise it refuses requests for engines whose weights it could know to be in time.
+func TestDaemonIsReadyOnceRecordIsRead(t *testing.T) {
+	for _, c := range []struct{ delay, readyAfter, readyBefore time.Duration }{
+		{0, 0, 500 * time.Millisecond},
+		{700 * time.Millisecond, 650 * time.Millisecond, 900 * time.Millisecond},
+		{time.Minute, 950 * time.Millisecond, 1500 * time.Millisecond},
+	} {
+		t.Run(c.delay.String(), func(t *testing.T) {
+			runWithoutRollout(t, daemons, func(d *deployment, _ *versionGoals) {
+				d.delayRecord(daemons, c.delay)
+				p := d.start(daemons)
+				isReady := func() bool {
+					return slices.ContainsFunc(p.log.entries(t), func(e eventlog.Entry) bool { return e.ID == eventlog.DaemonReady })
+				}
+				time.Sleep(c.readyAfter)
+				assert.Check(t, c.readyAfter == 0 || !isReady(), "ready within %s", c.readyAfter)
+				time.Sleep(c.readyBefore - c.readyAfter)
+				assert.Check(t, isReady(), "not ready within %s", c.readyBefore)
+			})
+		})
+	}
+}
