--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	mathrand "math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -26,7 +28,8 @@
 	// older than it is by at most this, besides the time without daemons.
 	goalRecordInterval = 2 * time.Second
 	// goalTakeoverStep is how much longer each next daemon waits before it records a
-	// version: the time in which the one before writes it and its fact arrives.
+	// version or renews the row: the time in which the one before writes it and its fact
+	// arrives.
 	goalTakeoverStep = 500 * time.Millisecond
 	// goalRecordCheckInterval is the maximum interval between checks of whether this
 	// daemon has to write, since daemons come and go.
@@ -34,8 +37,21 @@
 	// maxGoalRecordWait is how long a starting daemon that cannot read the row delays its
 	// readiness.
 	maxGoalRecordWait = time.Second
+	// goalRecordStartDelay and a random part of goalRecordStartSpread is how long a
+	// started daemon does not write the row: it does not know its peers yet, nor which
+	// versions they saw named. Of daemons that start together, the first to write tells
+	// the others.
+	goalRecordStartDelay  = time.Second
+	goalRecordStartSpread = time.Second
+	// goalRetryPerRank is the minimum time between writes that fail, for each daemon that
+	// comes before this one, so that the fleet's rate does not grow with its size.
+	goalRetryPerRank = 50 * time.Millisecond
+	// goalRecordFactTTL is how long the fact of a renewal is spread.
+	goalRecordFactTTL = 2 * goalRecordInterval
 	// goalRecordTimeout limits one write, including retries.
 	goalRecordTimeout = 2 * platform.CallTimeout
+	// goalPageRows is the number of goals that are read at once.
+	goalPageRows = 500
 	// maxGoalRecordConflicts limits the attempts of one write that lose to other daemons.
 	maxGoalRecordConflicts = 3
 )
@@ -50,29 +66,44 @@
 	// goalsRead is set once the operators' goals were read.
 	goalsRead atomic.Bool
 	wake      chan struct{}
+	// startDelay is how long after its start this daemon does not write the row.
+	startDelay time.Duration
+	// missed holds the versions, by model, that were new at the last read of the goals
+	// for the row; only keepGoalRecord uses it.
+	missed map[string]int
 
 	mu sync.Mutex
-	// asOf is the last known GoalRecord.AsOf.
+	// asOf is GoalRecord.AsOf of the row as it was last read.
 	asOf platform.StoreTime
+	// renewedUntil is the last known GoalRecord.AsOf, also of rows that were not read.
+	renewedUntil platform.StoreTime
 	// unrecorded holds the goals that may be missing in the row and when this daemon
 	// adopted them, by model.
 	unrecorded map[string]unrecordedGoal
+	// recorded holds the newest version that the row contains, by model.
+	recorded map[string]int
 }
 
 type unrecordedGoal struct {
 	version int
 	since   time.Time
+	// requestedBefore is a time at which the version was known; 0 if there is none.
+	requestedBefore platform.StoreTime
 }
 
 func newGoalRecorder() *goalRecorder {
-	return &goalRecorder{wake: make(chan struct{}, 1), unrecorded: map[string]unrecordedGoal{}}
+	return &goalRecorder{wake: make(chan struct{}, 1), startDelay: goalRecordStartDelay + mathrand.N(goalRecordStartSpread), unrecorded: map[string]unrecordedGoal{}, recorded: map[string]int{}}
 }
 
-// add notes a goal that the row may not contain.
-func (r *goalRecorder) add(g rollout.Goal) {
+// add notes a goal that the row may not contain and that was requested before a time.
+func (r *goalRecorder) add(g rollout.Goal, requestedBefore platform.StoreTime) {
 	r.mu.Lock()
-	if r.unrecorded[g.Model].version < g.Version {
-		r.unrecorded[g.Model] = unrecordedGoal{g.Version, time.Now()}
+	known := max(r.unrecorded[g.Model].version, r.recorded[g.Model])
+	if requestedBefore > 0 && requestedBefore <= r.renewedUntil {
+		known = g.Version
+	}
+	if known < g.Version {
+		r.unrecorded[g.Model] = unrecordedGoal{g.Version, time.Now(), requestedBefore}
 	}
 	r.mu.Unlock()
 	select {
@@ -85,6 +116,7 @@
 func (r *goalRecorder) remove(model string, version int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recorded[model] = max(r.recorded[model], version)
 	if g, ok := r.unrecorded[model]; ok && g.version <= version {
 		delete(r.unrecorded, model)
 	}
@@ -98,7 +130,27 @@
 	return r.read.Load() && (!ok || missing.version > g.Version)
 }
 
-// recordedUntil returns the last known GoalRecord.AsOf.
+// renewed notes the time of a row that some daemon wrote. It contains all goals that
+// were requested before.
+func (r *goalRecorder) renewed(asOf platform.StoreTime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renewedUntil = max(r.renewedUntil, asOf)
+	for model, g := range r.unrecorded {
+		if g.requestedBefore > 0 && g.requestedBefore <= asOf {
+			delete(r.unrecorded, model)
+		}
+	}
+}
+
+// lastRenewal returns the last known GoalRecord.AsOf.
+func (r *goalRecorder) lastRenewal() platform.StoreTime {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.renewedUntil
+}
+
+// recordedUntil returns GoalRecord.AsOf of the row as it was last read.
 func (r *goalRecorder) recordedUntil() platform.StoreTime {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -128,20 +180,24 @@
 			return err
 		}
 	}
-	var writtenAt time.Time
+	var renewedAt time.Time
 	failures := 0
 	for {
-		if d.goalWriteDue(writtenAt) {
-			if err := d.writeGoalRecord(ctx); err != nil {
+		if d.goalWriteDue(renewedAt) {
+			renewed, err := d.writeGoalRecord(ctx, renewedAt)
+			if err != nil {
 				if failures++; failures == 1 {
 					d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
 				}
-				if err := goalRecordBackoff.Wait(ctx, failures); err != nil {
+				if err := backoff.Sleep(ctx, d.goalRetryPause(failures)); err != nil {
 					return err
 				}
 				continue
 			}
-			writtenAt, failures = time.Now(), 0
+			failures = 0
+			if renewed {
+				renewedAt = time.Now()
+			}
 		}
 		timer := time.NewTimer(goalRecordCheckInterval)
 		select {
@@ -155,19 +211,24 @@
 	}
 }
 
-// goalWriteDue reports whether this daemon has to write the row. The first daemon in
-// the order of rendezvous hashing does, and the others only where a goal stays
-// unrecorded.
-func (d *Daemon) goalWriteDue(writtenAt time.Time) bool {
-	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() {
+// goalRetryPause returns the pause after a number of failed writes.
+func (d *Daemon) goalRetryPause(failures int) time.Duration {
+	return max(goalRecordBackoff.Delay(failures), time.Duration(d.rank(goalRecordKey, ""))*goalRetryPerRank)
+}
+
+// goalWriteDue reports whether this daemon has to write the row, whose time it last
+// renewed at renewedAt: because that is due again, or a goal stays unrecorded. Each next
+// daemon in the order of rendezvous hashing does so later.
+func (d *Daemon) goalWriteDue(renewedAt time.Time) bool {
+	turn := time.Duration(d.rank(goalRecordKey, "")) * goalTakeoverStep
+	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() || time.Since(d.startedAt) < d.goalRecorder.startDelay+turn {
 		return false
 	}
-	rank := d.rank(goalRecordKey, "")
-	if rank == 0 && time.Since(writtenAt) >= goalRecordInterval {
+	if since, ok := d.goalRecorder.oldest(); ok && time.Since(since) >= turn {
 		return true
 	}
-	since, ok := d.goalRecorder.oldest()
-	return ok && time.Since(since) >= time.Duration(rank)*goalTakeoverStep
+	now, ok := d.storeClock.Now()
+	return ok && time.Since(renewedAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= goalRecordInterval+turn
 }
 
 // readGoalRecord reads the row and applies it. The version is 0 if there is none.
@@ -196,7 +257,11 @@
 	d.view.mu.Lock()
 	for model, goals := range record.Models {
 		for _, g := range goals {
-			d.recordSight(rollout.Goal{Model: model, Version: g.Version}, g.RequestedAt, "the store's record")
+			if g.Bounded {
+				d.view.goalHistory(model).RecordBound(g.Version, g.RequestedAt)
+			} else {
+				d.recordSight(rollout.Goal{Model: model, Version: g.Version}, g.RequestedAt, "the store's record")
+			}
 		}
 	}
 	d.boundUndatedGoals(record.AsOf)
@@ -210,6 +275,7 @@
 			r.remove(model, g.Version)
 		}
 	}
+	r.renewed(record.AsOf)
 	d.updateServices()
 }
 
@@ -222,23 +288,34 @@
 	}
 }
 
-// writeGoalRecord adds this daemon's goals to the row and renews its time.
-func (d *Daemon) writeGoalRecord(ctx context.Context) error {
+// writeGoalRecord adds this daemon's goals to the row and renews its time, unless
+// another daemon did, as the row tells. It reports whether it renewed the time.
+func (d *Daemon) writeGoalRecord(ctx context.Context, renewedAt time.Time) (renewed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, goalRecordTimeout)
 	defer cancel()
 	for try := 0; ; try++ {
 		record, version, err := d.readGoalRecord(ctx)
 		if err != nil {
-			return err
+			return false, err
+		}
+		if !d.goalWriteDue(renewedAt) {
+			return false, nil
+		}
+		completeAt, err := d.goalsCompleteAt(ctx, record.AsOf)
+		if err != nil {
+			return false, err
 		}
-		next := d.nextGoalRecord(&record)
+		if _, ok := d.goalRecorder.oldest(); !ok && completeAt == 0 {
+			return false, nil
+		}
+		next := d.nextGoalRecord(&record, completeAt)
 		err = d.commitGoalRecord(ctx, next, version)
 		if err == nil {
 			d.shareRecordedGoals(next)
-			return nil
+			return completeAt > 0, nil
 		}
 		if !errors.Is(err, platform.ErrConflict) || try >= maxGoalRecordConflicts {
-			return err
+			return false, err
 		}
 	}
 }
@@ -265,16 +342,99 @@
 	})
 }
 
-// nextGoalRecord returns the row's next content. Its time does not advance while this
-// daemon may miss goals because it cannot read them.
-func (d *Daemon) nextGoalRecord(old *rollout.GoalRecord) *rollout.GoalRecord {
-	next := &rollout.GoalRecord{AsOf: old.AsOf, Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
+// goalsCompleteAt returns a time at which this daemon knows all requested versions: it
+// reads the operators' goals, since the answer to a read that waits for their changes may
+// be lost. The time is 0 if versions are new to it. These may be on their way and are
+// dated by their sight, then. Those that are still new at the next call have no sight;
+// they were requested after the row's time.
+func (d *Daemon) goalsCompleteAt(ctx context.Context, asOf platform.StoreTime) (platform.StoreTime, error) {
+	before, ok := d.storeClock.Now()
+	goals, err := d.readGoals(ctx)
+	if err != nil || !ok {
+		return 0, err
+	}
 	d.view.mu.Lock()
-	defer d.view.mu.Unlock()
-	now, ok := d.storeClock.Now()
-	if ok && d.storeFailedSince.Load() == nil {
-		next.AsOf = max(next.AsOf, now)
+	missed := map[string]int{}
+	for model, version := range goals {
+		if version > d.view.goalHistory(model).Version() {
+			missed[model] = version
+		}
+	}
+	d.view.mu.Unlock()
+	if len(missed) == 0 {
+		d.goalRecorder.missed = nil
+		return before, nil
 	}
+	overdue := map[string]int{}
+	for model, version := range missed {
+		if d.goalRecorder.missed[model] == version {
+			overdue[model] = version
+		}
+	}
+	d.goalRecorder.missed = missed
+	if len(overdue) > 0 {
+		d.adoptMissedGoals(overdue, asOf)
+		d.operatorMirror.Recheck()
+	}
+	return 0, nil
+}
+
+// readGoals reads the operators' goal versions, by model.
+func (d *Daemon) readGoals(ctx context.Context) (map[string]int, error) {
+	goals := map[string]int{}
+	for after := ""; ; {
+		rows, err := d.listGoals(ctx, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			model, version, ok, err := d.platform.Rows.VersionGoal(row.Key, row.Value)
+			if err != nil {
+				d.logSkippedRow(platform.Change{Key: row.Key, Version: row.Version}, err)
+			} else if ok {
+				goals[model] = version
+			}
+			after = row.Key
+		}
+		if len(rows) < goalPageRows {
+			return goals, nil
+		}
+	}
+}
+
+func (d *Daemon) listGoals(ctx context.Context, after string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	return d.platform.Operators.List(ctx, d.platform.VersionGoalPrefix, after, goalPageRows)
+}
+
+// adoptMissedGoals adopts versions whose sight was lost and that were requested after a
+// time.
+func (d *Daemon) adoptMissedGoals(goals map[string]int, after platform.StoreTime) {
+	now, _ := d.storeClock.Now() // 0 if unknown
+	var adopted []rollout.Goal
+	d.view.mu.Lock()
+	for model, version := range goals {
+		if d.view.goalHistory(model).AdoptUndatedGoal(version) {
+			adopted = append(adopted, rollout.Goal{Model: model, Version: version})
+		}
+	}
+	d.boundUndatedGoals(after)
+	d.view.mu.Unlock()
+	for _, g := range adopted {
+		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
+		d.goalRecorder.add(g, now)
+	}
+	d.updateServices()
+}
+
+// nextGoalRecord returns the row's next content. This daemon knows all versions that were
+// requested by completeAt, which is 0 if it does not know such a time.
+func (d *Daemon) nextGoalRecord(old *rollout.GoalRecord, completeAt platform.StoreTime) *rollout.GoalRecord {
+	next := &rollout.GoalRecord{AsOf: max(old.AsOf, completeAt), Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
+	now, _ := d.storeClock.Now() // 0 if unknown: nothing is left out
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
 	for model, history := range d.view.goals {
 		if goals := history.Recorded(now.Add(-goalTTL)); len(goals) > 0 {
 			next.Models[model] = goals
@@ -283,7 +443,8 @@
 	return next
 }
 
-// shareRecordedGoals tells peers which goals the row contains.
+// shareRecordedGoals tells peers which goals the row contains and its time. One fact
+// with the time serves the whole fleet.
 func (d *Daemon) shareRecordedGoals(record *rollout.GoalRecord) {
 	for _, g := range d.Goals() {
 		if !record.Contains(g.Model, g.Version) {
@@ -296,4 +457,14 @@
 			d.publishGoal(g)
 		}
 	}
+	if record.AsOf == 0 {
+		return
+	}
+	d.goalRecorder.renewed(record.AsOf)
+	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindGoalRecord, ID: goalRecordKey, Version: uint64(record.AsOf), TTL: goalRecordFactTTL})
+}
+
+// receiveGoalRecord notes that a peer renewed the row.
+func (d *Daemon) receiveGoalRecord(f gossip.Fact) {
+	d.goalRecorder.renewed(platform.StoreTime(f.Version))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -86,6 +86,7 @@
 	node.Subscribe(gossip.KindUnresponsive, d.receiveUnresponsive)
 	node.Subscribe(gossip.KindGoalVersion, d.receiveGoal)
 	node.Subscribe(gossip.KindStateRevision, d.receiveRevision)
+	node.Subscribe(gossip.KindGoalRecord, d.receiveGoalRecord)
 	return nil
 }
 
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -7,7 +7,8 @@
 
 const (
 	// priorityUrgent facts skip the flush delay: documents, suspects, prompt parts, weight
-	// switches, unresponsive upstreams, goal versions and revisions of the desired state.
+	// switches, unresponsive upstreams, goal versions and their record, and revisions of the
+	// desired state.
 	priorityUrgent priority = iota
 	// priorityDaemon is for facts that daemons publish about themselves: the
 	// overlay depends on them, and their rate is bounded by the number of daemons.
@@ -28,7 +29,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun, KindStateRevision:
+	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun, KindStateRevision, KindGoalRecord:
 		if valueBytes > maxUrgentValueBytes {
 			return priorityLargeValue
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -46,6 +46,9 @@
 	// KindStateRevision announces that a desired state is in force. Version is its
 	// revision: one fact serves all daemons.
 	KindStateRevision Kind = 11
+	// KindGoalRecord announces that the record of goal versions was renewed. ID is the
+	// record's, Version the time on the store's clock at which it was complete.
+	KindGoalRecord Kind = 12
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
