--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -180,6 +180,10 @@
 			return err
 		}
 	}
+	// Not only in goalWriteDue, or daemons that start together check at the same times.
+	if err := backoff.Sleep(ctx, d.goalRecorder.startDelay-time.Since(d.startedAt)); err != nil {
+		return err
+	}
 	var renewedAt time.Time
 	failures := 0
 	for {
