Do not take versions that are read after a gap for new

Callers: after a loss of power, requests could begin on old weights up to 3 s past their limit, if the store's answers about the newer version had been lost to all daemons before.

Cause: a version was dated by the answer that showed it. An answer that follows a lost one, a cut or a freeze shows versions that were named earlier, but counted as a sight, and a sight replaces the bound that the record's writer had set.

Fix: the copy of a table tells the time of the read before if no read has waited for changes since. Such versions get that time, or that of the last renewal of the record, as a bound; the sight of a daemon that saw them named replaces it.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -76,20 +76,23 @@
 }
 
 // adoptGoals applies the goal versions by model. The first read does not tell when
-// they were requested.
+// they were requested, and one after a gap only after which time.
 func (d *Daemon) adoptGoals(goals map[string]int, read mirror.Read) {
 	at, dated := read.At, read.At != 0
 	if !dated {
 		at, dated = d.storeClock.Now()
 	}
 	requestedBefore := at // 0 if unknown
-	dated = dated && !read.First
+	dated = dated && !read.First && read.After == 0
 	var adopted []rollout.Goal
 	d.view.mu.Lock()
 	for model, version := range goals {
 		history := d.view.goalHistory(model)
 		if dated && history.AdoptGoal(version, at) || !dated && history.AdoptUndatedGoal(version) {
 			adopted = append(adopted, rollout.Goal{Model: model, Version: version})
+			if read.After > 0 {
+				history.RecordBound(version, max(read.After, d.goalRecorder.lastRenewal()))
+			}
 		}
 	}
 	if d.goalRecorder.read.Load() {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -68,8 +68,15 @@
 	First bool
 	// At is when the store read the rows; 0 if they are a peer's copy.
 	At platform.StoreTime
+	// After is the time of the store's read before, if no read waited for changes for a
+	// while since: they were made after it, maybe long before At. Otherwise it is 0.
+	After platform.StoreTime
 }
 
+// maxReadGap is how long no read may have waited for changes for those that are then read
+// to count as new.
+const maxReadGap = 100 * time.Millisecond
+
 // Mirror is a copy of one table. It is safe for concurrent use.
 type Mirror struct {
 	settings Settings
@@ -90,6 +97,7 @@
 	storeFailing bool
 	failedAt     time.Time
 	recoveredAt  time.Time
+	lastReadAt   platform.StoreTime
 	// missing is unused.
 	missing map[string]bool
 }
@@ -171,7 +179,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	m.setCancelWait(cancel)
+	start := time.Now()
 	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, version, wait)
+	took := time.Since(start)
 	m.setCancelWait(nil)
 	rechecked := err != nil && errors.Is(callCtx.Err(), context.Canceled) && ctx.Err() == nil
 	if rechecked || errors.Is(err, platform.ErrHistoryLost) {
@@ -180,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	m.apply(changes)
+	m.apply(changes, took)
 	return nil
 }
 
@@ -197,16 +207,18 @@
 func (m *Mirror) readWholeTable(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	start := time.Now()
 	changes, err := m.store.ReadTable(callCtx, m.settings.Table)
 	if err != nil {
 		return err
 	}
+	took := time.Since(start)
 	if m.storeFailing {
 		m.storeFailing = false
 		m.recoveredAt = time.Now()
 		m.log.Emit(eventlog.FeedRecovered, eventlog.Fields{Detail: m.settings.Table})
 	}
-	m.apply(changes)
+	m.apply(changes, took)
 	if !m.inReappearanceWindow() {
 		return nil
 	}
@@ -232,12 +244,27 @@
 	if err != nil {
 		return err
 	}
-	m.apply(changes)
+	m.apply(changes, 0)
 	return nil
 }
 
-// apply applies changes unless they are older than the copy.
-func (m *Mirror) apply(c platform.Changes) {
+// readGap returns After of a read that took a time.
+func (m *Mirror) readGap(at platform.StoreTime, took time.Duration) platform.StoreTime {
+	if at == 0 {
+		return 0
+	}
+	previous := m.lastReadAt
+	m.lastReadAt = at
+	if previous == 0 || at.Sub(previous)-took <= maxReadGap {
+		return 0
+	}
+	return previous
+}
+
+// apply applies the changes that a read brought, which took a time, unless they are
+// older than the copy.
+func (m *Mirror) apply(c platform.Changes, took time.Duration) {
+	after := m.readGap(c.ReadAt, took)
 	m.mu.Lock()
 	if m.synced && c.Version < m.version {
 		m.mu.Unlock()
@@ -264,7 +291,7 @@
 	}
 	m.mu.Unlock()
 	if changed {
-		m.settings.OnChange(rows, Read{Version: c.Version, First: first, At: c.ReadAt})
+		m.settings.OnChange(rows, Read{Version: c.Version, First: first, At: c.ReadAt, After: after})
 	}
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -184,3 +184,74 @@
 		m.Recheck() // without a long poll in progress
 	})
 }
+
+// clockedStore is a fakeStore that states when it answers, and that may lose its next
+// answer to a long poll.
+type clockedStore struct {
+	fakeStore
+	start    time.Time
+	loseNext atomic.Bool
+}
+
+func (s *clockedStore) now() platform.StoreTime {
+	return platform.StoreTime(0).Add(time.Hour + time.Since(s.start))
+}
+
+func (s *clockedStore) ReadTable(ctx context.Context, table string) (platform.Changes, error) {
+	c, err := s.fakeStore.ReadTable(ctx, table)
+	c.ReadAt = s.now()
+	return c, err
+}
+
+func (s *clockedStore) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	c, err := s.fakeStore.ReadChanges(ctx, table, after, wait)
+	c.ReadAt = s.now()
+	if err == nil && s.loseNext.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return platform.Changes{}, ctx.Err()
+	}
+	return c, err
+}
+
+// Guards against changes that count as new although they were made long before they were
+// read, since an answer was lost.
+func TestChangesReadAfterAGapAreNotNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &clockedStore{fakeStore: fakeStore{rows: map[string]platform.Change{}}, start: time.Now()}
+		store.write("a", false)
+		var mu sync.Mutex
+		var last Read
+		m := New(Settings{Table: table, MaxWait: 20 * time.Second, OnChange: func(_ map[string]platform.Change, read Read) {
+			mu.Lock()
+			defer mu.Unlock()
+			last = read
+		}}, store, store, eventlog.Discard())
+		newest := func() Read {
+			mu.Lock()
+			defer mu.Unlock()
+			return last
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		store.write("b", false)
+		time.Sleep(time.Second)
+		seen := newest()
+		assert.Equal(t, seen.Version, uint64(2))
+		assert.Equal(t, seen.After, platform.StoreTime(0), "awaited for 5 s")
+
+		store.loseNext.Store(true)
+		time.Sleep(time.Second)
+		store.write("c", false)
+		time.Sleep(3 * time.Second)
+		m.Recheck()
+		time.Sleep(time.Second)
+		late := newest()
+		assert.Equal(t, late.Version, uint64(3))
+		assert.Equal(t, late.After, seen.At)
+		assert.Assert(t, late.At.Sub(late.After) > 3*time.Second)
+		stop()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+}
