Hand back the trial of a prompt part that no engine ran

Callers whose prompt has a part that was quarantined by mistake were refused for 40 s more, then 5 min more, when all engines rejected the trial, none was free in time or its caller left: the trial was counted in the part's row before an engine was found.

Now such a trial is handed back in the background, as is one whose claim got no answer, since its request was refused. The row names the claim that wrote it, so the write has as condition the very version that the claim wrote: a later claim, a row update after a crash, or a write of an older build, which drops the name, leaves the trial spent. It is spent too if any attempt may have run. A crash that the row did not need to tell while it counted the trial is added afterwards by the daemon that saw it. The next trial waits as long as this one did, and at least 5 s, 10 s and so on up to a minute, so that the store is not asked in a loop while engines are scarce. Claims that fail other than by a conflict are logged now.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -63,6 +63,7 @@
 	PartTrial                  ID = 805
 	PartCleared                ID = 806
 	PartRowFailed              ID = 807
+	PartTrialUnrun             ID = 808
 	LeaseAcquired              ID = 901
 	LeaseLost                  ID = 902
 	OrderSent                  ID = 903
@@ -131,6 +132,7 @@
 	{PartTrial, hclog.Info, "trial of a quarantined prompt part"},
 	{PartCleared, hclog.Info, "prompt part released from quarantine"},
 	{PartRowFailed, hclog.Warn, "row of a quarantined prompt part not written"},
+	{PartTrialUnrun, hclog.Info, "no upstream ran the trial of a quarantined prompt part"},
 	{LeaseAcquired, hclog.Info, "lease acquired"},
 	{LeaseLost, hclog.Warn, "lease lost"},
 	{OrderSent, hclog.Info, "order sent"},
--- a/internal/forward/promptparts.go
+++ b/internal/forward/promptparts.go
@@ -21,8 +21,9 @@
 	Suspected(parts []string) []string
 	// Refusing returns those of a prompt's parts because of which it must not run.
 	Refusing(parts []string) []string
-	// ClaimTrial reports whether one request may run although its prompt must not.
-	ClaimTrial(ctx context.Context, service string, parts []string) bool
+	// ClaimTrial reports whether one request may run although its prompt must not. If no
+	// upstream can have run it, handBack hands the trial back.
+	ClaimTrial(ctx context.Context, service string, parts []string) (handBack func(), ok bool)
 	// Begun records that a request with the parts began its answer.
 	Begun(service string, parts []string)
 	// UpstreamCrashed records that an incarnation of an upstream ended before it had
@@ -83,13 +84,21 @@
 	if len(parts) == 0 {
 		return nil
 	}
-	if !t.onTrial && t.attemptsRun == 0 && t.forwarder.PromptParts.ClaimTrial(ctx, t.serviceName, parts) {
-		t.onTrial = true
-		return nil
+	if !t.onTrial && t.attemptsRun == 0 {
+		if t.handBackTrial, t.onTrial = t.forwarder.PromptParts.ClaimTrial(ctx, t.serviceName, parts); t.onTrial {
+			return nil
+		}
 	}
 	return errPartQuarantined()
 }
 
+// endTrial hands the request's trial back if no upstream can have run it.
+func (t *transfer) endTrial() {
+	if t.onTrial && t.attemptsRun == 0 {
+		t.handBackTrial()
+	}
+}
+
 // refusedParts returns the shared parts if the request must not run because of some of
 // them, otherwise nil.
 func (t *transfer) refusedParts() []string {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -53,9 +53,11 @@
 	lastEventID     string
 
 	// begun is set once the upstream of the current attempt has sent a complete event
-	// or body. onTrial is set if the request runs in spite of a quarantined part.
-	begun   bool
-	onTrial bool
+	// or body. onTrial is set if the request runs in spite of a quarantined part;
+	// handBackTrial then hands the trial back.
+	begun         bool
+	onTrial       bool
+	handBackTrial func()
 	// sentAt is when the current attempt was sent, brokenAt when its connection broke.
 	// crashCheck then receives whether the upstream has crashed.
 	sentAt, brokenAt time.Time
@@ -77,6 +79,7 @@
 	s := t.forwarder.Services.get(t.serviceName)
 	s.creditRetries()
 	t.lastEventID = t.metadata.LastEventID
+	defer t.endTrial()
 	for {
 		if err := t.quarantineError(); err != nil {
 			t.failOrAbort(err)
--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -10,17 +10,20 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
 const (
@@ -381,6 +384,10 @@
 	Trials       int
 	Organisation string // digest
 	Companions   []string
+	// Claim identifies the claim of a trial that wrote the row, if one did.
+	Claim string
+	// Unrun is the number of trials that did not run.
+	Unrun int
 }
 
 // ApplyRows applies the rows of all quarantined parts, as the table has them. Invalid
@@ -394,52 +401,126 @@
 		if err != nil || len(part) != digestBytes || msgpack.Unmarshal(row.Value, &v) != nil {
 			continue
 		}
-		decoded[string(part)] = quarantineRow{version: row.Version, trials: max(0, v.Trials), since: now, organisation: v.Organisation, companions: v.Companions}
+		decoded[string(part)] = quarantineRow{version: row.Version, trials: max(0, v.Trials), since: now, organisation: v.Organisation, companions: v.Companions, claim: v.Claim, unrun: max(0, v.Unrun)}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var changed []string
+	for part, row := range decoded {
+		if r := p.state.parts[part]; r == nil || r.row == nil || r.row.version != row.version {
+			changed = append(changed, part)
+		}
+	}
 	for _, part := range p.state.setRows(decoded) {
 		go p.deleteRow(part, decoded[part].version)
 	}
+	for _, part := range changed {
+		p.handBackUnrun(part)
+		if p.state.rowLacksOwnCrash(part) {
+			go p.addOwnCrash(part)
+		}
+	}
 	p.updateKnown()
 }
 
 // ClaimTrial reports whether one request may run although parts of its prompt refuse
-// it: a trial is due for all of these and no other daemon has claimed it.
-func (p *Parts) ClaimTrial(ctx context.Context, service string, prompt []string) bool {
-	txn, ok := p.trialTxn(prompt)
-	if !ok || len(txn.Writes) == 0 {
-		return ok
+// it: a trial is due for all of these and no other daemon has claimed it. If no engine
+// can have run the request, handBack hands the trial back; it doesn't block.
+func (p *Parts) ClaimTrial(ctx context.Context, service string, prompt []string) (handBack func(), ok bool) {
+	claim := strconv.FormatUint(rand.Uint64(), 36)
+	parts, txn, ok := p.trialTxn(prompt, claim)
+	if !ok || len(parts) == 0 {
+		return func() {}, ok
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
 	defer cancel()
-	if p.table.Commit(ctx, txn) != nil { // claimed by another daemon, or not known to be claimed
-		return false
+	if err := p.table.Commit(ctx, txn); err != nil {
+		if !errors.Is(err, platform.ErrConflict) { // else another daemon has claimed it
+			p.log.Emit(eventlog.PartRowFailed, eventlog.Fields{Service: service, Detail: "trial not claimed: " + err.Error()})
+		}
+		if verdict.Of(err) != verdict.NotRun {
+			p.recordUnrun(parts, claim)
+		}
+		return nil, false
 	}
 	for _, w := range txn.Writes {
 		p.log.Emit(eventlog.PartTrial, eventlog.Fields{Service: service, Detail: "part " + w.Key})
 	}
-	return true
+	return func() {
+		for _, w := range txn.Writes {
+			p.log.Emit(eventlog.PartTrialUnrun, eventlog.Fields{Service: service, Detail: "part " + w.Key})
+		}
+		p.recordUnrun(parts, claim)
+	}, true
+}
+
+// recordUnrun hands back a trial that did not run as soon as this daemon's copy of the
+// table shows its claim.
+func (p *Parts) recordUnrun(parts []string, claim string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		if r := p.state.parts[part]; r != nil {
+			r.unrunClaim = claim
+			p.handBackUnrun(part)
+		}
+	}
+}
+
+// handBackUnrun starts to hand back the trial of a part if its row shows the claim of
+// one that did not run. p.mu must be held.
+func (p *Parts) handBackUnrun(part string) {
+	if claim, ok := p.state.takeUnrunClaim(part); ok {
+		go p.uncountTrial(part, claim)
+	}
+}
+
+// uncountTrial takes a trial that did not run from the count in its part's row, unless
+// the row has changed since the claim.
+func (p *Parts) uncountTrial(part, claim string) {
+	p.commit(part, func() (platform.Txn, bool) {
+		if !p.state.rowHasClaim(part, claim) {
+			return platform.Txn{}, false
+		}
+		r := p.state.parts[part]
+		v, version := r.rowValue()
+		v.Trials = max(r.surplus, r.row.trials-1)
+		v.Unrun++
+		return appendPut(platform.Txn{}, part, version, v), true
+	})
+}
+
+// addOwnCrash writes the row of a part if it lacks a crash that this daemon observed.
+func (p *Parts) addOwnCrash(part string) {
+	p.commit(part, func() (platform.Txn, bool) {
+		if !p.state.rowLacksOwnCrash(part) {
+			return platform.Txn{}, false
+		}
+		v, version := p.state.parts[part].rowValue()
+		return appendPut(platform.Txn{}, part, version, v), true
+	})
 }
 
-// trialTxn returns the transaction that claims a trial; ok is false if none is due.
-func (p *Parts) trialTxn(prompt []string) (txn platform.Txn, ok bool) {
+// trialTxn returns the parts for which a trial is due and the transaction that claims it;
+// ok is false if none is due.
+func (p *Parts) trialTxn(prompt []string, claim string) (parts []string, txn platform.Txn, ok bool) {
 	suspected := len(p.Suspected(prompt))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	parts := p.state.refusing(prompt)
+	parts = p.state.refusing(prompt)
 	if !p.state.trialDue(parts, suspected, now) {
-		return txn, false
+		return nil, txn, false
 	}
 	for _, part := range parts {
 		r := p.state.parts[part]
 		r.retryClaimAt = now.Add(trialClaimInterval)
 		v, version := r.rowValue()
 		v.Trials++
+		v.Claim = claim
 		txn = appendPut(txn, part, version, v)
 	}
-	return txn, true
+	return parts, txn, true
 }
 
 // rowValue returns the value that the part's row should have, and the version that it
@@ -448,7 +529,7 @@
 	v.Companions = r.companions()
 	_, v.Trials = r.quarantinedSince()
 	if r.row != nil {
-		v.Organisation, version = r.row.organisation, r.row.version
+		v.Organisation, v.Unrun, version = r.row.organisation, r.row.unrun, r.row.version
 	}
 	return v, version
 }
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -60,6 +60,11 @@
 	return out
 }
 
+func claimsTrial(p *Parts, part string) bool {
+	_, ok := p.ClaimTrial(context.Background(), "s", []string{part})
+	return ok
+}
+
 // A trial of a quarantined part must run at one daemon only, and a later one only after a
 // longer time.
 func TestTrialIsClaimedOnce(t *testing.T) {
@@ -75,7 +80,7 @@
 			n := 0
 			for _, p := range f.daemons {
 				assert.Equal(t, len(p.Refusing([]string{part})), 1)
-				if p.ClaimTrial(context.Background(), "s", []string{part}) {
+				if claimsTrial(p, part) {
 					n++
 				}
 			}
@@ -92,6 +97,100 @@
 	})
 }
 
+// A trial that did not run, or whose claim's answer was lost, must not be counted, and the
+// next must not be claimed at once; one that ran must be counted.
+func TestTrialThatDidNotRunIsHandedBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(3)
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		f.crash(1, part)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		handBack, ok := f.daemons[2].ClaimTrial(t.Context(), "s", []string{part})
+		assert.Assert(t, ok)
+		handBack()
+		f.readRows(t)
+		synctest.Wait()
+		f.readRows(t)
+		time.Sleep(firstTrialInterval - time.Second)
+		assert.Assert(t, !claimsTrial(f.daemons[1], part))
+		time.Sleep(time.Second)
+		f.daemons[1].table.(*platformtest.Client).QueueFaults(platformtest.LoseResponse)
+		assert.Assert(t, !claimsTrial(f.daemons[1], part))
+		f.readRows(t)
+		synctest.Wait()
+		f.readRows(t)
+		time.Sleep(2*firstTrialInterval - time.Second)
+		assert.Assert(t, !claimsTrial(f.daemons[0], part))
+		time.Sleep(time.Second)
+		assert.Assert(t, claimsTrial(f.daemons[0], part))
+		f.readRows(t)
+		time.Sleep(trialInterval(1) - time.Second)
+		assert.Assert(t, !claimsTrial(f.daemons[0], part))
+		time.Sleep(time.Second)
+		assert.Assert(t, claimsTrial(f.daemons[0], part))
+	})
+}
+
+// A trial that did not run must stay counted if the row has been claimed or written since.
+func TestLaterClaimIsNotHandedBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(2)
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		f.crash(1, part)
+		f.readRows(t)
+		time.Sleep(firstTrialInterval)
+		handBack, ok := f.daemons[0].ClaimTrial(t.Context(), "s", []string{part})
+		assert.Assert(t, ok)
+		f.readRows(t)
+		time.Sleep(trialInterval(1))
+		assert.Assert(t, claimsTrial(f.daemons[1], part))
+		handBack() // the copy of the table is old
+		synctest.Wait()
+		f.readRows(t)
+		time.Sleep(time.Second) // for a further try
+		for _, row := range f.readRows(t) {
+			var v rowValue
+			assert.NilError(t, msgpack.Unmarshal(row.Value, &v))
+			assert.Equal(t, v.Trials, 2)
+		}
+	})
+}
+
+// A crash that the row need not tell while it counts a trial must be in the row after the
+// trial is handed back by a daemon that has not heard of the crash.
+func TestHandedBackTrialKeepsCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(1)
+		part := PartKey("s", "m", "", "bad")
+		for range freeCrashes {
+			f.crash(0, part)
+		}
+		f.readRows(t)
+		other := newPartFleetOn(f.platform, 1)
+		other.readRows(t)
+		time.Sleep(firstTrialInterval)
+		handBack, ok := other.daemons[0].ClaimTrial(t.Context(), "s", []string{part})
+		assert.Assert(t, ok)
+		f.readRows(t)
+		f.crash(0, part)
+		other.readRows(t)
+		handBack()
+		synctest.Wait()
+		for range 2 {
+			f.readRows(t)
+			synctest.Wait()
+		}
+		for _, row := range f.readRows(t) {
+			var v rowValue
+			assert.NilError(t, msgpack.Unmarshal(row.Value, &v))
+			assert.Equal(t, v.Trials, 1)
+		}
+	})
+}
+
 // Crashes beyond the free ones must count as trials also after a loss of power everywhere,
 // when only the row is left of them.
 func TestRowKeepsCrashesAfterPowerLoss(t *testing.T) {
@@ -106,7 +205,7 @@
 		time.Sleep(time.Second)
 		restarted := newPartFleetOn(f.platform, 1)
 		restarted.readRows(t)
-		claim := func() bool { return restarted.daemons[0].ClaimTrial(t.Context(), "s", []string{part}) }
+		claim := func() bool { return claimsTrial(restarted.daemons[0], part) }
 		time.Sleep(trialInterval(surplus) - time.Second)
 		assert.Assert(t, !claim())
 		time.Sleep(2 * time.Second)
@@ -251,7 +350,7 @@
 		f.crash(1, part)
 		f.readRows(t)
 		time.Sleep(firstTrialInterval)
-		assert.Assert(t, f.daemons[2].ClaimTrial(context.Background(), "s", []string{part}))
+		assert.Assert(t, claimsTrial(f.daemons[2], part))
 		f.daemons[2].Begun("s", []string{part})
 		synctest.Wait()
 		f.readRows(t)
@@ -273,7 +372,7 @@
 		f.crash(1, part)
 		f.readRows(t)
 		time.Sleep(firstTrialInterval)
-		assert.Assert(t, f.daemons[1].ClaimTrial(context.Background(), "s", []string{part}))
+		assert.Assert(t, claimsTrial(f.daemons[1], part))
 		f.daemons[2].Begun("s", []string{part})
 		synctest.Wait()
 		f.readRows(t)
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -33,6 +33,9 @@
 	trialIntervalFactor = 8
 	maxTrialInterval    = 24 * time.Hour
 	freeCrashes         = 3
+	// maxUnrunInterval bounds the interval before a trial that follows ones that did not
+	// run, unless trialInterval is longer. It starts at firstTrialInterval and doubles.
+	maxUnrunInterval = time.Minute
 	// releaseWindow is the time after a part's release within which rows may appear that
 	// peers wrote before they heard of it.
 	releaseWindow = time.Minute
@@ -64,6 +67,10 @@
 	since        time.Time
 	organisation string
 	companions   []string
+	// claim identifies the claim of a trial that wrote this version, if one did.
+	claim string
+	// unrun is the number of trials that did not run.
+	unrun int
 }
 
 // partRecord is what is known of one part.
@@ -73,6 +80,8 @@
 	// surplus is the greatest number of crashes beyond freeCrashes since the part last
 	// began an answer. Unlike crashes it doesn't expire while the part is quarantined.
 	surplus int
+	// ownSurplus is the surplus after the last crash that this daemon observed itself.
+	ownSurplus int
 	// begunAt is the latest known time at which a request with the part began an answer;
 	// crashes until then don't count.
 	begunAt time.Time
@@ -85,6 +94,9 @@
 	releasedTrials int
 	// retryClaimAt is when this daemon may next try to claim a trial.
 	retryClaimAt time.Time
+	// unrunClaim identifies this daemon's last claim of a trial that did not run, until
+	// the row shows it.
+	unrunClaim string
 }
 
 // partState is the knowledge of all parts. It has no clock and does no I/O.
@@ -128,6 +140,9 @@
 		if !s.addCrash(part, crash, c) {
 			delete(depths, part)
 		}
+		if r := s.parts[part]; r != nil {
+			r.ownSurplus = r.surplus
+		}
 	}
 	return depths
 }
@@ -283,7 +298,7 @@
 	if r == nil || len(r.crashes) > 0 || r.row != nil {
 		return
 	}
-	r.surplus = 0
+	r.surplus, r.ownSurplus = 0, 0
 	if r.begunAt.IsZero() {
 		delete(s.parts, part)
 	}
@@ -312,6 +327,7 @@
 		}
 	}
 	r.surplus = max(0, len(r.crashes)-freeCrashes)
+	r.ownSurplus = min(r.ownSurplus, r.surplus)
 	return suspected, quarantined
 }
 
@@ -426,7 +442,7 @@
 			return false
 		}
 		since, trials := r.quarantinedSince()
-		if now.Sub(since) < time.Duration(suspected)*trialInterval(trials) {
+		if now.Sub(since) < time.Duration(suspected)*max(trialInterval(trials), r.unrunInterval()) {
 			return false
 		}
 	}
@@ -454,6 +470,30 @@
 	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions))
 }
 
+// rowLacksOwnCrash reports whether the part's row counts fewer trials than a crash that
+// this daemon observed requires. It may have counted a trial that was handed back.
+func (s *partState) rowLacksOwnCrash(part string) bool {
+	r := s.parts[part]
+	return r != nil && r.hasRow() && r.ownSurplus > r.row.trials
+}
+
+// rowHasClaim reports whether a claim wrote the present version of the part's row.
+func (s *partState) rowHasClaim(part, claim string) bool {
+	r := s.parts[part]
+	return r != nil && r.hasRow() && r.row.claim == claim
+}
+
+// takeUnrunClaim returns the claim that wrote the part's row if its trial did not run;
+// ok is false if there is none. It returns a claim once.
+func (s *partState) takeUnrunClaim(part string) (claim string, ok bool) {
+	r := s.parts[part]
+	if r == nil || r.unrunClaim == "" || !s.rowHasClaim(part, r.unrunClaim) {
+		return "", false
+	}
+	claim, r.unrunClaim = r.unrunClaim, ""
+	return claim, true
+}
+
 // trialInterval returns the time before a trial that follows the given number of
 // trials.
 func trialInterval(trials int) time.Duration {
@@ -461,6 +501,16 @@
 	return time.Duration(min(interval, float64(maxTrialInterval)))
 }
 
+// unrunInterval returns the minimum time before the next trial because of those that did
+// not run.
+func (r *partRecord) unrunInterval() time.Duration {
+	if !r.hasRow() || r.row.unrun == 0 {
+		return 0
+	}
+	interval := float64(firstTrialInterval) * math.Pow(2, float64(r.row.unrun-1))
+	return time.Duration(min(interval, float64(maxUnrunInterval)))
+}
+
 // setRows replaces the rows of all parts. Rows whose version is known keep the time at
 // which it was first seen. It returns the parts whose new row is out of date: this daemon
 // has released them since their last crash.
--- a/lab/sitepath/promptpartrelease_test.go
+++ b/lab/sitepath/promptpartrelease_test.go
@@ -51,3 +51,32 @@
 		}
 	})
 }
+
+// A trial that no engine accepts is spent, and the sound part stays refused for longer.
+func TestTrialThatDoesNotRunIsNotSpent(t *testing.T) {
+	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
+		c := &partCrashes{d: d, down: map[*site.Upstream]bool{}}
+		end := c.stallAll(true)
+		for range 2 {
+			c.ask(d.processes[0], sharedPart)
+			time.Sleep(time.Second)
+		}
+		end()
+		for _, u := range d.engines {
+			u.ChooseBehaviour = func(*http.Request) site.Behaviour {
+				if c.trials() == 1 {
+					return site.Shed
+				}
+				return site.Serve
+			}
+		}
+		d.eventually("a trial is due", withdrawalBound, func() bool {
+			c.ask(d.processes[0], sharedPart)
+			return c.trials() == 1
+		})
+		for _, u := range d.engines {
+			u.ChooseBehaviour = nil
+		}
+		d.eventually("the part is served", withdrawalBound, func() bool { return c.ask(d.processes[1], sharedPart).status == http.StatusOK })
+	})
+}
