Let dispatch import suspects instead of the other way round

The registry of prompt parts is to serve the product's own interface too, with its own types in the tracker's methods, and dispatch's tests are to run on the real registry. Both would have been an import cycle, since suspects took Fingerprint and the status of a request from dispatch. They are in suspects now; nothing else changes.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -9,6 +9,7 @@
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/schedule"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -104,7 +105,7 @@
 	priorVerdict verdict.Verdict
 	lastErr      error
 
-	fingerprint Fingerprint
+	fingerprint suspects.Fingerprint
 	// releaseClaim releases the claim of a suspected request; nil without one.
 	releaseClaim func()
 	// engineCrashed is set when the engine of the last attempt crashed.
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -12,46 +12,30 @@
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/routing"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
-// Fingerprint identifies a request's organisation, service and prompt.
-type Fingerprint string
-
 // fingerprintOf uses the last hash of the prompt's prefix chain, which covers
 // the whole prompt and its organisation.
-func fingerprintOf(req *ModelRequest, r *routing.Request) Fingerprint {
+func fingerprintOf(req *ModelRequest, r *routing.Request) suspects.Fingerprint {
 	last := r.Chain.Levels[len(r.Chain.Levels)-1]
-	return Fingerprint(req.Service.Document.Service + "/" + req.Organisation.Name + "/" + strconv.FormatUint(last, 16))
+	return suspects.Fingerprint(req.Service.Document.Service + "/" + req.Organisation.Name + "/" + strconv.FormatUint(last, 16))
 }
 
-// SuspectStatus tells whether a request is suspected of crashing engines.
-type SuspectStatus int8
-
-const (
-	// NotSuspected requests run without restrictions.
-	NotSuspected SuspectStatus = iota
-	// Suspected requests were running at an engine that crashed. Requests with
-	// the same fingerprint run one at a time, and an engine runs only one
-	// suspected request at a time.
-	Suspected
-	// Quarantined requests are refused.
-	Quarantined
-)
-
 // SuspectTracker tracks the requests suspected of crashing engines, across all daemons.
 type SuspectTracker interface {
 	// Status returns the status of a request. It is called for each attempt
 	// and must be fast.
-	Status(fp Fingerprint) SuspectStatus
+	Status(fp suspects.Fingerprint) suspects.Status
 	// Claim acquires an exclusive claim on a name across all daemons, waiting
 	// while another request holds it. Errors carry verdict.NotRun.
 	Claim(ctx context.Context, name string) (release func(), err error)
 	// EngineCrashed records that an incarnation of an engine ended while it was running
 	// the given requests.
-	EngineCrashed(engine, incarnation string, running []Fingerprint)
+	EngineCrashed(engine, incarnation string, running []suspects.Fingerprint)
 	// RequestCompleted records that a suspected request ran to completion.
-	RequestCompleted(fp Fingerprint)
+	RequestCompleted(fp suspects.Fingerprint)
 }
 
 const (
@@ -72,20 +56,20 @@
 // noSuspects disables the tracking of suspected requests.
 type noSuspects struct{}
 
-func (noSuspects) Status(Fingerprint) SuspectStatus { return NotSuspected }
+func (noSuspects) Status(suspects.Fingerprint) suspects.Status { return suspects.NotSuspected }
 
 func (noSuspects) Claim(context.Context, string) (func(), error) { return func() {}, nil }
 
-func (noSuspects) EngineCrashed(string, string, []Fingerprint) {}
+func (noSuspects) EngineCrashed(string, string, []suspects.Fingerprint) {}
 
-func (noSuspects) RequestCompleted(Fingerprint) {}
+func (noSuspects) RequestCompleted(suspects.Fingerprint) {}
 
 // admit checks before an attempt whether the request is suspected of crashing
 // engines. A suspected request waits until no other request with its
 // fingerprint runs; t.releaseClaim lets the next one run.
 func (t *requestTask) admit(ctx context.Context, route *routing.Request) error {
 	status := t.dispatcher.cfg.Suspects.Status(t.fingerprint)
-	if status == Suspected && t.releaseClaim == nil {
+	if status == suspects.Suspected && t.releaseClaim == nil {
 		release, err := t.claim(ctx, "request/"+string(t.fingerprint))
 		if err != nil {
 			return err
@@ -93,10 +77,10 @@
 		t.releaseClaim = release
 		status = t.dispatcher.cfg.Suspects.Status(t.fingerprint) // it may have crashed an engine during the wait
 	}
-	if status == Quarantined {
+	if status == suspects.Quarantined {
 		return verdict.New(verdict.NotRun, verdict.CodeQuarantined, refusalMessage(verdict.CodeQuarantined))
 	}
-	route.Isolated = status == Suspected
+	route.Isolated = status == suspects.Suspected
 	return nil
 }
 
@@ -143,8 +127,8 @@
 // reportCrash records the requests that an engine was running when it crashed
 // as suspected.
 func (d *Dispatcher) reportCrash(engine, incarnationID string) {
-	seen := map[Fingerprint]bool{}
-	var fingerprints []Fingerprint
+	seen := map[suspects.Fingerprint]bool{}
+	var fingerprints []suspects.Fingerprint
 	for _, t := range d.running.takeStarted(incarnation{engine, incarnationID}) {
 		if !seen[t.fingerprint] {
 			seen[t.fingerprint] = true
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -19,6 +19,7 @@
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/servicedoc"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -29,7 +30,7 @@
 // reported by others after testGossipDelay.
 type crashRecord struct {
 	mu      sync.Mutex
-	crashes map[Fingerprint]map[string]time.Time
+	crashes map[suspects.Fingerprint]map[string]time.Time
 	claims  map[string]bool
 }
 
@@ -40,10 +41,10 @@
 }
 
 func newCrashRecord() *crashRecord {
-	return &crashRecord{crashes: map[Fingerprint]map[string]time.Time{}, claims: map[string]bool{}}
+	return &crashRecord{crashes: map[suspects.Fingerprint]map[string]time.Time{}, claims: map[string]bool{}}
 }
 
-func (v *daemonView) Status(fp Fingerprint) SuspectStatus {
+func (v *daemonView) Status(fp suspects.Fingerprint) suspects.Status {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	visible := 0
@@ -52,7 +53,7 @@
 			visible++
 		}
 	}
-	return SuspectStatus(min(visible, int(Quarantined)))
+	return suspects.Status(min(visible, int(suspects.Quarantined)))
 }
 
 func (v *daemonView) Claim(ctx context.Context, name string) (func(), error) {
@@ -78,7 +79,7 @@
 	return true
 }
 
-func (v *daemonView) EngineCrashed(engine, id string, running []Fingerprint) {
+func (v *daemonView) EngineCrashed(engine, id string, running []suspects.Fingerprint) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	crash := engine + "#" + id
@@ -93,7 +94,7 @@
 	}
 }
 
-func (v *daemonView) RequestCompleted(fp Fingerprint) {
+func (v *daemonView) RequestCompleted(fp suspects.Fingerprint) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.crashes, fp)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/verbenabend/verbenabend/internal/dispatch"
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/suspects"
 )
@@ -22,19 +21,19 @@
 // Quarantined reports whether too many upstreams crashed while running a
 // request.
 func (t suspectTracker) Quarantined(request string) bool {
-	return t.Status(dispatch.Fingerprint(request)) == dispatch.Quarantined
+	return t.Status(suspects.Fingerprint(request)) == suspects.Quarantined
 }
 
 // UpstreamCrashed records a crash for each request that was running.
 func (t suspectTracker) UpstreamCrashed(upstream, incarnation string, requests []string) {
-	running := make([]dispatch.Fingerprint, len(requests))
+	running := make([]suspects.Fingerprint, len(requests))
 	for i, r := range requests {
-		running[i] = dispatch.Fingerprint(r)
+		running[i] = suspects.Fingerprint(r)
 	}
 	t.Registry.EngineCrashed(upstream, incarnation, running)
 }
 
 // RequestCompleted records that a request ran to completion.
 func (t suspectTracker) RequestCompleted(request string) {
-	t.Registry.RequestCompleted(dispatch.Fingerprint(request))
+	t.Registry.RequestCompleted(suspects.Fingerprint(request))
 }
--- a/internal/suspects/registry.go
+++ b/internal/suspects/registry.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
-	"github.com/verbenabend/verbenabend/internal/dispatch"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/lease"
@@ -53,6 +52,24 @@
 // revokedValue is the value of a fact that revokes a crash.
 var revokedValue = []byte{1}
 
+// Fingerprint identifies a request's service, organisation and prompt. It begins with
+// the name of the service and a slash.
+type Fingerprint string
+
+// Status tells whether a request is suspected of crashing engines.
+type Status int8
+
+const (
+	// NotSuspected requests run without restrictions.
+	NotSuspected Status = iota
+	// Suspected requests were running at an engine that crashed. Requests with
+	// the same fingerprint run one at a time, and an engine runs only one
+	// suspected request at a time.
+	Suspected
+	// Quarantined requests are refused.
+	Quarantined
+)
+
 // Registry records engine crashes by request and shares them with all daemons.
 type Registry struct {
 	daemonName string
@@ -68,8 +85,6 @@
 	crashes map[string]map[string]time.Time
 }
 
-var _ dispatch.SuspectTracker = (*Registry)(nil)
-
 // New returns the registry of the daemon with the given name and subscribes it to
 // the crashes that peers publish. Engine crashes less than minCrashInterval apart
 // count as one, since a request can't have crashed an engine, failed, been retried
@@ -84,9 +99,9 @@
 func (r *Registry) Known() bool { return r.crashCount.Load() > 0 }
 
 // Status returns whether a request is suspected or quarantined.
-func (r *Registry) Status(fp dispatch.Fingerprint) dispatch.SuspectStatus {
+func (r *Registry) Status(fp Fingerprint) Status {
 	if !r.Known() {
-		return dispatch.NotSuspected
+		return NotSuspected
 	}
 	request := digest(string(fp))
 	r.mu.Lock()
@@ -94,17 +109,17 @@
 	r.expire(request, time.Now())
 	switch n := r.countSpaced(request); {
 	case n == 0:
-		return dispatch.NotSuspected
+		return NotSuspected
 	case n < quarantineCrashes:
-		return dispatch.Suspected
+		return Suspected
 	default:
-		return dispatch.Quarantined
+		return Quarantined
 	}
 }
 
 // EngineCrashed records an engine crash for the requests that the engine was running,
 // publishes it to peers, and stores the crashes of requests that it quarantines.
-func (r *Registry) EngineCrashed(engine, incarnation string, running []dispatch.Fingerprint) {
+func (r *Registry) EngineCrashed(engine, incarnation string, running []Fingerprint) {
 	crash := digest(engine + "\x00" + incarnation)
 	for _, fp := range running {
 		request := digest(string(fp))
@@ -124,7 +139,7 @@
 }
 
 // RequestCompleted removes a request's crashes here and at peers.
-func (r *Registry) RequestCompleted(fp dispatch.Fingerprint) {
+func (r *Registry) RequestCompleted(fp Fingerprint) {
 	if !r.Known() {
 		return
 	}
--- a/internal/suspects/registry_test.go
+++ b/internal/suspects/registry_test.go
@@ -12,7 +12,6 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/verbenabend/verbenabend/internal/dispatch"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform/platformtest"
@@ -93,26 +92,26 @@
 func TestStatusFollowsCrashes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		_, _, registries := newRegistries(3)
-		crashes := map[dispatch.Fingerprint]map[string]bool{}
+		crashes := map[Fingerprint]map[string]bool{}
 		rt.Repeat(map[string]func(*rapid.T){
 			"engine crashed": func(rt *rapid.T) {
-				fp := dispatch.Fingerprint(rapid.SampledFrom([]string{"s/a/1", "s/a/2"}).Draw(rt, "request"))
+				fp := Fingerprint(rapid.SampledFrom([]string{"s/a/1", "s/a/2"}).Draw(rt, "request"))
 				incarnation := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "incarnation")
-				registries[rapid.IntRange(0, 2).Draw(rt, "daemon")].EngineCrashed("engine", incarnation, []dispatch.Fingerprint{fp})
+				registries[rapid.IntRange(0, 2).Draw(rt, "daemon")].EngineCrashed("engine", incarnation, []Fingerprint{fp})
 				if crashes[fp] == nil {
 					crashes[fp] = map[string]bool{}
 				}
 				crashes[fp][incarnation] = true
 			},
 			"request completed": func(rt *rapid.T) {
-				fp := dispatch.Fingerprint(rapid.SampledFrom([]string{"s/a/1", "s/a/2"}).Draw(rt, "request"))
+				fp := Fingerprint(rapid.SampledFrom([]string{"s/a/1", "s/a/2"}).Draw(rt, "request"))
 				registries[rapid.IntRange(0, 2).Draw(rt, "daemon")].RequestCompleted(fp)
 				delete(crashes, fp)
 			},
 			"": func(rt *rapid.T) {
 				for _, registry := range registries {
-					for _, fp := range []dispatch.Fingerprint{"s/a/1", "s/a/2"} {
-						assert.Equal(rt, registry.Status(fp), dispatch.SuspectStatus(min(len(crashes[fp]), 2)))
+					for _, fp := range []Fingerprint{"s/a/1", "s/a/2"} {
+						assert.Equal(rt, registry.Status(fp), Status(min(len(crashes[fp]), 2)))
 					}
 				}
 			},
@@ -167,10 +166,10 @@
 func TestCrashesExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, _, registries := newRegistries(2)
-		registries[0].EngineCrashed("engine", "x", []dispatch.Fingerprint{"s/a/1"})
-		assert.Equal(t, registries[1].Status("s/a/1"), dispatch.Suspected)
+		registries[0].EngineCrashed("engine", "x", []Fingerprint{"s/a/1"})
+		assert.Equal(t, registries[1].Status("s/a/1"), Suspected)
 		time.Sleep(CrashTTL + time.Second)
-		assert.Equal(t, registries[1].Status("s/a/1"), dispatch.NotSuspected)
+		assert.Equal(t, registries[1].Status("s/a/1"), NotSuspected)
 		assert.Equal(t, registries[1].crashCount.Load(), int64(0))
 	})
 }
@@ -181,18 +180,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		p, clients, registries := newRegistries(1)
 		clients[0].QueueFaults(platformtest.LoseRequest, platformtest.LoseResponse)
-		registries[0].EngineCrashed("engine", "x", []dispatch.Fingerprint{"s/a/1", "s/a/2"})
-		registries[0].EngineCrashed("engine", "y", []dispatch.Fingerprint{"s/a/1"})
+		registries[0].EngineCrashed("engine", "x", []Fingerprint{"s/a/1", "s/a/2"})
+		registries[0].EngineCrashed("engine", "y", []Fingerprint{"s/a/1"})
 		time.Sleep(writeTimeout)
 		lateRegistry := New("late", &connectedBus{peers: &[]*connectedBus{}}, p.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), 0)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- lateRegistry.Run(ctx) }()
 		synctest.Wait()
-		assert.Equal(t, lateRegistry.Status("s/a/1"), dispatch.Quarantined)
-		assert.Equal(t, lateRegistry.Status("s/a/2"), dispatch.NotSuspected)
+		assert.Equal(t, lateRegistry.Status("s/a/1"), Quarantined)
+		assert.Equal(t, lateRegistry.Status("s/a/2"), NotSuspected)
 		time.Sleep(2 * (CrashTTL + readInterval))
-		assert.Equal(t, lateRegistry.Status("s/a/1"), dispatch.NotSuspected)
+		assert.Equal(t, lateRegistry.Status("s/a/1"), NotSuspected)
 		assert.Equal(t, p.CountRows(rowPrefix), 0)
 		cancel()
 		assert.ErrorIs(t, <-done, context.Canceled)
@@ -208,13 +207,13 @@
 		p := platformtest.New()
 		registry := New("d", &connectedBus{peers: &[]*connectedBus{}}, p.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), minCrashInterval)
 		for _, engine := range []string{"x", "y", "z"} {
-			registry.EngineCrashed(engine, "1", []dispatch.Fingerprint{"s/a/1"})
+			registry.EngineCrashed(engine, "1", []Fingerprint{"s/a/1"})
 			time.Sleep(minCrashInterval / 4)
 		}
-		assert.Equal(t, registry.Status("s/a/1"), dispatch.Suspected)
+		assert.Equal(t, registry.Status("s/a/1"), Suspected)
 		time.Sleep(minCrashInterval)
-		registry.EngineCrashed("w", "1", []dispatch.Fingerprint{"s/a/1"})
-		assert.Equal(t, registry.Status("s/a/1"), dispatch.Quarantined)
+		registry.EngineCrashed("w", "1", []Fingerprint{"s/a/1"})
+		assert.Equal(t, registry.Status("s/a/1"), Quarantined)
 		time.Sleep(writeTimeout)
 	})
 }
