Quarantine prompt parts on the product's own interface too

All callers lost what ran beside them.

internal/dispatch now reports to the registry of parts that the users' platform has (suspects.Parts; it is unchanged): the parts of the requests that had not begun an answer when their engine crashed, and those that begin one. It asks the registry before it submits a request and again before it sends it, since a part may be quarantined while the request waits for an engine. Two prompts with the text give it depth 2, after which it is refused everywhere, not-run, but for the trials. Messages beside it are freed by the answers of other prompts with them. internal/daemon wires gossip, the gauges and the rows, which have the prefix part/ in the platform's table; it lists them every 2 to 15 s, since that table has no change feed.

The parts are all messages. "Never the last" is a rule of the users' platform; here a caller may paste one text after different messages.

Ruled out: counting a text per daemon (the prompts come to all), and doing without the second look (a prompt that waited was sent, and crashed one more) or without the begins (a part quarantined by mistake stays refused after its trial); each was seen to fail as a mutation.

The test's cluster now has the registry at each daemon, and its engines crash on the text in any message, not only in the first; the bounds of the tests there are the same.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,8 @@
 	gossipNode  *gossip.Node
 	dispatcher  *dispatch.Dispatcher
 	suspects    *suspects.Registry
+	promptParts *suspects.Parts
+	partTable   platform.Table // the rows of quarantined prompt parts
 
 	callerServer   *server
 	operatorServer *server
@@ -132,10 +134,13 @@
 		}
 	})
 	d.suspects = suspects.New(d.settings.Name, d.gossipNode, d.table, d.log, 0)
+	d.partTable = prefixedTable{d.table, partRowPrefix}
+	d.promptParts = suspects.NewParts(d.settings.Name, d.gossipNode, d.partTable, d.log, minPartCrashInterval)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		NetworkDelay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
 		Suspects:          d.suspects,
+		PromptParts:       d.promptParts,
 		OnUpstreamFailure: func(address string) { go d.probe(context.Background(), address) },
 	})
 }
--- a/internal/daemon/instrument.go
+++ b/internal/daemon/instrument.go
@@ -86,6 +86,8 @@
 	d.metrics.RegisterGauge(telemetry.NameGossipReceived, func() float64 { return float64(d.gossipNode.Stats().ReceivedBytes) })
 	d.metrics.RegisterGauge(telemetry.NameGossipFacts, func() float64 { return float64(d.gossipNode.Stats().Facts) })
 	d.metrics.RegisterGauge(telemetry.NameOncePendingOutcomes, func() float64 { return float64(d.onceRecords.PendingOutcomes()) })
+	d.metrics.RegisterGauge(telemetry.NameSuspectedParts, func() float64 { return float64(d.promptParts.SuspectedCount()) })
+	d.metrics.RegisterGauge(telemetry.NameQuarantinedParts, func() float64 { return float64(d.promptParts.QuarantinedCount()) })
 	for _, state := range []fleet.State{fleet.Unknown, fleet.Serving, fleet.Leaving, fleet.Down} {
 		name := fmt.Sprintf("%s{state=%q}", telemetry.NameUpstreams, state)
 		d.metrics.RegisterGauge(name, func() float64 { return float64(d.countUpstreams(state)) })
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -39,6 +39,8 @@
 		d.pollDocuments,
 		d.onceRecords.Run,
 		d.suspects.Run,
+		d.promptParts.Run,
+		d.pollParts,
 		d.pollInstances,
 		d.probePeriodically,
 		d.every(loadPublishInterval, d.publishLoad),
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -30,6 +30,8 @@
 	// engineStatusUnknown is set when the engine is unreachable and may or may not
 	// have crashed.
 	engineStatusUnknown bool
+	// onTrial is set if the attempt was sent in spite of a quarantined prompt part.
+	onTrial bool
 }
 
 // start sends the request and waits for its first event. Opening the stream
@@ -39,18 +41,31 @@
 	if a.err = t.claimEngine(a); a.err != nil {
 		return
 	}
-	t.dispatcher.running.add(t, a.action)
+	if a.err = t.admitAttempt(a); a.err != nil {
+		return
+	}
+	t.dispatcher.running.add(t, a.action, time.Now())
 	stream, err := t.openStream(a)
-	if err == nil || verdict.Of(err) != verdict.NotRun {
+	mayHaveRun := err == nil || verdict.Of(err) != verdict.NotRun
+	if mayHaveRun {
 		t.dispatcher.running.markStarted(t, a.action)
 	}
+	if a.onTrial {
+		t.trial.release(mayHaveRun)
+	}
 	if err != nil {
 		a.err = err
+		t.dispatcher.running.markBroken(t, a.action, time.Now())
 		return
 	}
 	src := StreamSource{Engine: a.action.Endpoint, Info: stream.Info()}
 	a.reader = newStreamReader(t.dispatcher, t.req, src, stream, 0)
 	a.firstEvent, a.err = a.reader.Next(a.ctx)
+	if a.err != nil {
+		t.dispatcher.running.markBroken(t, a.action, time.Now())
+		return
+	}
+	t.recordBegin(a)
 }
 
 func (t *requestTask) openStream(a *attempt) (upstream.Stream, error) {
@@ -127,6 +142,9 @@
 // rejected. A broken connection does not count as a failure of the engine if the
 // engine answers a probe over a new connection.
 func (t *requestTask) classifyFailure(ctx context.Context, a *attempt) routing.Outcome {
+	if errors.Is(a.err, errPartQuarantined) {
+		return routing.Canceled // it was not sent
+	}
 	if refusalOrNil(a.err) != nil || a.reader == nil && a.action.Request.Isolated && a.releaseEngine == nil || isBadRequest(a.err) {
 		return routing.Rejected
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,9 @@
 	// Suspects tracks the requests suspected of crashing engines; nil disables
 	// the tracking.
 	Suspects SuspectTracker
+	// PromptParts tracks the prompt parts suspected of crashing engines; nil disables
+	// the tracking.
+	PromptParts PartTracker
 }
 
 const (
@@ -82,6 +85,9 @@
 	if cfg.Suspects == nil {
 		cfg.Suspects = noSuspects{}
 	}
+	if cfg.PromptParts == nil {
+		cfg.PromptParts = noParts{}
+	}
 	if cfg.OnUpstreamFailure == nil {
 		cfg.OnUpstreamFailure = func(string) {}
 	}
--- a/internal/dispatch/engines_test.go
+++ b/internal/dispatch/engines_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,6 +67,8 @@
 	steps   []faultStep // consumed by Generate and Resume, in order
 	runs    map[string]int
 	crashes int
+	// cured makes testPoisonPrompt harmless.
+	cured bool
 	// crashEndsProcess makes a crash end the engine's process without a restart.
 	crashEndsProcess bool
 }
@@ -150,7 +153,7 @@
 		start: time.Now().Add(testTokenInterval), crashed: make(chan struct{}),
 	}
 	e.streams[run.id] = run
-	poison := strings.Contains(g.Messages[0].Content, testPoisonPrompt)
+	poison := !f.cured && slices.ContainsFunc(g.Messages, func(m upstream.Message) bool { return strings.Contains(m.Content, testPoisonPrompt) })
 	if poison && f.crashEndsProcess {
 		f.crash(address)
 		f.mu.Unlock()
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -32,8 +32,9 @@
 func (d *Dispatcher) generate(ctx context.Context, r *schedule.Runner, req *ModelRequest, sink Sink) error {
 	task := &requestTask{dispatcher: d, runner: r, req: req, sink: sink, priorVerdict: verdict.NotRun}
 	route := routingRequest(req)
-	task.fingerprint = fingerprintOf(req, &route)
+	task.fingerprint, task.promptParts = fingerprintOf(req, &route), promptParts(req)
 	defer task.releaseRequestClaim()
+	defer task.trial.end()
 	for range maxAttempts {
 		attemptRoute := route
 		attemptRoute.PreviousAttempts, attemptRoute.ExcludedEndpoints = task.failedAttempts, slices.Clone(task.failedEngines)
@@ -98,7 +99,7 @@
 	// failedEngines lists the engines to avoid, because an attempt failed there.
 	failedEngines []string
 	// failedAttempts counts failed attempts, except those that an engine refused
-	// because this daemon's view of it was stale.
+	// because this daemon's view of it was stale and those that were not sent.
 	failedAttempts int
 	// priorVerdict covers all attempts that have failed; lastErr is the error of
 	// the last one.
@@ -108,6 +109,9 @@
 	fingerprint suspects.Fingerprint
 	// releaseClaim releases the claim of a suspected request; nil without one.
 	releaseClaim func()
+	// promptParts are the keys of the prompt's parts.
+	promptParts []string
+	trial       partTrial
 	// engineCrashed is set when the engine of the last attempt crashed.
 	engineCrashed bool
 }
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -118,9 +118,10 @@
 func (t *requestTask) handleFailure(ctx context.Context, a *attempt) error {
 	outcome := t.classifyFailure(ctx, a)
 	t.finish(a, outcome, 0)
-	if isStaleRefusal(a.err) {
+	switch {
+	case isStaleRefusal(a.err):
 		t.dispatcher.cfg.OnUpstreamFailure(a.action.Endpoint)
-	} else {
+	case !errors.Is(a.err, errPartQuarantined):
 		t.failedAttempts++
 	}
 	if a.reader != nil && !errors.Is(a.err, errEngineRestarted) {
--- a/internal/dispatch/runningrequests.go
+++ b/internal/dispatch/runningrequests.go
@@ -23,6 +23,11 @@
 type runningRequest struct {
 	// mayHaveStarted is set once the engine may have started on the request.
 	mayHaveStarted bool
+	// begun is set once an event of the answer has arrived.
+	begun  bool
+	sentAt time.Time
+	// brokenAt is when the attempt failed without an event; zero if it has not.
+	brokenAt time.Time
 	// forgetAt is when a request that has ended is removed; zero while it runs.
 	forgetAt time.Time
 }
@@ -33,22 +38,37 @@
 
 func incarnationOf(a routing.Action) incarnation { return incarnation{a.Endpoint, a.Incarnation} }
 
-func (r *runningRequests) add(t *requestTask, a routing.Action) {
+func (r *runningRequests) add(t *requestTask, a routing.Action, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := incarnationOf(a)
 	if r.byIncarnation[key] == nil {
 		r.byIncarnation[key] = map[*requestTask]*runningRequest{}
 	}
-	r.byIncarnation[key][t] = &runningRequest{}
+	r.byIncarnation[key][t] = &runningRequest{sentAt: now}
 }
 
 // markStarted records that the engine may have started on the request.
 func (r *runningRequests) markStarted(t *requestTask, a routing.Action) {
+	r.update(t, a, func(running *runningRequest) { running.mayHaveStarted = true })
+}
+
+// markBegun records that the engine sent an event of the answer.
+func (r *runningRequests) markBegun(t *requestTask, a routing.Action) {
+	r.update(t, a, func(running *runningRequest) { running.begun = true })
+}
+
+// markBroken records that the attempt failed without an event.
+func (r *runningRequests) markBroken(t *requestTask, a routing.Action, now time.Time) {
+	r.update(t, a, func(running *runningRequest) { running.brokenAt = now })
+}
+
+// update changes a request's state at an engine unless it has been removed.
+func (r *runningRequests) update(t *requestTask, a routing.Action, change func(*runningRequest)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if running := r.byIncarnation[incarnationOf(a)][t]; running != nil {
-		running.mayHaveStarted = true
+		change(running)
 	}
 }
 
@@ -68,22 +88,18 @@
 // retainUntil keeps a request that has ended at an engine whose status is
 // unknown.
 func (r *runningRequests) retainUntil(t *requestTask, a routing.Action, until time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if running := r.byIncarnation[incarnationOf(a)][t]; running != nil {
-		running.forgetAt = until
-	}
+	r.update(t, a, func(running *runningRequest) { running.forgetAt = until })
 }
 
 // takeStarted removes and returns the requests that may have started at an
 // incarnation that has ended. Those that the engine may still refuse stay.
-func (r *runningRequests) takeStarted(key incarnation) []*requestTask {
+func (r *runningRequests) takeStarted(key incarnation) map[*requestTask]runningRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []*requestTask
+	out := map[*requestTask]runningRequest{}
 	for t, running := range r.byIncarnation[key] {
 		if running.mayHaveStarted {
-			out = append(out, t)
+			out[t] = *running
 			r.removeLocked(key, t)
 		}
 	}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -64,8 +64,8 @@
 
 func (noSuspects) RequestCompleted(suspects.Fingerprint) {}
 
-// admit checks before an attempt whether the request is suspected of crashing
-// engines. A suspected request waits until no other request with its
+// admit checks before an attempt whether the request or a part of its prompt is
+// suspected of crashing engines. A suspected request waits until no other request with its
 // fingerprint runs; t.releaseClaim lets the next one run.
 func (t *requestTask) admit(ctx context.Context, route *routing.Request) error {
 	status := t.dispatcher.cfg.Suspects.Status(t.fingerprint)
@@ -80,6 +80,9 @@
 	if status == suspects.Quarantined {
 		return verdict.New(verdict.NotRun, verdict.CodeQuarantined, refusalMessage(verdict.CodeQuarantined))
 	}
+	if err := t.admitParts(ctx); err != nil {
+		return err
+	}
 	route.Isolated = status == suspects.Suspected
 	return nil
 }
@@ -124,20 +127,29 @@
 	return errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF)
 }
 
-// reportCrash records the requests that an engine was running when it crashed
-// as suspected.
+// reportCrash records the requests that an engine was running when it crashed as
+// suspected, and the prompt parts of those whose answers it had not begun.
 func (d *Dispatcher) reportCrash(engine, incarnationID string) {
 	seen := map[suspects.Fingerprint]bool{}
 	var fingerprints []suspects.Fingerprint
-	for _, t := range d.running.takeStarted(incarnation{engine, incarnationID}) {
+	var service string
+	var unbegun []suspects.UnbegunRequest
+	for t, running := range d.running.takeStarted(incarnation{engine, incarnationID}) {
 		if !seen[t.fingerprint] {
 			seen[t.fingerprint] = true
 			fingerprints = append(fingerprints, t.fingerprint)
 		}
+		if !running.begun {
+			service = t.req.Service.Document.Service // an engine serves one
+			unbegun = append(unbegun, t.unbegunRequest(&running))
+		}
 	}
 	if len(fingerprints) > 0 {
 		d.cfg.Suspects.EngineCrashed(engine, incarnationID, fingerprints)
 	}
+	if len(unbegun) > 0 {
+		d.cfg.PromptParts.EngineCrashed(service, engine, incarnationID, unbegun)
+	}
 }
 
 // checkIncarnations looks in a snapshot for engines that have restarted while
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -17,14 +17,19 @@
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/platform/platformtest"
 	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
-const testGossipDelay = 400 * time.Millisecond
+const (
+	testGossipDelay   = 400 * time.Millisecond
+	testCrashInterval = 300 * time.Millisecond
+)
 
 // crashRecord holds the crashes reported by all daemons; each daemon sees those
 // reported by others after testGossipDelay.
@@ -105,10 +110,32 @@
 
 func (r *rewindRecorder) Rewind() { r.events = nil }
 
+// delayedBus passes published facts to its peers after testGossipDelay.
+type delayedBus struct {
+	gossip.LocalBus
+	peers       *[]*delayedBus
+	subscribers map[gossip.Kind]func(gossip.Fact)
+}
+
+func (b *delayedBus) Subscribe(kind gossip.Kind, fn func(gossip.Fact)) { b.subscribers[kind] = fn }
+
+func (b *delayedBus) Publish(f gossip.Fact) {
+	f.TTL -= testGossipDelay
+	for _, p := range *b.peers {
+		if fn := p.subscribers[f.Kind]; fn != nil && p != b {
+			time.AfterFunc(testGossipDelay, func() { fn(f) })
+		}
+	}
+}
+
 // poisonCluster is several daemons in front of the same engines.
 type poisonCluster struct {
 	*testCluster
 	daemons []*Dispatcher
+	// parts are the daemons' registries of prompt parts, which share a table.
+	parts     []*suspects.Parts
+	stopParts context.CancelFunc
+	platform  *platformtest.Platform
 }
 
 func newPoisonCluster(t testing.TB, daemons, engines, retryPercent int) *poisonCluster {
@@ -122,13 +149,22 @@
 		addresses = append(addresses, a)
 		list = append(list, platform.Instance{Address: a, Service: "lamp-bench", State: platform.InstanceLive})
 	}
-	c := &poisonCluster{testCluster: &testCluster{engines: newFakeEngines(nil, addresses...), fleet: fleet.New(nil), document: doc, stop: make(chan struct{}), stopped: make(chan struct{})}}
+	c := &poisonCluster{testCluster: &testCluster{engines: newFakeEngines(nil, addresses...), fleet: fleet.New(nil), document: doc, stop: make(chan struct{}), stopped: make(chan struct{})}, platform: platformtest.New()}
 	c.fleet.ApplyInstanceList(list)
 	shared := newCrashRecord()
-	for range daemons {
+	var peers []*delayedBus
+	var ctx context.Context
+	ctx, c.stopParts = context.WithCancel(context.Background())
+	for i := range daemons {
+		log := eventlog.New("d", hclog.NewNullLogger(), 16)
+		bus := &delayedBus{peers: &peers, subscribers: map[gossip.Kind]func(gossip.Fact){}}
+		peers = append(peers, bus)
+		parts := suspects.NewParts(fmt.Sprint("d", i), bus, c.platform.Client(), log, testCrashInterval)
+		go func() { _ = parts.Run(ctx) }()
+		c.parts = append(c.parts, parts)
 		c.daemons = append(c.daemons, New(Config{
-			Engines: c.engines, Fleet: c.fleet, Log: eventlog.New("d", hclog.NewNullLogger(), 16),
-			StreamIdleTimeout: testIdleTimeout, Suspects: &daemonView{crashRecord: shared, reported: map[string]bool{}},
+			Engines: c.engines, Fleet: c.fleet, Log: log, StreamIdleTimeout: testIdleTimeout,
+			Suspects: &daemonView{crashRecord: shared, reported: map[string]bool{}}, PromptParts: parts,
 		}))
 	}
 	c.refreshAll(addresses)
@@ -145,6 +181,37 @@
 	for _, d := range c.daemons {
 		d.SetFleet(c.fleet.Snapshot())
 	}
+	c.readPartRows()
+}
+
+// readPartRows lets all daemons read the table of quarantined prompt parts.
+func (c *poisonCluster) readPartRows() {
+	list, _ := c.platform.Client().List(context.Background(), "", "", 1000)
+	rows := map[string]platform.Change{}
+	for _, r := range list {
+		rows[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
+	}
+	for _, p := range c.parts {
+		p.ApplyRows(rows)
+	}
+}
+
+// close stops the cluster's goroutines.
+func (c *poisonCluster) close() {
+	close(c.stop)
+	<-c.stopped
+	for _, d := range c.daemons {
+		d.Close()
+	}
+	c.stopParts()
+	synctest.Wait()
+}
+
+// crashes returns the number of engine crashes.
+func (c *poisonCluster) crashes() int {
+	c.engines.mu.Lock()
+	defer c.engines.mu.Unlock()
+	return c.engines.crashes
 }
 
 func (c *poisonCluster) watchAll(addresses []string) {
@@ -234,17 +301,11 @@
 	for range daemons {
 		assert.Check(t, <-harmlessResults)
 	}
-	c.engines.mu.Lock()
-	crashes := c.engines.crashes
-	c.engines.mu.Unlock()
+	crashes := c.crashes()
 	t.Logf("retry_percent %d, %d engines: %d crashed, error codes %v", retryPercent, engines, crashes, codes)
 	assert.Check(t, crashes <= 2, "%d engines crashed", crashes)
 	assert.Check(t, codes[verdict.CodeQuarantined] >= (rounds-1)*daemons)
-	close(c.stop)
-	<-c.stopped
-	for _, d := range c.daemons {
-		d.Close()
-	}
+	c.close()
 }
 
 // TestPoisonRequestEndsProcesses sends a prompt that ends engine processes, whose
@@ -259,15 +320,9 @@
 			for i := range 4 {
 				assert.Check(t, c.sendPoison(i%2, fmt.Sprint(i)) != nil)
 			}
-			c.engines.mu.Lock()
-			crashes := c.engines.crashes
-			c.engines.mu.Unlock()
+			crashes := c.crashes()
 			assert.Check(t, crashes <= 2, "%d engines crashed", crashes)
-			close(c.stop)
-			<-c.stopped
-			for _, d := range c.daemons {
-				d.Close()
-			}
+			c.close()
 		})
 	}
 }
