--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -9,6 +9,7 @@
 	"github.com/verbenabend/verbenabend/internal/resume"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/schedule"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
@@ -31,8 +32,9 @@
 func (d *Dispatcher) generate(ctx context.Context, r *schedule.Runner, req *ModelRequest, sink Sink) error {
 	task := &requestTask{dispatcher: d, runner: r, req: req, sink: sink, priorVerdict: verdict.NotRun}
 	route := routingRequest(req)
-	task.fingerprint = fingerprintOf(req, &route)
+	task.fingerprint, task.promptParts = fingerprintOf(req, &route), promptParts(req)
 	defer task.releaseRequestClaim()
+	defer task.trial.end()
 	for range maxAttempts {
 		attemptRoute := route
 		attemptRoute.PreviousAttempts, attemptRoute.ExcludedEndpoints = task.failedAttempts, slices.Clone(task.failedEngines)
@@ -97,16 +99,19 @@
 	// failedEngines lists the engines to avoid, because an attempt failed there.
 	failedEngines []string
 	// failedAttempts counts failed attempts, except those that an engine refused
-	// because this daemon's view of it was stale.
+	// because this daemon's view of it was stale and those that were not sent.
 	failedAttempts int
 	// priorVerdict covers all attempts that have failed; lastErr is the error of
 	// the last one.
 	priorVerdict verdict.Verdict
 	lastErr      error
 
-	fingerprint Fingerprint
+	fingerprint suspects.Fingerprint
 	// releaseClaim releases the claim of a suspected request; nil without one.
 	releaseClaim func()
+	// promptParts are the keys of the prompt's parts.
+	promptParts []string
+	trial       partTrial
 	// engineCrashed is set when the engine of the last attempt crashed.
 	engineCrashed bool
 }
