Log when the rows of quarantined prompt parts cannot be read

On the own interface a daemon that could not read the rows said nothing; it goes on with those that it read last. Found by reading the merge.

--- a/internal/daemon/promptparts.go
+++ b/internal/daemon/promptparts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/platform"
 )
 
@@ -71,10 +72,19 @@
 // pollParts reads the rows of quarantined prompt parts until ctx ends. While the table
 // can't be read, those last read stay in force.
 func (d *Daemon) pollParts(ctx context.Context) error {
+	failing := false
 	for {
-		if rows, err := listRows(ctx, d.partTable); err == nil {
+		rows, err := listRows(ctx, d.partTable)
+		switch {
+		case err == nil:
 			d.promptParts.ApplyRows(rows)
+			if failing {
+				d.log.Emit(eventlog.FeedRecovered, eventlog.Fields{Detail: "quarantined prompt parts"})
+			}
+		case !failing && ctx.Err() == nil:
+			d.log.Emit(eventlog.FeedLost, eventlog.Fields{Detail: "quarantined prompt parts: " + err.Error()})
 		}
+		failing = err != nil
 		if !sleep(ctx, backoff.JitterInterval(partReadInterval(len(d.members.Live())))) {
 			return ctx.Err()
 		}
