Tell daemons that gossip does not reach of first crashes

Callers whose requests share a prompt part that crashes engines saw them go on crashing engines at daemons that reach the platform's store but no peer: each daemon lost engines of its own before it refused the part.

Cause: a crash that does not quarantine a part travelled by gossip only, while a machine is in touch by its path to the platform. The second crash at another daemon had depth 1 again. Ruled out: that the quarantine rows came late (with rows the part is refused at once, also before) and that trials were the requests counted (the first comes 5 s after a row, the next after 40 s; there were up to 15).

A daemon whose facts may not reach all (it has no connection, or a peer is unresponsive or vanished without a word within an hour) now writes the parts of the crash as suspicions to the table that all follow: one row a part and depth, at most one call in 2 s, bounded, none in a healthy fleet. A begin deletes the row and thereby clears the others. Rows say whether the part began answers just before, so that a popular part needs three crashes there too. Reads of the table are at least 0.4 s apart now.

Not measured at 300 daemons.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,7 @@
 type Platform struct {
 	Table platform.Table
 	Feed  platform.Feed
-	// Quarantine is a table for the rows of quarantined prompt parts only.
+	// Quarantine is a table for the rows of quarantined and suspected prompt parts only.
 	Quarantine platform.Table
 	// Operators is the operators' table, which may only be read, and VersionGoalPrefix
 	// what the keys of its goal versions begin with.
@@ -88,6 +88,9 @@
 	// upstreamReadInterval is the minimum interval between reads of the
 	// upstream table, which every heartbeat of every upstream changes.
 	upstreamReadInterval = 400 * time.Millisecond
+	// quarantineReadInterval is the minimum interval between reads of the quarantined
+	// parts, which change fast while gossip fails and engines crash.
+	quarantineReadInterval = 400 * time.Millisecond
 	// upstreamMaxWait and operatorMaxWait limit a long poll at the store.
 	// Heartbeats change the upstream table at least once a second.
 	upstreamMaxWait = time.Second
@@ -163,7 +166,7 @@
 		return nil, err
 	}
 	d.suspects = suspects.New(s.Name, d.gossipNode, d.platform.Table, d.log, minCrashInterval)
-	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.platform.Quarantine, d.log, minCrashInterval)
+	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Quarantine, d.log, minCrashInterval)
 	d.forwarder = forward.New(forward.Config{
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
 		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
@@ -194,7 +197,7 @@
 		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MinInterval: upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
 	}, d.platform.Feed, peers, d.log)
 	d.quarantineMirror = mirror.New(mirror.Settings{
-		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
+		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
 	}, d.platform.Feed, peers, d.log)
 }
 
--- a/internal/gossip/maintain.go
+++ b/internal/gossip/maintain.go
@@ -47,6 +47,14 @@
 			delete(n.treeParents, f.Origin)
 			delete(n.lastGraft, f.Origin)
 			delete(n.unresponsive, f.ID)
+			if info, err := DecodeDaemonInfo(f.Value); err == nil && !info.Stopped {
+				n.lostPeers[f.ID] = now
+			}
+		}
+	}
+	for name, at := range n.lostPeers {
+		if now.Sub(at) >= lostPeerTTL || n.store.byKey[factKey{KindDaemon, name}] != nil {
+			delete(n.lostPeers, name)
 		}
 	}
 	if own := n.store.byKey[factKey{KindDaemon, n.cfg.Name}]; own == nil && n.superseded {
--- a/internal/gossip/unresponsive.go
+++ b/internal/gossip/unresponsive.go
@@ -37,6 +37,23 @@
 	return out
 }
 
+// lostPeerTTL is how long a daemon that has not announced that it stops is missed once its
+// fact has expired: it may be cut off.
+const lostPeerTTL = time.Hour
+
+// MayMissPeers reports whether facts that this daemon publishes may not reach all others:
+// another daemon is unresponsive or was lost within lostPeerTTL, or this one has peers or
+// seeds and no connection.
+func (n *Node) MayMissPeers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.unresponsive) > 0 || len(n.lostPeers) > 0 {
+		return true
+	}
+	members := n.members(time.Now())
+	return len(n.conns) == 0 && len(members)+len(n.unknownAddresses(members, nil)) > 0
+}
+
 // markUnresponsive marks a daemon as unresponsive and notifies subscribers of a
 // change. n.mu must be held.
 func (n *Node) markUnresponsive(name string) {
--- a/internal/gossip/unresponsive_test.go
+++ b/internal/gossip/unresponsive_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,3 +234,46 @@
 		}
 	})
 }
+
+// Guards against daemons that take their facts for known to all while they are cut off
+// from some, and against calls to the store in a fleet that misses nobody.
+func TestMayMissPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		nodes := shortTimeoutFleet(t, nw)
+		defer closeAll(nodes)
+		missing := func(nodes []*Node) (count int) {
+			for _, n := range nodes {
+				if n.MayMissPeers() {
+					count++
+				}
+			}
+			return count
+		}
+		time.Sleep(2 * time.Second) // until all connections are open
+		assert.Equal(t, missing(nodes), 0)
+		assert.NilError(t, nodes[3].Close())
+		stopped, target, rest := nodes[3], nodes[4], nodes[:3]
+		nodes = append(slices.Clone(rest), target)
+		time.Sleep(time.Minute)
+		assert.Equal(t, missing(nodes), 0, "%s has announced that it stops", stopped.cfg.Name)
+		nw.isolate(target.cfg.Name)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, missing(nodes), len(nodes))
+		time.Sleep(lostPeerTTL / 2)
+		assert.Equal(t, missing(nodes), len(nodes), "the isolated daemon has expired")
+		time.Sleep(lostPeerTTL)
+		assert.Equal(t, missing(rest), 0)
+		assert.Assert(t, target.MayMissPeers(), "a daemon without a connection")
+	})
+}
+
+// Guards against calls to the store by a daemon that has no peers.
+func TestSingleDaemonMissesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := testFleet(t, newNetwork(), 1, func(_ int, c *Config) { c.Seeds = []string{c.Address} })
+		defer closeAll(nodes)
+		time.Sleep(time.Minute)
+		assert.Assert(t, !nodes[0].MayMissPeers())
+	})
+}
--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -92,7 +92,7 @@
 // engine crashed, and the parts that begin one later. A part is quarantined when an
 // engine crashed while running a request that was sent after an earlier crash with the
 // part, and none has begun since. Quarantined parts are also rows of the table, which
-// every daemon follows. At growing intervals one request of the fleet runs as a trial.
+// every daemon follows, and so are suspected ones of which gossip may not tell all. At growing intervals one request of the fleet runs as a trial.
 type Parts struct {
 	daemonName string
 	bus        gossip.Bus
@@ -103,16 +103,22 @@
 	recent recentBegins
 	mu     sync.Mutex
 	state  *partState
+	// mayMissPeers reports whether facts may not reach all peers.
+	mayMissPeers func() bool
+	// pending are the suspicions to be written to the table.
+	pending           []pendingSuspicion
+	writingSuspicions bool
 	// ctx ends the writing of rows in the background.
 	ctx  context.Context
 	stop context.CancelFunc
 }
 
 // NewParts returns the tracker of the daemon with the given name. table holds the rows
-// of quarantined parts and nothing else. Crashes less than minCrashInterval apart are
-// taken for one failure.
-func NewParts(daemonName string, bus gossip.Bus, table platform.Table, log *eventlog.Log, minCrashInterval time.Duration) *Parts {
-	p := &Parts{daemonName: daemonName, bus: bus, table: table, log: log, state: newPartState(minCrashInterval)}
+// of quarantined and suspected parts and nothing else. mayMissPeers reports whether the
+// facts that this daemon publishes may not reach all others. Crashes less than
+// minCrashInterval apart are taken for one failure.
+func NewParts(daemonName string, bus gossip.Bus, mayMissPeers func() bool, table platform.Table, log *eventlog.Log, minCrashInterval time.Duration) *Parts {
+	p := &Parts{daemonName: daemonName, bus: bus, mayMissPeers: mayMissPeers, table: table, log: log, state: newPartState(minCrashInterval)}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	bus.Subscribe(gossip.KindPartCrash, p.receiveCrash)
 	bus.Subscribe(gossip.KindPartBegun, p.receiveBegin)
@@ -191,6 +197,9 @@
 	if len(fact.Parts) == 0 {
 		return
 	}
+	if p.mayMissPeers() {
+		p.queueSuspicions(crash, fact.Parts)
+	}
 	p.log.Emit(eventlog.PartsSuspected, eventlog.Fields{Service: service, Upstream: engine, Detail: fmt.Sprintf("%d requests had not begun: %s", len(requests), fact)})
 	for parts := range slices.Chunk(fact.Parts, maxPartsPerFact) {
 		value, err := crashFact{Crash: crash, Parts: parts}.encode()
@@ -228,9 +237,17 @@
 // don't crash engines.
 func (p *Parts) Begun(service string, parts []string) {
 	p.recent.add(parts, time.Now())
-	for _, part := range p.Suspected(parts) {
+	suspected := p.Suspected(parts)
+	if len(suspected) == 0 {
+		return
+	}
+	p.mu.Lock()
+	versions := p.state.suspicionVersions(suspected)
+	p.mu.Unlock()
+	for _, part := range suspected {
 		p.clear(service, part)
 	}
+	p.deleteSuspicions(versions)
 }
 
 // clear clears a part here and at peers.
@@ -337,7 +354,7 @@
 	defer p.mu.Unlock()
 	for _, c := range fact.Parts {
 		if len(c.Part) == digestBytes && len(c.Request) == digestBytes && len(c.Companions) < maxPartsPerRequest && c.Depth >= 1 {
-			p.state.addCrash(c.Part, fact.Crash, partCrash{c.Request, at, min(c.Depth, provenPartDepth), c.Companions})
+			p.state.addCrash(c.Part, fact.Crash, partCrash{request: c.Request, at: at, depth: min(c.Depth, provenPartDepth), companions: c.Companions})
 			p.reportRecentBegin(c.Part, fact.Crash, at)
 		}
 	}
@@ -374,6 +391,7 @@
 			version := p.state.parts[part].row.version
 			go p.deleteRow(part, version)
 		}
+		p.deleteSuspicions(p.state.suspicionVersions(p.state.oldSuspicions(now.Add(-CrashTTL))))
 		p.updateKnown()
 		p.mu.Unlock()
 	}
@@ -390,12 +408,17 @@
 	Unrun int
 }
 
-// ApplyRows applies the rows of all quarantined parts, as the table has them. Invalid
-// rows are ignored.
+// ApplyRows applies the rows of all quarantined and suspected parts, as the table has
+// them. Invalid rows are ignored.
 func (p *Parts) ApplyRows(rows map[string]platform.Change) {
 	now := time.Now()
 	decoded := map[string]quarantineRow{}
+	suspicions := map[string]suspicionRow{}
 	for key, row := range rows {
+		if part, s, ok := decodeSuspicion(row, now); ok {
+			suspicions[part] = s
+			continue
+		}
 		part, err := hex.DecodeString(key)
 		var v rowValue
 		if err != nil || len(part) != digestBytes || msgpack.Unmarshal(row.Value, &v) != nil {
@@ -420,6 +443,7 @@
 			go p.addOwnCrash(part)
 		}
 	}
+	p.applySuspicions(suspicions)
 	p.updateKnown()
 }
 
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -21,6 +21,8 @@
 	platform *platformtest.Platform
 	daemons  []*Parts
 	crashes  int
+	// gossipFails is set if no daemon hears of facts of others.
+	gossipFails bool
 }
 
 func newPartFleet(n int) *partFleet { return newPartFleetOn(platformtest.New(), n) }
@@ -31,7 +33,7 @@
 	for i := range n {
 		bus := &connectedBus{peers: &peers}
 		peers = append(peers, bus)
-		f.daemons = append(f.daemons, NewParts(fmt.Sprintf("d%d", i), bus, f.platform.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), testCrashInterval))
+		f.daemons = append(f.daemons, NewParts(fmt.Sprintf("d%d", i), bus, func() bool { return f.gossipFails }, f.platform.Client(), eventlog.New("d", hclog.NewNullLogger(), 16), testCrashInterval))
 	}
 	return f
 }
@@ -48,7 +50,7 @@
 
 // readRows lets all daemons read the table.
 func (f *partFleet) readRows(t *testing.T) map[string]platform.Change {
-	rows, err := f.platform.Client().List(t.Context(), "", "", 100)
+	rows, err := f.platform.Client().List(t.Context(), "", "", maxQuarantinedParts+maxSuspicionRows)
 	assert.NilError(t, err)
 	out := map[string]platform.Change{}
 	for _, r := range rows {
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -54,6 +54,8 @@
 	// companions are the other parts of the request that were quarantined with this one.
 	// The cause may be any of them, so requests without them are not refused.
 	companions []string
+	// fromRow is set if the crash is known from its row in the table only.
+	fromRow bool
 }
 
 // quarantineRow is a part's row in the table.
@@ -86,6 +88,8 @@
 	// crashes until then don't count.
 	begunAt time.Time
 	row     *quarantineRow
+	// suspicion is the part's suspicion in the table.
+	suspicion *suspicionRow
 	// voidVersion is the version of the row that was there when the part began an answer.
 	voidVersion uint64
 	// releasedAt is when this daemon last released the part, releasedTrials the number of
@@ -105,8 +109,8 @@
 	minCrashInterval time.Duration
 	parts            map[string]*partRecord
 	// suspicions and quarantined count the crashes below and from newPartDepth on, rows
-	// the parts with a row.
-	suspicions, quarantined, rows int
+	// the parts with a row, suspicionRows those with a suspicion in the table.
+	suspicions, quarantined, rows, suspicionRows int
 }
 
 // known reports whether any part is suspected.
@@ -234,7 +238,7 @@
 func (s *partState) forgetBegins() {
 	var parts []string
 	for part, r := range s.parts {
-		if len(r.crashes) == 0 && r.row == nil {
+		if len(r.crashes) == 0 && r.row == nil && r.suspicion == nil {
 			parts = append(parts, part)
 		}
 	}
@@ -299,7 +303,7 @@
 		return
 	}
 	r.surplus, r.ownSurplus = 0, 0
-	if r.begunAt.IsZero() {
+	if r.begunAt.IsZero() && r.suspicion == nil {
 		delete(s.parts, part)
 	}
 }
--- a/lab/sitepath/promptpartreach_test.go
+++ b/lab/sitepath/promptpartreach_test.go
@@ -63,3 +63,34 @@
 		assert.Assert(t, c.lateRequests() <= maxLateRequests, "%d requests with the part reached engines, %d crashed", c.lateRequests(), c.crashes())
 	})
 }
+
+// Guards against daemons that lose engines of their own to a part that crashes engines
+// because a partition cuts some of them off from the others, or from one another.
+func TestPromptPartIsQuarantinedAcrossPartition(t *testing.T) {
+	const daemonCount, engineCount = 15, 20
+	for name, group := range map[string]func(daemon int) int{
+		"two thirds alone": func(daemon int) int { return min(daemon, 2*daemonCount/3) },
+		"two halves":       func(daemon int) int { return daemon % 2 },
+		"groups of two":    func(daemon int) int { return daemon % (daemonCount / 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnDeploymentOf(t, daemonCount, engineCount, func(d *deployment) {
+				c := d.crashOnPart(site.StallInFirstEvent)
+				groups, groupOfHost := map[string]int{}, map[string]int{}
+				for i, p := range d.processes {
+					groups[p.name], groupOfHost[p.host] = group(i), group(i)
+				}
+				d.net.SetPartition(func(from, address string) bool {
+					host, port, _ := strings.Cut(address, ":")
+					to, isDaemon := groupOfHost[host]
+					return isDaemon && to != groups[from] && (port == strconv.Itoa(gossipPort) || port == strconv.Itoa(peerPort))
+				})
+				defer d.net.SetPartition(fabric.NoConnections)
+				time.Sleep(contactBound)
+				c.askInTurn(40*time.Second, 600*time.Millisecond)
+				t.Logf("%d requests with the part reached engines, %d late", c.arrivals(), c.lateRequests())
+				assert.Assert(t, c.lateRequests() <= maxLateRequests, "%d requests with the part reached engines, %d crashed", c.lateRequests(), c.crashes())
+			})
+		})
+	}
+}
