Share the trials of a prompt part among its owners

Cause: parts are known per cache owner, and so were their trials.

Keys of the same service, model and ID now begin alike. A part that has had a trial and a crash of depth 3 waits from the last trial of any owner with such a part, as long as if all were one. Its row tells that, for daemons that know the rows only. Until then it shares nothing: callers state IDs, and must not be able to delay the release of another's sound part by crashing engines under its ID. Candidates, depth, quarantine and release stay per owner.

Rows and facts of daemons with the earlier keys are of other parts to new ones, so a part that is quarantined during an upgrade is learnt anew.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -57,11 +57,18 @@
 var rowBackoff = backoff.Policy{Min: 100 * time.Millisecond, Max: 5 * time.Second}
 
 // PartKey returns the key of a part of prompts for a model of a service. Parts of
-// different owners have different keys.
+// different owners have different keys with the same partGroup.
 func PartKey(service, model, owner, id string) string {
-	return digestBytesOf(service, model, owner, id)
+	return digestBytesOf(service, model, id)[:groupBytes] + digestBytesOf(service, model, owner, id)[groupBytes:]
 }
 
+// groupBytes is the length of the part of a key that doesn't depend on the owner.
+const groupBytes = digestBytes / 2
+
+// partGroup returns what the keys of parts with the same service, model and ID have in
+// common. Callers state IDs, so it doesn't show that the parts are the same.
+func partGroup(part string) string { return part[:min(groupBytes, len(part))] }
+
 // partName returns the readable form of a part's key, which its row has as key.
 func partName(part string) string { return hex.EncodeToString([]byte(part)) }
 
@@ -406,6 +413,8 @@
 	Claim string
 	// Unrun is the number of trials that did not run.
 	Unrun int
+	// Deep is set if a crash had trialSharingDepth.
+	Deep bool
 }
 
 // ApplyRows applies the rows of all quarantined and suspected parts, as the table has
@@ -424,7 +433,7 @@
 		if err != nil || len(part) != digestBytes || msgpack.Unmarshal(row.Value, &v) != nil {
 			continue
 		}
-		decoded[string(part)] = quarantineRow{version: row.Version, trials: max(0, v.Trials), since: now, organisation: v.Organisation, companions: v.Companions, claim: v.Claim, unrun: max(0, v.Unrun)}
+		decoded[string(part)] = quarantineRow{version: row.Version, trials: max(0, v.Trials), since: now, organisation: v.Organisation, companions: v.Companions, claim: v.Claim, unrun: max(0, v.Unrun), deep: v.Deep}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -550,7 +559,7 @@
 // rowValue returns the value that the part's row should have, and the version that it
 // has; 0 if there is none.
 func (r *partRecord) rowValue() (v rowValue, version uint64) {
-	v.Companions = r.companions()
+	v.Companions, v.Deep = r.companions(), r.deep()
 	_, v.Trials = r.quarantinedSince()
 	if r.row != nil {
 		v.Organisation, v.Unrun, version = r.row.organisation, r.row.unrun, r.row.version
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -15,6 +15,9 @@
 	newPartDepth    = 2
 	provenPartDepth = 3
 	provenWindow    = time.Minute
+	// trialSharingDepth is the depth of a crash from which on a part that has had a trial
+	// shares trials with the parts of other owners.
+	trialSharingDepth = provenPartDepth
 	// maxSuspicions bounds the crashes remembered for all parts together, without those
 	// that may quarantine. When it is reached, the oldest 1/roomDivisor are dropped.
 	maxSuspicions = 8 << 10
@@ -73,6 +76,8 @@
 	claim string
 	// unrun is the number of trials that did not run.
 	unrun int
+	// deep is set if a crash had trialSharingDepth.
+	deep bool
 }
 
 // partRecord is what is known of one part.
@@ -111,6 +116,8 @@
 	// suspicions and quarantined count the crashes below and from newPartDepth on, rows
 	// the parts with a row, suspicionRows those with a suspicion in the table.
 	suspicions, quarantined, rows, suspicionRows int
+	// groups holds the parts with a row by partGroup.
+	groups map[string][]string
 }
 
 // known reports whether any part is suspected.
@@ -449,6 +456,10 @@
 		if now.Sub(since) < time.Duration(suspected)*max(trialInterval(trials), r.unrunInterval()) {
 			return false
 		}
+		since, trials = s.sharedTrials(part)
+		if now.Sub(since) < time.Duration(suspected)*trialInterval(trials) {
+			return false
+		}
 	}
 	return true
 }
@@ -467,11 +478,39 @@
 	return since, r.surplus
 }
 
+// deep reports whether a crash with the part had trialSharingDepth.
+func (r *partRecord) deep() bool { return r.hasRow() && r.row.deep || r.depth() >= trialSharingDepth }
+
+// sharesTrials reports whether engines crashed one after another while they ran requests
+// with the part, and a trial has not ended that.
+func (r *partRecord) sharesTrials() bool { return r.hasRow() && r.row.trials > 0 && r.deep() }
+
+// sharedTrials is quarantinedSince for the part and the same parts of other owners
+// together, as if all were one: crashes that quarantined the others count as trials. Until
+// its own first trial has failed the part shares none, since IDs are stated by callers:
+// crashes under one owner's ID must not delay the release of another's sound part.
+func (s *partState) sharedTrials(part string) (since time.Time, trials int) {
+	since, trials = s.parts[part].quarantinedSince()
+	if !s.parts[part].sharesTrials() {
+		return since, trials
+	}
+	for _, other := range s.groups[partGroup(part)] {
+		if r := s.parts[other]; other != part && r != nil && r.sharesTrials() {
+			otherSince, otherTrials := r.quarantinedSince()
+			trials += newPartDepth + otherTrials
+			if otherSince.After(since) {
+				since = otherSince
+			}
+		}
+	}
+	return since, trials
+}
+
 // rowOutdated reports whether the part is quarantined and has no row, or one that does
 // not say all that is known here.
 func (s *partState) rowOutdated(part string) bool {
 	r := s.parts[part]
-	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions))
+	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions) || r.sharesTrials() && !r.row.deep)
 }
 
 // rowLacksOwnCrash reports whether the part's row counts fewer trials than a crash that
@@ -519,7 +558,7 @@
 // which it was first seen. It returns the parts whose new row is out of date: this daemon
 // has released them since their last crash.
 func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
-	s.rows = 0
+	s.rows, s.groups = 0, map[string][]string{}
 	for part, r := range s.parts {
 		if _, present := rows[part]; !present && r.row != nil {
 			r.row = nil
@@ -533,6 +572,7 @@
 		}
 		s.parts[part] = r
 		s.rows++
+		s.groups[partGroup(part)] = append(s.groups[partGroup(part)], part)
 		if r.row != nil && r.row.version == row.version {
 			continue
 		}
--- a/internal/suspects/partstate_test.go
+++ b/internal/suspects/partstate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -236,3 +237,107 @@
 	}
 	assert.Assert(t, s.isQuarantined("cause"))
 }
+
+// ownedParts simulates a part that crashes every engine for a day, in requests of several
+// owners in turn, one a second. It returns how many ran, and how many of them after the
+// fifth crash.
+func ownedParts(owners int) (all, afterFifth int) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	rows := map[string]quarantineRow{}
+	for now := at; now.Before(at.Add(24 * time.Hour)); now = now.Add(time.Second) {
+		part := PartKey("s", "m", fmt.Sprint("owner", now.Unix()%int64(owners)), "bad")
+		if now.Sub(at)%partExpiryInterval == 0 {
+			s.expire(now.Add(-CrashTTL), at)
+		}
+		if s.isQuarantined(part) {
+			if !s.trialDue([]string{part}, 1, now) {
+				continue
+			}
+			v, version := s.parts[part].rowValue()
+			rows[part] = quarantineRow{version: version + 1, trials: v.Trials + 1, deep: v.Deep, since: now}
+			s.setRows(rows)
+		}
+		all++
+		if all > 5 {
+			afterFifth++
+		}
+		s.recordCrash([]string{part}, fmt.Sprint(all), fmt.Sprint(all), now, now.Add(testCrashInterval))
+		if s.rowOutdated(part) {
+			v, version := s.parts[part].rowValue()
+			rows[part] = quarantineRow{version: version + 1, trials: v.Trials, deep: v.Deep, since: now}
+			s.setRows(rows)
+		}
+	}
+	return all, afterFifth
+}
+
+// Guards against a part that crashes engines for two owners and reaches engines as often
+// as for each of them alone.
+func TestOwnersShareTrials(t *testing.T) {
+	for owners := 1; owners <= 4; owners++ {
+		all, afterFifth := ownedParts(owners)
+		t.Logf("%d owners: %d requests ran, %d after the fifth crash", owners, all, afterFifth)
+		// Each further owner costs the crashes that quarantine its part, and its first trial.
+		limit := 3 + (newPartDepth+1)*max(0, owners-2)
+		assert.Check(t, afterFifth <= limit, "%d owners: %d requests ran, %d after the fifth crash", owners, all, afterFifth)
+	}
+}
+
+// Guards against a caller that delays the release of another's sound part by crashing
+// engines under the same ID, and against trials that are as frequent for each owner once
+// each has crashed engines one after another.
+func TestOwnersShareTrialsOnceTheirOwnFail(t *testing.T) {
+	const othersTrials = 4
+	at := time.Unix(1000, 0)
+	part, other := PartKey("s", "m", "victim", "id"), PartKey("s", "m", "attacker", "id")
+	for name, c := range map[string]struct {
+		row    quarantineRow
+		part   string
+		trials int
+	}{
+		"before its first trial":              {quarantineRow{deep: true}, part, 0},
+		"after a trial without a crash":       {quarantineRow{trials: 1}, part, 1},
+		"after crashes one after another":     {quarantineRow{trials: 1, deep: true}, part, 1 + newPartDepth + othersTrials},
+		"another part after the same crashes": {quarantineRow{trials: 1, deep: true}, PartKey("s", "m", "victim", "another"), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newPartState(testCrashInterval)
+			c.row.version, c.row.since = 1, at
+			s.setRows(map[string]quarantineRow{c.part: c.row, other: {version: 1, since: at, trials: othersTrials, deep: true}})
+			due := trialInterval(c.trials)
+			assert.Assert(t, !s.trialDue([]string{c.part}, 1, at.Add(due-time.Second)))
+			assert.Assert(t, s.trialDue([]string{c.part}, 1, at.Add(due)))
+			s.release(c.part, at.Add(due))
+			assert.Assert(t, !s.isQuarantined(c.part) && s.isQuarantined(other), "a release is its owner's")
+		})
+	}
+}
+
+// Guards against daemons that know only the rows and run the trials of each owner.
+func TestRowTellsThatTrialsAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(1)
+		parts := []string{PartKey("s", "m", "a", "bad"), PartKey("s", "m", "b", "bad")}
+		for _, part := range parts {
+			f.crash(0, part)
+			f.crash(0, part)
+			f.readRows(t)
+			time.Sleep(firstTrialInterval)
+			assert.Assert(t, claimsTrial(f.daemons[0], part))
+			f.readRows(t)
+			f.crash(0, part)
+			f.readRows(t)
+		}
+		restarted := newPartFleetOn(f.platform, 1)
+		restarted.readRows(t)
+		time.Sleep(trialInterval(1))
+		for _, part := range parts {
+			assert.Assert(t, !claimsTrial(restarted.daemons[0], part))
+		}
+		time.Sleep(trialInterval(2 + newPartDepth))
+		assert.Assert(t, claimsTrial(restarted.daemons[0], parts[1]))
+		restarted.readRows(t)
+		assert.Assert(t, !claimsTrial(restarted.daemons[0], parts[0]))
+	})
+}
