--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 	})
 	d.suspects = suspects.New(d.settings.Name, d.gossipNode, d.table, d.log, 0)
 	d.partTable = prefixedTable{d.table, partRowPrefix}
-	d.promptParts = suspects.NewParts(d.settings.Name, d.gossipNode, d.partTable, d.log, minPartCrashInterval)
+	d.promptParts = suspects.NewParts(d.settings.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.partTable, d.log, minPartCrashInterval)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Engines: d.engines, Services: d.services, Fleet: d.fleet, Log: d.log,
 		NetworkDelay:      func(dc string) time.Duration { return d.delay(d.settings.DataCentre, dc) },
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -159,7 +159,7 @@
 		log := eventlog.New("d", hclog.NewNullLogger(), 16)
 		bus := &delayedBus{peers: &peers, subscribers: map[gossip.Kind]func(gossip.Fact){}}
 		peers = append(peers, bus)
-		parts := suspects.NewParts(fmt.Sprint("d", i), bus, c.platform.Client(), log, testCrashInterval)
+		parts := suspects.NewParts(fmt.Sprint("d", i), bus, func() bool { return false }, c.platform.Client(), log, testCrashInterval)
 		go func() { _ = parts.Run(ctx) }()
 		c.parts = append(c.parts, parts)
 		c.daemons = append(c.daemons, New(Config{
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -15,6 +15,9 @@
 	newPartDepth    = 2
 	provenPartDepth = 3
 	provenWindow    = time.Minute
+	// trialSharingDepth is the depth of a crash from which on a part that has had a trial
+	// shares trials with the parts of other owners.
+	trialSharingDepth = provenPartDepth
 	// maxSuspicions bounds the crashes remembered for all parts together, without those
 	// that may quarantine. When it is reached, the oldest 1/roomDivisor are dropped.
 	maxSuspicions = 8 << 10
@@ -54,6 +57,8 @@
 	// companions are the other parts of the request that were quarantined with this one.
 	// The cause may be any of them, so requests without them are not refused.
 	companions []string
+	// fromRow is set if the crash is known from its row in the table only.
+	fromRow bool
 }
 
 // quarantineRow is a part's row in the table.
@@ -71,6 +76,8 @@
 	claim string
 	// unrun is the number of trials that did not run.
 	unrun int
+	// deep is set if a crash had trialSharingDepth.
+	deep bool
 }
 
 // partRecord is what is known of one part.
@@ -86,6 +93,8 @@
 	// crashes until then don't count.
 	begunAt time.Time
 	row     *quarantineRow
+	// suspicion is the part's suspicion in the table.
+	suspicion *suspicionRow
 	// voidVersion is the version of the row that was there when the part began an answer.
 	voidVersion uint64
 	// releasedAt is when this daemon last released the part, releasedTrials the number of
@@ -105,8 +114,10 @@
 	minCrashInterval time.Duration
 	parts            map[string]*partRecord
 	// suspicions and quarantined count the crashes below and from newPartDepth on, rows
-	// the parts with a row.
-	suspicions, quarantined, rows int
+	// the parts with a row, suspicionRows those with a suspicion in the table.
+	suspicions, quarantined, rows, suspicionRows int
+	// groups holds the parts with a row by partGroup.
+	groups map[string][]string
 }
 
 // known reports whether any part is suspected.
@@ -234,7 +245,7 @@
 func (s *partState) forgetBegins() {
 	var parts []string
 	for part, r := range s.parts {
-		if len(r.crashes) == 0 && r.row == nil {
+		if len(r.crashes) == 0 && r.row == nil && r.suspicion == nil {
 			parts = append(parts, part)
 		}
 	}
@@ -299,7 +310,7 @@
 		return
 	}
 	r.surplus, r.ownSurplus = 0, 0
-	if r.begunAt.IsZero() {
+	if r.begunAt.IsZero() && r.suspicion == nil {
 		delete(s.parts, part)
 	}
 }
@@ -445,6 +456,10 @@
 		if now.Sub(since) < time.Duration(suspected)*max(trialInterval(trials), r.unrunInterval()) {
 			return false
 		}
+		since, trials = s.sharedTrials(part)
+		if now.Sub(since) < time.Duration(suspected)*trialInterval(trials) {
+			return false
+		}
 	}
 	return true
 }
@@ -463,11 +478,39 @@
 	return since, r.surplus
 }
 
+// deep reports whether a crash with the part had trialSharingDepth.
+func (r *partRecord) deep() bool { return r.hasRow() && r.row.deep || r.depth() >= trialSharingDepth }
+
+// sharesTrials reports whether engines crashed one after another while they ran requests
+// with the part, and a trial has not ended that.
+func (r *partRecord) sharesTrials() bool { return r.hasRow() && r.row.trials > 0 && r.deep() }
+
+// sharedTrials is quarantinedSince for the part and the same parts of other owners
+// together, as if all were one: crashes that quarantined the others count as trials. Until
+// its own first trial has failed the part shares none, since IDs are stated by callers:
+// crashes under one owner's ID must not delay the release of another's sound part.
+func (s *partState) sharedTrials(part string) (since time.Time, trials int) {
+	since, trials = s.parts[part].quarantinedSince()
+	if !s.parts[part].sharesTrials() {
+		return since, trials
+	}
+	for _, other := range s.groups[partGroup(part)] {
+		if r := s.parts[other]; other != part && r != nil && r.sharesTrials() {
+			otherSince, otherTrials := r.quarantinedSince()
+			trials += newPartDepth + otherTrials
+			if otherSince.After(since) {
+				since = otherSince
+			}
+		}
+	}
+	return since, trials
+}
+
 // rowOutdated reports whether the part is quarantined and has no row, or one that does
 // not say all that is known here.
 func (s *partState) rowOutdated(part string) bool {
 	r := s.parts[part]
-	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions))
+	return s.isQuarantined(part) && (!r.hasRow() || r.surplus > r.row.trials || len(r.companions()) < len(r.row.companions) || r.sharesTrials() && !r.row.deep)
 }
 
 // rowLacksOwnCrash reports whether the part's row counts fewer trials than a crash that
@@ -515,7 +558,7 @@
 // which it was first seen. It returns the parts whose new row is out of date: this daemon
 // has released them since their last crash.
 func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
-	s.rows = 0
+	s.rows, s.groups = 0, map[string][]string{}
 	for part, r := range s.parts {
 		if _, present := rows[part]; !present && r.row != nil {
 			r.row = nil
@@ -529,6 +572,7 @@
 		}
 		s.parts[part] = r
 		s.rows++
+		s.groups[partGroup(part)] = append(s.groups[partGroup(part)], part)
 		if r.row != nil && r.row.version == row.version {
 			continue
 		}
