Log how many peers expired

Logs did not tell whether a daemon still counts its peers: a peer that expires because no renewal arrives leaves no line, only the connections that follow from the new choice of neighbours. Event 604 tells how many expired and how many are left, at most one line a check. Written to tell two explanations of the daemons that find working engines down apart: too little processor time, or lost renewals.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -53,6 +53,7 @@
 	PeerConnected              ID = 601
 	PeerLost                   ID = 602
 	PeerRejected               ID = 603
+	PeersExpired               ID = 604
 	OnceClaimed                ID = 701
 	OnceReplayed               ID = 702
 	OnceOutcomeUnknown         ID = 703
@@ -122,6 +123,7 @@
 	{PeerConnected, hclog.Info, "peer connected"},
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
+	{PeersExpired, hclog.Info, "peers expired"},
 	{OnceClaimed, hclog.Debug, "at-most-once record claimed"},
 	{OnceReplayed, hclog.Info, "recorded outcome replayed"},
 	{OnceOutcomeUnknown, hclog.Warn, "at-most-once outcome unknown"},
--- a/internal/gossip/maintain.go
+++ b/internal/gossip/maintain.go
@@ -1,7 +1,10 @@
 package gossip
 
 import (
+	"fmt"
 	"time"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 )
 
 // maintain calls tick every tickInterval until the Node is closed.
@@ -41,14 +44,21 @@
 }
 
 func (n *Node) expire(now time.Time) {
+	expiredPeers := 0
 	for _, f := range n.store.expire(now) {
 		if f.Kind == KindDaemon {
+			if f.ID != n.cfg.Name {
+				expiredPeers++
+			}
 			n.membersValid = false
 			delete(n.treeParents, f.Origin)
 			delete(n.lastGraft, f.Origin)
 			delete(n.unresponsive, f.ID)
 		}
 	}
+	if expiredPeers > 0 {
+		n.cfg.Events.Emit(eventlog.PeersExpired, eventlog.Fields{Detail: fmt.Sprintf("%d expired, %d left", expiredPeers, len(n.members(now)))})
+	}
 	if own := n.store.byKey[factKey{KindDaemon, n.cfg.Name}]; own == nil && n.superseded {
 		n.superseded = false
 		n.announce(now)
