Keep send budget for daemons' own facts under a flood of urgent facts

What callers saw: LOST. During rollouts of weights on a large deployment (74 daemons, 89 engines) daemons found working engines down and cut their streams; operators saw some 2,000 rejected reads of cache events a second.

Cause: urgent facts were sent first and might overdraw the bucket by a whole burst, daemons' own facts and the control messages that keep the delivery trees only while it was not empty. The notices of a rollout at 10 to 15 orders a second, each flooded over 14 connections, cost more than the 32 KB/s. Then no renewal passed for longer than the 8.9 s of a daemon's fact: daemons forgot one another, chose other neighbours, redialled, and took over readings of cache events that others still had.

Ruled out: processor time as the first cause.

Now daemons' own facts and control messages may overdraw the bucket by one burst, urgent facts by half of one. A flood of urgent facts stops there and leaves the renewals their rate, which the number of daemons bounds. The bound on what a daemon sends in all is unchanged.

Evidence: TestDaemonsStayKnownUnderUrgentFacts (74 daemons, 45 notices a second) failed in second 3 before, passes now; with 1 notice a second it passed before, too. All tests of internal/gossip pass.

--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -48,8 +48,10 @@
 func isPeriodic(k Kind) bool { return k == KindDaemon || k == KindLoad }
 
 // tokenBucket is a token bucket over the bytes that a daemon sends. The lower a
-// fact's priority, the larger the fraction of the burst that it may not use.
-// Urgent facts may overdraw the bucket by one burst; heartbeats are always sent.
+// fact's priority, the larger the fraction of the burst that it may not use. Daemons'
+// own facts and control messages may overdraw the bucket by one burst, urgent facts only
+// by half of one: a flood of them must not make daemons forget one another. Heartbeats
+// are always sent.
 type tokenBucket struct {
 	rate, burst, tokens float64
 	lastRefill          time.Time
@@ -70,9 +72,9 @@
 func (b *tokenBucket) reservedFor(p priority) float64 {
 	switch p {
 	case priorityUrgent:
-		return -b.burst
+		return -b.burst / 2
 	case priorityDaemon:
-		return 0
+		return -b.burst
 	case priorityLargeValue:
 		return b.burst / 16
 	case priorityEngine:
--- a/internal/gossip/budget_test.go
+++ b/internal/gossip/budget_test.go
@@ -67,6 +67,33 @@
 	})
 }
 
+// Guards against urgent facts using up the send budget of a large fleet: daemons' own
+// facts then expired, and the daemons forgot and redialled one another.
+func TestDaemonsStayKnownUnderUrgentFacts(t *testing.T) {
+	const (
+		daemons          = 74
+		bytesPerSecond   = 32 << 10
+		noticesPerSecond = 45 // of weight switches, during a rollout
+		rolloutSeconds   = 20
+	)
+	synctest.Test(t, func(t *testing.T) {
+		nodes := testFleet(t, newNetwork(), daemons, func(_ int, c *Config) {
+			c.BytesPerSecond, c.FanOut = bytesPerSecond, 7
+			c.Seeds = []string{testName(0), testName(1), testName(2)}
+		})
+		defer closeAll(nodes)
+		eventually(t, 10*time.Second, "all peers known", allPeersKnown(nodes))
+		value := make([]byte, 60)
+		for second := range rolloutSeconds {
+			for i := range noticesPerSecond {
+				nodes[0].Publish(Fact{Kind: KindWeightSwitch, ID: fmt.Sprintf("engine-%d-%d", second, i), TTL: 5 * time.Second, Value: value})
+				time.Sleep(time.Second / noticesPerSecond)
+			}
+			assert.Assert(t, allPeersKnown(nodes)(), "daemons lost peers in second %d", second)
+		}
+	})
+}
+
 // With ordinary traffic the mean send rate stays below the budget even with a
 // token bucket too large to limit it, and every daemon's load figures arrive.
 func TestOrdinaryTraffic(t *testing.T) {
