Count no timeout of a probe while the daemon itself is held up

Cause: a probe failed if a connection was not seen to open in 200 ms, twice in a row. A daemon that lacks processor time sees it late, whatever the engine does, and then cancels all requests there.

The failures gather at daemons: 139 of the 155 in the seconds from 16 s come from 14 daemons, up to 15 engines at one, and 50 daemons found none down at that time.

Now a timeout counts only if the poll of each 50 ms ran no later than a quarter of the attempt's length meanwhile; else the attempt is repeated with twice the length, up to 1.6 s, for which probes get a dialler without the limit of 300 ms. So a silent engine is still found by a daemon that is late by up to 0.4 s; beyond, its probes are inconclusive and change nothing. Daemons that run on time probe as before.

Evidence: TestHeldUpDaemonFindsNoWorkingUpstreamDown (everything is noticed 320 ms late) fails without the measured lateness, "working" is down, and passes with it.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,12 @@
 	// probeAttempts failures in a row.
 	probeTimeout  = 200 * time.Millisecond
 	probeAttempts = 2
+	// A timeout says nothing of the upstream if this process itself was late by more
+	// than 1/maxLatenessDivisor of it meanwhile. The attempt is then repeated with
+	// twice the timeout, up to maxProbeTimeout.
+	maxLatenessDivisor = 4
+	maxProbeTimeout    = 8 * probeTimeout
+	latePollsKept      = 2 * maxProbeTimeout
 	// silenceProbeInterval is the minimum interval between probes of a silent
 	// upstream.
 	silenceProbeInterval = 700 * time.Millisecond
@@ -46,6 +53,8 @@
 	// onCrash is called when an incarnation of an upstream has ended, with the
 	// requests whose connections it broke; may be nil.
 	onCrash func(service, id, incarnation string, requests []RunningRequest)
+	// newTimer is time.NewTimer.
+	newTimer func(time.Duration) *time.Timer
 	// usableUntil is Config.UsableUntil.
 	usableUntil func(id string) (until time.Time, ok bool)
 	// wake holds a token while a probe is due at once.
@@ -54,6 +63,16 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstreamHealth
+	// pollDueAt is when the next poll is due; latePolls are those of the last
+	// latePollsKept that were too late for a timeout to count.
+	pollDueAt time.Time
+	latePolls []latePoll
+}
+
+// latePoll is a poll that began later than it was due.
+type latePoll struct {
+	at       time.Time
+	lateness time.Duration
 }
 
 // upstreamHealth is the health state of one upstream.
@@ -94,7 +113,7 @@
 // NewLiveness returns a Liveness that probes with dial. onChange is called
 // when an upstream goes down or recovers.
 func NewLiveness(dial func(ctx context.Context, network, address string) (net.Conn, error), onChange func(id string, down bool), log *eventlog.Log) *Liveness {
-	return &Liveness{dial: dial, onChange: onChange, usableUntil: noLimit, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
+	return &Liveness{dial: dial, onChange: onChange, newTimer: time.NewTimer, usableUntil: noLimit, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
 }
 
 // Down reports whether an upstream is down.
@@ -222,16 +241,43 @@
 
 // awaitTick waits for the next poll, or until a probe is due at once.
 func (l *Liveness) awaitTick(ctx context.Context) error {
-	timer := time.NewTimer(livenessInterval)
+	l.mu.Lock()
+	l.pollDueAt = time.Now().Add(livenessInterval)
+	l.mu.Unlock()
+	timer := l.newTimer(livenessInterval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-l.wake:
 	case <-ctx.Done():
 	}
+	l.recordLateness(time.Now())
 	return ctx.Err()
 }
 
+// recordLateness records whether the poll at now is late.
+func (l *Liveness) recordLateness(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latePolls = slices.DeleteFunc(l.latePolls, func(p latePoll) bool { return now.Sub(p.at) > latePollsKept })
+	if lateness := now.Sub(l.pollDueAt); lateness > probeTimeout/maxLatenessDivisor {
+		l.latePolls = append(l.latePolls, latePoll{now, lateness})
+	}
+}
+
+// latenessSince returns by how much a poll was late at most since a time.
+func (l *Liveness) latenessSince(start, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lateness := max(0, now.Sub(l.pollDueAt)) // of the next poll
+	for _, p := range l.latePolls {
+		if p.at.After(start) {
+			lateness = max(lateness, p.lateness)
+		}
+	}
+	return lateness
+}
+
 // dueProbes returns the upstreams to probe now and marks them as being probed.
 func (l *Liveness) dueProbes(now time.Time) map[string]*upstreamHealth {
 	l.mu.Lock()
@@ -253,30 +299,69 @@
 // probe tries to connect to an upstream and records the result.
 func (l *Liveness) probe(ctx context.Context, id string, h *upstreamHealth) {
 	broken := l.takeBrokenRequests(h)
-	ended := false
 	attempts := probeAttempts
 	if l.Down(id) {
 		attempts = 1
 	}
-	responds := false
-	for range attempts {
-		tryCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		conn, err := l.dial(tryCtx, "tcp", h.address)
-		timedOut := tryCtx.Err() != nil || isTimeout(err)
-		cancel()
-		if err == nil {
-			conn.Close()
-		}
-		ended = errors.Is(err, syscall.ECONNREFUSED) // the process no longer listens
-		// A refused connection proves that the host responds: the next request
-		// fails at once and can be retried at another upstream.
-		if responds = err == nil || !timedOut; responds || ctx.Err() != nil {
-			break
+	result := l.connect(ctx, h.address, attempts)
+	if ctx.Err() == nil {
+		l.reportBroken(id, h, broken, result == probeRefused)
+		l.recordProbe(id, h, result)
+	}
+}
+
+// probeResult is the result of a probe.
+type probeResult uint8
+
+const (
+	probeAccepted probeResult = iota
+	// probeRefused means that the process no longer listens. A refused connection
+	// proves that the host responds: the next request fails at once and can be retried
+	// at another upstream.
+	probeRefused
+	probeTimedOut
+	// probeInconclusive means that this process was held up, for lack of processor time.
+	probeInconclusive
+)
+
+// connect tries to connect until an attempt has a result, or until the given number of
+// attempts has timed out.
+func (l *Liveness) connect(ctx context.Context, address string, attempts int) probeResult {
+	for timeout := probeTimeout; ; {
+		result, lateness := l.tryConnect(ctx, address, timeout)
+		switch {
+		case result != probeTimedOut || ctx.Err() != nil:
+			return result
+		case lateness <= timeout/maxLatenessDivisor:
+			if attempts--; attempts == 0 {
+				return probeTimedOut
+			}
+		case timeout >= maxProbeTimeout:
+			return probeInconclusive
+		default:
+			timeout *= 2
 		}
 	}
-	if ctx.Err() == nil {
-		l.reportBroken(id, h, broken, ended)
-		l.recordProbe(id, h, responds)
+}
+
+// tryConnect makes one connection attempt. After a timeout it also returns by how much
+// this process ran late meanwhile.
+func (l *Liveness) tryConnect(ctx context.Context, address string, timeout time.Duration) (probeResult, time.Duration) {
+	start := time.Now()
+	tryCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := l.dial(tryCtx, "tcp", address)
+	switch {
+	case err == nil:
+		conn.Close()
+		return probeAccepted, 0
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return probeRefused, 0
+	case tryCtx.Err() != nil || isTimeout(err):
+		now := time.Now()
+		return probeTimedOut, max(now.Sub(start)-timeout, l.latenessSince(start, now))
+	default:
+		return probeAccepted, 0 // another error also shows that the host responds
 	}
 }
 
@@ -342,12 +427,13 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-func (l *Liveness) recordProbe(id string, h *upstreamHealth, responds bool) {
+func (l *Liveness) recordProbe(id string, h *upstreamHealth, result probeResult) {
 	l.mu.Lock()
 	h.probing = false
 	h.lastProbeAt = time.Now()
-	changed := h.down == responds
-	h.down = !responds
+	down := result == probeTimedOut || result == probeInconclusive && h.down
+	changed := h.down != down
+	h.down = down
 	var cancels []context.CancelCauseFunc
 	if changed && h.down {
 		for _, r := range h.requests {
@@ -359,12 +445,12 @@
 		return
 	}
 	event := eventlog.UpstreamServing
-	if !responds {
+	if down {
 		event = eventlog.UpstreamDown
 	}
 	l.log.Emit(event, eventlog.Fields{Service: h.service, Upstream: id})
 	for _, cancel := range cancels {
 		cancel(errUpstreamUnresponsive)
 	}
-	l.onChange(id, !responds)
+	l.onChange(id, down)
 }
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -75,6 +75,51 @@
 	}
 }
 
+// Guards against a daemon that lacks processor time taking working upstreams for down,
+// which cuts their streams. It still finds a silent one, by longer attempts.
+func TestHeldUpDaemonFindsNoWorkingUpstreamDown(t *testing.T) {
+	const (
+		lateness  = 320 * time.Millisecond // seen on a large deployment
+		heldUpFor = 10 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+			noticed := time.After(lateness)
+			if address == "silent" {
+				noticed = nil
+			}
+			select {
+			case <-noticed:
+				client, server := net.Pipe()
+				server.Close()
+				return client, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+		l.newTimer = func(d time.Duration) *time.Timer { return time.NewTimer(d + lateness) }
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer stop()
+		wg.Go(func() { _ = l.Run(ctx) })
+		requests := map[string]context.Context{}
+		for _, id := range []string{"working", "silent"} {
+			request, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			_, untrack := l.track(&fleet.Registration{ID: id, Address: id}, &transfer{}, cancel)
+			defer untrack()
+			requests[id] = request
+		}
+		time.Sleep(heldUpFor)
+		assert.Assert(t, !l.Down("working"))
+		assert.NilError(t, context.Cause(requests["working"]))
+		assert.Assert(t, l.Down("silent"))
+		assert.ErrorIs(t, context.Cause(requests["silent"]), errUpstreamUnresponsive)
+	})
+}
+
 // Guards against all daemons probing an upstream at the same time after a peer's
 // report, which overflows its queue of new connections.
 func TestProbesAfterPeerReportAreSpread(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,7 @@
 	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics, d.storeClock}
 	d.platform.Operators = timedTable{p.Operators, d.metrics, d.storeClock}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
-	d.liveness = forward.NewLiveness(network.Dial, d.livenessChanged, d.log)
+	d.liveness = forward.NewLiveness(network.DialProbe, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
 	if err := d.provisionPeers(); err != nil {
 		return nil, err
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -23,6 +23,9 @@
 type Network struct {
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialProbe is like Dial, but only the context limits an attempt. If it is nil and
+	// Dial is not, it is Dial.
+	DialProbe func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // WithDefaults replaces nil functions by TCP.
@@ -30,6 +33,12 @@
 	if n.Listen == nil {
 		n.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
+	if n.DialProbe == nil {
+		n.DialProbe = n.Dial
+	}
+	if n.DialProbe == nil {
+		n.DialProbe = httpconn.Dialer{}.DialContext
+	}
 	if n.Dial == nil {
 		n.Dial = httpconn.Dialer{Timeout: dialTimeout, UserTimeout: ackTimeout}.DialContext
 	}
