Renew daemons' facts as often as the send budget allows

Cause: only the daemons with a connection to one that falls silent see it, 11 of 73 here, from 3.82 to 3.98 s. All others wait for its fact to expire, and the TTL grew with the fleet alone: 30 ms a daemon, four times that as TTL, 8.9 s at 74. The 30 ms were chosen for the default budget of 4 KB/s; the gateway's is eight times as large.

Now the interval between renewals follows from the fleet's size and the budget: 1 s and a TTL of 4 s up to 273 daemons at 32 KB/s, as in small fleets; the default budget is planned as before. Load figures have left 85 B/s a daemon for renewals before, which covers one a second.

Ruled out: requests to engines that leave.

Evidence: TestLargeFleetForgetsCrashedDaemon (74 daemons, 32 KB/s; forgotten within 6 s) failed with the fixed interval and passes now. The other tests of internal/gossip pass. Not mended: a daemon that loses power is still named for up to 4 s and the spread; reports of silent peers to the whole fleet need a second witness first, or a daemon that is held up would take its neighbours out of all directories.

--- a/internal/gossip/budget_test.go
+++ b/internal/gossip/budget_test.go
@@ -124,6 +124,28 @@
 	})
 }
 
+// Guards against a large fleet's directories naming a daemon long after it lost power:
+// only its neighbours see its silence, all others wait for its fact to expire.
+func TestLargeFleetForgetsCrashedDaemon(t *testing.T) {
+	const (
+		daemons        = 74
+		bytesPerSecond = 32 << 10
+		forgottenIn    = 6 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		nodes := testFleet(t, nw, daemons, func(_ int, c *Config) { c.BytesPerSecond, c.FanOut = bytesPerSecond, 7 })
+		defer func() { closeAll(nodes) }()
+		eventually(t, 10*time.Second, "all peers known", allPeersKnown(nodes))
+		time.Sleep(20 * time.Second) // all facts were renewed since
+		last := daemons - 1
+		crash(nw, nodes[last])
+		nw.heal()
+		nodes = nodes[:last]
+		eventually(t, forgottenIn, "crash known", allPeersKnown(nodes))
+	})
+}
+
 // After daemons crash, the delivery trees that used them are repaired before the
 // facts of the remaining daemons expire.
 func TestDeliveryTreesRecover(t *testing.T) {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -252,7 +252,7 @@
 func (n *Node) graftStale(now time.Time) {
 	var origins []string
 	var keys []uint64
-	minGraftInterval := 2 * refreshInterval(n.daemons(now))
+	minGraftInterval := 2 * refreshInterval(n.daemons(now), n.cfg.BytesPerSecond)
 	for k, e := range n.store.byKey {
 		if k.kind != KindDaemon || k.id == n.cfg.Name || e.expires.Sub(now) > e.fact.TTL/2 {
 			continue
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -24,7 +24,8 @@
 }
 
 const (
-	// refreshIntervalPerDaemon lengthens the refresh interval in larger fleets.
+	// refreshIntervalPerDaemon lengthens the refresh interval in larger fleets. It
+	// applies to the default budget; a greater budget shortens it in proportion.
 	refreshIntervalPerDaemon = 30 * time.Millisecond
 	minRefreshInterval       = time.Second
 	maxRefreshInterval       = 10 * time.Second
@@ -34,9 +35,12 @@
 )
 
 // refreshInterval returns the interval between renewals of a daemon's own fact.
-func refreshInterval(daemons int) time.Duration {
-	return min(max(time.Duration(daemons)*refreshIntervalPerDaemon, minRefreshInterval), maxRefreshInterval)
+func refreshInterval(daemons, bytesPerSecond int) time.Duration {
+	perDaemon := refreshIntervalPerDaemon * DefaultBytesPerSecond / time.Duration(bytesPerSecond)
+	return min(max(time.Duration(daemons)*perDaemon, minRefreshInterval), maxRefreshInterval)
 }
 
 // daemonTTL returns the TTL of a daemon's own fact.
-func daemonTTL(daemons int) time.Duration { return refreshesPerTTL * refreshInterval(daemons) }
+func daemonTTL(daemons, bytesPerSecond int) time.Duration {
+	return refreshesPerTTL * refreshInterval(daemons, bytesPerSecond)
+}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -214,8 +214,8 @@
 		return
 	}
 	daemons := n.daemons(now)
-	n.nextAnnounceAt = now.Add(refreshInterval(daemons))
-	f := Fact{Kind: KindDaemon, ID: n.cfg.Name, Origin: n.cfg.Name, TTL: daemonTTL(daemons), Value: n.ownInfo.Encode()}
+	n.nextAnnounceAt = now.Add(refreshInterval(daemons, n.cfg.BytesPerSecond))
+	f := Fact{Kind: KindDaemon, ID: n.cfg.Name, Origin: n.cfg.Name, TTL: daemonTTL(daemons, n.cfg.BytesPerSecond), Value: n.ownInfo.Encode()}
 	n.publish(f, now)
 }
 
--- a/internal/gossip/unresponsive.go
+++ b/internal/gossip/unresponsive.go
@@ -51,7 +51,7 @@
 	n.unresponsive[name] = unresponsiveMark{
 		knownVersion: e.fact.Version,
 		clockVersion: uint64(n.clock.Now().Micros),
-		relayedUntil: now.Add(daemonTTL(n.daemons(now))),
+		relayedUntil: now.Add(daemonTTL(n.daemons(now), n.cfg.BytesPerSecond)),
 	}
 	n.notifySubscribers(e.fact)
 }
--- a/internal/gossip/unresponsive_test.go
+++ b/internal/gossip/unresponsive_test.go
@@ -189,7 +189,7 @@
 		nw.separate(a.cfg.Name, b.cfg.Name)
 		eventually(t, 2*time.Second, "daemon unresponsive", func() bool { return a.Unresponsive()[b.cfg.Name] })
 		mark := advanceMark(a, b.cfg.Name, time.Hour)
-		time.Sleep(daemonTTL(len(nodes)) - 100*time.Millisecond)
+		time.Sleep(daemonTTL(len(nodes), DefaultBytesPerSecond) - 100*time.Millisecond)
 		assert.Equal(t, markOf(a, b.cfg.Name), mark)
 		// A redial that fails may mark the daemon again.
 		eventually(t, 2*minRefreshInterval, "mark reverted", func() bool { return markOf(a, b.cfg.Name) != mark })
