Take bytes that arrive during a probe for a sign of life

Cause of the cuts: a probe asked only whether a new connection opens. Likely, but not shown: a busy engine lets new ones wait, for a place or in its queue, while it serves those that are open. Links of the daemons that are full would look the same in the logs.

Ruled out for these: daemons that are held up, as such timeouts no longer count. The failures gather at engines: 24 of 89 are reported by 9 to 27 of 74 daemons, the other 48 reported ones by 5 at most.

Now an upstream whose probe times out is not down if it sent a byte to this daemon since the probe began. One that sends nothing for 0.35 s and 0.4 s of probing is found down as before, so the failures at some engines after a common start are not mended at their root.

Evidence: TestBusyUpstreamThatSendsIsNotDown fails without the check and passes with it, in 20 of 20 runs.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -298,18 +298,29 @@
 
 // probe tries to connect to an upstream and records the result.
 func (l *Liveness) probe(ctx context.Context, id string, h *upstreamHealth) {
+	start := time.Now()
 	broken := l.takeBrokenRequests(h)
 	attempts := probeAttempts
 	if l.Down(id) {
 		attempts = 1
 	}
 	result := l.connect(ctx, h.address, attempts)
+	if result == probeTimedOut && l.receivedSince(h, start) {
+		result = probeAccepted // it accepts no connections at present, but it responds
+	}
 	if ctx.Err() == nil {
 		l.reportBroken(id, h, broken, result == probeRefused)
 		l.recordProbe(id, h, result)
 	}
 }
 
+// receivedSince reports whether the upstream has sent a byte since a time.
+func (l *Liveness) receivedSince(h *upstreamHealth, start time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return h.lastByteAt.After(start)
+}
+
 // probeResult is the result of a probe.
 type probeResult uint8
 
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -75,6 +75,37 @@
 	}
 }
 
+// Guards against cutting the streams of an upstream that is too busy for new connections:
+// bytes that arrive on an open one while it is probed show that it responds.
+func TestBusyUpstreamThatSendsIsNotDown(t *testing.T) {
+	const (
+		busyFor       = 3 * time.Second
+		eventInterval = silenceThreshold + probeTimeout // longer than what prompts a probe
+	)
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer stop()
+		wg.Go(func() { _ = l.Run(ctx) })
+		request, cancel := context.WithCancelCause(context.Background())
+		defer cancel(nil)
+		recordByte, untrack := l.track(&fleet.Registration{ID: "busy", Address: "busy"}, &transfer{}, cancel)
+		defer untrack()
+		for range busyFor / eventInterval {
+			time.Sleep(eventInterval)
+			recordByte()
+			assert.NilError(t, context.Cause(request))
+		}
+		assert.Assert(t, !l.Down("busy"))
+	})
+}
+
 // Guards against a daemon that lacks processor time taking working upstreams for down,
 // which cuts their streams. It still finds a silent one, by longer attempts.
 func TestHeldUpDaemonFindsNoWorkingUpstreamDown(t *testing.T) {
