Take a resumed stream without a new event for broken off

Callers saw: a stream that broke off in its fifth event and ended as if it were complete, when the engine that was to go on sent only a comment, an empty line or events that the caller had, and ended with its connection. Also a stream of comments alone looked complete.

Cause: the check for a connection that ends before the first event counted whatever was relayed, comments too, and was left out once an event that the caller had was seen.

Why it works: relayEvents itself asks at the end of the connection whether an event with fields was relayed. If none was, nothing tells an end from a crash, and the attempt counts as broken off. Streams with a length or chunks state their own end and are as before.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -90,10 +90,13 @@
 		t.resumable = true
 		t.writer.WriteHeader(resp.StatusCode)
 	}
-	relayed := 0
+	relayed, continued := 0, false
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if !continued && endsWithConnection(resp) {
+				return relayed, verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeStreamLost, "the connection ended before the upstream's first new event")
+			}
 			return relayed, nil
 		}
 		if err != nil {
@@ -114,6 +117,7 @@
 			return relayed, errors.Mark(err, errCallerWrite)
 		}
 		relayed++
+		continued = continued || e.hasFields
 		if e.id != "" {
 			t.lastEventID = e.id
 		}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -229,9 +228,6 @@
 		sched.FirstToken(now, t.metadata.ID, action.Endpoint, routing.CachedUnknown)
 	})
 	events, err := t.relay(resp)
-	if err == nil && events == 0 && !t.begun && endsWithConnection(resp) {
-		err = verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeStreamLost, "the connection ended before the upstream's first event")
-	}
 	if err != nil {
 		err = withCause(ctx, err)
 		resp.Body.Close()
--- a/lab/sitepath/failedresumption_test.go
+++ b/lab/sitepath/failedresumption_test.go
@@ -118,3 +118,30 @@
 		})
 	})
 }
+
+// Guards against a resumed stream that looks complete although it brought no new event
+// before its connection ended: comments and repeated events don't show that it went on.
+func TestResumptionWithoutNewEventIsNotComplete(t *testing.T) {
+	for name, body := range map[string]string{"comment": ": wait\n\n", "empty line": "\n", "old events": wholeStream(4), "old events and a comment": wholeStream(4) + ": wait\n\n"} {
+		second := site.Step{Writes: []string{byConnection.response(http.StatusOK, site.Identity+eventStream, body)}, End: site.Close}
+		for cut, first := range cutStreams() {
+			t.Run(name+"/"+cut, func(t *testing.T) {
+				runOnDeployment(t, func(d *deployment) {
+					d.setScripts([]site.Step{first}, []site.Step{second})
+					id, a := d.askAs(resumeCaller)
+					assert.Assert(d.t, a.err != nil, "a stream of %d bytes looks complete: %q", len(a.body), a.body)
+					assert.Assert(d.t, strings.HasPrefix(a.body, wholeStream(4)) && strings.Count(a.body, "data:") == 4, "%q", a.body)
+					assert.Equal(d.t, len(d.runs(id)), 2)
+				})
+			})
+		}
+	}
+	t.Run("first stream", func(t *testing.T) {
+		runOnDeployment(t, func(d *deployment) {
+			comment := byConnection.response(http.StatusOK, site.Identity+eventStream, ": wait\n\n")
+			d.setScripts([]site.Step{{Writes: []string{comment}, End: site.Close}})
+			_, a := d.askAs(onceCaller)
+			assert.Assert(d.t, a.err != nil, "a stream without an event looks complete: %q", a.body)
+		})
+	})
+}
