Send nothing for a caller that left while its request waited

Engines saw: a request whose engine had crashed ran at a second engine, and crashed that one too, although its caller had left while the repetition waited to be due.

Cause: after that wait nobody looked whether the caller was still there. The scheduler's choice and the end of the context were both ready, one of them was taken at random, and the pool wrote the request on an idle connection before the ended context closed it.

Why it works: the request ends after the wait if its caller has left, before a trial is claimed for it; and the pool sends nothing under an ended context, whoever calls it.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -92,17 +92,25 @@
 		if err == nil {
 			return
 		}
-		if t.callerRequest.Context().Err() != nil {
-			t.logEvent(eventlog.CallerDisconnected, "", err)
-			t.recordOutcome(ResultCallerDisconnected, t.verdict())
-			panic(http.ErrAbortHandler)
-		}
+		t.abortIfCallerLeft(err)
 		if !t.canRetry(s, err) {
 			t.failOrAbort(err)
 			return
 		}
 		t.awaitCrashCheck(ctx)
+		t.abortIfCallerLeft(err)
+	}
+}
+
+// abortIfCallerLeft ends a request whose caller has disconnected. err is the error of
+// its last attempt.
+func (t *transfer) abortIfCallerLeft(err error) {
+	if t.callerRequest.Context().Err() == nil {
+		return
 	}
+	t.logEvent(eventlog.CallerDisconnected, "", err)
+	t.recordOutcome(ResultCallerDisconnected, t.verdict())
+	panic(http.ErrAbortHandler)
 }
 
 // canRetry reports whether another attempt is safe, within the retry limits and
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -235,6 +235,9 @@
 // error's verdict is NotRun if no byte of the request can have reached the
 // upstream, and MayHaveRun otherwise.
 func (p *Pool) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUpstreamFailed, "nothing was sent to "+t.ID)
+	}
 	c, err := p.connect(ctx, r, t)
 	if err != nil {
 		return nil, err
--- a/internal/upstream/httpconn/pool_test.go
+++ b/internal/upstream/httpconn/pool_test.go
@@ -227,3 +227,32 @@
 	_, err = sendRequest(pool, target, "a", "")
 	assert.Equal(t, verdict.Of(err), verdict.NotRun, "there was no connection")
 }
+
+// Guards against a request that is sent although its context has ended, on an idle
+// connection, which needs no dial that would fail.
+func TestNothingIsSentOnceContextHasEnded(t *testing.T) {
+	var requests atomic.Int64
+	target, pool := newScriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			requests.Add(1)
+			respond(conn, id, "ok", "")
+		}
+	})
+	_, err := sendRequest(pool, target, "1", "")
+	assert.NilError(t, err)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		_, err = pool.Do(ended, target, &Request{Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {"late"}}})
+		assert.ErrorIs(t, err, context.Canceled)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	}
+	_, err = sendRequest(pool, target, "2", "")
+	assert.NilError(t, err)
+	assert.Equal(t, requests.Load(), int64(2))
+	assert.Equal(t, pool.OpenedConnections(), int64(1))
+}
