Take no comment of a stream for the begin of an answer

Engines saw: requests with one prompt part crashed every engine that they reached, for as long as they came, if the engines send a comment or an empty line before they compute the prompt. No part was quarantined.

Cause: each complete block of a stream counted as the begin of the answer, which clears the parts of the prompt, also one without a field.

Why it works: a begin proves that the engine survived the part because it computed a token. A block without a field carries none. Events that the caller had still count.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -106,7 +106,9 @@
 		if resumed && e.id == "" && e.hasFields {
 			return relayed, verdict.New(verdict.Ran, verdict.CodeStreamLost, "the upstream did not resume the stream: an event has no ID")
 		}
-		t.recordBegin()
+		if e.hasFields {
+			t.recordBegin()
+		}
 		if t.alreadyRelayed(e.id) {
 			continue
 		}
