Ask the scheduler for hold-offs only while there may be some

Callers saw nothing; found in review. Each request took the lock of its service's scheduler, and ran the scheduler's work, once more right before it was sent, although no upstream of the service had sent a Retry-After.

Cause: heldOff asked the scheduler each time.

Its cost was not measured.

Why it works: the end of the last hold-off of the service is kept in an atomic, set in the same call that tells the scheduler; while it has not come, the scheduler is asked as before.

--- a/internal/forward/holdoff_test.go
+++ b/internal/forward/holdoff_test.go
@@ -79,3 +79,27 @@
 	err := verdict.Wrap(errHeldOff, verdict.NotRun, verdict.CodeUpstreamFailed, "nothing was sent")
 	assert.Equal(t, x.attemptOutcome("u-1", err), routing.Canceled)
 }
+
+// Guards against requests that wait for the scheduler once more before they are sent,
+// although no upstream has asked for anything.
+func TestRequestsWithoutHoldOffsDoNotWaitForScheduler(t *testing.T) {
+	const waitLimit = 5 * time.Second
+	services := NewServices(RetryLimits{Slack: 50}, func(string) time.Duration { return 0 })
+	defer services.Close()
+	svc := services.get("ledger")
+	u := &fleet.Registration{ID: "u-1", Service: "ledger", StartedAt: 1}
+	heldOff := make(chan bool, 1)
+	svc.runner.Do(func(routing.Scheduler, time.Time) { // keeps the scheduler busy
+		go func() { heldOff <- svc.heldOff(u) }()
+		select {
+		case held := <-heldOff:
+			assert.Check(t, !held)
+		case <-time.After(waitLimit):
+			t.Error("the request waits for the scheduler")
+		}
+	})
+	assert.Assert(t, svc.holdOff(u, time.Minute))
+	assert.Assert(t, svc.heldOff(u))
+	assert.Assert(t, !svc.holdOff(u, time.Second))
+	assert.Assert(t, svc.heldOff(u), "a shorter hold-off does not end a longer one")
+}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -62,6 +62,8 @@
 type service struct {
 	name   string
 	runner *schedule.Runner
+	// holdOffsEnd is when the last of the hold-offs ends; nil if there was none.
+	holdOffsEnd atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	retries   *admission.Budget
