Share the probes after responses that end with their connection

Cause: each such response asked for a probe at once and, since an upstream that has just crashed may still listen, for another one 100 ms later.

Why it works: the callers of these responses have them and wait for no probe, so only the later one is made, and all responses that await it share it. Connections that break before the response is complete are probed at once, as before.

Also cut a response by the connection after the last CR of its head, in TestCutAnswerIsNotFramedAsWhole, which passes.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -142,16 +142,22 @@
 func (l *Liveness) RequestProbe(u *fleet.Registration, spread time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := l.health(u)
+	l.health(u).requestProbe(time.Now().Add(rand.N(max(1, spread))))
+}
+
+// requestProbe requests a probe from a time on, unless one is requested already. l.mu must
+// be held.
+func (h *upstreamHealth) requestProbe(notBefore time.Time) {
 	if !h.probeRequested {
-		h.probeRequested, h.probeNotBefore = true, time.Now().Add(rand.N(max(1, spread)))
+		h.probeRequested, h.probeNotBefore = true, notBefore
 	}
 }
 
 // recordBrokenConnection records that an incarnation of an upstream broke the
 // connection of a request, and requests a probe. The returned channel receives whether
 // the incarnation has ended; it is nil if that won't be known. survived, if not nil, is
-// called once a crash is ruled out.
+// called once a crash is ruled out; its request looks complete and waits for nothing, so
+// that requests share probes, one per poll at most.
 func (l *Liveness) recordBrokenConnection(id, incarnation string, r RunningRequest, survived func()) <-chan bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,7 +166,12 @@
 		return nil
 	}
 	crashed := make(chan bool, 1)
-	h.broken = append(h.broken, brokenRequest{RunningRequest: r, incarnation: incarnation, crashed: crashed, settledAt: time.Now().Add(exitTime), survived: survived})
+	settledAt := time.Now().Add(exitTime)
+	h.broken = append(h.broken, brokenRequest{RunningRequest: r, incarnation: incarnation, crashed: crashed, settledAt: settledAt, survived: survived})
+	if survived != nil {
+		h.requestProbe(settledAt)
+		return crashed
+	}
 	h.probeRequested, h.probeNotBefore = true, time.Time{}
 	select {
 	case l.wake <- struct{}{}:
@@ -330,9 +341,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h.broken = append(h.broken, b)
-	if !h.probeRequested {
-		h.probeRequested, h.probeNotBefore = true, b.settledAt
-	}
+	h.requestProbe(b.settledAt)
 }
 
 // isTimeout reports whether a connection attempt timed out. The dialer's own
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -208,3 +208,39 @@
 		}
 	})
 }
+
+// Guards against one or two probes for each response that ends with its connection: they
+// are new connections to the upstream, more than the requests need.
+func TestCompleteResponsesShareProbes(t *testing.T) {
+	const (
+		responses        = 200
+		responseInterval = 10 * time.Millisecond
+		maxProbes        = int(responses*responseInterval/livenessInterval) + 2
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var probes atomic.Int64
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			probes.Add(1)
+			client, server := net.Pipe()
+			server.Close()
+			return client, nil
+		}
+		l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = l.Run(ctx) })
+		u := &fleet.Registration{ID: "e", Address: "10.0.0.1:80"}
+		_, untrack := l.track(u, &transfer{}, func(error) {})
+		untrack()
+		var survived atomic.Int64
+		for range responses {
+			l.recordBrokenConnection(u.ID, u.Incarnation(), RunningRequest{Fingerprint: "f"}, func() { survived.Add(1) })
+			time.Sleep(responseInterval)
+		}
+		time.Sleep(time.Second)
+		stop()
+		wg.Wait()
+		assert.Equal(t, survived.Load(), int64(responses))
+		assert.Assert(t, int(probes.Load()) <= maxProbes, "%d probes for %d responses", probes.Load(), responses)
+	})
+}
--- a/lab/sitepath/cutanswers_test.go
+++ b/lab/sitepath/cutanswers_test.go
@@ -52,6 +52,8 @@
 		switch f {
 		case byLength:
 			marks = append(marks, "Content-Length: 2", "Content-Length: 20", "Content-Length: 20\r\n", "Content-Length: 20\r\n\r", "\r\n\r\n", "answer", "ledger-")
+		case byConnection:
+			marks = append(marks, "\r\n\r")
 		case byChunks:
 			marks = append(marks, "Transfer-Enc", "chunked\r\n", "chunked\r\n\r", "chunked\r\n\r\n", "chunked\r\n\r\n1", "14\r", "14\r\n", "answer", "ledger-9", "ledger-9\r\n", "\r\n0", "\r\n0\r\n", "\r\n0\r\n\r")
 		}
