Take no change of weights for a crash of the engine

Callers saw: a request refused with 503 as one that crashes engines, for up to an hour, although no engine had ended. Requests had been sent before a rollout changed the weights of their engines under them, and their connections broke afterwards for another reason.

Cause: a connection that broke counted as a crash if the engine had another incarnation by then, and an incarnation names the weights too. Rollouts let running requests go on (hot swap), so any request that spans one and loses its connection was held to have crashed its engine; two such engines quarantine the request, and its unbegun prompt parts were suspected. A complete response that ends with its connection counted likewise.

Why it works: crashes are told by the process, its ID and start, which weights do not change. Another start, or a refused connection, is a crash as before.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -34,7 +34,7 @@
 	// Hash is the hash of ID for rendezvous hashing; Registry sets it.
 	Hash uint64
 
-	incarnation string
+	process, incarnation string
 }
 
 // Version returns the loaded version of a model, 0 when it is not loaded.
@@ -47,13 +47,16 @@
 	return 0
 }
 
+// Process identifies one run of the upstream's process, whatever its weights.
+func (r *Registration) Process() string { return r.process }
+
 // Incarnation identifies one run of the upstream's process with one set of
 // weights. The upstream loses its cache when either changes.
 func (r *Registration) Incarnation() string { return r.incarnation }
 
 func (r *Registration) formatIncarnation() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s/%d", r.ID, r.StartedAt)
+	b.WriteString(r.process)
 	for _, m := range r.Models {
 		fmt.Fprintf(&b, "/%s@%d", m.Name, m.Version)
 	}
@@ -88,7 +91,8 @@
 	next := &RegistrySnapshot{ByID: map[string]*Registration{}, ByService: map[string][]*Registration{}}
 	for i := range list {
 		u := &list[i]
-		u.Hash, u.incarnation = prefix.NodeHash(u.ID), u.formatIncarnation()
+		u.Hash, u.process = prefix.NodeHash(u.ID), fmt.Sprintf("%s/%d", u.ID, u.StartedAt)
+		u.incarnation = u.formatIncarnation()
 		next.ByID[u.ID] = u
 		next.ByService[u.Service] = append(next.ByService[u.Service], u)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -108,8 +108,8 @@
 	}
 	if c.Liveness != nil {
 		c.Liveness.usableUntil = c.UsableUntil
-		c.Liveness.onCrash = func(service, id, incarnation string, requests []RunningRequest) {
-			reportCrash(c.Suspects, c.PromptParts, service, id, incarnation, requests)
+		c.Liveness.onCrash = func(service, id, process string, requests []RunningRequest) {
+			reportCrash(c.Suspects, c.PromptParts, service, id, process, requests)
 		}
 	}
 	f := &Forwarder{Config: c}
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -43,9 +43,9 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// onChange is called when an upstream goes down or recovers.
 	onChange func(id string, down bool)
-	// onCrash is called when an incarnation of an upstream has ended, with the
-	// requests whose connections it broke; may be nil.
-	onCrash func(service, id, incarnation string, requests []RunningRequest)
+	// onCrash is called when a process of an upstream has ended, with the requests whose
+	// connections it broke; may be nil.
+	onCrash func(service, id, process string, requests []RunningRequest)
 	// usableUntil is Config.UsableUntil.
 	usableUntil func(id string) (until time.Time, ok bool)
 	// wake holds a token while a probe is due at once.
@@ -71,18 +71,18 @@
 	// when it broke a request's connection. It applies from probeNotBefore on.
 	probeRequested bool
 	probeNotBefore time.Time
-	// incarnation is the one that requests were last sent to; broken are the
-	// requests whose connections the upstream broke since the last probe.
-	incarnation string
+	// process is the one that requests were last sent to; broken are the requests whose
+	// connections the upstream broke since the last probe.
+	process     string
 	broken      []brokenRequest
 	lastProbeAt time.Time // when the last probe ended
 }
 
-// brokenRequest is a request whose connection an incarnation of an upstream broke.
+// brokenRequest is a request whose connection a process of an upstream broke.
 type brokenRequest struct {
 	RunningRequest
-	incarnation string
-	// crashed receives whether the first probe finds that the incarnation has ended;
+	process string
+	// crashed receives whether the first probe finds that the process has ended;
 	// nil once it has.
 	crashed chan<- bool
 	// settledAt is when a probe that is accepted rules a crash out; survived, if not nil,
@@ -117,7 +117,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.health(u)
-	h.incarnation = u.Incarnation()
+	h.process = u.Process()
 	if len(h.requests) == 0 {
 		h.busySince = time.Now()
 	}
@@ -153,12 +153,12 @@
 	}
 }
 
-// recordBrokenConnection records that an incarnation of an upstream broke the
-// connection of a request, and requests a probe. The returned channel receives whether
-// the incarnation has ended; it is nil if that won't be known. survived, if not nil, is
+// recordBrokenConnection records that a process of an upstream broke the connection of a
+// request, and requests a probe. The returned channel receives whether the process has
+// ended; it is nil if that won't be known. survived, if not nil, is
 // called once a crash is ruled out; its request looks complete and waits for nothing, so
 // that requests share probes, one per poll at most.
-func (l *Liveness) recordBrokenConnection(id, incarnation string, r RunningRequest, survived func()) <-chan bool {
+func (l *Liveness) recordBrokenConnection(id, process string, r RunningRequest, survived func()) <-chan bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.upstreams[id]
@@ -167,7 +167,7 @@
 	}
 	crashed := make(chan bool, 1)
 	settledAt := time.Now().Add(exitTime)
-	h.broken = append(h.broken, brokenRequest{RunningRequest: r, incarnation: incarnation, crashed: crashed, settledAt: settledAt, survived: survived})
+	h.broken = append(h.broken, brokenRequest{RunningRequest: r, process: process, crashed: crashed, settledAt: settledAt, survived: survived})
 	if survived != nil {
 		h.requestProbe(settledAt)
 		return crashed
@@ -301,27 +301,27 @@
 	return broken
 }
 
-// reportBroken reports the crash of each incarnation that broke connections and has
-// ended: the upstream does not listen, or has registered another incarnation. Other
-// requests that broke just now are checked once more.
+// reportBroken reports the crash of each process that broke connections and has ended: the
+// upstream does not listen, or has registered another process. Other weights alone are no
+// crash. Requests of other processes that broke just now are checked once more.
 func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, ended bool) {
 	l.mu.Lock()
-	current := h.incarnation
+	current := h.process
 	l.mu.Unlock()
 	crashed := map[string][]RunningRequest{}
 	for _, b := range broken {
-		if ended || b.incarnation != current {
-			crashed[b.incarnation] = append(crashed[b.incarnation], b.RunningRequest)
+		if ended || b.process != current {
+			crashed[b.process] = append(crashed[b.process], b.RunningRequest)
 		}
 	}
-	for incarnation, requests := range crashed {
+	for process, requests := range crashed {
 		if l.onCrash != nil {
-			l.onCrash(h.service, id, incarnation, requests)
+			l.onCrash(h.service, id, process, requests)
 		}
 	}
 	for i := range broken {
 		b := &broken[i]
-		hasEnded := ended || b.incarnation != current
+		hasEnded := ended || b.process != current
 		if b.crashed != nil {
 			b.crashed <- hasEnded
 			b.crashed = nil
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -141,7 +141,7 @@
 				_, untrack := l.track(u, &transfer{}, func(error) {})
 				untrack()
 				brokenAt = time.Now()
-				check := l.recordBrokenConnection(u.ID, u.Incarnation(), RunningRequest{Fingerprint: "f"}, func() { survived = true })
+				check := l.recordBrokenConnection(u.ID, u.Process(), RunningRequest{Fingerprint: "f"}, func() { survived = true })
 				select {
 				case <-check:
 				case <-time.After(probeTimeout):
@@ -234,7 +234,7 @@
 		untrack()
 		var survived atomic.Int64
 		for range responses {
-			l.recordBrokenConnection(u.ID, u.Incarnation(), RunningRequest{Fingerprint: "f"}, func() { survived.Add(1) })
+			l.recordBrokenConnection(u.ID, u.Process(), RunningRequest{Fingerprint: "f"}, func() { survived.Add(1) })
 			time.Sleep(responseInterval)
 		}
 		time.Sleep(time.Second)
@@ -244,3 +244,43 @@
 		assert.Assert(t, int(probes.Load()) <= maxProbes, "%d probes for %d responses", probes.Load(), responses)
 	})
 }
+
+// Guards against taking a change of weights for a crash: requests whose connections broke
+// after it, from any cause, were held to have crashed an upstream that goes on.
+func TestChangedWeightsAreNoCrash(t *testing.T) {
+	row := fleet.Registration{ID: "e", Address: "10.0.0.1:80", StartedAt: 1, Models: []fleet.LoadedModel{{Name: "opal", Version: 1}}}
+	switched, restarted := row, row
+	switched.Models = []fleet.LoadedModel{{Name: "opal", Version: 2}}
+	restarted.StartedAt = 2
+	for name, c := range map[string]struct {
+		later fleet.Registration
+		crash bool
+	}{"other weights": {switched, false}, "restarted": {restarted, true}, "unchanged": {row, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial := func(context.Context, string, string) (net.Conn, error) {
+					client, server := net.Pipe()
+					server.Close()
+					return client, nil
+				}
+				l := NewLiveness(dial, func(string, bool) {}, eventlog.Discard())
+				var crashed []RunningRequest
+				l.onCrash = func(_, _, _ string, requests []RunningRequest) { crashed = append(crashed, requests...) }
+				ctx, stop := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				wg.Go(func() { _ = l.Run(ctx) })
+				registry := fleet.NewRegistry()
+				before := registry.Replace([]fleet.Registration{row}).ByID["e"]
+				_, untrack := l.track(before, &transfer{}, func(error) {})
+				defer untrack()
+				_, untrackLater := l.track(registry.Replace([]fleet.Registration{c.later}).ByID["e"], &transfer{}, func(error) {})
+				defer untrackLater()
+				l.recordBrokenConnection("e", before.Process(), RunningRequest{Fingerprint: "f"}, nil)
+				time.Sleep(time.Second)
+				stop()
+				wg.Wait()
+				assert.Equal(t, len(crashed) == 1, c.crash)
+			})
+		})
+	}
+}
--- a/internal/forward/promptparts.go
+++ b/internal/forward/promptparts.go
@@ -26,9 +26,9 @@
 	ClaimTrial(ctx context.Context, service string, parts []string) (handBack func(), ok bool)
 	// Begun records that a request with the parts began its answer.
 	Begun(service string, parts []string)
-	// UpstreamCrashed records that an incarnation of an upstream ended before it had
+	// UpstreamCrashed records that a process of an upstream ended before it had
 	// begun the answers of requests.
-	UpstreamCrashed(service, upstream, incarnation string, requests []RunningRequest)
+	UpstreamCrashed(service, upstream, process string, requests []RunningRequest)
 }
 
 // RunningRequest is a request that an upstream was running when it broke the
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -22,9 +22,9 @@
 	// Quarantined reports whether too many upstreams crashed while running a
 	// request.
 	Quarantined(request string) bool
-	// UpstreamCrashed records that an incarnation of an upstream ended while it
+	// UpstreamCrashed records that a process of an upstream ended while it
 	// ran requests.
-	UpstreamCrashed(upstream, incarnation string, requests []string)
+	UpstreamCrashed(upstream, process string, requests []string)
 	// RequestCompleted records that a request ran to completion.
 	RequestCompleted(request string)
 }
@@ -90,8 +90,8 @@
 	}
 }
 
-// reportCrash reports the end of an upstream's incarnation to the trackers.
-func reportCrash(suspects SuspectTracker, parts PromptPartTracker, service, upstream, incarnation string, requests []RunningRequest) {
+// reportCrash reports the end of an upstream's process to the trackers.
+func reportCrash(suspects SuspectTracker, parts PromptPartTracker, service, upstream, process string, requests []RunningRequest) {
 	var fingerprints []string
 	var unbegun []RunningRequest
 	for _, r := range requests {
@@ -102,9 +102,9 @@
 			unbegun = append(unbegun, r)
 		}
 	}
-	suspects.UpstreamCrashed(upstream, incarnation, fingerprints)
+	suspects.UpstreamCrashed(upstream, process, fingerprints)
 	if parts != nil && len(unbegun) > 0 {
-		parts.UpstreamCrashed(service, upstream, incarnation, unbegun)
+		parts.UpstreamCrashed(service, upstream, process, unbegun)
 	}
 }
 
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -57,6 +57,8 @@
 	begun         bool
 	onTrial       bool
 	handBackTrial func()
+	// process is the upstream's to which the current attempt goes.
+	process string
 	// sentAt is when the current attempt was sent, brokenAt when its connection broke.
 	// crashCheck then receives whether the upstream has crashed.
 	sentAt, brokenAt time.Time
@@ -208,7 +210,7 @@
 	defer untrack()
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
-	t.begun, t.sentAt = false, time.Now()
+	t.begun, t.sentAt, t.process = false, time.Now(), u.Process()
 	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.upstreamRequest(s, u, action))
 	if err != nil {
 		return t.recordNoResponse(s, action, withCause(ctx, err))
@@ -321,7 +323,7 @@
 	}
 	t.brokenAt = time.Now()
 	r := t.runningRequest(t.brokenAt)
-	check := t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, action.Incarnation, r, nil)
+	check := t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, t.process, r, nil)
 	if !t.begun && len(r.SharedParts) > 0 {
 		t.crashCheck = check
 	}
@@ -351,7 +353,7 @@
 		t.recordBegin()
 		return
 	}
-	t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, action.Incarnation, t.runningRequest(time.Now()), func() {
+	t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, t.process, t.runningRequest(time.Now()), func() {
 		t.clearSuspicion()
 		t.recordBegin()
 	})
