Take no exit of an upstream that leaves for a crash

Callers saw: a request refused with 503 as one that crashes upstreams, for up to an hour. Two upstreams had answered it in full, with neither length nor chunks, and exited in order right after, having said that they leave.

Cause: after such a response the upstream is probed, since a crash may have cut the body off, and an upstream that refuses the connection counts as crashed.

Why it works: the end of an upstream that is draining, or whose row is gone, says nothing about its last requests, so no probe is made and the response counts as complete. A connection that breaks before the response is complete is probed as before.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -343,12 +343,13 @@
 
 // clearAfterResponse ends the suspicion of a request with a complete response. A body
 // that only the end of its connection delimits may have been cut off by a crash, so the
-// upstream is probed first.
+// upstream is probed first, unless it leaves: then it may exit after its last response.
 func (t *transfer) clearAfterResponse(action routing.Action, resp *httpconn.Response) {
 	if resp.StatusCode/100 != 2 {
 		return
 	}
-	if t.begun || !endsWithConnection(resp) {
+	u := t.forwarder.Registry().ByID[action.Endpoint]
+	if leaves := u == nil || u.Leaving; t.begun || leaves || !endsWithConnection(resp) {
 		t.clearSuspicion()
 		t.recordBegin()
 		return
