Close the servers of a test's deployment under their lock

The race detector saw the end of a deployment read the list of servers that the restart of an upstream had written (TestExitAfterLastResponseIsNoCrash, 2 of 2 runs). With the lock the new tests and those of Retry-After pass under it. Nothing but the test's harness changes.

--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -316,9 +316,11 @@
 	}
 	time.Sleep(lastLoadTime)
 	close(d.stopHeartbeats)
+	d.mu.Lock() // upstreams that crashed may have been restarted meanwhile
 	for _, s := range d.servers {
 		s.Close()
 	}
+	d.mu.Unlock()
 	synctest.Wait()
 }
 
