--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -50,9 +50,9 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// onChange is called when an upstream goes down or recovers.
 	onChange func(id string, down bool)
-	// onCrash is called when an incarnation of an upstream has ended, with the
-	// requests whose connections it broke; may be nil.
-	onCrash func(service, id, incarnation string, requests []RunningRequest)
+	// onCrash is called when a process of an upstream has ended, with the requests whose
+	// connections it broke; may be nil.
+	onCrash func(service, id, process string, requests []RunningRequest)
 	// newTimer is time.NewTimer.
 	newTimer func(time.Duration) *time.Timer
 	// usableUntil is Config.UsableUntil.
@@ -90,18 +90,18 @@
 	// when it broke a request's connection. It applies from probeNotBefore on.
 	probeRequested bool
 	probeNotBefore time.Time
-	// incarnation is the one that requests were last sent to; broken are the
-	// requests whose connections the upstream broke since the last probe.
-	incarnation string
+	// process is the one that requests were last sent to; broken are the requests whose
+	// connections the upstream broke since the last probe.
+	process     string
 	broken      []brokenRequest
 	lastProbeAt time.Time // when the last probe ended
 }
 
-// brokenRequest is a request whose connection an incarnation of an upstream broke.
+// brokenRequest is a request whose connection a process of an upstream broke.
 type brokenRequest struct {
 	RunningRequest
-	incarnation string
-	// crashed receives whether the first probe finds that the incarnation has ended;
+	process string
+	// crashed receives whether the first probe finds that the process has ended;
 	// nil once it has.
 	crashed chan<- bool
 	// settledAt is when a probe that is accepted rules a crash out; survived, if not nil,
@@ -136,7 +136,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.health(u)
-	h.incarnation = u.Incarnation()
+	h.process = u.Process()
 	if len(h.requests) == 0 {
 		h.busySince = time.Now()
 	}
@@ -161,17 +161,23 @@
 func (l *Liveness) RequestProbe(u *fleet.Registration, spread time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := l.health(u)
+	l.health(u).requestProbe(time.Now().Add(rand.N(max(1, spread))))
+}
+
+// requestProbe requests a probe from a time on, unless one is requested already. l.mu must
+// be held.
+func (h *upstreamHealth) requestProbe(notBefore time.Time) {
 	if !h.probeRequested {
-		h.probeRequested, h.probeNotBefore = true, time.Now().Add(rand.N(max(1, spread)))
+		h.probeRequested, h.probeNotBefore = true, notBefore
 	}
 }
 
-// recordBrokenConnection records that an incarnation of an upstream broke the
-// connection of a request, and requests a probe. The returned channel receives whether
-// the incarnation has ended; it is nil if that won't be known. survived, if not nil, is
-// called once a crash is ruled out.
-func (l *Liveness) recordBrokenConnection(id, incarnation string, r RunningRequest, survived func()) <-chan bool {
+// recordBrokenConnection records that a process of an upstream broke the connection of a
+// request, and requests a probe. The returned channel receives whether the process has
+// ended; it is nil if that won't be known. survived, if not nil, is
+// called once a crash is ruled out; its request looks complete and waits for nothing, so
+// that requests share probes, one per poll at most.
+func (l *Liveness) recordBrokenConnection(id, process string, r RunningRequest, survived func()) <-chan bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.upstreams[id]
@@ -179,7 +185,12 @@
 		return nil
 	}
 	crashed := make(chan bool, 1)
-	h.broken = append(h.broken, brokenRequest{RunningRequest: r, incarnation: incarnation, crashed: crashed, settledAt: time.Now().Add(exitTime), survived: survived})
+	settledAt := time.Now().Add(exitTime)
+	h.broken = append(h.broken, brokenRequest{RunningRequest: r, process: process, crashed: crashed, settledAt: settledAt, survived: survived})
+	if survived != nil {
+		h.requestProbe(settledAt)
+		return crashed
+	}
 	h.probeRequested, h.probeNotBefore = true, time.Time{}
 	select {
 	case l.wake <- struct{}{}:
@@ -386,27 +397,27 @@
 	return broken
 }
 
-// reportBroken reports the crash of each incarnation that broke connections and has
-// ended: the upstream does not listen, or has registered another incarnation. Other
-// requests that broke just now are checked once more.
+// reportBroken reports the crash of each process that broke connections and has ended: the
+// upstream does not listen, or has registered another process. Other weights alone are no
+// crash. Requests of other processes that broke just now are checked once more.
 func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, ended bool) {
 	l.mu.Lock()
-	current := h.incarnation
+	current := h.process
 	l.mu.Unlock()
 	crashed := map[string][]RunningRequest{}
 	for _, b := range broken {
-		if ended || b.incarnation != current {
-			crashed[b.incarnation] = append(crashed[b.incarnation], b.RunningRequest)
+		if ended || b.process != current {
+			crashed[b.process] = append(crashed[b.process], b.RunningRequest)
 		}
 	}
-	for incarnation, requests := range crashed {
+	for process, requests := range crashed {
 		if l.onCrash != nil {
-			l.onCrash(h.service, id, incarnation, requests)
+			l.onCrash(h.service, id, process, requests)
 		}
 	}
 	for i := range broken {
 		b := &broken[i]
-		hasEnded := ended || b.incarnation != current
+		hasEnded := ended || b.process != current
 		if b.crashed != nil {
 			b.crashed <- hasEnded
 			b.crashed = nil
@@ -426,9 +437,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h.broken = append(h.broken, b)
-	if !h.probeRequested {
-		h.probeRequested, h.probeNotBefore = true, b.settledAt
-	}
+	h.requestProbe(b.settledAt)
 }
 
 // isTimeout reports whether a connection attempt timed out. The dialer's own
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -58,6 +57,8 @@
 	begun         bool
 	onTrial       bool
 	handBackTrial func()
+	// process is the upstream's to which the current attempt goes.
+	process string
 	// sentAt is when the current attempt was sent, brokenAt when its connection broke.
 	// crashCheck then receives whether the upstream has crashed.
 	sentAt, brokenAt time.Time
@@ -93,19 +94,27 @@
 		if err == nil {
 			return
 		}
-		if t.callerRequest.Context().Err() != nil {
-			t.logEvent(eventlog.CallerDisconnected, "", err)
-			t.recordOutcome(ResultCallerDisconnected, t.verdict())
-			panic(http.ErrAbortHandler)
-		}
+		t.abortIfCallerLeft(err)
 		if !t.canRetry(s, err) {
 			t.failOrAbort(err)
 			return
 		}
 		t.awaitCrashCheck(ctx)
+		t.abortIfCallerLeft(err)
 	}
 }
 
+// abortIfCallerLeft ends a request whose caller has disconnected. err is the error of
+// its last attempt.
+func (t *transfer) abortIfCallerLeft(err error) {
+	if t.callerRequest.Context().Err() == nil {
+		return
+	}
+	t.logEvent(eventlog.CallerDisconnected, "", err)
+	t.recordOutcome(ResultCallerDisconnected, t.verdict())
+	panic(http.ErrAbortHandler)
+}
+
 // canRetry reports whether another attempt is safe, within the retry limits and
 // before the deadline.
 func (t *transfer) canRetry(s *service, err error) bool {
@@ -201,7 +210,7 @@
 	defer untrack()
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
-	t.begun, t.sentAt = false, time.Now()
+	t.begun, t.sentAt, t.process = false, time.Now(), u.Process()
 	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.upstreamRequest(s, u, action))
 	if err != nil {
 		return t.recordNoResponse(s, action, withCause(ctx, err))
@@ -229,9 +238,6 @@
 		sched.FirstToken(now, t.metadata.ID, action.Endpoint, routing.CachedUnknown)
 	})
 	events, err := t.relay(resp)
-	if err == nil && events == 0 && !t.begun && endsWithConnection(resp) {
-		err = verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeStreamLost, "the connection ended before the upstream's first event")
-	}
 	if err != nil {
 		err = withCause(ctx, err)
 		resp.Body.Close()
@@ -317,7 +323,7 @@
 	}
 	t.brokenAt = time.Now()
 	r := t.runningRequest(t.brokenAt)
-	check := t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, action.Incarnation, r, nil)
+	check := t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, t.process, r, nil)
 	if !t.begun && len(r.SharedParts) > 0 {
 		t.crashCheck = check
 	}
@@ -337,17 +343,18 @@
 
 // clearAfterResponse ends the suspicion of a request with a complete response. A body
 // that only the end of its connection delimits may have been cut off by a crash, so the
-// upstream is probed first.
+// upstream is probed first, unless it leaves: then it may exit after its last response.
 func (t *transfer) clearAfterResponse(action routing.Action, resp *httpconn.Response) {
 	if resp.StatusCode/100 != 2 {
 		return
 	}
-	if t.begun || !endsWithConnection(resp) {
+	u := t.forwarder.Registry().ByID[action.Endpoint]
+	if leaves := u == nil || u.Leaving; t.begun || leaves || !endsWithConnection(resp) {
 		t.clearSuspicion()
 		t.recordBegin()
 		return
 	}
-	t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, action.Incarnation, t.runningRequest(time.Now()), func() {
+	t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, t.process, t.runningRequest(time.Now()), func() {
 		t.clearSuspicion()
 		t.recordBegin()
 	})
