Bound deep crashes whose depth rises

Nothing was seen by callers; found in review. Room is made now whenever a crash joins a class. TestCrashesThatRiseInDepthAreBounded: 3,072 before, at most 1,024 now.

--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -214,8 +214,11 @@
 		return false
 	}
 	if known {
+		// Counted by its new depth below. Without it, makeRoom can't drop it.
+		delete(r.crashes, crash)
 		s.count(old, -1)
-	} else {
+	}
+	if !known || (old.depth >= newPartDepth) != (c.depth >= newPartDepth) {
 		s.makeRoom(c.depth)
 	}
 	s.parts[part] = r
--- a/internal/suspects/partstate_test.go
+++ b/internal/suspects/partstate_test.go
@@ -238,6 +238,20 @@
 	assert.Assert(t, s.isQuarantined("cause"))
 }
 
+// Guards against more deep crashes than their bound, when known crashes rise in depth.
+func TestCrashesThatRiseInDepthAreBounded(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	for i := range 3 * maxQuarantinedParts {
+		part, crash := fmt.Sprint("part", i), fmt.Sprint("crash", i)
+		s.addCrash(part, crash, partCrash{request: "r", at: at, depth: 1})
+		s.addCrash(part, crash, partCrash{request: "r", at: at, depth: newPartDepth})
+		assert.Assert(t, s.isQuarantined(part))
+	}
+	assert.Assert(t, s.quarantined <= maxQuarantinedParts, "%d crashes", s.quarantined)
+	assert.Equal(t, s.suspicions, 0)
+}
+
 // ownedParts simulates a part that crashes every engine for a day, in requests of several
 // owners in turn, one a second. It returns how many ran, and how many of them after the
 // fifth crash.
