--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -94,7 +94,7 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if !continued && endsWithConnection(resp) {
+			if !continued && resp.EndsWithConnection() {
 				return relayed, verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeStreamLost, "the connection ended before the upstream's first new event")
 			}
 			return relayed, nil
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -253,12 +253,6 @@
 	return nil
 }
 
-// endsWithConnection reports whether nothing but the end of the connection marks that of
-// the response.
-func endsWithConnection(resp *httpconn.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // withCause adds the reason to an error that this daemon's own cancellation
 // caused.
 func withCause(ctx context.Context, err error) error {
@@ -349,7 +343,7 @@
 		return
 	}
 	u := t.forwarder.Registry().ByID[action.Endpoint]
-	if leaves := u == nil || u.Leaving; t.begun || leaves || !endsWithConnection(resp) {
+	if leaves := u == nil || u.Leaving; t.begun || leaves || !resp.EndsWithConnection() {
 		t.clearSuspicion()
 		t.recordBegin()
 		return
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -230,6 +230,10 @@
 	conn   net.Conn
 }
 
+// EndsWithConnection reports whether nothing but the end of the connection marks that of
+// the response.
+func (r *Response) EndsWithConnection() bool { return endsWithConnection(r.Response) }
+
 // Do sends a request and returns its response once the headers have arrived.
 // The connection is closed when ctx ends, also while the body is read. The
 // error's verdict is NotRun if no byte of the request can have reached the
@@ -409,8 +413,7 @@
 	return nil
 }
 
-// endsWithConnection reports whether nothing but the end of the connection marks that of
-// the response.
+// endsWithConnection implements Response.EndsWithConnection.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
