Log rows of quarantined prompt parts that cannot be read

Found in review: invalid rows in the table of quarantined parts were skipped without a word. TestInvalidRowsAreLoggedOnce: no line before, one a row now.

--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -115,6 +115,8 @@
 	// pending are the suspicions to be written to the table.
 	pending           []pendingSuspicion
 	writingSuspicions bool
+	// invalidRows holds the keys of the rows that ApplyRows skipped last.
+	invalidRows map[string]bool
 	// ctx ends the writing of rows in the background.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -418,9 +420,10 @@
 }
 
 // ApplyRows applies the rows of all quarantined and suspected parts, as the table has
-// them. Invalid rows are ignored.
+// them. Invalid rows are skipped and logged once.
 func (p *Parts) ApplyRows(rows map[string]platform.Change) {
 	now := time.Now()
+	invalid := map[string]bool{}
 	decoded := map[string]quarantineRow{}
 	suspicions := map[string]suspicionRow{}
 	for key, row := range rows {
@@ -431,12 +434,19 @@
 		part, err := hex.DecodeString(key)
 		var v rowValue
 		if err != nil || len(part) != digestBytes || msgpack.Unmarshal(row.Value, &v) != nil {
+			invalid[key] = true
 			continue
 		}
 		decoded[string(part)] = quarantineRow{version: row.Version, trials: max(0, v.Trials), since: now, organisation: v.Organisation, companions: v.Companions, claim: v.Claim, unrun: max(0, v.Unrun), deep: v.Deep}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for key := range invalid {
+		if !p.invalidRows[key] {
+			p.log.Emit(eventlog.RowUnreadable, eventlog.Fields{Detail: "quarantined prompt part " + key})
+		}
+	}
+	p.invalidRows = invalid
 	var changed []string
 	for part, row := range decoded {
 		if r := p.state.parts[part]; r == nil || r.row == nil || r.row.version != row.version {
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -495,3 +495,28 @@
 	}
 	assert.Equal(t, late, 0, "of %d", rounds)
 }
+
+// Guards against rows that are skipped without a word, and against a log line for each read
+// of the table.
+func TestInvalidRowsAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(1)
+		var skipped int
+		f.daemons[0].log.Observe(func(id eventlog.ID) {
+			if id == eventlog.RowUnreadable {
+				skipped++
+			}
+		})
+		part := PartKey("s", "m", "", "bad")
+		f.crash(0, part)
+		f.crash(0, part)
+		for _, key := range []string{"zz", partName(part) + "00", suspicionPrefix + "zz", partName(PartKey("s", "m", "", "other"))} {
+			assert.NilError(t, f.platform.Client().Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte{0xc1}}}}))
+		}
+		for range 3 {
+			f.readRows(t)
+		}
+		assert.Equal(t, skipped, 4)
+		assert.Equal(t, len(f.daemons[0].Refusing([]string{part})), 1)
+	})
+}
