Keep ages of weights when the store's clock goes back

Cause: times of two clocks were compared as if they were of one. The row's times lay in the new clock's future, which counted as an age of 0; the estimate of living daemons kept to the old clock for up to two minutes, and peers' facts could put a started daemon on it.

Fix: a response whose time lies before the estimate for the moment at which its request was sent, by more than a second, proves that the clock went back; a late response does not. The daemon's clock then goes on, and times in the row, in responses and in facts are converted where they are read and written, so that ages stay. A row with times yet to come proves it to a started daemon: its versions, and those it lacks, count as superseded since ever, and the next renewal is on the new clock. Facts with a date yet to come count by the age that gossip keeps; those that seem far too old wait a second, until the daemon has read the clock. Renewals yet to come are ignored. Event 512 tells of it.

Ruled out: leases, suspects and prompt parts use no store time. Not detectable: a clock that began anew while no daemon lived and has passed the recorded times.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -50,6 +50,7 @@
 	GoalRecorded               ID = 509
 	GoalRecordFailed           ID = 510
 	OperatorRowsLate           ID = 511
+	StoreClockSetBack          ID = 512
 	PeerConnected              ID = 601
 	PeerLost                   ID = 602
 	PeerRejected               ID = 603
@@ -119,6 +120,7 @@
 	{GoalRecorded, hclog.Info, "weight version goal recorded"},
 	{GoalRecordFailed, hclog.Warn, "record of weight version goals failed"},
 	{OperatorRowsLate, hclog.Info, "change feed of the operators' rows late"},
+	{StoreClockSetBack, hclog.Warn, "clock of the store went back"},
 	{PeerConnected, hclog.Info, "peer connected"},
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
 	goalQueue      *delayQueue[rollout.Goal]
+	reportQueue    *delayQueue[goalReport]
 	revisionQueue  *delayQueue[uint64]
 	newsQueue      *delayQueue[operatorNews]
 	goalRecorder   *goalRecorder
@@ -148,9 +149,12 @@
 	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newDelayQueue[rollout.Goal](), revisionQueue: newDelayQueue[uint64](), newsQueue: newDelayQueue[operatorNews](),
-		goalRecorder: newGoalRecorder(), storeClock: storeclock.New(s.SinceBoot), startedAt: time.Now(),
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newDelayQueue[rollout.Goal](), reportQueue: newDelayQueue[goalReport](), revisionQueue: newDelayQueue[uint64](), newsQueue: newDelayQueue[operatorNews](),
+		goalRecorder: newGoalRecorder(), startedAt: time.Now(),
 	}
+	d.storeClock = storeclock.New(s.SinceBoot, func(by time.Duration) {
+		d.log.Emit(eventlog.StoreClockSetBack, eventlog.Fields{Detail: "by " + by.String()})
+	})
 	d.log.Observe(d.metrics.CountEvent)
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
 	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
@@ -255,7 +259,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, d.applyGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror, d.platform.QuarantineTable: d.quarantineMirror})
 		},
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -16,6 +16,7 @@
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
+	"github.com/verbenabend/verbenabend/internal/storeclock"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
@@ -73,7 +74,8 @@
 	missed map[string]int
 
 	mu sync.Mutex
-	// asOf is GoalRecord.AsOf of the row as it was last read.
+	// asOf is GoalRecord.AsOf of the row as it was last read; rollout.UnknownTime if an
+	// earlier clock of the store wrote it.
 	asOf platform.StoreTime
 	// renewedUntil is the last known GoalRecord.AsOf, also of rows that were not read.
 	renewedUntil platform.StoreTime
@@ -92,7 +94,7 @@
 }
 
 func newGoalRecorder() *goalRecorder {
-	return &goalRecorder{wake: make(chan struct{}, 1), startDelay: goalRecordStartDelay + mathrand.N(goalRecordStartSpread), unrecorded: map[string]unrecordedGoal{}, recorded: map[string]int{}}
+	return &goalRecorder{wake: make(chan struct{}, 1), startDelay: goalRecordStartDelay + mathrand.N(goalRecordStartSpread), asOf: rollout.UnknownTime, unrecorded: map[string]unrecordedGoal{}, recorded: map[string]int{}}
 }
 
 // add notes a goal that the row may not contain and that was requested before a time.
@@ -249,11 +251,26 @@
 			d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
 			record = rollout.GoalRecord{}
 		}
+		record = d.recordOnThisClock(record.WithTimes(d.storeClock.FromStore))
 	}
 	d.applyGoalRecord(&record)
 	return record, row.Version, nil
 }
 
+// recordOnThisClock returns what a row still tells if the store's clock went back since
+// it was written, as times that are yet to come show: the versions, but not for how long
+// no daemon lived to see it.
+func (d *Daemon) recordOnThisClock(record rollout.GoalRecord) rollout.GoalRecord {
+	now, ok := d.storeClock.Now()
+	if !ok || record.LatestTime() <= now.Add(storeclock.MaxError) {
+		return record
+	}
+	d.log.Emit(eventlog.StoreClockSetBack, eventlog.Fields{Detail: "since the record of weight versions was written"})
+	record = record.WithoutTimes()
+	record.AsOf = d.goalRecorder.recordedUntil() // known if this daemon read the row before
+	return record
+}
+
 // applyGoalRecord dates versions as the row does. A version that it does not contain
 // was requested after it was written.
 func (d *Daemon) applyGoalRecord(record *rollout.GoalRecord) {
@@ -325,7 +342,8 @@
 }
 
 func (d *Daemon) commitGoalRecord(ctx context.Context, record *rollout.GoalRecord, version uint64) error {
-	value, err := record.Encode()
+	onStoreClock := record.WithTimes(d.storeClock.ToStore)
+	value, err := onStoreClock.Encode()
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "write the record of weight versions")
 	}
@@ -435,7 +453,11 @@
 // nextGoalRecord returns the row's next content. This daemon knows all versions that were
 // requested by completeAt, which is 0 if it does not know such a time.
 func (d *Daemon) nextGoalRecord(old *rollout.GoalRecord, completeAt platform.StoreTime) *rollout.GoalRecord {
-	next := &rollout.GoalRecord{AsOf: max(old.AsOf, completeAt), Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
+	asOf := old.AsOf
+	if completeAt > 0 {
+		asOf = completeAt
+	}
+	next := &rollout.GoalRecord{AsOf: asOf, Models: map[string][]rollout.RecordedGoal{}, Nonce: rand.Text()}
 	now, _ := d.storeClock.Now() // 0 if unknown: nothing is left out
 	d.view.mu.Lock()
 	defer d.view.mu.Unlock()
@@ -461,14 +483,19 @@
 			d.publishGoal(g)
 		}
 	}
-	if record.AsOf == 0 {
+	asOf := d.storeClock.ToStore(record.AsOf)
+	if asOf <= 0 {
 		return
 	}
 	d.goalRecorder.renewed(record.AsOf)
-	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindGoalRecord, ID: goalRecordKey, Version: uint64(record.AsOf), TTL: goalRecordFactTTL})
+	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindGoalRecord, ID: goalRecordKey, Version: uint64(asOf), TTL: goalRecordFactTTL})
 }
 
-// receiveGoalRecord notes that a peer renewed the row.
+// receiveGoalRecord notes that a peer renewed the row. A time that is yet to come is of a
+// clock that went back since.
 func (d *Daemon) receiveGoalRecord(f gossip.Fact) {
-	d.goalRecorder.renewed(platform.StoreTime(f.Version))
+	asOf := d.storeClock.FromStore(platform.StoreTime(f.Version))
+	if now, ok := d.storeClock.Now(); ok && asOf <= now.Add(storeclock.MaxError) {
+		d.goalRecorder.renewed(asOf)
+	}
 }
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -13,6 +13,7 @@
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
+	"github.com/verbenabend/verbenabend/internal/storeclock"
 )
 
 const (
@@ -28,6 +29,10 @@
 	minGoalDelay        = 500 * time.Millisecond
 	goalSpreadPerDaemon = 50 * time.Millisecond
 	maxGoalSpread       = 1500 * time.Millisecond
+	// clockCheckDelay is how long a goal's date waits that seems too early for its age:
+	// the store's clock may have gone back without this daemon having read it since. Else
+	// the fact was held up on its way, and the date holds.
+	clockCheckDelay = time.Second
 )
 
 // goalFact is the value of a gossip.KindGoalVersion fact. The goal's age is
@@ -53,7 +58,7 @@
 )
 
 func (v goalFactVersion) encode() uint64 {
-	version := maxGoalFactVersion - 2*uint64(max(0, v.requestedAt))
+	version := maxGoalFactVersion - 2*uint64(v.requestedAt) // requestedAt may be negative
 	if v.recorded {
 		version++
 	}
@@ -62,10 +67,21 @@
 
 // decodeGoalFactVersion is the inverse of encode; ok is false for facts of older daemons.
 func decodeGoalFactVersion(version uint64) (v goalFactVersion, ok bool) {
-	if version <= maxUndatedFactVersion || version > maxGoalFactVersion+1 {
+	requestedAt := platform.StoreTime(maxGoalFactVersion+1-version) >> 1 // rounded down
+	if version <= maxUndatedFactVersion || requestedAt <= rollout.UnknownTime {
 		return goalFactVersion{}, false
 	}
-	return goalFactVersion{platform.StoreTime((maxGoalFactVersion + 1 - version) / 2), version%2 == 1}, true
+	return goalFactVersion{requestedAt, version%2 == 1}, true
+}
+
+// dateOfFact returns when a goal was requested that a peer's fact dates and whose age is
+// known too. Only the age is right if a clock of the store told the date that went back
+// since.
+func dateOfFact(requestedAt platform.StoreTime, age time.Duration, now platform.StoreTime) platform.StoreTime {
+	if requestedAt.Add(age) > now.Add(storeclock.MaxError) {
+		return now.Add(-age)
+	}
+	return requestedAt
 }
 
 // minLoggedCorrection is the smallest change of a version's date that is logged: what
@@ -83,7 +99,7 @@
 // logGoalDate logs from where the date of a version is known.
 func (d *Daemon) logGoalDate(g rollout.Goal, at platform.StoreTime, source string) {
 	age := "unknown"
-	if now, ok := d.storeClock.Now(); ok {
+	if now, ok := d.storeClock.Now(); ok && at != rollout.UnknownTime {
 		age = now.Sub(at).String()
 	}
 	d.log.Emit(eventlog.GoalDated, eventlog.Fields{Detail: fmt.Sprintf("%s version %d, age %s, by %s", g.Model, g.Version, age, source)})
@@ -127,8 +143,8 @@
 	if !sighted || !ok {
 		return // superseded by many newer versions, or a peer may know more
 	}
-	version := goalFactVersion{at, d.goalRecorder.contains(g)}
-	f, err := newGoalFact(g, version, now)
+	version := goalFactVersion{d.storeClock.ToStore(at), d.goalRecorder.contains(g)}
+	f, err := newGoalFact(g, version, now.Sub(at))
 	if err != nil {
 		d.log.Emit(eventlog.PeerRejected, eventlog.Fields{Detail: "encode version goal: " + err.Error()})
 		return
@@ -150,11 +166,11 @@
 
 // newGoalFact returns the fact that a goal was requested. The TTL is not positive if the
 // goal is older than goalTTL.
-func newGoalFact(g rollout.Goal, v goalFactVersion, now platform.StoreTime) (gossip.Fact, error) {
+func newGoalFact(g rollout.Goal, v goalFactVersion, age time.Duration) (gossip.Fact, error) {
 	value, err := encodeFactValue(&goalFact{g.Model, g.Version})
 	return gossip.Fact{
 		Kind: gossip.KindGoalVersion, ID: fmt.Sprintf("%s/%d", g.Model, g.Version), Version: v.encode(),
-		TTL: goalTTL - now.Sub(v.requestedAt), Value: value,
+		TTL: goalTTL - age, Value: value,
 	}, err
 }
 
@@ -168,22 +184,52 @@
 	if g.Model != "" && g.Version > 0 {
 		d.hearNews(operatorNews{g.Model, uint64(g.Version)})
 	}
-	age := goalTTL - min(f.TTL, goalTTL)
+	r := goalReport{Goal: rollout.Goal{Model: g.Model, Version: g.Version}, age: goalTTL - min(f.TTL, goalTTL), receivedAt: time.Now(), origin: f.Origin}
 	v, dated := decodeGoalFactVersion(f.Version)
 	if dated {
-		d.storeClock.Observe(v.requestedAt.Add(age)) // the only reading where the store cannot be read
-	} else {
-		now, ok := d.storeClock.Now()
-		if !ok {
-			return
-		}
-		v.requestedAt = now.Add(-age)
+		d.storeClock.ObserveRelayed(v.requestedAt.Add(r.age)) // the only reading where the store cannot be read
+	}
+	now, ok := d.storeClock.Now()
+	if !ok {
+		return
+	}
+	r.requestedAt = v.requestedAt
+	if !dated {
+		r.requestedAt = d.storeClock.ToStore(now.Add(-r.age))
 	}
-	d.view.mu.Lock()
-	d.recordSight(rollout.Goal{Model: g.Model, Version: g.Version}, v.requestedAt, "peer "+f.Origin)
-	d.view.mu.Unlock()
 	if v.recorded {
 		d.goalRecorder.remove(g.Model, g.Version)
 	}
+	if d.storeClock.FromStore(r.requestedAt).Add(r.age) < now.Add(-storeclock.MaxError) {
+		d.reportQueue.add(r, r.receivedAt.Add(clockCheckDelay))
+		return
+	}
+	d.applyGoalReport(r)
+}
+
+// goalReport is what a peer's fact tells about a goal.
+type goalReport struct {
+	rollout.Goal
+	requestedAt platform.StoreTime // on the store's clock
+	// age is the goal's age at receivedAt, or less.
+	age        time.Duration
+	receivedAt time.Time
+	origin     string
+}
+
+// applyGoalReports applies the reports that were delayed until ctx ends.
+func (d *Daemon) applyGoalReports(ctx context.Context) error {
+	return d.reportQueue.run(ctx, d.applyGoalReport)
+}
+
+func (d *Daemon) applyGoalReport(r goalReport) {
+	now, ok := d.storeClock.Now()
+	if !ok {
+		return
+	}
+	at := dateOfFact(d.storeClock.FromStore(r.requestedAt), r.age+time.Since(r.receivedAt), now)
+	d.view.mu.Lock()
+	d.recordSight(r.Goal, at, "peer "+r.origin)
+	d.view.mu.Unlock()
 	d.updateServices()
 }
--- a/internal/gateway/goals_test.go
+++ b/internal/gateway/goals_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 	for _, age := range []time.Duration{0, 1700 * time.Millisecond, goalTTL, goalTTL + time.Second} {
 		for _, recorded := range []bool{false, true} {
 			v := goalFactVersion{now.Add(-age), recorded}
-			f, err := newGoalFact(g, v, now)
+			f, err := newGoalFact(g, v, age)
 			assert.NilError(t, err)
 			assert.Equal(t, f.ID, "opal/4")
 			assert.Equal(t, goalTTL-f.TTL, age)
@@ -35,6 +36,35 @@
 	assert.Assert(t, !ok)
 }
 
+// A goal may have been requested before the store's present clock began.
+func TestGoalFactDatedBeforeClockBegan(t *testing.T) {
+	var newest gossip.Fact
+	for _, at := range []platform.StoreTime{1, 0, -1, -2, -59_001} {
+		for _, recorded := range []bool{false, true} {
+			v := goalFactVersion{at, recorded}
+			decoded, ok := decodeGoalFactVersion(v.encode())
+			assert.Assert(t, ok)
+			assert.Equal(t, decoded, v)
+			f := gossip.Fact{Version: v.encode()}
+			assert.Assert(t, f.Supersedes(newest))
+			newest = f
+		}
+	}
+	_, ok := decodeGoalFactVersion(math.MaxUint64)
+	assert.Assert(t, !ok)
+}
+
+// Guards against facts that were dated by a clock of the store that went back since: their
+// goals counted as new until the clock had passed that date.
+func TestDateOfFactFromEarlierStoreClock(t *testing.T) {
+	const now = platform.StoreTime(9000)
+	assert.Equal(t, dateOfFact(68_000, 5*time.Second, now), platform.StoreTime(4000))
+	assert.Equal(t, dateOfFact(68_000, time.Minute, now), platform.StoreTime(-51_000))
+	assert.Equal(t, dateOfFact(4000, 5*time.Second, now), platform.StoreTime(4000))
+	assert.Equal(t, dateOfFact(4000, time.Second, now), platform.StoreTime(4000), "the fact was held up for 4 s")
+	assert.Equal(t, dateOfFact(4900, 5*time.Second, now), platform.StoreTime(4900), "an error of estimates")
+}
+
 // The delay of a goal's publication is bounded and its spread grows with the
 // number of daemons.
 func TestGoalDelaySpread(t *testing.T) {
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -85,9 +85,9 @@
 
 // Get implements platform.Table.
 func (t timedTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	start := time.Now()
+	start, sentAt := time.Now(), t.clock.Local()
 	row, err := t.Table.Get(ctx, key)
-	t.clock.Observe(row.ReadAt)
+	row.ReadAt = t.clock.Observe(row.ReadAt, sentAt)
 	t.record("read", start, err)
 	return row, err
 }
@@ -108,7 +108,7 @@
 	return err
 }
 
-// clockedFeed records the store's time in its responses.
+// clockedFeed records the store's time in its responses. ReadAt is a time of the clock.
 type clockedFeed struct {
 	platform.Feed
 	clock *storeclock.Clock
@@ -116,15 +116,17 @@
 
 // ReadTable implements platform.Feed.
 func (f clockedFeed) ReadTable(ctx context.Context, table string) (platform.Changes, error) {
+	sentAt := f.clock.Local()
 	changes, err := f.Feed.ReadTable(ctx, table)
-	f.clock.Observe(changes.ReadAt)
+	changes.ReadAt = f.clock.Observe(changes.ReadAt, sentAt)
 	return changes, err
 }
 
 // ReadChanges implements platform.Feed.
 func (f clockedFeed) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	sentAt := f.clock.Local()
 	changes, err := f.Feed.ReadChanges(ctx, table, after, wait)
-	f.clock.Observe(changes.ReadAt)
+	changes.ReadAt = f.clock.Observe(changes.ReadAt, sentAt)
 	return changes, err
 }
 
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -158,10 +158,6 @@
 	return p
 }
 
-// unknownAge is the age of superseded weights while it is not known since when they
-// are: it exceeds all limits.
-const unknownAge = 1000 * time.Hour
-
 // supersededSince returns when the first of an upstream's weights was superseded; ok is
 // false if none was, and dated is false if it is not known when one of them was.
 // d.view.mu must be held.
@@ -195,7 +191,7 @@
 		case !old:
 			return 0, false
 		case !dated || !storeTimeKnown:
-			return unknownAge, true
+			return rollout.UnknownAge, true
 		default:
 			return max(0, storeNow.Sub(since)), true
 		}
@@ -239,7 +235,7 @@
 	for _, e := range engines {
 		if expired[e.ID] && !d.view.expired[e.ID] {
 			detail := "superseded for " + e.Age.Round(time.Millisecond).String()
-			if e.Age == unknownAge {
+			if e.Age >= rollout.UnknownAge {
 				detail = "superseded since an unknown time"
 			}
 			d.log.Emit(eventlog.WeightsExpired, eventlog.Fields{Service: e.Service, Upstream: e.ID, Detail: detail})
--- a/internal/rollout/goalhistory.go
+++ b/internal/rollout/goalhistory.go
@@ -12,6 +12,14 @@
 // longer in use.
 const maxVersions = 64
 
+// UnknownAge is the age of superseded weights while it is not known since when they
+// are: it exceeds all limits.
+const UnknownAge = 1000 * time.Hour
+
+// UnknownTime is the bound of a version of which nothing is known: it makes the version
+// at least as old as UnknownAge.
+const UnknownTime = -platform.StoreTime(UnknownAge / time.Millisecond)
+
 // GoalHistory records the versions that operators requested for a model and when,
 // on the store's clock. The zero value is empty.
 type GoalHistory struct {
@@ -71,9 +79,15 @@
 	return first, earlierBy
 }
 
-// RecordBound records a time before a version was requested. It does not replace a sight.
+// RecordBound records a time before a version was requested. It does not replace a sight,
+// and UnknownTime replaces no other bound.
 func (h *GoalHistory) RecordBound(version int, after platform.StoreTime) {
-	if goal := h.find(version); goal != nil && !goal.sighted() && (!goal.dated || after < goal.requestedAt) {
+	goal := h.find(version)
+	if goal == nil || goal.sighted() {
+		return
+	}
+	unknown := !goal.dated || goal.requestedAt == UnknownTime
+	if unknown || after != UnknownTime && after < goal.requestedAt {
 		goal.requestedAt, goal.dated, goal.bounded = after, true, true
 	}
 }
--- a/internal/rollout/goalhistory_test.go
+++ b/internal/rollout/goalhistory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -135,3 +136,41 @@
 		assert.Assert(t, dated && since == 9000, "%s: the first weights are superseded since %d", order, since)
 	}
 }
+
+// A bound of which nothing is known gives way to any other, and replaces none.
+func TestUnknownTimeGivesWayToBounds(t *testing.T) {
+	since := func(h *GoalHistory) platform.StoreTime {
+		at, dated, old := h.SupersededSince(1)
+		assert.Assert(t, dated && old)
+		return at
+	}
+	var history GoalHistory
+	assert.Assert(t, history.AdoptUndatedGoal(2))
+	history.RecordBound(2, UnknownTime)
+	assert.Equal(t, since(&history), UnknownTime)
+	history.RecordBound(2, 9000)
+	assert.Equal(t, since(&history), platform.StoreTime(9000))
+	history.RecordBound(2, 7000)
+	history.RecordBound(2, UnknownTime)
+	assert.Equal(t, since(&history), platform.StoreTime(7000))
+	history.RecordSight(2, 8000)
+	history.RecordBound(2, UnknownTime)
+	assert.Equal(t, since(&history), platform.StoreTime(8000))
+}
+
+// A record whose times are those of an earlier clock still names its versions; what is
+// unknown stays so on any clock.
+func TestRecordOfEarlierClock(t *testing.T) {
+	record := GoalRecord{AsOf: 66_000, Models: map[string][]RecordedGoal{"opal": {{2, 60_000, false}, {3, 67_000, true}}}, Nonce: "n"}
+	assert.Equal(t, record.LatestTime(), platform.StoreTime(67_000))
+	back := func(at platform.StoreTime) platform.StoreTime { return at.Add(-time.Minute) }
+	assert.DeepEqual(t, record.WithTimes(back), GoalRecord{AsOf: 6000, Models: map[string][]RecordedGoal{"opal": {{2, 0, false}, {3, 7000, true}}}, Nonce: "n"})
+	unknown := record.WithoutTimes()
+	assert.DeepEqual(t, unknown, GoalRecord{AsOf: UnknownTime, Models: map[string][]RecordedGoal{"opal": {{2, UnknownTime, true}, {3, UnknownTime, true}}}, Nonce: "n"})
+	assert.DeepEqual(t, unknown.WithTimes(back), unknown)
+	value, err := unknown.Encode()
+	assert.NilError(t, err)
+	decoded, err := DecodeGoalRecord(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, unknown)
+}
--- a/internal/rollout/goalrecord.go
+++ b/internal/rollout/goalrecord.go
@@ -42,6 +42,47 @@
 	return r, errors.Wrap(err, "decode the record of weight versions")
 }
 
+// WithTimes returns the record with other times. UnknownTime stays.
+func (r *GoalRecord) WithTimes(convert func(platform.StoreTime) platform.StoreTime) GoalRecord {
+	known := func(t platform.StoreTime) platform.StoreTime {
+		if t == UnknownTime {
+			return t
+		}
+		return convert(t)
+	}
+	out := GoalRecord{AsOf: known(r.AsOf), Models: map[string][]RecordedGoal{}, Nonce: r.Nonce}
+	for model, goals := range r.Models {
+		for _, g := range goals {
+			g.RequestedAt = known(g.RequestedAt)
+			out.Models[model] = append(out.Models[model], g)
+		}
+	}
+	return out
+}
+
+// LatestTime returns the latest time in the record.
+func (r *GoalRecord) LatestTime() platform.StoreTime {
+	latest := r.AsOf
+	for _, goals := range r.Models {
+		for _, g := range goals {
+			latest = max(latest, g.RequestedAt)
+		}
+	}
+	return latest
+}
+
+// WithoutTimes returns the record for a reader that can't tell when its versions were
+// requested.
+func (r *GoalRecord) WithoutTimes() GoalRecord {
+	out := GoalRecord{AsOf: UnknownTime, Models: map[string][]RecordedGoal{}, Nonce: r.Nonce}
+	for model, goals := range r.Models {
+		for _, g := range goals {
+			out.Models[model] = append(out.Models[model], RecordedGoal{g.Version, UnknownTime, true})
+		}
+	}
+	return out
+}
+
 // Contains reports whether a version of a model is recorded.
 func (r *GoalRecord) Contains(model string, version int) bool {
 	return slices.ContainsFunc(r.Models[model], func(g RecordedGoal) bool { return g.Version == version })
--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -265,3 +268,152 @@
 		g.checkNoLateRuns()
 	})
 }
+
+// After the store's clock began anew while no daemon lived, the record is on the new
+// clock: versions named then have an age again, also after another loss of all daemons.
+func TestVersionsNamedAfterRestartOfStoreClockHaveAges(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		d.setGoalVersion(1) // which all engines have
+		time.Sleep(time.Minute)
+		d.losePower()
+		d.store.SkipTime(-time.Minute)
+		d.startAll()
+		time.Sleep(4 * time.Second) // until the record is written
+		g.name(2)
+		time.Sleep(3 * time.Second)
+		d.losePower()
+		for i := range daemons {
+			d.store.SetFault(fmt.Sprintf("daemon-%d", d.firstDaemon+i), site.Fault{RefuseWritesTo: "lease/"})
+		}
+		d.startAll()
+		l := d.startTraffic(requestPeriod, d.processes[2*daemons:]...)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+		limit := g.namedAt[2].Add(versionTimeLimit)
+		assert.Assert(t, d.countOldRuns(2, limit.Add(-time.Second), limit) > 0, "old weights serve until their limit")
+	})
+}
+
+// Guards against ages that are too great at living daemons because the store's clock began
+// anew, and against ages that get lost with them.
+func TestLivingDaemonsKeepAgesWhenStoreClockRestarts(t *testing.T) {
+	for _, after := range []string{"living", "one starts", "all lose power"} {
+		t.Run(after, func(t *testing.T) {
+			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+				time.Sleep(time.Minute)
+				g.name(2)
+				time.Sleep(3 * time.Second)
+				d.store.SkipTime(-time.Minute)
+				targets := d.processes
+				switch after {
+				case "one starts":
+					targets = []*process{d.start(daemons)}
+					d.eventually("the daemon is ready", startTimeout, func() bool { return len(d.resolve(targets[0])) > 0 })
+				case "all lose power":
+					time.Sleep(4 * time.Second) // until the record is renewed
+					d.losePower()
+					d.startAll()
+					targets = d.processes[daemons:]
+				}
+				l := d.startTraffic(requestPeriod, targets...)
+				time.Sleep(versionTimeLimit)
+				l.stop()
+				g.checkNoLateRuns()
+				limit := g.namedAt[2].Add(versionTimeLimit)
+				assert.Assert(t, d.countOldRuns(2, limit.Add(-time.Second), limit) > 0, "old weights serve until their limit")
+			})
+		})
+	}
+}
+
+// Guards against versions that count as too old because the store's clock went back right
+// before they were named, also at daemons that hear of them before they read that clock.
+func TestVersionNamedAfterStoreClockRestartsHasAge(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		time.Sleep(time.Minute)
+		d.store.SkipTime(-time.Minute)
+		g.name(2)
+		l := d.startTraffic(requestPeriod, d.processes...)
+		time.Sleep(versionTimeLimit + 2*time.Second)
+		l.stop()
+		g.checkNoLateRuns()
+		limit := g.namedAt[2].Add(versionTimeLimit)
+		assert.Assert(t, d.countOldRuns(2, limit.Add(-time.Second), limit) > 0, "old weights serve until their limit")
+	})
+}
+
+// Guards against an age that is too great for good at a daemon that hears of a version,
+// dated on the store's new clock, before it has read that clock.
+func TestFactOnUnreadStoreClockIsNotOld(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		inner := d.store.HandlerFor(fmt.Sprintf("daemon-%d", daemons))
+		var heldBack atomic.Bool // the store's answers are
+		d.wrapStore[daemons] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer := httptest.NewRecorder()
+			inner.ServeHTTP(answer, r)
+			for heldBack.Load() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			w.WriteHeader(answer.Code)
+			_, _ = w.Write(answer.Body.Bytes())
+		})
+		p := d.start(daemons)
+		time.Sleep(time.Minute)
+		heldBack.Store(true)
+		d.store.SkipTime(-time.Minute)
+		g.name(2)
+		time.Sleep(minFactDelay + maxFactSpread)
+		heldBack.Store(false)
+		l := d.startTraffic(requestPeriod, p)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+		limit := g.namedAt[2].Add(versionTimeLimit)
+		assert.Assert(t, d.countOldRuns(2, limit.Add(-time.Second), limit) > 0, "old weights serve until their limit")
+	})
+}
+
+// minFactDelay and maxFactSpread bound when peers tell of a version: 500 ms and up to 50 ms
+// a daemon after they saw it.
+const (
+	minFactDelay  = 500 * time.Millisecond
+	maxFactSpread = (daemons + 1) * 50 * time.Millisecond
+)
+
+// Guards against a record that is not renewed for as long as the store's clock went back,
+// because a peer had told of a renewal on the clock before.
+func TestRenewalOnEarlierStoreClockIsForgotten(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		time.Sleep(time.Minute)
+		d.store.SkipTime(-time.Minute)
+		d.start(daemons)
+		time.Sleep(time.Second)
+		unpowered := slices.Clone(d.processes[:daemons])
+		d.net.SetBlackhole(func(from, address string) bool {
+			return slices.ContainsFunc(unpowered, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
+		})
+		time.Sleep(10 * time.Second)
+		asOf := d.goalRecord().AsOf
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, d.goalRecord().AsOf > asOf, "the record is not renewed")
+	})
+}
+
+// Guards against a version that was named while no daemon lived and that counts as younger
+// than it is, by the start of a clock that began anew afterwards.
+func TestUnrecordedVersionOutlivesRestartOfStoreClock(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		started := time.Now().Add(-3 * time.Second) // the store's clock
+		time.Sleep(time.Minute)
+		d.losePower()
+		g.name(2)
+		time.Sleep(5 * time.Second)
+		d.store.SkipTime(-time.Since(started) + time.Second)
+		d.startAll()
+		l := d.startTraffic(requestPeriod, d.processes[daemons:]...)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
