Do not take versions that a peer's copy shows for new

Callers got answers made on weights that had been superseded for too long: 60 runs began late, the latest 16 s after the newer version was named (limit 10 s), after a failure of the store in which it was named.

Cause: a daemon that the store turns away adopts versions from a peer's copy of the operators' rows and took that for a sight, dated now. The peer may itself have read them after a gap, for which it knows a bound only; the sight went to all peers as a fact and replaced their bounds. The same held for the store's first response to a daemon that had read only copies. Ruled out: the reader's own date, which was bounded, and the store's clock, which did not jump.

Now each read says whether it came after a gap; a peer's copy always does. Such versions are bounded by the last renewal of the record, and by the store's last read if that is later, until a peer's fact tells a sight.

The stand-in store's clock starts at 1 s: it showed 0 at the first read, which is no reading.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -83,15 +83,15 @@
 		at, dated = d.storeClock.Now()
 	}
 	requestedBefore := at // 0 if unknown
-	dated = dated && !read.First && read.After == 0
+	dated = dated && !read.AfterGap
 	var adopted []rollout.Goal
 	d.view.mu.Lock()
 	for model, version := range goals {
 		history := d.view.goalHistory(model)
 		if dated && history.AdoptGoal(version, at) || !dated && history.AdoptUndatedGoal(version) {
 			adopted = append(adopted, rollout.Goal{Model: model, Version: version})
-			if read.After > 0 {
-				history.RecordBound(version, max(read.After, d.goalRecorder.lastRenewal()))
+			if bound := max(read.After, d.goalRecorder.lastRenewal()); !read.First && bound != 0 {
+				history.RecordBound(version, bound)
 			}
 		}
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -68,8 +68,11 @@
 	First bool
 	// At is when the store read the rows; 0 if they are a peer's copy.
 	At platform.StoreTime
-	// After is the time of the store's read before, if no read waited for changes for a
-	// while since: they were made after it, maybe long before At. Otherwise it is 0.
+	// AfterGap is set if the changes may have been made long before the read: no read
+	// waited for them for a while, or they are a peer's, which may have read them so.
+	AfterGap bool
+	// After is the time of the store's read before, if AfterGap is set: the changes were
+	// made after it. It is 0 if there was none.
 	After platform.StoreTime
 }
 
@@ -248,23 +251,23 @@
 	return nil
 }
 
-// readGap returns After of a read that took a time.
-func (m *Mirror) readGap(at platform.StoreTime, took time.Duration) platform.StoreTime {
+// readGap returns After and AfterGap of a read that took a time.
+func (m *Mirror) readGap(at platform.StoreTime, took time.Duration) (after platform.StoreTime, gap bool) {
+	previous := m.lastReadAt
 	if at == 0 {
-		return 0
+		return previous, true
 	}
-	previous := m.lastReadAt
 	m.lastReadAt = at
-	if previous == 0 || at.Sub(previous)-took <= maxReadGap {
-		return 0
+	if previous != 0 && at.Sub(previous)-took <= maxReadGap {
+		return 0, false
 	}
-	return previous
+	return previous, true
 }
 
 // apply applies the changes that a read brought, which took a time, unless they are
 // older than the copy.
 func (m *Mirror) apply(c platform.Changes, took time.Duration) {
-	after := m.readGap(c.ReadAt, took)
+	after, gap := m.readGap(c.ReadAt, took)
 	m.mu.Lock()
 	if m.synced && c.Version < m.version {
 		m.mu.Unlock()
@@ -291,7 +294,7 @@
 	}
 	m.mu.Unlock()
 	if changed {
-		m.settings.OnChange(rows, Read{Version: c.Version, First: first, At: c.ReadAt, After: after})
+		m.settings.OnChange(rows, Read{Version: c.Version, First: first, At: c.ReadAt, AfterGap: gap, After: after})
 	}
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -213,6 +213,23 @@
 	return c, err
 }
 
+// Guards against changes that count as new because a peer's copy showed them, or because
+// nothing but such copies was read before.
+func TestChangesReadFromPeersAreNotNew(t *testing.T) {
+	var last Read
+	m := New(Settings{Table: table, OnChange: func(_ map[string]platform.Change, read Read) { last = read }}, nil, nil, eventlog.Discard())
+	read := func(version uint64, at platform.StoreTime) Read {
+		rows := []platform.Change{{Key: "k", Value: []byte{byte(version)}, Version: version}}
+		m.apply(platform.Changes{Rows: rows, Version: version, ReadAt: at}, 0)
+		return last
+	}
+	assert.DeepEqual(t, read(1, 0), Read{Version: 1, First: true, AfterGap: true})
+	assert.DeepEqual(t, read(2, 0), Read{Version: 2, AfterGap: true})
+	assert.DeepEqual(t, read(3, 9_000), Read{Version: 3, At: 9_000, AfterGap: true})
+	assert.DeepEqual(t, read(4, 9_050), Read{Version: 4, At: 9_050})
+	assert.DeepEqual(t, read(5, 0), Read{Version: 5, AfterGap: true, After: 9_050})
+}
+
 // Guards against changes that count as new although they were made long before they were
 // read, since an answer was lost.
 func TestChangesReadAfterAGapAreNotNew(t *testing.T) {
@@ -240,6 +257,7 @@
 		seen := newest()
 		assert.Equal(t, seen.Version, uint64(2))
 		assert.Equal(t, seen.After, platform.StoreTime(0), "awaited for 5 s")
+		assert.Assert(t, !seen.AfterGap)
 
 		store.loseNext.Store(true)
 		time.Sleep(time.Second)
@@ -250,6 +268,7 @@
 		late := newest()
 		assert.Equal(t, late.Version, uint64(3))
 		assert.Equal(t, late.After, seen.At)
+		assert.Assert(t, late.AfterGap)
 		assert.Assert(t, late.At.Sub(late.After) > 3*time.Second)
 		stop()
 		assert.ErrorIs(t, <-done, context.Canceled)
--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -166,7 +166,13 @@
 }
 
 // nowMS returns the store's clock. s.mu must be held.
-func (s *Store) nowMS() int64 { return (time.Since(s.startedAt) + s.skipped).Milliseconds() }
+func (s *Store) nowMS() int64 {
+	return (clockOrigin + time.Since(s.startedAt) + s.skipped).Milliseconds()
+}
+
+// clockOrigin is what the store's clock shows when the store starts. Its clients take 0
+// for no reading.
+const clockOrigin = time.Second
 
 // SkipTime puts the store's clock forward. To daemons that is as if they had been
 // suspended for that time.
--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -417,3 +417,30 @@
 		g.checkNoLateRuns()
 	})
 }
+
+// Guards against daemons that the store turns away dating a version by when a peer's copy
+// showed it: the peer may itself have read it long after it was named.
+func TestVersionFromCopyOfPeerIsNotNew(t *testing.T) {
+	const (
+		silence  = 25 * time.Second // of the store before the version is named: until all reads have failed
+		unseenIn = 6 * time.Second  // until a daemon can read it
+	)
+	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
+		time.Sleep(5 * time.Second)
+		for _, p := range d.processes {
+			d.store.SetFault(p.name, site.Fault{Unresponsive: true})
+		}
+		time.Sleep(silence)
+		g.name(2)
+		time.Sleep(unseenIn)
+		reader := d.processes[0]
+		for _, p := range d.processes[1:] {
+			d.store.SetFault(p.name, site.Fault{Status: http.StatusServiceUnavailable})
+		}
+		d.store.SetFault(reader.name, site.Fault{RefuseWritesTo: "lease/"})
+		l := d.startTraffic(requestPeriod, reader)
+		time.Sleep(versionTimeLimit)
+		l.stop()
+		g.checkNoLateRuns()
+	})
+}
