Rule a crash out only by a connection made after the exit

After a response that ended with its connection the upstream is probed, and any result but a refusal counted as proof of life: also a probe that timed out, as it does where the address falls silent with the process, and a connection that the ending process had accepted, if the daemon noticed it late. Now the upstream must accept a connection of a probe that began after the process had time to exit; a byte that arrives meanwhile is no proof either.

TestOnlyConnectionAfterExitTimeRulesCrashOut: both cases failed before, pass now.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -316,13 +316,14 @@
 		attempts = 1
 	}
 	result := l.connect(ctx, h.address, attempts)
+	if ctx.Err() != nil {
+		return
+	}
+	l.reportBroken(id, h, broken, start, result)
 	if result == probeTimedOut && l.receivedSince(h, start) {
 		result = probeAccepted // it accepts no connections at present, but it responds
 	}
-	if ctx.Err() == nil {
-		l.reportBroken(id, h, broken, result == probeRefused)
-		l.recordProbe(id, h, result)
-	}
+	l.recordProbe(id, h, result)
 }
 
 // receivedSince reports whether the upstream has sent a byte since a time.
@@ -399,8 +400,10 @@
 
 // reportBroken reports the crash of each process that broke connections and has ended: the
 // upstream does not listen, or has registered another process. Other weights alone are no
-// crash. Requests of other processes that broke just now are checked once more.
-func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, ended bool) {
+// crash. Requests that broke just before the probe are checked once more, since a process
+// that ends may still accept connections.
+func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, probedAt time.Time, result probeResult) {
+	ended := result == probeRefused
 	l.mu.Lock()
 	current := h.process
 	l.mu.Unlock()
@@ -424,9 +427,9 @@
 		}
 		switch {
 		case hasEnded:
-		case time.Now().Before(b.settledAt):
+		case probedAt.Before(b.settledAt):
 			l.recheckBroken(h, *b)
-		case b.survived != nil:
+		case b.survived != nil && result == probeAccepted:
 			b.survived()
 		}
 	}
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -360,3 +360,47 @@
 		})
 	}
 }
+
+// Guards against taking a crashed upstream for alive because a probe timed out, or got a
+// connection that the ending process had accepted.
+func TestOnlyConnectionAfterExitTimeRulesCrashOut(t *testing.T) {
+	const (
+		listensFor = exitTime / 2
+		noticedIn  = exitTime + 10*time.Millisecond // by a daemon that is held up
+	)
+	for name, dial := range map[string]func(ctx context.Context, age time.Duration) (net.Conn, error){
+		"silent address": func(ctx context.Context, _ time.Duration) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+		"accepted before the exit": func(_ context.Context, age time.Duration) (net.Conn, error) {
+			if age >= listensFor {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}
+			time.Sleep(noticedIn)
+			client, server := net.Pipe()
+			server.Close()
+			return client, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				l := NewLiveness(func(ctx context.Context, _, _ string) (net.Conn, error) { return dial(ctx, time.Since(start)) }, func(string, bool) {}, eventlog.Discard())
+				ctx, stop := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				wg.Go(func() { _ = l.Run(ctx) })
+				u := &fleet.Registration{ID: "e", Address: "10.0.0.1:80"}
+				_, untrack := l.track(u, &transfer{}, func(error) {})
+				untrack()
+				var survived atomic.Bool
+				l.recordBrokenConnection(u.ID, u.Process(), RunningRequest{Fingerprint: "g"}, nil)
+				l.recordBrokenConnection(u.ID, u.Process(), RunningRequest{Fingerprint: "f"}, func() { survived.Store(true) })
+				time.Sleep(3 * time.Second)
+				stop()
+				wg.Wait()
+				assert.Assert(t, !survived.Load())
+			})
+		})
+	}
+}
