Find silent upstreams and repeat requests although the daemon is held up

Since timeouts of a late daemon do not count, a probe can take 3 s and more; retries waited for its end, however long, and a daemon that was late by a quarter of the longest timeout got no result at all.

The longest timeout, 1.6 s, counts if half of it was not lateness, and a retry waits for two probes in time, 0.8 s, at most. Ruled out: counting a number of results without one, which would take working engines for down again when the daemon stands still.

TestHeldUpDaemonFindsNoWorkingUpstreamDown/700ms and TestRetryWaitsBrieflyForCrashCheck failed before and pass now; 320 ms passes as before.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -28,7 +28,7 @@
 	probeAttempts = 2
 	// A timeout says nothing of the upstream if this process itself was late by more
 	// than 1/maxLatenessDivisor of it meanwhile. The attempt is then repeated with
-	// twice the timeout, up to maxProbeTimeout.
+	// twice the timeout, up to maxProbeTimeout, of which half may be lateness.
 	maxLatenessDivisor = 4
 	maxProbeTimeout    = 8 * probeTimeout
 	latePollsKept      = 2 * maxProbeTimeout
@@ -355,7 +355,7 @@
 		switch {
 		case result != probeTimedOut || ctx.Err() != nil:
 			return result
-		case lateness <= timeout/maxLatenessDivisor:
+		case lateness <= timeout/maxLatenessDivisor, timeout >= maxProbeTimeout && lateness <= timeout/2:
 			if attempts--; attempts == 0 {
 				return probeTimedOut
 			}
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -109,10 +109,14 @@
 // Guards against a daemon that lacks processor time taking working upstreams for down,
 // which cuts their streams. It still finds a silent one, by longer attempts.
 func TestHeldUpDaemonFindsNoWorkingUpstreamDown(t *testing.T) {
-	const (
-		lateness  = 320 * time.Millisecond // seen on a large deployment
-		heldUpFor = 10 * time.Second
-	)
+	// 320 ms were seen on a large deployment.
+	for _, lateness := range []time.Duration{320 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(lateness.String(), func(t *testing.T) { runHeldUpDaemon(t, lateness) })
+	}
+}
+
+func runHeldUpDaemon(t *testing.T, lateness time.Duration) {
+	const heldUpFor = 10 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 			noticed := time.After(lateness)
--- a/internal/forward/promptpartcrash_test.go
+++ b/internal/forward/promptpartcrash_test.go
@@ -73,3 +73,13 @@
 		})
 	}
 }
+
+// Guards against retries that wait for as long as a probe of a daemon that is held up.
+func TestRetryWaitsBrieflyForCrashCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		tr := &transfer{forwarder: &Forwarder{Config: Config{PromptParts: &crashedParts{}}}, crashCheck: make(chan bool), brokenAt: start}
+		tr.awaitCrashCheck(t.Context())
+		assert.Assert(t, time.Since(start) <= time.Second, "waited %s", time.Since(start))
+	})
+}
--- a/internal/forward/promptparts.go
+++ b/internal/forward/promptparts.go
@@ -51,6 +51,10 @@
 // upstreams at once is over.
 const crashRetryDelay = 300 * time.Millisecond
 
+// crashCheckTimeout is how long such a request waits for the result of a probe: that of
+// one under way and the next, unless the daemon is held up.
+const crashCheckTimeout = 2 * probeAttempts * probeTimeout
+
 // suspicionPollInterval is how often such a request looks whether its prompt has been
 // cleared meanwhile.
 const suspicionPollInterval = 30 * time.Millisecond
@@ -127,8 +131,9 @@
 }
 
 // awaitCrashCheck delays a retry until it is known whether the upstream that broke the
-// connection has crashed. If so and the prompt is suspected, it waits until the prompt
-// is cleared or crashRetryDelay has passed. It returns early when ctx ends.
+// connection has crashed, or crashCheckTimeout has passed. If it has crashed and the
+// prompt is suspected, it waits until the prompt is cleared or crashRetryDelay has passed.
+// It returns early when ctx ends.
 func (t *transfer) awaitCrashCheck(ctx context.Context) {
 	check := t.crashCheck
 	t.crashCheck = nil
@@ -140,6 +145,8 @@
 		if !crashed {
 			return
 		}
+	case <-time.After(crashCheckTimeout):
+		return
 	case <-ctx.Done():
 		return
 	}
