Forget crashes whose rows were replaced once the part begins

Rows of suspicions are written without conditions, so the row of a later crash replaces that of an earlier one; when it was deleted, since the part began an answer, only its own crash was forgotten, and the next crash beside the part quarantined it. All crashes known from rows only are forgotten now.

TestReplacedSuspicionIsForgotten failed before, passes now.

--- a/internal/suspects/partsuspicions.go
+++ b/internal/suspects/partsuspicions.go
@@ -53,18 +53,20 @@
 // pendingSuspicion is a crash with a part that is to be written to the table.
 type pendingSuspicion struct{ part, crash string }
 
-// setSuspicions replaces the suspicions in the table. A crash that is known from a row
-// only is forgotten with it: a peer has begun an answer on the part, or the row was old.
+// setSuspicions replaces the suspicions in the table. Crashes that are known from rows
+// only are forgotten with the last of them: a peer has begun an answer on the part, or the
+// row was old.
 func (s *partState) setSuspicions(rows map[string]suspicionRow) {
 	s.suspicionRows = len(rows)
 	for part, r := range s.parts {
 		if _, present := rows[part]; present || r.suspicion == nil {
 			continue
 		}
-		crash := r.suspicion.Crash
 		r.suspicion = nil
-		if r.crashes[crash].fromRow {
-			s.removeCrash(part, crash)
+		for crash, c := range r.crashes {
+			if c.fromRow {
+				s.removeCrash(part, crash)
+			}
 		}
 		s.dropIfUnused(part)
 	}
--- a/internal/suspects/partsuspicions_test.go
+++ b/internal/suspects/partsuspicions_test.go
@@ -162,3 +162,19 @@
 	assert.DeepEqual(t, deleted, []string{suspicionPrefix + partName("part0"), suspicionPrefix + partName("part1")})
 	assert.Assert(t, strings.HasPrefix(txn.Writes[0].Key, suspicionPrefix))
 }
+
+// Guards against crashes that stay known after the part began an answer, because the row
+// that told of them had been replaced by that of a later crash.
+func TestReplacedSuspicionIsForgotten(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	for i, crash := range []string{"first", "second"} {
+		since := at.Add(time.Duration(i) * time.Second)
+		s.setSuspicions(map[string]suspicionRow{"part": {suspicionValue{Crash: crash, Request: crash, Depth: 1}, uint64(i + 1), since}})
+		assert.Assert(t, s.isSuspected("part"))
+	}
+	s.setSuspicions(nil)
+	assert.Assert(t, !s.isSuspected("part"))
+	s.recordCrash([]string{"part", "cause"}, "third", "r", at.Add(10*time.Second), at.Add(11*time.Second))
+	assert.Assert(t, !s.isQuarantined("part"))
+}
