Keep known crashes when a row tells that a part began answers

A row that tells of answers just before its crash was applied as a begin at the time of reading it, which voided the crashes that the daemon had seen itself. It is applied as a begin before the first known crash now, so the part needs three crashes and those known count.

TestRowOfProvenPartKeepsKnownCrashes: depth 1 after the second crash before, 2 now.

--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -189,6 +189,16 @@
 	return newPartDepth
 }
 
+// firstCrashAt returns when the first crash was, or at if that is earlier or there is none.
+func (r *partRecord) firstCrashAt(at time.Time) time.Time {
+	for _, c := range r.crashes {
+		if c.at.Before(at) {
+			at = c.at
+		}
+	}
+	return at
+}
+
 func (r *partRecord) quarantineDepth() int {
 	var first time.Time
 	for _, c := range r.crashes {
--- a/internal/suspects/partsuspicions.go
+++ b/internal/suspects/partsuspicions.go
@@ -78,7 +78,7 @@
 		s.parts[part] = r
 		r.suspicion = &row
 		if row.Proven && !s.isQuarantined(part) && r.quarantineDepth() != provenPartDepth {
-			s.begin(part, row.since.Add(-1))
+			s.begin(part, r.firstCrashAt(row.since).Add(-1)) // voids no known crash
 		}
 		s.addCrash(part, row.Crash, partCrash{request: row.Request, at: row.since, depth: min(row.Depth, provenPartDepth), fromRow: true})
 	}
--- a/internal/suspects/partsuspicions_test.go
+++ b/internal/suspects/partsuspicions_test.go
@@ -178,3 +178,17 @@
 	s.recordCrash([]string{"part", "cause"}, "third", "r", at.Add(10*time.Second), at.Add(11*time.Second))
 	assert.Assert(t, !s.isQuarantined("part"))
 }
+
+// Guards against daemons that forget crashes of their own because a row tells that the part
+// began answers before its first crash.
+func TestRowOfProvenPartKeepsKnownCrashes(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	s.recordCrash([]string{"part"}, "own", "r1", at.Add(-time.Second), at)
+	s.setSuspicions(map[string]suspicionRow{"part": {suspicionValue{Crash: "peer's", Request: "r0", Depth: 1, Proven: true}, 1, at.Add(10 * time.Second)}})
+	assert.Equal(t, s.quarantineDepth("part"), provenPartDepth)
+	s.recordCrash([]string{"part"}, "next", "r2", at.Add(time.Second), at.Add(11*time.Second))
+	assert.Equal(t, s.parts["part"].depth(), 2)
+	s.recordCrash([]string{"part"}, "last", "r3", at.Add(12*time.Second), at.Add(13*time.Second))
+	assert.Assert(t, s.isQuarantined("part"))
+}
