--- a/internal/gateway/storeclock_test.go
+++ b/internal/gateway/storeclock_test.go
@@ -85,3 +85,26 @@
 	assert.Equal(t, d.nextGoalRecord(old, 0).AsOf, rollout.UnknownTime)
 	assert.Equal(t, d.nextGoalRecord(old, 5000).AsOf, platform.StoreTime(5000))
 }
+
+// Guards against a date that is much too early for good, because a peer's fact told it on
+// the store's new clock and this daemon read that clock only after clockCheckDelay.
+func TestDateOnUnreadStoreClockIsNotKept(t *testing.T) {
+	const readAfter = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		clock := storeclock.New(func() time.Duration { return 0 }, func(time.Duration) {})
+		clock.Observe(100_000, clock.Local())
+		const requestedAt = platform.StoreTime(40_000) // now, on the new clock
+		time.Sleep(clockCheckDelay)
+		now, _ := clock.Now()
+		var h rollout.GoalHistory
+		h.AdoptGoal(6, 1000)
+		h.AdoptUndatedGoal(7)
+		h.RecordSight(7, dateOfFact(clock.FromStore(requestedAt), clockCheckDelay, now))
+		time.Sleep(readAfter - clockCheckDelay)
+		clock.Observe(requestedAt.Add(readAfter), clock.Local())
+		h.RecordSight(7, clock.FromStore(requestedAt))
+		now, _ = clock.Now()
+		since, _, _ := h.SupersededSince(6)
+		assert.Assert(t, now.Sub(since) <= readAfter+storeclock.MaxError, "superseded for %s", now.Sub(since))
+	})
+}
--- a/internal/storeclock/storeclock_test.go
+++ b/internal/storeclock/storeclock_test.go
@@ -133,3 +133,26 @@
 		assert.Equal(t, now(t, c), platform.StoreTime(60_000))
 	})
 }
+
+// Guards against a clock that steps back, which makes ages too small, because the store's
+// clock went back by less than each call took.
+func TestClockDoesNotStepBack(t *testing.T) {
+	const (
+		poll    = 8 * time.Second
+		setBack = 5 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := New(func() time.Duration { return 0 }, func(time.Duration) {})
+		start := time.Now()
+		origin := platform.StoreTime(1_000_000)
+		c.Observe(origin, c.Local())
+		for range 30 {
+			before, _ := c.Now()
+			sentAt := c.Local()
+			time.Sleep(poll)
+			c.Observe(origin.Add(time.Since(start)-setBack), sentAt)
+			now, _ := c.Now()
+			assert.Assert(t, now.Sub(before) >= poll-MaxError, "after %s: %s in %s", time.Since(start), now.Sub(before), poll)
+		}
+	})
+}
--- a/internal/suspects/partsuspicions_test.go
+++ b/internal/suspects/partsuspicions_test.go
@@ -192,3 +192,14 @@
 	s.recordCrash([]string{"part"}, "last", "r3", at.Add(12*time.Second), at.Add(13*time.Second))
 	assert.Assert(t, s.isQuarantined("part"))
 }
+
+// Guards against a crash that counts once more when its row is read after the part began an
+// answer, which voided it.
+func TestVoidCrashStaysVoidWhenItsRowIsRead(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := newPartState(testCrashInterval)
+	s.addCrash("part", "crash", partCrash{request: "r", at: at, depth: 1}) // by gossip
+	s.begin("part", at.Add(time.Second))
+	s.setSuspicions(map[string]suspicionRow{"part": {suspicionValue{Crash: "crash", Request: "r", Depth: 1}, 1, at.Add(10 * time.Second)}})
+	assert.Assert(t, !s.isSuspected("part"))
+}
