--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -99,7 +99,8 @@
 // engine crashed, and the parts that begin one later. A part is quarantined when an
 // engine crashed while running a request that was sent after an earlier crash with the
 // part, and none has begun since. Quarantined parts are also rows of the table, which
-// every daemon follows, and so are suspected ones of which gossip may not tell all. At growing intervals one request of the fleet runs as a trial.
+// every daemon follows, and so are suspected ones of which gossip may not tell all. At
+// growing intervals one request of the fleet runs as a trial.
 type Parts struct {
 	daemonName string
 	bus        gossip.Bus
