Do not count crashes again that a begin voided, when their row is read

Callers whose sound part had begun an answer could see it suspected again for up to an hour while gossip failed: a suspicion's row dates its crash by when it is read, so the crash counted once more after the begin that had voided it.

A part's record keeps the digests of the last crashes that a begin voided. A row of one doesn't count, and doesn't keep this daemon from writing the row of a later crash.

--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -42,6 +42,8 @@
 	// releaseWindow is the time after a part's release within which rows may appear that
 	// peers wrote before they heard of it.
 	releaseWindow = time.Minute
+	// maxVoidedCrashes bounds the voided crashes remembered for a part.
+	maxVoidedCrashes = 8
 )
 
 // partCrash is an engine crash while a request with a part had not begun its answer.
@@ -92,7 +94,10 @@
 	// begunAt is the latest known time at which a request with the part began an answer;
 	// crashes until then don't count.
 	begunAt time.Time
-	row     *quarantineRow
+	// voided holds the digests of the last crashes that a begin showed not to count. A row
+	// that tells of one may be read later and dates it by that.
+	voided []string
+	row    *quarantineRow
 	// suspicion is the part's suspicion in the table.
 	suspicion *suspicionRow
 	// voidVersion is the version of the row that was there when the part began an answer.
@@ -220,7 +225,7 @@
 		return false
 	}
 	old, known := r.crashes[crash]
-	if !r.counts(c) || known && old.depth >= c.depth {
+	if !r.counts(c) || slices.Contains(r.voided, crash) || known && old.depth >= c.depth {
 		return false
 	}
 	if known {
@@ -348,8 +353,10 @@
 		if !r.counts(c) {
 			delete(r.crashes, crash)
 			s.count(c, -1)
+			r.voided = append(r.voided, crash)
 		}
 	}
+	r.voided = r.voided[max(0, len(r.voided)-maxVoidedCrashes):]
 	r.surplus = max(0, len(r.crashes)-freeCrashes)
 	r.ownSurplus = min(r.ownSurplus, r.surplus)
 	return suspected, quarantined
@@ -629,7 +636,7 @@
 			}
 		}
 		if r.begunAt.Before(before) {
-			r.begunAt = time.Time{}
+			r.begunAt, r.voided = time.Time{}, nil
 		}
 		if r.row != nil && r.row.since.Before(rowLimit) {
 			old = append(old, part)
--- a/internal/suspects/partsuspicions.go
+++ b/internal/suspects/partsuspicions.go
@@ -92,12 +92,18 @@
 		return v, false
 	}
 	c, known := r.crashes[crash]
-	if !known || r.suspicion != nil && r.suspicion.since.After(r.begunAt) && r.suspicion.Depth >= c.depth {
+	if !known || r.suspicionCounts() && r.suspicion.Depth >= c.depth {
 		return v, false
 	}
 	return suspicionValue{Crash: crash, Request: c.request, Depth: c.depth, Proven: r.quarantineDepth() == provenPartDepth}, true
 }
 
+// suspicionCounts reports whether the table has a suspicion of the part that no begin has
+// voided.
+func (r *partRecord) suspicionCounts() bool {
+	return r.suspicion != nil && r.suspicion.since.After(r.begunAt) && !slices.Contains(r.voided, r.suspicion.Crash)
+}
+
 // suspicionsToEvict returns the parts whose suspicions have to make room for n new ones.
 func (s *partState) suspicionsToEvict(n int) []string {
 	n = min(n, s.suspicionRows+n-maxSuspicionRows)
