Let crashes of a prompt part count as evidence against the same part of other owners

A part of three or four cache owners reached engines 4 and 7 times after the fifth crash (3 allowed): each further owner cost two crashes and a first trial.

A crash is now as deep as the crashes with the same part of all owners make it, except where the part of another owner was at the same crash, which explains it. First trials stay undelayed by other owners, so a caller that states another's IDs cannot keep that one's sound part refused.

--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -121,7 +121,7 @@
 	// suspicions and quarantined count the crashes below and from newPartDepth on, rows
 	// the parts with a row, suspicionRows those with a suspicion in the table.
 	suspicions, quarantined, rows, suspicionRows int
-	// groups holds the parts with a row by partGroup.
+	// groups holds the known parts by partGroup.
 	groups map[string][]string
 }
 
@@ -129,7 +129,7 @@
 func (s *partState) known() bool { return s.suspicions+s.quarantined+s.rows > 0 }
 
 func newPartState(minCrashInterval time.Duration) *partState {
-	return &partState{minCrashInterval: minCrashInterval, parts: map[string]*partRecord{}}
+	return &partState{minCrashInterval: minCrashInterval, parts: map[string]*partRecord{}, groups: map[string][]string{}}
 }
 
 // recordCrash adds a crash that this daemon observed while a request had not begun its
@@ -173,10 +173,15 @@
 	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return !s.isQuarantined(p) })
 }
 
-// depthOf returns the depth of a crash for a part.
+// depthOf returns the depth of a crash for a part. Crashes with the same part of other
+// owners are evidence too, unless the crash is one of them.
 func (s *partState) depthOf(part, crash, request string, sentAt, at time.Time) int {
 	depth := 1
-	if r := s.parts[part]; r != nil {
+	for _, member := range append(s.others(part), part) {
+		r := s.parts[member]
+		if r == nil || member != part && r.hasCrash(crash) {
+			continue
+		}
 		for other, c := range r.crashes {
 			if other != crash && r.counts(c) && c.request != request && !sentAt.Before(c.at) && at.Sub(c.at) >= s.minCrashInterval {
 				depth = min(provenPartDepth, max(depth, c.depth+1))
@@ -186,6 +191,14 @@
 	return depth
 }
 
+// others returns the same parts of other owners, as far as anything of them is known.
+func (s *partState) others(part string) []string { return without(s.groups[partGroup(part)], part) }
+
+func (r *partRecord) hasCrash(crash string) bool {
+	_, known := r.crashes[crash]
+	return known
+}
+
 // quarantineDepth returns the depth of a crash that quarantines the part.
 func (s *partState) quarantineDepth(part string) int {
 	if r := s.parts[part]; r != nil {
@@ -236,13 +249,55 @@
 	if !known || (old.depth >= newPartDepth) != (c.depth >= newPartDepth) {
 		s.makeRoom(c.depth)
 	}
-	s.parts[part] = r
+	s.store(part, r)
 	r.crashes[crash] = c
 	r.surplus = max(r.surplus, len(r.crashes)-freeCrashes)
 	s.count(c, 1)
+	s.deepenOthers(part)
 	return true
 }
 
+// deepenOthers gives the crashes with the same parts of different owners the depth of the
+// deepest one: it shows that engines crashed one after another, and the crash of an owner's
+// part that no request of the others ran into is further evidence against that part.
+func (s *partState) deepenOthers(part string) {
+	for _, from := range slices.Clone(s.groups[partGroup(part)]) {
+		r := s.parts[from]
+		if r == nil || r.depth() < newPartDepth {
+			continue
+		}
+		for _, to := range s.others(from) {
+			crashes := map[string]partCrash{}
+			if other := s.parts[to]; other != nil { // makeRoom may have dropped it
+				crashes = maps.Clone(other.crashes)
+			}
+			for crash, c := range crashes {
+				if depth := r.depth(); c.depth < depth && !r.hasCrash(crash) {
+					c.depth = depth
+					s.addCrash(to, crash, c)
+				}
+			}
+		}
+	}
+}
+
+// store adds the record of a part.
+func (s *partState) store(part string, r *partRecord) {
+	if s.parts[part] == nil {
+		s.groups[partGroup(part)] = append(s.groups[partGroup(part)], part)
+	}
+	s.parts[part] = r
+}
+
+// remove drops the record of a part.
+func (s *partState) remove(part string) {
+	delete(s.parts, part)
+	group := partGroup(part)
+	if s.groups[group] = without(s.groups[group], part); len(s.groups[group]) == 0 {
+		delete(s.groups, group)
+	}
+}
+
 // record returns the record of a part, or a new one that is not stored yet; nil if
 // there are too many.
 func (s *partState) record(part string) *partRecord {
@@ -269,7 +324,7 @@
 	}
 	slices.SortFunc(parts, func(a, b string) int { return s.parts[a].begunAt.Compare(s.parts[b].begunAt) })
 	for _, part := range parts[:min(len(parts), maxParts/roomDivisor)] {
-		delete(s.parts, part)
+		s.remove(part)
 	}
 }
 
@@ -329,7 +384,7 @@
 	}
 	r.surplus, r.ownSurplus = 0, 0
 	if r.begunAt.IsZero() && r.suspicion == nil {
-		delete(s.parts, part)
+		s.remove(part)
 	}
 }
 
@@ -344,7 +399,7 @@
 		return false, false
 	}
 	suspected, quarantined = s.isSuspected(part), s.isQuarantined(part)
-	s.parts[part] = r
+	s.store(part, r)
 	r.begunAt = at
 	if r.row != nil && !r.row.since.After(at) {
 		r.voidVersion = r.row.version
@@ -514,8 +569,8 @@
 	if !s.parts[part].sharesTrials() {
 		return since, trials
 	}
-	for _, other := range s.groups[partGroup(part)] {
-		if r := s.parts[other]; other != part && r != nil && r.sharesTrials() {
+	for _, other := range s.others(part) {
+		if r := s.parts[other]; r.sharesTrials() {
 			otherSince, otherTrials := r.quarantinedSince()
 			trials += newPartDepth + otherTrials
 			if otherSince.After(since) {
@@ -578,7 +633,7 @@
 // which it was first seen. It returns the parts whose new row is out of date: this daemon
 // has released them since their last crash.
 func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
-	s.rows, s.groups = 0, map[string][]string{}
+	s.rows = 0
 	for part, r := range s.parts {
 		if _, present := rows[part]; !present && r.row != nil {
 			r.row = nil
@@ -590,9 +645,8 @@
 		if r == nil {
 			continue
 		}
-		s.parts[part] = r
+		s.store(part, r)
 		s.rows++
-		s.groups[partGroup(part)] = append(s.groups[partGroup(part)], part)
 		if r.row != nil && r.row.version == row.version {
 			continue
 		}
--- a/internal/suspects/partstate_test.go
+++ b/internal/suspects/partstate_test.go
@@ -298,6 +298,22 @@
 	}
 }
 
+// Guards against a sound part that is quarantined because it ran beside another owner's
+// part, under the same ID, that crashes engines.
+func TestCrashBesideOtherOwnersPartIsNoEvidence(t *testing.T) {
+	at := time.Unix(1000, 0)
+	part, other := PartKey("s", "m", "victim", "id"), PartKey("s", "m", "attacker", "id")
+	s := newPartState(testCrashInterval)
+	s.recordCrash([]string{other}, "c1", "r1", at, at)
+	for _, p := range []string{other, part} {
+		s.recordCrash([]string{p}, "c2", "request of "+p, at, at.Add(testCrashInterval))
+	}
+	assert.Assert(t, s.isQuarantined(other))
+	assert.Assert(t, !s.isQuarantined(part), "beside the other's crash")
+	s.recordCrash([]string{part}, "c3", "r3", at.Add(time.Second), at.Add(2*time.Second))
+	assert.Assert(t, s.isQuarantined(part), "a crash without the other")
+}
+
 // Guards against a caller that delays the release of another's sound part by crashing
 // engines under the same ID, and against trials that are as frequent for each owner once
 // each has crashed engines one after another.
--- a/internal/suspects/partsuspicions.go
+++ b/internal/suspects/partsuspicions.go
@@ -75,7 +75,7 @@
 		if r == nil || r.suspicion != nil && r.suspicion.version == row.version {
 			continue
 		}
-		s.parts[part] = r
+		s.store(part, r)
 		r.suspicion = &row
 		if row.Proven && !s.isQuarantined(part) && r.quarantineDepth() != provenPartDepth {
 			s.begin(part, r.firstCrashAt(row.since).Add(-1)) // voids no known crash
