Keep the estimate of the store's clock from stepping back between windows

When the store's clock went back by less than a call took, no reading showed it, and the estimate fell by as much once the window of the older readings had passed: ages of weights became too small by 5 s with calls of 8 s.

An estimate that is ahead of all readings of a window now falls by at most 2 ms a second, which covers machines' clocks that run fast. A call that takes less time shows a set-back as before; until then ages keep their rate, also where all responses became slow, which looks the same.

--- a/internal/storeclock/storeclock.go
+++ b/internal/storeclock/storeclock.go
@@ -18,6 +18,12 @@
 // run at different rates.
 const window = time.Minute
 
+// maxDrift bounds how much a machine's clock gains on the store's, in parts of the time that
+// passes. An estimate that is found to be further ahead of all readings goes on at almost its
+// own rate: either all responses are late by more than before, or the store's clock went back
+// by less than they take, which one that takes less will show.
+const maxDrift = 2e-3
+
 // Clock estimates the store's time. A reading is the store's time when it sent a
 // response, so it is never later than the time at its receipt: of all readings, the
 // one that gives the latest time is the closest. Between readings the clock advances
@@ -47,6 +53,8 @@
 	// window; nil if there is none.
 	current, previous *time.Duration
 	windowEnd         time.Duration
+	// addedAt is when the last reading was added.
+	addedAt time.Duration
 }
 
 // New returns a Clock without a reading. sinceBoot returns the time since the
@@ -127,6 +135,11 @@
 	if c.previous != nil && *c.previous > *greatest {
 		greatest = c.previous
 	}
+	if old := c.offset.Load(); old != nil {
+		slowest := *old - time.Duration(maxDrift*float64(local-c.addedAt))
+		greatest = new(max(*greatest, slowest))
+	}
+	c.addedAt = local
 	c.offset.Store(greatest)
 }
 
