Keep a peer's date of a version only once the store's clock was read after its receipt

The store's clock goes back by 60 s, a peer dates a version on the new clock, and this daemon reads that clock 3 s later: the date was kept after one second and counted as 63 s old, so old weights were refused a minute too early.

Such a report now counts by its age, which bounds the date, until a response to a call that was sent after its receipt confirms the clock; the daemon reads the store if no other call has. A fact that was held up on its way gets its earlier date then, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,7 +262,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, d.applyGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror, d.platform.QuarantineTable: d.quarantineMirror})
 		},
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
@@ -29,10 +30,12 @@
 	minGoalDelay        = 500 * time.Millisecond
 	goalSpreadPerDaemon = 50 * time.Millisecond
 	maxGoalSpread       = 1500 * time.Millisecond
-	// clockCheckDelay is how long a goal's date waits that seems too early for its age:
-	// the store's clock may have gone back without this daemon having read it since. Else
-	// the fact was held up on its way, and the date holds.
-	clockCheckDelay = time.Second
+	// clockCheckDelay is how long a goal's date waits at first that seems too early for its
+	// age: the store's clock may have gone back without this daemon having read it since. If
+	// a reading shows that it has not, the fact was held up on its way, and the date holds.
+	// The delay doubles up to maxClockCheckDelay while the store cannot be read.
+	clockCheckDelay    = time.Second
+	maxClockCheckDelay = 16 * time.Second
 )
 
 // goalFact is the value of a gossip.KindGoalVersion fact. The goal's age is
@@ -74,12 +77,15 @@
 	return goalFactVersion{requestedAt, version%2 == 1}, true
 }
 
-// dateOfFact returns when a goal was requested that a peer's fact dates and whose age is
-// known too. Only the age is right if a clock of the store told the date that went back
-// since.
-func dateOfFact(requestedAt platform.StoreTime, age time.Duration, now platform.StoreTime) platform.StoreTime {
-	if requestedAt.Add(age) > now.Add(storeclock.MaxError) {
-		return now.Add(-age)
+// dateOfFact returns when a goal was requested at the latest that a peer's fact dates and
+// that has at least the given age. If a date seems too late, a clock of the store told it
+// that went back since, and only the age is right. One that seems too early may be of a fact
+// that was held up on its way, which clockRead confirms: this daemon read the store's clock
+// after it received the fact.
+func dateOfFact(requestedAt platform.StoreTime, age time.Duration, now platform.StoreTime, clockRead bool) platform.StoreTime {
+	latest := now.Add(-age)
+	if requestedAt > latest.Add(storeclock.MaxError) || !clockRead && requestedAt < latest.Add(-storeclock.MaxError) {
+		return latest
 	}
 	return requestedAt
 }
@@ -184,7 +190,7 @@
 	if g.Model != "" && g.Version > 0 {
 		d.hearNews(operatorNews{g.Model, uint64(g.Version)})
 	}
-	r := goalReport{Goal: rollout.Goal{Model: g.Model, Version: g.Version}, age: goalTTL - min(f.TTL, goalTTL), receivedAt: time.Now(), origin: f.Origin}
+	r := goalReport{Goal: rollout.Goal{Model: g.Model, Version: g.Version}, age: goalTTL - min(f.TTL, goalTTL), receivedAt: time.Now(), receivedLocal: d.storeClock.Local(), origin: f.Origin}
 	v, dated := decodeGoalFactVersion(f.Version)
 	if dated {
 		d.storeClock.ObserveRelayed(v.requestedAt.Add(r.age)) // the only reading where the store cannot be read
@@ -201,8 +207,8 @@
 		d.goalRecorder.remove(g.Model, g.Version)
 	}
 	if d.storeClock.FromStore(r.requestedAt).Add(r.age) < now.Add(-storeclock.MaxError) {
-		d.reportQueue.add(r, r.receivedAt.Add(clockCheckDelay))
-		return
+		r.checkDelay = clockCheckDelay
+		d.reportQueue.add(r, r.receivedAt.Add(r.checkDelay))
 	}
 	d.applyGoalReport(r)
 }
@@ -214,12 +220,36 @@
 	// age is the goal's age at receivedAt, or less.
 	age        time.Duration
 	receivedAt time.Time
+	// receivedLocal is receivedAt as the store clock's Local.
+	receivedLocal time.Duration
+	// checkDelay is the delay before the clock is checked that the date depends on.
+	checkDelay time.Duration
 	origin     string
 }
 
-// applyGoalReports applies the reports that were delayed until ctx ends.
-func (d *Daemon) applyGoalReports(ctx context.Context) error {
-	return d.reportQueue.run(ctx, d.applyGoalReport)
+// checkGoalReports applies the dates of reports that seemed too early once the store's clock
+// was read after their receipt, until ctx ends.
+func (d *Daemon) checkGoalReports(ctx context.Context) error {
+	return d.reportQueue.run(ctx, func(r goalReport) {
+		if !d.storeClock.ReadSince(r.receivedLocal) {
+			d.readStoreClock(ctx)
+		}
+		if !d.storeClock.ReadSince(r.receivedLocal) {
+			r.checkDelay = min(2*r.checkDelay, maxClockCheckDelay)
+			d.reportQueue.add(r, time.Now().Add(r.checkDelay))
+			return
+		}
+		d.applyGoalReport(r)
+	})
+}
+
+// readStoreClock reads a row for the store's time that the response contains.
+func (d *Daemon) readStoreClock(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	if _, err := d.platform.Table.Get(ctx, goalRecordKey); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: "read the store's clock: " + err.Error()})
+	}
 }
 
 func (d *Daemon) applyGoalReport(r goalReport) {
@@ -227,7 +257,7 @@
 	if !ok {
 		return
 	}
-	at := dateOfFact(d.storeClock.FromStore(r.requestedAt), r.age+time.Since(r.receivedAt), now)
+	at := dateOfFact(d.storeClock.FromStore(r.requestedAt), r.age+time.Since(r.receivedAt), now, d.storeClock.ReadSince(r.receivedLocal))
 	d.view.mu.Lock()
 	d.recordSight(r.Goal, at, "peer "+r.origin)
 	d.view.mu.Unlock()
--- a/internal/gateway/goals_test.go
+++ b/internal/gateway/goals_test.go
@@ -58,11 +58,14 @@
 // goals counted as new until the clock had passed that date.
 func TestDateOfFactFromEarlierStoreClock(t *testing.T) {
 	const now = platform.StoreTime(9000)
-	assert.Equal(t, dateOfFact(68_000, 5*time.Second, now), platform.StoreTime(4000))
-	assert.Equal(t, dateOfFact(68_000, time.Minute, now), platform.StoreTime(-51_000))
-	assert.Equal(t, dateOfFact(4000, 5*time.Second, now), platform.StoreTime(4000))
-	assert.Equal(t, dateOfFact(4000, time.Second, now), platform.StoreTime(4000), "the fact was held up for 4 s")
-	assert.Equal(t, dateOfFact(4900, 5*time.Second, now), platform.StoreTime(4900), "an error of estimates")
+	assert.Equal(t, dateOfFact(68_000, 5*time.Second, now, true), platform.StoreTime(4000))
+	assert.Equal(t, dateOfFact(68_000, time.Minute, now, true), platform.StoreTime(-51_000))
+	assert.Equal(t, dateOfFact(4000, 5*time.Second, now, true), platform.StoreTime(4000))
+	assert.Equal(t, dateOfFact(4000, time.Second, now, true), platform.StoreTime(4000), "the fact was held up for 4 s")
+	assert.Equal(t, dateOfFact(4900, 5*time.Second, now, true), platform.StoreTime(4900), "an error of estimates")
+	assert.Equal(t, dateOfFact(4000, time.Second, now, false), platform.StoreTime(8000), "the clock may have gone back")
+	assert.Equal(t, dateOfFact(68_000, 5*time.Second, now, false), platform.StoreTime(4000))
+	assert.Equal(t, dateOfFact(4900, 5*time.Second, now, false), platform.StoreTime(4900))
 }
 
 // The delay of a goal's publication is bounded and its spread grows with the
--- a/internal/storeclock/storeclock.go
+++ b/internal/storeclock/storeclock.go
@@ -45,8 +45,10 @@
 	correction atomic.Int64
 
 	mu sync.Mutex
-	// direct is set after a reading from the store itself.
-	direct bool
+	// direct is set after a reading from the store itself, lastSentAt when the latest request
+	// was sent that brought one.
+	direct     bool
+	lastSentAt time.Duration
 	// setBackAt is when the store's clock was last found to have gone back.
 	setBackAt time.Duration
 	// current and previous are the greatest offsets in the current and in the previous
@@ -86,7 +88,7 @@
 func (c *Clock) observe(t platform.StoreTime, sentAt time.Duration) (read platform.StoreTime, setBackBy time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.direct = true
+	c.direct, c.lastSentAt = true, max(c.lastSentAt, sentAt)
 	local := c.Local()
 	read = c.FromStore(t)
 	offset := c.offset.Load()
@@ -120,6 +122,14 @@
 	}
 }
 
+// ReadSince reports whether the store told its time in response to a request that was sent
+// after a time of Local.
+func (c *Clock) ReadSince(t time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.direct && c.lastSentAt > t
+}
+
 // add takes a reading as a time of this Clock. c.mu must be held.
 func (c *Clock) add(read platform.StoreTime, local time.Duration) {
 	if c.current != nil && local >= c.windowEnd {
--- a/internal/storeclock/storeclock_test.go
+++ b/internal/storeclock/storeclock_test.go
@@ -117,6 +117,24 @@
 	})
 }
 
+// Only a response to a request that was sent afterwards shows that the store's clock did not
+// go back.
+func TestReadSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(noBootClock, neverSetBack(t))
+		c.ObserveRelayed(5000)
+		assert.Assert(t, !c.ReadSince(c.Local()), "a peer's reading")
+		sentAt := c.Local()
+		time.Sleep(time.Second)
+		received := c.Local()
+		c.Observe(6000, sentAt)
+		assert.Assert(t, !c.ReadSince(received), "sent before")
+		time.Sleep(time.Nanosecond)
+		c.Observe(6000, c.Local())
+		assert.Assert(t, c.ReadSince(received))
+	})
+}
+
 // Guards against peers' readings of a clock that went back since.
 func TestRelayedReadingCountsUntilStoreIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
