Write rows again without a read before, by the version that the last write told

Each renewal of a lease and of the record of versions read the row for its version first: two calls where one does. The store's answer to a transaction tells the version; a table that doesn't is read as before, and so is one whose answer was lost.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -150,6 +150,8 @@
 type grant struct {
 	record record
 	sentAt timePoint
+	// version is that of the row; 0 if it is not known.
+	version uint64
 }
 
 // acquire waits until the lease is free and acquires it. It returns only ctx's
@@ -204,25 +206,27 @@
 func (k *Keeper) claim(ctx context.Context, version uint64, old record) (grant, bool) {
 	next := record{Fence: old.Fence + 1, Holder: k.settings.Holder, Nonce: rand.Text(), Millis: k.settings.Duration.Milliseconds()}
 	g := grant{record: next, sentAt: k.now()}
-	if err := k.write(ctx, g, version); err != nil {
+	if err := k.write(ctx, &g, version); err != nil {
 		return grant{}, false
 	}
 	return g, true
 }
 
-// write commits a grant on the condition that the row has the version. It stops
-// trying when the grant would have expired.
-func (k *Keeper) write(ctx context.Context, g grant, version uint64) error {
+// write commits a grant on the condition that the row has the version, and sets that of the
+// grant. It stops trying when the grant would have expired.
+func (k *Keeper) write(ctx context.Context, g *grant, version uint64) error {
 	ctx, cancel := context.WithDeadline(ctx, g.sentAt.monotonic.Add(g.record.leaseDuration()))
 	defer cancel()
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: k.rowKey(), Version: version}},
 		Writes:     []platform.Write{{Key: k.rowKey(), Value: encodeRecord(g.record)}},
 	}
-	return platform.CommitResolved(ctx, k.table, txn, func(ctx context.Context) (bool, error) {
+	var err error
+	g.version, err = platform.CommitVersion(ctx, k.table, txn, func(ctx context.Context) (bool, error) {
 		_, found, err := k.read(ctx)
 		return found.Nonce == g.record.Nonce, err
 	})
+	return err
 }
 
 // read returns the row and its record; a row that does not exist has version 0
@@ -303,6 +307,11 @@
 var renewalBackoff = backoff.Policy{Min: 100 * time.Millisecond, Max: time.Second}
 
 func (k *Keeper) renew(ctx context.Context, g grant) (grant, error) {
+	if g.version != 0 {
+		if next, err := k.renewAt(ctx, g, g.version); err == nil || !errors.Is(err, platform.ErrConflict) {
+			return next, err
+		}
+	}
 	row, found, err := k.read(ctx)
 	if err != nil {
 		return grant{}, err
@@ -310,9 +319,14 @@
 	if found.Fence != g.record.Fence || found.Released {
 		return grant{}, verdict.Wrap(platform.ErrConflict, verdict.NotRun, verdict.CodeConflict, "the lease was acquired by another holder or released")
 	}
+	return k.renewAt(ctx, g, row.Version)
+}
+
+// renewAt renews the lease if the row has a version.
+func (k *Keeper) renewAt(ctx context.Context, g grant, version uint64) (grant, error) {
 	next := grant{record: g.record, sentAt: k.now()}
 	next.record.Nonce = rand.Text()
-	if err := k.write(ctx, next, row.Version); err != nil {
+	if err := k.write(ctx, &next, version); err != nil {
 		return grant{}, err
 	}
 	return next, nil
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -77,3 +77,34 @@
 	// Delete deletes an object. It returns nil when the object does not exist.
 	Delete(ctx context.Context, key string) error
 }
+
+// CommitVersion is CommitResolved that also returns the version of the rows written; 0 if it
+// is not known.
+func CommitVersion(ctx context.Context, t Table, txn Txn, isApplied func(context.Context) (bool, error)) (version uint64, err error) {
+	recorder := &versionRecorder{Table: t}
+	err = CommitResolved(ctx, recorder, txn, isApplied)
+	if err != nil {
+		return 0, err
+	}
+	return recorder.version, nil
+}
+
+// versionRecorder records the version of the last transaction.
+type versionRecorder struct {
+	Table
+	version uint64
+}
+
+// Commit implements Table.
+func (r *versionRecorder) Commit(ctx context.Context, txn Txn) (err error) {
+	r.version = 0
+	table, ok := r.Table.(VersionedTable)
+	if !ok {
+		return r.Table.Commit(ctx, txn)
+	}
+	version, err := table.CommitVersion(ctx, txn)
+	if err == nil {
+		r.version = version
+	}
+	return err
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,6 +73,14 @@
 	Commit(ctx context.Context, txn Txn) error
 }
 
+// VersionedTable is a Table that tells the version of the rows that a transaction wrote, so
+// that a writer need not read them before it writes again.
+type VersionedTable interface {
+	Table
+	// CommitVersion is Commit; version is 0 if it is not known.
+	CommitVersion(ctx context.Context, txn Txn) (version uint64, err error)
+}
+
 // Objects is the platform's object store.
 type Objects interface {
 	// Put stores an object, replacing any earlier one.
