--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -95,7 +95,7 @@
 func (d *Daemon) announceAvailability() {
 	unavailable := d.draining.Load() || !d.wasReady.Load()
 	d.members.UpdateSelf(func(m *membership.Member) { m.Draining = unavailable })
-	d.gossipNode.SetDraining(unavailable)
+	d.gossipNode.SetDraining(unavailable, false)
 }
 
 // watchedAddresses returns the upstreams that this daemon probes: those that
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -51,6 +51,8 @@
 	GoalRecordFailed           ID = 510
 	OperatorRowsLate           ID = 511
 	StoreClockSetBack          ID = 512
+	FeedSource                 ID = 513
+	FeedSourceLost             ID = 514
 	PeerConnected              ID = 601
 	PeerLost                   ID = 602
 	PeerRejected               ID = 603
@@ -123,6 +125,8 @@
 	{GoalRecordFailed, hclog.Warn, "record of weight version goals failed"},
 	{OperatorRowsLate, hclog.Info, "change feed of the operators' rows late"},
 	{StoreClockSetBack, hclog.Warn, "clock of the store went back"},
+	{FeedSource, hclog.Info, "source of the table copies chosen"},
+	{FeedSourceLost, hclog.Info, "source of the table copies lost"},
 	{PeerConnected, hclog.Info, "peer connected"},
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,11 +91,22 @@
 	// quarantineReadInterval is the minimum interval between reads of the quarantined
 	// parts, which change fast while gossip fails and engines crash.
 	quarantineReadInterval = 400 * time.Millisecond
-	// upstreamMaxWait and operatorMaxWait limit a long poll at the store.
-	// Heartbeats change the upstream table at least once a second.
+	// upstreamMaxWait and operatorMaxWait limit a long poll at the store, soleMaxWait those
+	// of a daemon that reads for others: it bounds how long a lost answer goes unnoticed.
 	upstreamMaxWait = time.Second
 	operatorMaxWait = 20 * time.Second
-	eventRingSize   = 2048
+	soleMaxWait     = 3 * time.Second
+	// firstStartHold and restartHold are how long a daemon that knows no other waits for
+	// peers before it reads the store. At the first start machines come up one by one;
+	// after a loss of power peers are there at once or not at all.
+	firstStartHold = 400 * time.Millisecond
+	restartHold    = 50 * time.Millisecond
+	// minFollowingFleet is the number of daemons from which on few read the store.
+	minFollowingFleet = 10
+	// localSources and globalSources are how many daemons of its data centre and of all a
+	// daemon may follow, one after the other.
+	localSources, globalSources = 2, 3
+	eventRingSize               = 2048
 )
 
 // Daemon is one daemon serving callers on an instance.
@@ -118,8 +129,12 @@
 	upstreamMirror *mirror.Mirror
 	// quarantineMirror is the copy of the table of quarantined prompt parts.
 	quarantineMirror *mirror.Mirror
-	registry         *fleet.Registry
-	view             view
+	// recordMirror is a copy of the row under goalRecordKey, as it was last read or written.
+	recordMirror *mirror.Mirror
+	// copies keeps the mirrors up to date from those of another daemon.
+	copies   *mirror.Follower
+	registry *fleet.Registry
+	view     view
 
 	callerServer, readinessServer, directoryServer, metricsServer *server
 	peerListener                                                  net.Listener
@@ -176,6 +191,7 @@
 		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
+	d.suspects.ReadInTurn(d.copies.WaitReading)
 	d.registerGauges()
 	if err := d.listen(); err != nil {
 		d.close()
@@ -195,14 +211,34 @@
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
-		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
+		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, SoleMaxWait: soleMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreamMirror = mirror.New(mirror.Settings{
-		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MinInterval: upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
+		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, SoleMaxWait: soleMaxWait, MinInterval: upstreamReadInterval, SoleMinInterval: 2 * upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
 	}, d.platform.Feed, peers, d.log)
 	d.quarantineMirror = mirror.New(mirror.Settings{
-		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
+		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, SoleMaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
 	}, d.platform.Feed, peers, d.log)
+	d.recordMirror = mirror.New(mirror.Settings{
+		Table: goalRecordKey, MaxWait: recordMaxWait, SoleMaxWait: recordMaxWait, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.applyRecordRows(rows) },
+	}, goalRecordFeed{d.platform.Table}, peers, d.log)
+	d.copies = mirror.NewFollower(mirror.FollowerSettings{
+		Self: mirror.Node{Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.PeerListen}, Others: d.copySources, StartHold: d.startHold(),
+		Policy:      mirror.RankedSources{MinFleet: minFollowingFleet, Local: localSources, Global: globalSources},
+		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock,
+	}, d.log, d.operatorMirror, d.upstreamMirror, d.quarantineMirror, d.recordMirror)
+}
+
+// startHold returns how long a started daemon waits for peers before it reads the store.
+func (d *Daemon) startHold() time.Duration {
+	switch {
+	case len(d.gossipSeeds()) == 0:
+		return 0
+	case d.settings.FirstStart:
+		return firstStartHold
+	default:
+		return restartHold
+	}
 }
 
 // recordStoreRead records whether a read of the operators' table failed.
@@ -261,10 +297,10 @@
 	group, work := errgroup.WithContext(work)
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
-		d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
+		d.copies.Run, d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.recordMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
 		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
 		func(ctx context.Context) error {
-			return mirror.Serve(ctx, d.peerListener, map[string]*mirror.Mirror{d.platform.OperatorTable: d.operatorMirror, d.platform.UpstreamTable: d.upstreamMirror, d.platform.QuarantineTable: d.quarantineMirror})
+			return mirror.Serve(ctx, d.peerListener, d.copies)
 		},
 	} {
 		group.Go(func() error { return ignoreShutdown(loop(work)) })
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -14,6 +14,7 @@
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/gossip"
+	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/storeclock"
@@ -48,11 +49,15 @@
 	// comes before this one, so that the fleet's rate does not grow with its size.
 	goalRetryPerRank = 50 * time.Millisecond
 	// goalRecordFactTTL is how long the fact of a renewal is spread.
-	goalRecordFactTTL = 2 * goalRecordInterval
+	goalRecordFactTTL = 2 * (goalRecordInterval + soleMaxWait)
 	// goalRecordTimeout limits one write, including retries.
 	goalRecordTimeout = 2 * platform.CallTimeout
 	// goalPageRows is the number of goals that are read at once.
 	goalPageRows = 500
+	// goalRecordPoll is the interval between checks of whether recordMirror has the row,
+	// recordMaxWait the pause between its reads: gossip tells of renewals meanwhile.
+	goalRecordPoll = 20 * time.Millisecond
+	recordMaxWait  = time.Hour
 	// maxGoalRecordConflicts limits the attempts of one write that lose to other daemons.
 	maxGoalRecordConflicts = 3
 )
@@ -72,6 +77,10 @@
 	// missed holds the versions, by model, that were new at the last read of the goals
 	// for the row; only keepGoalRecord uses it.
 	missed map[string]int
+	// written is the row as this daemon wrote it last, writtenVersion its version; 0 if that
+	// is unknown. Only keepGoalRecord uses them.
+	written        rollout.GoalRecord
+	writtenVersion uint64
 
 	mu sync.Mutex
 	// asOf is GoalRecord.AsOf of the row as it was last read; rollout.UnknownTime if an
@@ -174,11 +183,8 @@
 // keepGoalRecord reads the row, so that versions have their dates although all
 // daemons were lost, and then writes it when it is this daemon's turn, until ctx ends.
 func (d *Daemon) keepGoalRecord(ctx context.Context) error {
-	for try := 0; ; try++ {
-		if _, _, err := d.readGoalRecord(ctx); err == nil {
-			break
-		}
-		if err := goalRecordBackoff.Wait(ctx, try); err != nil {
+	for !d.goalRecorder.read.Load() {
+		if err := backoff.Sleep(ctx, goalRecordPoll); err != nil {
 			return err
 		}
 	}
@@ -219,24 +225,30 @@
 
 // goalRetryPause returns the pause after a number of failed writes.
 func (d *Daemon) goalRetryPause(failures int) time.Duration {
-	return max(goalRecordBackoff.Delay(failures), time.Duration(d.rank(goalRecordKey, ""))*goalRetryPerRank)
+	return max(goalRecordBackoff.Delay(failures), time.Duration(d.rank(mirror.ReaderDuty, ""))*goalRetryPerRank)
 }
 
 // goalWriteDue reports whether this daemon has to write the row, whose time it last
 // renewed at renewedAt: because that is due again, or a goal stays unrecorded. Each next
 // daemon in the order of rendezvous hashing does so later.
 func (d *Daemon) goalWriteDue(renewedAt time.Time) bool {
-	turn := time.Duration(d.rank(goalRecordKey, "")) * goalTakeoverStep
+	turn := time.Duration(d.rank(mirror.ReaderDuty, "")) * goalTakeoverStep
 	if d.draining.Load() || !d.goalRecorder.goalsRead.Load() || time.Since(d.startedAt) < d.goalRecorder.startDelay+turn {
 		return false
 	}
 	if since, ok := d.goalRecorder.oldest(); ok && time.Since(since) >= turn {
 		return true
 	}
+	if at, ok := d.operatorMirror.CompleteAt(); ok && at <= d.goalRecorder.lastRenewal() {
+		return false // it would have the same time
+	}
 	now, ok := d.storeClock.Now()
 	return ok && time.Since(renewedAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= goalRecordInterval+turn
 }
 
+// isLargeFleet reports whether few daemons read the store for the others.
+func (d *Daemon) isLargeFleet() bool { return len(d.members.Live()) >= minFollowingFleet }
+
 // readGoalRecord reads the row and applies it. The version is 0 if there is none.
 func (d *Daemon) readGoalRecord(ctx context.Context) (record rollout.GoalRecord, version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
@@ -246,17 +258,52 @@
 		return record, 0, err
 	}
 	if err == nil {
-		if record, err = rollout.DecodeGoalRecord(row.Value); err != nil {
-			// An unreadable row is replaced; it dates nothing.
-			d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
-			record = rollout.GoalRecord{}
-		}
-		record = d.recordOnThisClock(record.WithTimes(d.storeClock.FromStore))
+		record = d.decodeGoalRecord(row.Value)
 	}
 	d.applyGoalRecord(&record)
 	return record, row.Version, nil
 }
 
+// decodeGoalRecord decodes the row. One that cannot be read is replaced; it dates nothing.
+func (d *Daemon) decodeGoalRecord(value []byte) rollout.GoalRecord {
+	record, err := rollout.DecodeGoalRecord(value)
+	if err != nil {
+		d.log.Emit(eventlog.GoalRecordFailed, eventlog.Fields{Detail: err.Error()})
+		record = rollout.GoalRecord{}
+	}
+	return d.recordOnThisClock(record.WithTimes(d.storeClock.FromStore))
+}
+
+// applyRecordRows applies the copy of the row, of the store or of a peer.
+func (d *Daemon) applyRecordRows(rows map[string]platform.Change) {
+	var record rollout.GoalRecord
+	if row, ok := rows[goalRecordKey]; ok {
+		record = d.decodeGoalRecord(row.Value)
+	}
+	d.applyGoalRecord(&record)
+}
+
+// goalRecordFeed presents the row under goalRecordKey as a table of its own, which tells no
+// changes.
+type goalRecordFeed struct{ table platform.Table }
+
+// ReadTable implements platform.Feed.
+func (f goalRecordFeed) ReadTable(ctx context.Context, _ string) (platform.Changes, error) {
+	row, err := f.table.Get(ctx, goalRecordKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Changes{Whole: true, Version: 1}, nil
+	}
+	if err != nil {
+		return platform.Changes{}, err
+	}
+	return platform.Changes{Whole: true, Version: row.Version, ReadAt: row.ReadAt, Rows: []platform.Change{{Key: row.Key, Value: row.Value, Version: row.Version}}}, nil
+}
+
+// ReadChanges implements platform.Feed.
+func (goalRecordFeed) ReadChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Changes, error) {
+	return platform.Changes{Version: after}, backoff.Sleep(ctx, wait)
+}
+
 // recordOnThisClock returns what a row still tells if the store's clock went back since
 // it was written, as times that are yet to come show: the versions, but not for how long
 // no daemon lived to see it.
@@ -315,9 +362,11 @@
 	ctx, cancel := context.WithTimeout(ctx, goalRecordTimeout)
 	defer cancel()
 	for try := 0; ; try++ {
-		record, version, err := d.readGoalRecord(ctx)
-		if err != nil {
-			return false, err
+		record, version := d.goalRecorder.written, d.goalRecorder.writtenVersion
+		if version == 0 {
+			if record, version, err = d.readGoalRecord(ctx); err != nil {
+				return false, err
+			}
 		}
 		if !d.goalWriteDue(renewedAt) {
 			return false, nil
@@ -330,7 +379,8 @@
 			return false, nil
 		}
 		next := d.nextGoalRecord(&record, completeAt)
-		err = d.commitGoalRecord(ctx, next, version)
+		d.goalRecorder.written = *next
+		d.goalRecorder.writtenVersion, err = d.commitGoalRecord(ctx, next, version)
 		if err == nil {
 			d.shareRecordedGoals(next)
 			return completeAt > 0, nil
@@ -341,17 +391,19 @@
 	}
 }
 
-func (d *Daemon) commitGoalRecord(ctx context.Context, record *rollout.GoalRecord, version uint64) error {
+// commitGoalRecord writes the row if it has a version, and returns its next one; 0 if that is
+// not known.
+func (d *Daemon) commitGoalRecord(ctx context.Context, record *rollout.GoalRecord, version uint64) (uint64, error) {
 	onStoreClock := record.WithTimes(d.storeClock.ToStore)
 	value, err := onStoreClock.Encode()
 	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "write the record of weight versions")
+		return 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "write the record of weight versions")
 	}
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: goalRecordKey, Version: version}},
 		Writes:     []platform.Write{{Key: goalRecordKey, Value: value}},
 	}
-	return platform.CommitResolved(ctx, d.platform.Table, txn, func(ctx context.Context) (bool, error) {
+	return platform.CommitVersion(ctx, d.platform.Table, txn, func(ctx context.Context) (bool, error) {
 		row, err := d.platform.Table.Get(ctx, goalRecordKey)
 		if err != nil {
 			if errors.Is(err, platform.ErrNotFound) {
@@ -364,12 +416,15 @@
 	})
 }
 
-// goalsCompleteAt returns a time at which this daemon knows all requested versions: it
-// reads the operators' goals, since the answer to a read that waits for their changes may
-// be lost. The time is 0 if versions are new to it. These may be on their way and are
+// goalsCompleteAt returns a time at which this daemon knows all requested versions: that of
+// its last read if it reads for others, else it reads the operators' goals, since the answer
+// to a read that waits for their changes may be lost. The time is 0 if versions are new to it. These may be on their way and are
 // dated by their sight, then. Those that are still new at the next call have no sight;
 // they were requested after the row's time.
 func (d *Daemon) goalsCompleteAt(ctx context.Context, asOf platform.StoreTime) (platform.StoreTime, error) {
+	if at, ok := d.operatorMirror.CompleteAt(); ok && at > asOf {
+		return at, nil
+	}
 	before, ok := d.storeClock.Now()
 	goals, err := d.readGoals(ctx)
 	if err != nil || !ok {
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -190,8 +190,8 @@
 	if g.Model != "" && g.Version > 0 {
 		d.hearNews(operatorNews{g.Model, uint64(g.Version)})
 	}
-	r := goalReport{Goal: rollout.Goal{Model: g.Model, Version: g.Version}, age: goalTTL - min(f.TTL, goalTTL), receivedAt: time.Now(), receivedLocal: d.storeClock.Local(), origin: f.Origin}
 	v, dated := decodeGoalFactVersion(f.Version)
+	r := d.newGoalReport(rollout.Goal{Model: g.Model, Version: g.Version}, v.requestedAt, goalTTL-min(f.TTL, goalTTL), f.Origin)
 	if dated {
 		d.storeClock.ObserveRelayed(v.requestedAt.Add(r.age)) // the only reading where the store cannot be read
 	}
@@ -199,13 +199,27 @@
 	if !ok {
 		return
 	}
-	r.requestedAt = v.requestedAt
 	if !dated {
 		r.requestedAt = d.storeClock.ToStore(now.Add(-r.age))
 	}
 	if v.recorded {
 		d.goalRecorder.remove(g.Model, g.Version)
 	}
+	d.reportGoal(r)
+}
+
+// newGoalReport returns a report of a peer that is received now.
+func (d *Daemon) newGoalReport(g rollout.Goal, requestedAt platform.StoreTime, age time.Duration, origin string) goalReport {
+	return goalReport{Goal: g, requestedAt: requestedAt, age: age, receivedAt: time.Now(), receivedLocal: d.storeClock.Local(), origin: origin}
+}
+
+// reportGoal applies a report, and once more when the store's clock was read if its date
+// seems too early.
+func (d *Daemon) reportGoal(r goalReport) {
+	now, ok := d.storeClock.Now()
+	if !ok {
+		return
+	}
 	if d.storeClock.FromStore(r.requestedAt).Add(r.age) < now.Add(-storeclock.MaxError) {
 		r.checkDelay = clockCheckDelay
 		d.reportQueue.add(r, r.receivedAt.Add(r.checkDelay))
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -23,6 +23,11 @@
 	for name, value := range map[string]func() float64{
 		telemetry.NameInFlightRequests: func() float64 { return float64(d.inFlight.Load()) },
 		telemetry.NamePlatformUp:       func() float64 { return boolGauge(d.storeFailedSince.Load() == nil) },
+		telemetry.NameCopiesAge:        func() float64 { return d.copies.Age().Seconds() },
+		telemetry.NameStoreReader: func() float64 {
+			reading, _ := d.copies.Reading()
+			return boolGauge(reading)
+		},
 		telemetry.NamePeers:            func() float64 { return float64(len(d.gossipNode.Peers())) },
 		telemetry.NameGossipSent:       func() float64 { return float64(d.gossipNode.Stats().SentBytes) },
 		telemetry.NameGossipReceived:   func() float64 { return float64(d.gossipNode.Stats().ReceivedBytes) },
@@ -108,6 +113,18 @@
 	return err
 }
 
+// CommitVersion implements platform.VersionedTable.
+func (t timedTable) CommitVersion(ctx context.Context, txn platform.Txn) (version uint64, err error) {
+	table, ok := t.Table.(platform.VersionedTable)
+	if !ok {
+		return 0, t.Commit(ctx, txn)
+	}
+	start := time.Now()
+	version, err = table.CommitVersion(ctx, txn)
+	t.record("commit", start, err)
+	return version, err
+}
+
 // clockedFeed records the store's time in its responses. ReadAt is a time of the clock.
 type clockedFeed struct {
 	platform.Feed
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/membership"
+	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/peerload"
 )
 
@@ -80,6 +81,7 @@
 		return err
 	}
 	d.gossipNode = node
+	d.publishAvailability() // before peers hear of this daemon
 	node.Subscribe(gossip.KindDaemon, func(gossip.Fact) { d.refreshMembers() })
 	node.Subscribe(gossip.KindLoad, d.receiveLoad)
 	node.Subscribe(gossip.KindWeightSwitch, d.receiveSwitch)
@@ -128,6 +130,20 @@
 	return out
 }
 
+// copySources returns the other daemons that serve copies of the store's tables and stay.
+func (d *Daemon) copySources() []mirror.Node {
+	var out []mirror.Node
+	for _, m := range d.members.Live() {
+		if m.Name == d.settings.Name || m.Unresponsive || m.Draining && !m.Starting {
+			continue
+		}
+		for _, address := range withPort([]string{m.PeerAddress}, d.settings.PeerListen, "") {
+			out = append(out, mirror.Node{Name: m.Name, DataCentre: m.DataCentre, Address: address})
+		}
+	}
+	return out
+}
+
 // refreshMembers updates the member list from gossip.
 func (d *Daemon) refreshMembers() {
 	d.members.SetGossiped(membership.FromFacts(d.gossipNode.Facts(gossip.KindDaemon), d.gossipNode.Unresponsive()))
@@ -147,8 +163,9 @@
 // accepts callers.
 func (d *Daemon) publishAvailability() {
 	unavailable := d.draining.Load() || !d.everReady.Load()
-	d.members.UpdateSelf(func(m *membership.Member) { m.Draining = unavailable })
-	d.gossipNode.SetDraining(unavailable)
+	starting := unavailable && !d.draining.Load()
+	d.members.UpdateSelf(func(m *membership.Member) { m.Draining, m.Starting = unavailable, starting })
+	d.gossipNode.SetDraining(unavailable, starting)
 }
 
 // watchReadiness logs changes of the daemon's readiness. When the daemon
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -51,6 +51,9 @@
 	// LeaseDuration is how long the holder of the weight switch lease may act
 	// without renewing it.
 	LeaseDuration time.Duration
+	// FirstStart is set when the whole system starts for the first time: its daemons may
+	// wait for each other.
+	FirstStart bool
 	// FencedOrders is set if engines reject orders with an old fencing token.
 	FencedOrders bool
 	// WeightSwitchTimeLimit is the time limit for engines to switch to new weights.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -57,7 +57,7 @@
 
 // applyOperatorRows applies the desired state and the goal versions.
 func (d *Daemon) applyOperatorRows(rows map[string]platform.Change, read mirror.Read) {
-	goals := map[string]int{}
+	goals := map[string]requestedVersion{}
 	for key, row := range rows {
 		if state, ok, err := d.platform.Rows.State(key, row.Value); ok || err != nil {
 			d.applyState(row, state, err)
@@ -68,16 +68,23 @@
 		case err != nil:
 			d.logSkippedRow(row, err)
 		case ok:
-			goals[model] = version
+			goals[model] = requestedVersion{version, read.Sights[key]}
 		}
 	}
 	d.adoptGoals(goals, read)
 	d.updateServices()
 }
 
+// requestedVersion is a goal version with what another daemon told of its first sight.
+type requestedVersion struct {
+	version int
+	sight   mirror.Sight
+}
+
 // adoptGoals applies the goal versions by model. The first read does not tell when
-// they were requested, and one after a gap only after which time.
-func (d *Daemon) adoptGoals(goals map[string]int, read mirror.Read) {
+// they were requested, and one after a gap only after which time. A copy of another daemon
+// tells when that one saw them.
+func (d *Daemon) adoptGoals(goals map[string]requestedVersion, read mirror.Read) {
 	at, dated := read.At, read.At != 0
 	if !dated {
 		at, dated = d.storeClock.Now()
@@ -85,9 +92,13 @@
 	requestedBefore := at // 0 if unknown
 	dated = dated && !read.AfterGap
 	var adopted []rollout.Goal
+	var reports []goalReport
 	d.view.mu.Lock()
-	for model, version := range goals {
-		history := d.view.goalHistory(model)
+	for model, g := range goals {
+		history, version := d.view.goalHistory(model), g.version
+		if g.sight.At != 0 {
+			reports = append(reports, d.newGoalReport(rollout.Goal{Model: model, Version: version}, g.sight.At, g.sight.Age, g.sight.By))
+		}
 		if dated && history.AdoptGoal(version, at) || !dated && history.AdoptUndatedGoal(version) {
 			adopted = append(adopted, rollout.Goal{Model: model, Version: version})
 			if bound := max(read.After, d.goalRecorder.lastRenewal()); !read.First && bound != 0 {
@@ -100,6 +111,9 @@
 	}
 	d.view.mu.Unlock()
 	d.goalRecorder.goalsRead.Store(true)
+	for _, r := range reports {
+		d.reportGoal(r)
+	}
 	for _, g := range adopted {
 		d.log.Emit(eventlog.GoalAdopted, eventlog.Fields{Detail: fmt.Sprintf("%s version %d", g.Model, g.Version)})
 		if dated {
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -47,10 +47,14 @@
 	// competes for the lease, while engines are behind and no orders are sent.
 	successionStep = 1200 * time.Millisecond
 	// maxWatchingRank is the rank up to which successors watch the lease while another
-	// daemon sends orders, so that they need not begin to when it is lost.
-	maxWatchingRank = 2
-	// lastHolderInterval is the pause before another try to read who held the lease.
+	// daemon sends orders, so that they need not begin to when it is lost. Where few daemons
+	// read the store, none does.
+	maxWatchingRank = 1
+	// lastHolderInterval is the pause before another try to read who held the lease,
+	// lastHolderWindow the time after its start in which a daemon tries: it may have been
+	// the holder before.
 	lastHolderInterval = time.Second
+	lastHolderWindow   = 5 * time.Second
 )
 
 // ongoingSwitch is the last notice of an engine's weight switch.
@@ -293,11 +297,11 @@
 		if behindSince.IsZero() {
 			behindSince = now
 		}
-		if !d.orderSenderKnown() && now.Sub(lastHolderAt) >= lastHolderInterval {
+		if !d.orderSenderKnown() && now.Sub(d.startedAt) < lastHolderWindow && now.Sub(lastHolderAt) >= lastHolderInterval {
 			lastHolderAt = now
 			d.readLastHolder(ctx, keeper)
 		}
-		if now.Sub(behindSince) < d.successionWait() && d.successionRank() > maxWatchingRank {
+		if rank := d.successionRank(); rank > d.maxWatchingRank() && now.Sub(d.silentSince(behindSince)) < time.Duration(rank)*successionStep {
 			continue
 		}
 		d.competeForLease(ctx, keeper, switcher)
@@ -358,6 +362,23 @@
 	}
 }
 
+func (d *Daemon) maxWatchingRank() int {
+	if d.isLargeFleet() {
+		return 0
+	}
+	return maxWatchingRank
+}
+
+// silentSince returns since when engines have been behind and no daemon sent orders.
+func (d *Daemon) silentSince(behindSince time.Time) time.Time {
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	if d.view.lastOrderAt.After(behindSince) {
+		return d.view.lastOrderAt
+	}
+	return behindSince
+}
+
 // successionRank returns how many daemons come before this one in sending orders.
 func (d *Daemon) successionRank() int {
 	d.view.mu.Lock()
@@ -393,7 +414,7 @@
 	own := prefix.Score(key, prefix.NodeHash(d.settings.Name))
 	rank := 0
 	for _, m := range d.members.Live() {
-		if m.Draining || m.Name == d.settings.Name {
+		if m.Draining && !m.Starting || m.Name == d.settings.Name {
 			continue
 		}
 		if m.Name == first || prefix.Score(key, prefix.NodeHash(m.Name)) > own {
--- a/internal/gossip/daemoninfo.go
+++ b/internal/gossip/daemoninfo.go
@@ -18,6 +18,8 @@
 	Draining bool
 	// Stopped is set in the last fact of a daemon that shuts down cleanly.
 	Stopped bool
+	// Starting daemons are draining because they have not been ready yet.
+	Starting bool
 }
 
 // Encode returns the value of a KindDaemon fact.
@@ -26,13 +28,14 @@
 	e := msgpack.NewEncoder(&buf)
 	e.UseCompactInts(true)
 	// Writes to a bytes.Buffer do not fail.
-	_ = e.EncodeArrayLen(6)
+	_ = e.EncodeArrayLen(7)
 	_ = e.EncodeUint(d.Start)
 	_ = e.EncodeString(d.DataCentre)
 	_ = e.EncodeString(d.PeerAddress)
 	_ = e.EncodeString(d.CallerAddress)
 	_ = e.EncodeBool(d.Draining)
 	_ = e.EncodeBool(d.Stopped)
+	_ = e.EncodeBool(d.Starting)
 	return buf.Bytes()
 }
 
@@ -40,7 +43,8 @@
 // versions are ignored.
 func DecodeDaemonInfo(value []byte) (DaemonInfo, error) {
 	d := newDecoder(value)
-	if d.arrayLen(16) < 6 {
+	fields := d.arrayLen(16)
+	if fields < 6 {
 		d.fail()
 	}
 	info := DaemonInfo{Start: d.uint(1<<64 - 1)}
@@ -49,6 +53,9 @@
 	info.CallerAddress = d.string(maxAddrBytes)
 	info.Draining = d.bool()
 	info.Stopped = d.bool()
+	if fields > 6 { // older daemons do not tell
+		info.Starting = d.bool()
+	}
 	if d.err != nil {
 		return DaemonInfo{}, d.err
 	}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -146,12 +146,13 @@
 	return err
 }
 
-// SetDraining announces whether the daemon is draining.
-func (n *Node) SetDraining(draining bool) {
+// SetDraining announces whether the daemon is draining, and whether that is because it
+// starts.
+func (n *Node) SetDraining(draining, starting bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.ownInfo.Draining != draining {
-		n.ownInfo.Draining = draining
+	if n.ownInfo.Draining != draining || n.ownInfo.Starting != starting {
+		n.ownInfo.Draining, n.ownInfo.Starting = draining, starting
 		n.announce(time.Now())
 	}
 }
--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -14,7 +14,7 @@
 		}
 		out = append(out, Member{
 			Name: f.ID, DataCentre: info.DataCentre, CallerAddress: info.CallerAddress,
-			PeerAddress: info.PeerAddress, Draining: info.Draining, Unresponsive: unresponsive[f.ID],
+			PeerAddress: info.PeerAddress, Draining: info.Draining, Starting: info.Starting, Unresponsive: unresponsive[f.ID],
 		})
 	}
 	return out
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -19,6 +19,8 @@
 	// Draining daemons finish their running requests, or are not ready yet, and
 	// are not offered to callers.
 	Draining bool
+	// Starting daemons are draining only because they have not been ready yet.
+	Starting bool
 	// Isolated daemons can reach neither the platform nor any peer.
 	Isolated bool
 	// Unresponsive daemons do not respond to this daemon, and no fact that they
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -48,16 +48,21 @@
 	// MinInterval is the minimum interval between reads of changes. It limits
 	// the calls for a table that changes all the time.
 	MinInterval time.Duration
-	// MaxWait is the maximum duration of one long poll.
-	MaxWait time.Duration
+	// SoleMinInterval is MinInterval while other daemons follow this one.
+	SoleMinInterval time.Duration
+	// MaxWait is the maximum duration of one long poll, SoleMaxWait the same while other
+	// daemons follow this one: none of them shows that the store's answer was lost.
+	MaxWait, SoleMaxWait time.Duration
 	// RowsExpire is set if rows are removed when their writers stop renewing
 	// them. After an outage, missing rows are kept for the reappearanceWindow.
 	RowsExpire bool
 	// OnChange is called with all rows after each change; calls do not overlap.
 	OnChange func(rows map[string]platform.Change, read Read)
-	// OnStoreRead is called after each read of the store, with its error; may
-	// be nil.
+	// OnStoreRead is called after each read of the store, with its error, and with nil
+	// after each frame of a followed daemon; may be nil.
 	OnStoreRead func(err error)
+	// Clock dates rows that other daemons saw; nil without a Follower.
+	Clock Clock
 }
 
 // Read describes how the rows of a copy were read.
@@ -74,6 +79,18 @@
 	// After is the time of the store's read before, if AfterGap is set: the changes were
 	// made after it. It is 0 if there was none.
 	After platform.StoreTime
+	// Sights holds, by key, what a followed daemon told of the rows' first sights.
+	Sights map[string]Sight
+}
+
+// Sight is when a daemon that waited for changes read a row's version.
+type Sight struct {
+	// At is on the store's clock.
+	At platform.StoreTime
+	// Age is how long ago that was, or less.
+	Age time.Duration
+	// By is the daemon that told it.
+	By string
 }
 
 // maxReadGap is how long no read may have waited for changes for those that are then read
@@ -95,14 +112,44 @@
 	// cancelWait cancels the current long poll at the store; nil if there is
 	// none.
 	cancelWait context.CancelFunc
+	// recheck requests a read of the store although another daemon is followed.
+	recheck chan struct{}
+	// storeOK is set after a read of the store until one fails or another daemon is
+	// followed; readAt is when the last one ended.
+	storeOK bool
+	readAt  time.Time
+	// lastReadAt is the store's time of the last read, this daemon's or its source's.
+	lastReadAt platform.StoreTime
+	// revision counts the changes, revisions holds that of each row's last one.
+	revision  uint64
+	revisions map[string]uint64
+	// tombstones are the deleted rows. Those up to droppedRevision, with versions up to
+	// droppedVersion, are forgotten.
+	tombstones                      map[string]tombstone
+	droppedRevision, droppedVersion uint64
+	// sights holds when the rows' versions were first seen, as far as that is known.
+	sights map[string]sight
+
+	// applying serializes changes of the copy, with the calls of OnChange.
+	applying sync.Mutex
+	// follower is nil if the copy follows no other daemon.
+	follower *Follower
 
 	// The fields below are used by Run only.
 	storeFailing bool
 	failedAt     time.Time
 	recoveredAt  time.Time
-	lastReadAt   platform.StoreTime
-	// missing is unused.
-	missing map[string]bool
+}
+
+// tombstone is a deleted row.
+type tombstone struct{ version, revision uint64 }
+
+// sight is when a row's version was first seen: at a time of the store's clock, a given age
+// before it was noted here.
+type sight struct {
+	at    platform.StoreTime
+	age   time.Duration
+	noted time.Duration // as Clock.Local
 }
 
 // New returns an empty Mirror. peers reads the copies of peers.
@@ -110,7 +157,7 @@
 	if s.OnStoreRead == nil {
 		s.OnStoreRead = func(error) {}
 	}
-	return &Mirror{settings: s, store: store, peers: peers, log: log, rows: map[string]platform.Change{}, changed: make(chan struct{}), missing: map[string]bool{}}
+	return &Mirror{settings: s, store: store, peers: peers, log: log, rows: map[string]platform.Change{}, changed: make(chan struct{}), recheck: make(chan struct{}, 1), revisions: map[string]uint64{}, tombstones: map[string]tombstone{}, sights: map[string]sight{}}
 }
 
 // Synced reports whether the table has been read.
@@ -120,28 +167,67 @@
 	return m.synced
 }
 
-// Recheck replaces a long poll in progress by a read of the whole table. It is
-// called when the store was seen to fail or when peers have newer rows, since the
-// poll's connection may be dead.
+// Recheck replaces a long poll in progress by a read of the whole table, or reads the store
+// although another daemon is followed. It is called when the store was seen to fail or when
+// peers have newer rows, since the poll's connection may be dead.
 func (m *Mirror) Recheck() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.cancelWait != nil {
 		m.cancelWait()
+		return
+	}
+	select {
+	case m.recheck <- struct{}{}:
+	default:
 	}
 }
 
+// pauseReading notes that the store is not read for a while.
+func (m *Mirror) pauseReading() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.storeOK = false
+}
+
+// readAge returns how long ago the copy was last known to be complete by a read of the
+// store; synced is false if it never was.
+func (m *Mirror) readAge(now time.Time) (age time.Duration, synced bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.storeOK {
+		return 0, true // a long poll would have told of changes
+	}
+	return now.Sub(m.readAt), m.synced
+}
+
+// copyVersion returns the version of the copy, 0 if there is none or anew is set.
+func (m *Mirror) copyVersion(anew bool) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if anew || !m.synced {
+		return 0
+	}
+	return m.version
+}
+
 // Run follows the table until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	for try := 0; ; {
+		if m.follower != nil {
+			if err := m.follower.waitTurn(ctx, m); err != nil {
+				return err
+			}
+		}
 		err := m.followStore(ctx)
+		m.recordRead(err)
 		m.settings.OnStoreRead(err)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err == nil {
 			try = 0
-			if err := backoff.Sleep(ctx, m.settings.MinInterval); err != nil {
+			if err := backoff.Sleep(ctx, m.minInterval()); err != nil {
 				return err
 			}
 			continue
@@ -158,6 +244,33 @@
 	}
 }
 
+// CompleteAt returns the store's time of the last read if this daemon reads the store for
+// others: the copy then had all changes.
+func (m *Mirror) CompleteAt() (at platform.StoreTime, ok bool) {
+	if m.follower == nil || !m.follower.isSole() {
+		return 0, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastReadAt, m.storeOK && m.lastReadAt != 0
+}
+
+func (m *Mirror) minInterval() time.Duration {
+	if m.follower != nil && m.follower.isSole() {
+		return max(m.settings.MinInterval, m.settings.SoleMinInterval)
+	}
+	return m.settings.MinInterval
+}
+
+func (m *Mirror) recordRead(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.storeOK = err == nil
+	if err == nil {
+		m.readAt = time.Now()
+	}
+}
+
 func (m *Mirror) recordFailure(err error) {
 	if errors.Is(err, platform.ErrHistoryLost) {
 		return
@@ -171,7 +284,7 @@
 // followStore reads the table or its changes from the store once.
 func (m *Mirror) followStore(ctx context.Context) error {
 	m.mu.Lock()
-	version, synced := m.version, m.synced
+	version, synced, reading := m.version, m.synced, m.storeOK
 	m.mu.Unlock()
 	// After an outage read the whole table: rows that expired meanwhile may be
 	// missing in the history.
@@ -179,6 +292,12 @@
 		return m.readWholeTable(ctx)
 	}
 	wait := m.settings.MaxWait
+	switch {
+	case m.follower != nil && !reading:
+		wait = 0 // followers wait for the proof that this daemon reads the store
+	case m.follower != nil && m.follower.isSole():
+		wait = m.settings.SoleMaxWait
+	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	m.setCancelWait(cancel)
@@ -186,8 +305,9 @@
 	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, version, wait)
 	took := time.Since(start)
 	m.setCancelWait(nil)
-	rechecked := err != nil && errors.Is(callCtx.Err(), context.Canceled) && ctx.Err() == nil
-	if rechecked || errors.Is(err, platform.ErrHistoryLost) {
+	// A poll that was canceled by Recheck or got no answer: the connection may be dead.
+	unanswered := err != nil && callCtx.Err() != nil && ctx.Err() == nil
+	if unanswered || errors.Is(err, platform.ErrHistoryLost) {
 		return m.readWholeTable(ctx)
 	}
 	if err != nil {
@@ -253,6 +373,8 @@
 
 // readGap returns After and AfterGap of a read that took a time.
 func (m *Mirror) readGap(at platform.StoreTime, took time.Duration) (after platform.StoreTime, gap bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	previous := m.lastReadAt
 	if at == 0 {
 		return previous, true
@@ -267,6 +389,8 @@
 // apply applies the changes that a read brought, which took a time, unless they are
 // older than the copy.
 func (m *Mirror) apply(c platform.Changes, took time.Duration) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
 	after, gap := m.readGap(c.ReadAt, took)
 	m.mu.Lock()
 	if m.synced && c.Version < m.version {
@@ -275,61 +399,141 @@
 	}
 	first := !m.synced
 	changed := first
+	m.revision++
 	if c.Whole {
 		changed = m.removeMissing(c) || changed
 	}
 	for _, row := range c.Rows {
-		changed = m.applyRow(row) || changed
+		if !m.applyRow(row) {
+			continue
+		}
+		changed = true
+		if !gap && !first && !row.Deleted && m.settings.Clock != nil {
+			m.sights[row.Key] = sight{at: m.settings.Clock.ToStore(c.ReadAt), noted: m.settings.Clock.Local()}
+		}
 	}
 	m.version, m.synced = c.Version, true
-	rows := m.rows
-	if changed {
-		next := make(map[string]platform.Change, len(m.rows))
-		for k, v := range m.rows {
-			next[k] = v
-		}
-		rows = next
-		close(m.changed)
-		m.changed = make(chan struct{})
+	m.publish(changed, Read{Version: c.Version, First: first, At: c.ReadAt, AfterGap: gap, After: after})
+}
+
+// publish ends a change of the copy: it releases m.mu and calls OnChange.
+func (m *Mirror) publish(changed bool, read Read) {
+	if !changed {
+		m.revision--
+		m.mu.Unlock()
+		return
 	}
+	rows := make(map[string]platform.Change, len(m.rows))
+	for k, v := range m.rows {
+		rows[k] = v
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
 	m.mu.Unlock()
-	if changed {
-		m.settings.OnChange(rows, Read{Version: c.Version, First: first, At: c.ReadAt, AfterGap: gap, After: after})
+	m.settings.OnChange(rows, read)
+	if m.follower != nil {
+		m.follower.notify()
 	}
 }
 
-// applyRow applies one change and reports whether it changed the copy.
+// applyCopied applies the rows of a followed daemon. It reports false if the copy then has
+// other rows than that daemon.
+func (m *Mirror) applyCopied(t *copiedTable, source string) bool {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	clock := m.settings.Clock
+	m.mu.Lock()
+	read := Read{Version: max(t.Version, m.version), First: !m.synced, AfterGap: true, After: m.lastReadAt, Sights: map[string]Sight{}}
+	changed := read.First
+	m.revision++
+	if t.Whole && t.Version >= m.version {
+		present := make(map[string]bool, len(t.Rows))
+		for _, row := range t.Rows {
+			present[row.Key] = true
+		}
+		changed = m.removeExcept(present, t.Version) || changed
+	}
+	for _, row := range t.Rows {
+		old, known := m.rows[row.Key]
+		if row.Deleted && known && old.Version > row.Version || !m.applyRow(platform.Change{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}) {
+			continue
+		}
+		changed = true
+		if row.SeenAt != 0 {
+			age := time.Duration(max(0, row.SeenAgeMs)) * time.Millisecond
+			m.sights[row.Key] = sight{at: row.SeenAt, age: age, noted: clock.Local()}
+			read.Sights[row.Key] = Sight{At: row.SeenAt, Age: age, By: source}
+		}
+	}
+	if t.ReadAt != 0 {
+		m.lastReadAt = max(m.lastReadAt, clock.FromStore(t.ReadAt))
+	}
+	same := t.Version < m.version || t.Count == len(m.rows)
+	m.version, m.synced = read.Version, true
+	m.publish(changed, read)
+	m.settings.OnStoreRead(nil)
+	return same
+}
+
+// applyRow applies one change and reports whether it changed the copy. m.mu must be held.
 func (m *Mirror) applyRow(row platform.Change) bool {
 	old, known := m.rows[row.Key]
 	if row.Deleted {
-		delete(m.rows, row.Key)
+		if known {
+			m.remove(row.Key, max(row.Version, old.Version))
+		}
 		return known
 	}
 	if known && old.Version >= row.Version {
 		return false
 	}
 	m.rows[row.Key] = row
+	m.revisions[row.Key] = m.revision
+	delete(m.sights, row.Key)
+	delete(m.tombstones, row.Key)
 	return true
 }
 
-// removeMissing removes rows that are absent from a read of the whole table and
-// reports whether there were any. During the reappearanceWindow they are kept.
-func (m *Mirror) removeMissing(c platform.Changes) bool {
-	present := map[string]bool{}
-	for _, row := range c.Rows {
-		present[row.Key] = true
+// remove removes a row, which was deleted by a version. m.mu must be held.
+func (m *Mirror) remove(key string, version uint64) {
+	delete(m.rows, key)
+	delete(m.revisions, key)
+	delete(m.sights, key)
+	if len(m.tombstones) >= maxTombstones {
+		for _, t := range m.tombstones {
+			m.droppedRevision, m.droppedVersion = max(m.droppedRevision, t.revision), max(m.droppedVersion, t.version)
+		}
+		clear(m.tombstones)
 	}
-	keep := m.inReappearanceWindow() && time.Since(m.recoveredAt) <= reappearanceWindow
+	m.tombstones[key] = tombstone{version, m.revision}
+}
+
+// removeExcept removes the rows that are absent from a read, and reports whether there were
+// any. m.mu must be held.
+func (m *Mirror) removeExcept(present map[string]bool, version uint64) bool {
 	changed := false
 	for key := range m.rows {
-		if !present[key] && !keep {
-			delete(m.rows, key)
+		if !present[key] {
+			m.remove(key, version)
 			changed = true
 		}
 	}
 	return changed
 }
 
+// removeMissing removes rows that are absent from a read of the whole table and
+// reports whether there were any. During the reappearanceWindow they are kept.
+func (m *Mirror) removeMissing(c platform.Changes) bool {
+	if m.inReappearanceWindow() && time.Since(m.recoveredAt) <= reappearanceWindow {
+		return false
+	}
+	present := make(map[string]bool, len(c.Rows))
+	for _, row := range c.Rows {
+		present[row.Key] = true
+	}
+	return m.removeExcept(present, c.Version)
+}
+
 // ReadTable implements platform.Feed for peers.
 func (m *Mirror) ReadTable(context.Context, string) (platform.Changes, error) {
 	m.mu.Lock()
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -22,7 +22,7 @@
 	// maxRequestWait limits the long poll that a peer may request.
 	maxRequestWait = 5 * time.Second
 	// maxPeerConnections limits the open connections from peers.
-	maxPeerConnections = 64
+	maxPeerConnections = 1 << 10
 	// peerIdleTimeout closes a connection without requests.
 	peerIdleTimeout = 10 * time.Second
 	// parallelRequests is how many peers are sent a request at once; the newest
@@ -37,6 +37,9 @@
 	// After is the version of the requester's copy.
 	After  uint64
 	WaitMs int64
+	// Follow, if set, requests a stream of frames with the changes of tables since their
+	// versions, in place of a response.
+	Follow map[string]uint64 `msgpack:",omitempty"`
 }
 
 // peerResponse is a copy of a table; Known is false if the peer has none.
@@ -73,9 +76,9 @@
 	return errors.Wrap(msgpack.Unmarshal(body, v), "decode frame")
 }
 
-// Serve answers peers' requests from the mirrors, which are keyed by table
-// name. It returns an error when ctx ends or the listener fails.
-func Serve(ctx context.Context, listener net.Listener, mirrors map[string]*Mirror) error {
+// Serve answers peers' requests from the mirrors of a Follower. It returns an error when
+// ctx ends or the listener fails.
+func Serve(ctx context.Context, listener net.Listener, f *Follower) error {
 	slots := make(chan struct{}, maxPeerConnections)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -97,12 +100,12 @@
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			serveConn(ctx, conn, mirrors)
+			f.serveConn(ctx, conn)
 		})
 	}
 }
 
-func serveConn(ctx context.Context, conn net.Conn, mirrors map[string]*Mirror) {
+func (f *Follower) serveConn(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
@@ -111,8 +114,12 @@
 		if conn.SetReadDeadline(time.Now().Add(peerIdleTimeout)) != nil || readFrame(conn, maxRequestBytes, &req) != nil {
 			return // the peer disconnected or sent an invalid frame
 		}
+		if req.Follow != nil {
+			f.serveStream(ctx, conn, req.Follow)
+			return
+		}
 		var resp peerResponse
-		if m := mirrors[req.Table]; m != nil {
+		if m := f.mirror(req.Table); m != nil {
 			wait := min(max(0, time.Duration(req.WaitMs)*time.Millisecond), maxRequestWait)
 			if c, err := m.ReadChanges(ctx, req.Table, req.After, wait); err == nil {
 				resp = peerResponse{Known: true, Version: c.Version, Rows: c.Rows}
@@ -124,6 +131,16 @@
 	}
 }
 
+// mirror returns the copy of a table, nil if there is none.
+func (f *Follower) mirror(table string) *Mirror {
+	for _, m := range f.mirrors {
+		if m.settings.Table == table {
+			return m
+		}
+	}
+	return nil
+}
+
 // Peers reads the copies of peers. It implements platform.Feed.
 type Peers struct {
 	// Addresses returns the peers' listen addresses, without this daemon's.
--- /dev/null
+++ b/internal/mirror/stream.go
@@ -0,0 +1,145 @@
+package mirror
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/platform"
+)
+
+const (
+	// streamInterval is the maximum interval between two frames of a stream.
+	streamInterval = 500 * time.Millisecond
+	// maxTombstones bounds the deleted rows that a copy remembers for its followers.
+	maxTombstones = 4 << 10
+	// unknownAge is copyFrame.AgeMs of a daemon that has not read all tables.
+	unknownAge = -1
+)
+
+// copyFrame tells a follower what changed since the frame before. Fields are encoded under
+// their names.
+type copyFrame struct {
+	// AgeMs is how long ago the copies were last known to be complete, in milliseconds;
+	// unknownAge if it has not read all tables. Then the frame has no tables.
+	AgeMs int64
+	// Now is the sender's estimate of the store's clock; 0 if it has none.
+	Now    platform.StoreTime
+	Tables []copiedTable
+}
+
+// copiedTable is a table, or its changes, in a frame.
+type copiedTable struct {
+	Table   string
+	Version uint64
+	// ReadAt is when the store was last read for this copy, on the store's clock; 0 if
+	// unknown.
+	ReadAt platform.StoreTime
+	// Whole is set if Rows are all rows.
+	Whole bool
+	// Count is the number of rows that the sender has.
+	Count int
+	Rows  []copiedRow
+}
+
+// copiedRow is a row with what is known of its first sight.
+type copiedRow struct {
+	Key     string
+	Value   []byte
+	Version uint64
+	Deleted bool
+	// SeenAt is when a daemon that waited for changes read this version, on the store's
+	// clock; 0 if none did. SeenAgeMs is how long ago that was, or less.
+	SeenAt    platform.StoreTime
+	SeenAgeMs int64
+}
+
+// position is how far a follower has a table: by the store's version when the stream
+// begins, then by the sender's own count of changes.
+type position struct {
+	version  uint64
+	revision uint64
+	streamed bool
+}
+
+// changesSince returns the changes since a position, and the next position.
+func (m *Mirror) changesSince(p position) (copiedTable, position) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := copiedTable{Table: m.settings.Table, Version: m.version, Count: len(m.rows)}
+	if m.settings.Clock != nil && m.lastReadAt != 0 {
+		t.ReadAt = m.settings.Clock.ToStore(m.lastReadAt)
+	}
+	if p.streamed {
+		t.Whole = p.revision < m.droppedRevision
+	} else {
+		t.Whole = p.version == 0 || p.version < m.droppedVersion
+	}
+	next := position{revision: m.revision, streamed: true}
+	if p == next && !t.Whole {
+		return t, next
+	}
+	isNew := func(version, revision uint64) bool {
+		return t.Whole || p.streamed && revision > p.revision || !p.streamed && version > p.version
+	}
+	for key, row := range m.rows {
+		if isNew(row.Version, m.revisions[key]) {
+			t.Rows = append(t.Rows, m.copiedRow(row))
+		}
+	}
+	if !t.Whole {
+		for key, x := range m.tombstones {
+			if isNew(x.version, x.revision) {
+				t.Rows = append(t.Rows, copiedRow{Key: key, Version: x.version, Deleted: true})
+			}
+		}
+	}
+	return t, next
+}
+
+// copiedRow returns a row for a frame. m.mu must be held.
+func (m *Mirror) copiedRow(row platform.Change) copiedRow {
+	out := copiedRow{Key: row.Key, Value: row.Value, Version: row.Version}
+	if s, ok := m.sights[row.Key]; ok && m.settings.Clock != nil {
+		out.SeenAt = s.at
+		out.SeenAgeMs = (s.age + m.settings.Clock.Local() - s.noted).Milliseconds()
+	}
+	return out
+}
+
+// serveStream sends frames to a follower, which has the given versions of the tables, until
+// ctx ends or the follower is gone.
+func (f *Follower) serveStream(ctx context.Context, conn net.Conn, versions map[string]uint64) {
+	positions := map[string]position{}
+	for table, version := range versions {
+		positions[table] = position{version: version}
+	}
+	tick := time.NewTicker(streamInterval)
+	defer tick.Stop()
+	for {
+		changed := f.changedSignal()
+		frame := copyFrame{AgeMs: unknownAge}
+		if age, known := f.age(time.Now()); known {
+			frame.AgeMs = age.Milliseconds()
+		}
+		if now, ok := f.settings.Clock.Now(); ok {
+			frame.Now = f.settings.Clock.ToStore(now)
+		}
+		for _, m := range f.mirrors {
+			if p, wanted := positions[m.settings.Table]; wanted && frame.AgeMs != unknownAge {
+				t, next := m.changesSince(p)
+				frame.Tables = append(frame.Tables, t)
+				positions[m.settings.Table] = next
+			}
+		}
+		if conn.SetWriteDeadline(time.Now().Add(callTimeout)) != nil || writeFrame(conn, &frame) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
--- a/internal/suspects/registry.go
+++ b/internal/suspects/registry.go
@@ -79,6 +79,9 @@
 	// minCrashInterval is the minimum time between crashes that count separately.
 	minCrashInterval time.Duration
 
+	// turn returns when this daemon has to read the table for the fleet; nil if each does.
+	turn func(context.Context) error
+
 	crashCount atomic.Int64 // if 0, requests need no look-up
 	mu         sync.Mutex
 	// crashes holds the expiry of each crash, by the digests of request and crash.
@@ -95,6 +98,10 @@
 	return r
 }
 
+// ReadInTurn lets daemons read the table only when turn returns, and publish what they read.
+// It is called before Run.
+func (r *Registry) ReadInTurn(turn func(context.Context) error) { r.turn = turn }
+
 // Known reports whether any request is suspected.
 func (r *Registry) Known() bool { return r.crashCount.Load() > 0 }
 
--- a/internal/suspects/table.go
+++ b/internal/suspects/table.go
@@ -30,6 +30,11 @@
 // returns the context's error.
 func (r *Registry) Run(ctx context.Context) error {
 	for try := 0; ; {
+		if r.turn != nil {
+			if err := r.turn(ctx); err != nil {
+				return err
+			}
+		}
 		pause := backoff.Jitter(readInterval)
 		if r.readAll(ctx) != nil {
 			pause = tableBackoff.Delay(try)
@@ -71,7 +76,11 @@
 	id := strings.TrimPrefix(row.Key, rowPrefix)
 	ttl := time.Until(decodeExpiry(row.Value))
 	if ttl > 0 {
-		r.receiveFact(gossip.Fact{Kind: gossip.KindSuspect, ID: id, TTL: ttl})
+		f := gossip.Fact{Kind: gossip.KindSuspect, ID: id, TTL: ttl}
+		r.receiveFact(f)
+		if r.turn != nil {
+			r.bus.Publish(f)
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -24,6 +24,8 @@
 	NameUpstreams           = "verbenabend_upstreams"
 	NameDocumentRevision    = "verbenabend_document_revision"
 	NamePlatformUp          = "verbenabend_platform_up"
+	NameStoreReader         = "verbenabend_store_reader"
+	NameCopiesAge           = "verbenabend_copies_age_seconds"
 	NamePeers               = "verbenabend_peers"
 	NameGossipSent          = "verbenabend_gossip_sent_bytes_total"
 	NameGossipReceived      = "verbenabend_gossip_received_bytes_total"
@@ -58,7 +60,7 @@
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld,
-	NameSuspectedParts, NameQuarantinedParts,
+	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
--- a/lab/sitepath/goalrecord_test.go
+++ b/lab/sitepath/goalrecord_test.go
@@ -182,6 +182,16 @@
 	})
 }
 
+// A daemon whose peers know the record is ready although the store does not tell it.
+func TestDaemonLearnsRecordFromPeers(t *testing.T) {
+	runWithoutRollout(t, daemons, func(d *deployment, _ *versionGoals) {
+		d.delayRecord(daemons, time.Minute)
+		p := d.start(daemons)
+		time.Sleep(500 * time.Millisecond)
+		assert.Check(t, slices.ContainsFunc(p.log.entries(t), func(e eventlog.Entry) bool { return e.ID == eventlog.DaemonReady }))
+	})
+}
+
 // A daemon is not ready before it has read the record, unless that takes too long.
 // Otherwise it refuses requests for engines whose weights it could know to be in time.
 func TestDaemonIsReadyOnceRecordIsRead(t *testing.T) {
@@ -192,6 +202,7 @@
 	} {
 		t.Run(c.delay.String(), func(t *testing.T) {
 			runWithoutRollout(t, daemons, func(d *deployment, _ *versionGoals) {
+				d.losePower() // a peer would tell it the record
 				d.delayRecord(daemons, c.delay)
 				p := d.start(daemons)
 				isReady := func() bool {
