--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -120,6 +120,38 @@
 	})
 }
 
+// Rows of another writer among those of the upstreams, deeply nested, with numbers too large
+// or ports out of range, end no daemon and keep none from following the list: an upstream
+// that leaves afterwards gets no work.
+func TestOddRowsDoNotStopFollowing(t *testing.T) {
+	row := func(fields string) []byte { return []byte(`{"service":"bench","state":"ready",` + fields + `}`) }
+	runOnDeployment(t, func(d *deployment) {
+		for key, value := range map[string][]byte{
+			"nested":     row(`"addr":"10.8.9.9:80","slots":8,"born":1,"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000)),
+			"unclosed":   row(`"addr":"10.8.9.9:80","slots":8,"born":1,"x":` + strings.Repeat(`{"a":`, 10000)),
+			"port":       row(`"addr":"10.8.9.9:99999","slots":8,"born":1`),
+			"slots":      row(`"addr":"10.8.9.9:80","slots":9223372036854775807,"born":1`),
+			"born":       row(`"addr":"10.8.9.9:80","slots":8,"born":1e300`),
+			"float":      row(`"addr":"10.8.9.9:80","slots":8,"born":1e9999`),
+			"version":    row(`"addr":"10.8.9.9:80","slots":8,"born":1,"models":[{"name":"opal","version":9223372036854775807}]`),
+			"\xff\u0000": []byte("null"),
+		} {
+			d.store.PutBytes("servers", key, value)
+		}
+		time.Sleep(time.Second)
+		for i := range 30 {
+			assert.Equal(t, d.ask(d.processes[i%daemons], http.MethodPost, modelHost, "/chat/1", nil).status, http.StatusOK)
+		}
+		d.engines[1].Drain(d.store)
+		time.Sleep(drainBound)
+		before := len(d.engines[1].Runs())
+		for i := range 30 {
+			assert.Equal(t, d.ask(d.processes[i%daemons], http.MethodPost, modelHost, "/chat/1", nil).status, http.StatusOK)
+		}
+		assert.Equal(t, len(d.engines[1].Runs()), before)
+	})
+}
+
 // A daemon that stops responding, as when its machine loses power, leaves the
 // directory about as soon as cached directory answers expire at callers, and
 // returns when it responds again.
