Test that requests late in the grace of a planned stop are not cut, and refuse from 3 s on

A daemon that is stopped took requests until 0.2 s after callers' directory entries had expired: 3.2 s. Those sent in the last 0.2 s that last over 3.9 s were cut at the end of the grace, among them ones that may not be repeated. It now takes those that are under way when the entries expire, 20 ms.

TestRequestsLateInGraceAreNotCut failed before (requests began up to 3.2 s after the stop). The test of leases also runs with holders that know their earlier lease to be over, once their earlier process has ended; frames of peers get a fuzz target.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -16,8 +16,8 @@
 	stopReserve       = 600 * time.Millisecond
 	finalResponseTime = 300 * time.Millisecond
 	// entryExpiryGrace is how long a draining daemon still accepts requests
-	// after the directory entries that callers hold have expired.
-	entryExpiryGrace = 200 * time.Millisecond
+	// after the directory entries that callers hold have expired: those under way.
+	entryExpiryGrace = 20 * time.Millisecond
 	// noNewRequestsTime is the end of the grace period in which no new requests
 	// are accepted, so that those in flight can finish.
 	noNewRequestsTime = 4 * time.Second
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -29,7 +29,9 @@
 	platform *platformtest.Platform
 	// maxActionDelay exceeds the time that any action is in flight.
 	maxActionDelay time.Duration
-	candidates     []*candidate
+	// exclusive is set if a candidate that is started again knows its lease to be over.
+	exclusive  bool
+	candidates []*candidate
 
 	mu       sync.Mutex
 	failures []string
@@ -42,13 +44,29 @@
 type candidate struct {
 	client *platformtest.Client
 	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// end waits until a stopped candidate can no longer act, if its next process relies on
+// that: it could not listen on the same address before. A killed one is gone at once.
+func (tc *testCluster) end(c *candidate) {
+	if !tc.exclusive {
+		return
+	}
+	if !c.client.Killed() {
+		<-c.done
+	}
+	time.Sleep(time.Millisecond) // a process takes time to start
 }
 
 func (tc *testCluster) start(id int) *candidate {
 	ctx, stop := context.WithCancel(tc.ctx)
-	c := &candidate{client: tc.platform.Client(), stop: stop}
-	k := NewKeeper(c.client, Settings{Name: "n", Holder: fmt.Sprint(id), MaxActionDelay: tc.maxActionDelay}, eventlog.Discard())
-	go func() { _ = k.Run(ctx, func(ctx context.Context, h *Lease) { tc.work(ctx, c, h) }) }()
+	c := &candidate{client: tc.platform.Client(), stop: stop, done: make(chan struct{})}
+	k := NewKeeper(c.client, Settings{Name: "n", Holder: fmt.Sprint(id), ExclusiveHolder: tc.exclusive, MaxActionDelay: tc.maxActionDelay}, eventlog.Discard())
+	go func() {
+		defer close(c.done)
+		_ = k.Run(ctx, func(ctx context.Context, h *Lease) { tc.work(ctx, c, h) })
+	}()
 	return c
 }
 
@@ -115,6 +133,7 @@
 			defer cancel()
 			tc := &testCluster{ctx: ctx, platform: platformtest.New(), fences: map[uint64]int{}}
 			tc.maxActionDelay = time.Duration(rapid.SampledFrom([]int{0, 8}).Draw(t, "settle")) * time.Second
+			tc.exclusive = rapid.Bool().Draw(t, "exclusive")
 			for i := range 3 {
 				tc.candidates = append(tc.candidates, tc.start(i))
 			}
@@ -133,11 +152,13 @@
 					i := pick.Draw(t, "c")
 					tc.candidates[i].client.Kill()
 					tc.candidates[i].stop()
+					tc.end(tc.candidates[i])
 					tc.candidates[i] = tc.start(i)
 				},
 				"stop": func(t *rapid.T) {
 					i := pick.Draw(t, "c")
 					tc.candidates[i].stop()
+					tc.end(tc.candidates[i])
 					tc.candidates[i] = tc.start(i)
 				},
 				"switch": func(t *rapid.T) {
@@ -152,6 +173,7 @@
 			for i, c := range tc.candidates {
 				c.client.Kill()
 				c.stop()
+				tc.end(c)
 				tc.candidates[i] = tc.start(i)
 			}
 			tc.mu.Lock()
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -389,3 +389,52 @@
 		assert.Assert(t, time.Since(stopTime) < stopGrace)
 	})
 }
+
+// Guards against requests that are taken late in the grace period of a planned stop, in
+// calm, and cut at its end: from the time on at which no caller should know the daemon any
+// more it passes none on that it may not see to its end.
+func TestRequestsLateInGraceAreNotCut(t *testing.T) {
+	const (
+		callersKnow = 3 * time.Second // three times the max age of directory answers
+		transit     = 50 * time.Millisecond
+	)
+	for _, path := range []string{"/once/1", "/chat/1"} {
+		t.Run(path, func(t *testing.T) {
+			runOnDeployment(t, func(d *deployment) {
+				for _, e := range d.engines {
+					// Streams of 4.6 s: those that begin 3 s after the stop or later
+					// would last beyond it.
+					e.StreamEvents, e.EventInterval = 92, 50*time.Millisecond
+				}
+				stopping := d.processes[1]
+				stopping.stop()
+				stopTime := time.Now()
+				type result struct {
+					answer
+					sentAfter time.Duration
+				}
+				results := make(chan result, 200)
+				sent := 0
+				for after := time.Duration(0); after < stopGrace; after = time.Since(stopTime) {
+					if after > callersKnow-time.Second {
+						sent++
+						go func() { results <- result{d.ask(stopping, http.MethodPost, modelHost, path, nil), after} }()
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				for range sent {
+					r := <-results
+					if r.sentAfter > callersKnow {
+						assert.Check(t, r.err != nil || r.status == http.StatusServiceUnavailable, "sent %s after the stop: %d", r.sentAfter, r.status)
+					}
+				}
+				for _, e := range d.engines {
+					for _, run := range e.Runs() {
+						after := run.StartedAt.Sub(stopTime)
+						assert.Check(t, after <= callersKnow+transit, "a request began %s after the stop", after)
+					}
+				}
+			})
+		})
+	}
+}
