Reject frames of peers that are nested deep, which ended the process

A frame of 7 MB that holds an array in an array in an array, under a field that is not known, ended the daemon that read it: the decoder skips unknown fields by recursion, and the stack overflowed, which nothing can recover from. 1 MB took a second.

Frames are walked without recursion first and rejected beyond 16 levels. Other messages are bounded to 64 KB, at which the decoder takes 44 ms; JSON is bounded by its decoder.

--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -11,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"github.com/verbenabend/verbenabend/internal/platform"
 )
@@ -73,9 +75,51 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return err
 	}
+	if err := checkNesting(body); err != nil {
+		return err
+	}
 	return errors.Wrap(msgpack.Unmarshal(body, v), "decode frame")
 }
 
+// maxNesting is the depth of the deepest frame, with room for fields of later versions.
+const maxNesting = 16
+
+// checkNesting rejects a frame that is nested too deep. The decoder skips unknown fields by
+// recursion, which ends the process where the stack does.
+func checkNesting(body []byte) error {
+	d := msgpack.NewDecoder(bytes.NewReader(body))
+	for left := []int{1}; len(left) > 0; { // values left at each level
+		last := len(left) - 1
+		if left[last] == 0 {
+			left = left[:last]
+			continue
+		}
+		left[last]--
+		code, err := d.PeekCode()
+		n := 0
+		switch {
+		case err != nil:
+		case msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32:
+			n, err = d.DecodeArrayLen()
+		case msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32:
+			n, err = d.DecodeMapLen()
+			n *= 2
+		default:
+			err = d.Skip()
+		}
+		if err != nil {
+			return errors.Wrap(err, "decode frame")
+		}
+		if n > 0 {
+			left = append(left, n)
+		}
+		if len(left) > maxNesting {
+			return errors.Newf("frame is nested deeper than %d levels", maxNesting)
+		}
+	}
+	return nil
+}
+
 // Serve answers peers' requests from the mirrors of a Follower. It returns an error when
 // ctx ends or the listener fails.
 func Serve(ctx context.Context, listener net.Listener, f *Follower) error {
