Read no cache events right after the start of a daemon in a large fleet

A daemon of a large fleet begins 1 to 5 s after its start, at a time of its own. Until then it knows the caches by hints, as it does for the engines that others read.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,11 @@
 	// reservedReaders is how many of a source's allowed readers are left to
 	// others.
 	reservedReaders = 2
+	// cacheReadStart and a random part of cacheReadSpread is how long after its start a
+	// daemon of a large fleet reads no cache events: the first read of a source brings its
+	// whole history, which would fill the links that callers wait for.
+	cacheReadStart  = time.Second
+	cacheReadSpread = 4 * time.Second
 )
 
 // cacheBackoff is the backoff between reads of a source that does not respond.
@@ -52,8 +58,12 @@
 			stop()
 		}
 	}()
+	spread := rand.N(cacheReadSpread)
 	for {
 		assigned := d.assignedCacheSources()
+		if d.isLargeFleet() && time.Since(d.startedAt) < cacheReadStart+spread {
+			assigned = nil
+		}
 		for source, stop := range following {
 			if !assigned[source] {
 				stop()
