Presume that the first two homes hold a prompt where daemons do not know which engine does

Prompts are a root of an organisation, a branch of a session and their own part; the daemons choose 16 homes by the branch and cannot know which of them holds it: they read the events of 6 of 72 engines, and few hints reach them. 14 to 20 in 100 long prompts went to the first home, the others to any of 16.

In fleets of more than 16 daemons the first two homes, more for a key that is requested often, are presumed to hold a prompt; a long prompt accepts 150 ms more for one of them, a short one finds them among the reserved engines; and each engine tries to fetch the shared parts from the first of the two that is another one, which costs it a millisecond if that does not hold them. A source with other weights or failures is left out.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -54,6 +54,9 @@
 	candidate      placement.Candidate
 	// minBusyCost is the least cost of a home without room, infinite if there is none.
 	minBusyCost float64
+	// presumedSource is the home, other than engine, that is presumed to hold the prompt;
+	// empty for none.
+	presumedSource string
 	// anyEligible is true if some home may run the request, with or without room.
 	anyEligible bool
 }
@@ -75,6 +78,8 @@
 		tolerance = unknownLoadTolerance.Seconds()
 	}
 	highlyLoaded := p.rules.loadPrice && p.load() >= highLoad
+	presumedHomes := p.presumedHomes(now, r)
+	var presumed []*engine
 	for rank, i := range homes {
 		if highlyLoaded && rank >= highLoadHomes && out.anyEligible {
 			break
@@ -84,16 +89,19 @@
 			continue
 		}
 		out.anyEligible = true
+		if rank < presumedHomes && e.failures == 0 {
+			presumed = append(presumed, e)
+		}
 		backlog := p.backlog(now, e)
 		e.prefillUtilisation.observe(now, backlog >= prefillBacklogTokens)
-		estimate := p.estimatePrefill(now, e, r, rank, p.holderFor(e.version(r.Weights)))
+		estimate := p.estimatePrefill(now, e, r, rank < max(1, presumedHomes), p.holderFor(e.version(r.Weights)))
 		c := p.candidate(now, e, backlog, estimate.computeTokens-estimate.presumedTokens)
 		c.Transfer = estimate.transferTime
 		c.Recompute += time.Duration(copyCostFactor * float64(p.speed.TokensTime(estimate.copiedTokens)))
 		room := p.hasRoom(e, r) && !p.exceedsPrefillLimit(e, r, backlog, estimate.computeTokens) && !(overShare && p.takenSlots(e) >= int(overShareSlotFraction*float64(e.ep.Slots)))
 		c.SlotWait = p.slotWait(e)
 		c.SlotPrice = p.slotPrice(e, d.slotSeconds)
-		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r)).Seconds()
+		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r) + spillPenaltyOf(r, rank, presumedHomes)).Seconds()
 		switch {
 		case !room:
 			out.minBusyCost = min(out.minBusyCost, cost)
@@ -102,6 +110,7 @@
 			out.rank, out.homes, out.heldTokens = rank, len(homes), estimate.heldTokens
 		}
 	}
+	out.presumedSource = presumedSource(out.engine, presumed, r)
 	return out
 }
 
@@ -308,11 +317,11 @@
 	return slowdown, 0
 }
 
-// homePrior returns the fraction of a prompt's shared levels that the home of a
-// rank is presumed to hold without a hint.
-func (p *Policy) homePrior(now time.Time, rank int) float64 {
+// homePrior returns the fraction of a prompt's shared levels that its homes, if presumed
+// to hold it, hold without a hint.
+func (p *Policy) homePrior(now time.Time, presumed bool) float64 {
 	switch {
-	case rank > 0:
+	case !presumed:
 		return 0
 	case p.settings.HomePrior > 0:
 		return p.settings.HomePrior
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/admission"
@@ -158,7 +160,7 @@
 		Rank: c.rank, Homes: c.homes, HeldTokens: int(c.heldTokens), ComputeTokens: int(c.uncachedTokens), Wait: c.candidate.Wait + c.candidate.SlotWait,
 		Cost: time.Duration(c.cost * float64(time.Second)), Slowdown: c.candidate.Slowdown, Running: p.takenSlots(e) - 1,
 	}}
-	action.Source = c.source
+	action.Source = cmp.Or(c.source, c.presumedSource)
 	action.Save = p.startSave(now, f.request, e.version(f.request.Weights))
 	p.actions = append(p.actions, action)
 	if kind == Start {
@@ -256,9 +258,14 @@
 				p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, seed)
 				return p.homesBuffer
 			}
-			p.homesBuffer = appendPermuted(p.homesBuffer[:0], split.reserved.Members, seed)
+			p.homesBuffer = p.homesBuffer[:0]
+			if n := p.presumedHomes(now, r); n > 0 {
+				p.homesBuffer = append(p.homesBuffer, p.homePicker.PickByHomeKey(&r.Chain, &split.reserved, n)[:min(n, len(split.reserved.Members))]...)
+			}
+			n := len(p.homesBuffer)
+			p.homesBuffer = appendPermuted(p.homesBuffer, split.reserved.Members, seed)
 			p.homesBuffer = appendPermuted(p.homesBuffer, split.others.Members, seed)
-			return p.homesBuffer
+			return dropRepeated(p.homesBuffer, n)
 		}
 		return p.homePicker.PickByHomeKey(&r.Chain, &split.others, longPromptHomes)
 	}
@@ -275,6 +282,13 @@
 	return p.homePicker.Pick(&r.Chain, pool, p.homeCounts)
 }
 
+// dropRepeated removes those of the first n members that follow again after them.
+func dropRepeated(list []int, n int) []int {
+	first := list[:n]
+	rest := slices.DeleteFunc(list[n:], func(i int) bool { return slices.Contains(first, i) })
+	return list[:n+len(rest)]
+}
+
 // maxHomesWithoutPrompt bounds the engines that are considered for a request without
 // a prompt.
 const maxHomesWithoutPrompt = 16
--- a/internal/routing/prefillestimate.go
+++ b/internal/routing/prefillestimate.go
@@ -38,8 +38,8 @@
 }
 
 // estimatePrefill predicts what the engine has to compute and fetch of r's prompt.
-// h is where the engine can fetch cached blocks from, nil if it cannot fetch.
-func (p *Policy) estimatePrefill(now time.Time, e *engine, r *Request, rank int, h *holder) prefillEstimate {
+// presumed is set if e is a home that is presumed to hold the prompt; h is where the engine can fetch cached blocks from, nil if it cannot fetch.
+func (p *Policy) estimatePrefill(now time.Time, e *engine, r *Request, presumed bool, h *holder) prefillEstimate {
 	c := &r.Chain
 	if len(c.LevelBlocks) == 0 || c.Bytes == 0 {
 		return prefillEstimate{computeTokens: float64(r.PromptTokens)}
@@ -57,7 +57,7 @@
 	tokens := tokensPerBlock(r)
 	estimate := prefillEstimate{computeTokens: max(0, float64(r.PromptTokens)-float64(held)*tokens), heldTokens: float64(held) * tokens}
 	if sharedBlocks > held && p.rules.homeOrder {
-		estimate.presumedTokens = min(estimate.computeTokens, p.homePrior(now, rank)*float64(sharedBlocks-held)*tokens)
+		estimate.presumedTokens = min(estimate.computeTokens, p.homePrior(now, presumed)*float64(sharedBlocks-held)*tokens)
 	}
 	return estimate
 }
