Let one daemon write the record of versions, and candidates leave while orders are sent

Where few daemons read the store the first one renews the record with the time of its last read, which lags by the wait of a poll. And a daemon that had begun to compete for the lease while no orders were sent went on reading its row until all engines were done.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 	// of a daemon that reads for others: it bounds how long a lost answer goes unnoticed.
 	upstreamMaxWait = time.Second
 	operatorMaxWait = 20 * time.Second
-	soleMaxWait     = 3 * time.Second
+	soleMaxWait     = 2 * time.Second
 	// firstStartHold and restartHold are how long a daemon that knows no other waits for
 	// peers before it reads the store. At the first start machines come up one by one;
 	// after a loss of power peers are there at once or not at all.
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -29,6 +29,9 @@
 	// requested right before all daemons were lost, so that none recorded it, counts as
 	// older than it is by at most this, besides the time without daemons.
 	goalRecordInterval = 2 * time.Second
+	// soleRecordLag is how much longer the row may stay as it is where the daemon that reads
+	// the store for others writes it: with the time of its last read.
+	soleRecordLag = 700 * time.Millisecond
 	// goalTakeoverStep is how much longer each next daemon waits before it records a
 	// version or renews the row: the time in which the one before writes it and its fact
 	// arrives.
@@ -242,8 +245,12 @@
 	if at, ok := d.operatorMirror.CompleteAt(); ok && at <= d.goalRecorder.lastRenewal() {
 		return false // it would have the same time
 	}
+	interval := goalRecordInterval
+	if turn > 0 && d.isLargeFleet() {
+		interval += soleRecordLag
+	}
 	now, ok := d.storeClock.Now()
-	return ok && time.Since(renewedAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= goalRecordInterval+turn
+	return ok && time.Since(renewedAt) >= goalRecordInterval && now.Sub(d.goalRecorder.lastRenewal()) >= interval+turn
 }
 
 // isLargeFleet reports whether few daemons read the store for the others.
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -301,23 +301,30 @@
 			lastHolderAt = now
 			d.readLastHolder(ctx, keeper)
 		}
-		if rank := d.successionRank(); rank > d.maxWatchingRank() && now.Sub(d.silentSince(behindSince)) < time.Duration(rank)*successionStep {
+		if !d.isNextInTurn(behindSince) {
 			continue
 		}
-		d.competeForLease(ctx, keeper, switcher)
+		d.competeForLease(ctx, keeper, switcher, behindSince)
 		behindSince = time.Time{}
 	}
 }
 
+// isNextInTurn reports whether this daemon may compete for the lease, or watch it, while
+// engines are behind since a time: the daemons before it send no orders.
+func (d *Daemon) isNextInTurn(behindSince time.Time) bool {
+	rank := d.successionRank()
+	return rank <= d.maxWatchingRank() || time.Since(d.silentSince(behindSince)) >= time.Duration(rank)*successionStep
+}
+
 // competeForLease acquires the lease and sends orders until no engine is
-// behind.
-func (d *Daemon) competeForLease(ctx context.Context, keeper *lease.Keeper, switcher *rollout.Switcher) {
+// behind, or another daemon sends them.
+func (d *Daemon) competeForLease(ctx context.Context, keeper *lease.Keeper, switcher *rollout.Switcher, behindSince time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		for backoff.Sleep(ctx, switchPollInterval) == nil {
 			d.updateServices() // as in switchWeights
-			if !rollout.AnyEngineBehind(d) {
+			if !rollout.AnyEngineBehind(d) || !d.leaseHeld.Load() && !d.isNextInTurn(behindSince) {
 				cancel()
 			}
 		}
