Redial peers after 4 s at most

A daemon that had been cut off for long dialled its peers again after a pause that doubles up to 30 s and is jittered up to 45 s: until then it had no news of them, and directories left it out. TestDaemonReturnsSoonAfterLongCut failed before (not back within 8 s).

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -43,6 +43,8 @@
 	// directory entries.
 	peerHeartbeatInterval = 300 * time.Millisecond
 	peerIdleTimeout       = time.Second
+	// maxRedialBackoff limits the pause before a peer is dialled again.
+	maxRedialBackoff = 4 * time.Second
 	// readinessPollInterval is the interval between readiness checks.
 	readinessPollInterval = 100 * time.Millisecond
 	// sameRegionDelay and otherRegionDelay are the assumed one-way delays
@@ -71,7 +73,7 @@
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
 		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
-		Heartbeat: peerHeartbeatInterval, IdleTimeout: peerIdleTimeout,
+		Heartbeat: peerHeartbeatInterval, IdleTimeout: peerIdleTimeout, MaxBackoff: maxRedialBackoff,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
 		},
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -173,6 +173,26 @@
 	})
 }
 
+// Guards against a daemon that was cut off for long and redials its peers only after 30 s or
+// more, while directories leave it out.
+func TestDaemonReturnsSoonAfterLongCut(t *testing.T) {
+	const returnBound = 8 * time.Second
+	runOnDeployment(t, func(d *deployment) {
+		time.Sleep(2 * time.Second) // until all peers are connected
+		cut, others := d.processes[2], d.processes[:2]
+		for range 3 { // the pauses between two tries are random
+			d.net.SetBlackhole(func(from, address string) bool {
+				return from == cut.name || strings.HasPrefix(address, cut.host+":")
+			})
+			time.Sleep(time.Minute)
+			d.net.SetBlackhole(fabric.NoConnections)
+			d.eventually("the daemon is back", returnBound, func() bool {
+				return len(d.resolve(others[0])) == daemons && len(d.resolve(others[1])) == daemons && len(d.resolve(cut)) == daemons
+			})
+		}
+	})
+}
+
 // All daemons lose power right after a change was acknowledged. Their
 // replacements, at other addresses and without a peer that has state, serve by
 // that change within the platform's limit.
