--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -323,9 +324,11 @@
 
 // suspend stops following a source for a while.
 func (f *Follower) suspend(n Node, err error) {
+	now := time.Now()
 	f.mu.Lock()
+	maps.DeleteFunc(f.suspended, func(_ string, s suspension) bool { return now.Sub(s.until) > sourceBackoff.Max })
 	failures := f.suspended[n.Address].failures
-	f.suspended[n.Address] = suspension{until: time.Now().Add(sourceBackoff.Delay(failures)), failures: failures + 1}
+	f.suspended[n.Address] = suspension{until: now.Add(sourceBackoff.Delay(failures)), failures: failures + 1}
 	followed := f.source == n.Name
 	f.source = ""
 	f.mu.Unlock()
