Presume the homes of a prompt among the engines with current weights

The first two homes that are current, not about to stop and without failures are presumed to hold a prompt; all daemons move on to the same ones.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -80,6 +80,7 @@
 	highlyLoaded := p.rules.loadPrice && p.load() >= highLoad
 	presumedHomes := p.presumedHomes(now, r)
 	var presumed []*engine
+	current := p.preferred[r.Weights].current > 0
 	for rank, i := range homes {
 		if highlyLoaded && rank >= highLoadHomes && out.anyEligible {
 			break
@@ -89,19 +90,21 @@
 			continue
 		}
 		out.anyEligible = true
-		if rank < presumedHomes && e.failures == 0 {
+		// Daemons move prompts away from engines with old weights alike.
+		isPresumed := len(presumed) < presumedHomes && e.failures == 0 && !e.ep.StoppingSoon && (e.ep.CostPenalty == 0 || !current)
+		if isPresumed {
 			presumed = append(presumed, e)
 		}
 		backlog := p.backlog(now, e)
 		e.prefillUtilisation.observe(now, backlog >= prefillBacklogTokens)
-		estimate := p.estimatePrefill(now, e, r, rank < max(1, presumedHomes), p.holderFor(e.version(r.Weights)))
+		estimate := p.estimatePrefill(now, e, r, isPresumed || presumedHomes == 0 && rank == 0, p.holderFor(e.version(r.Weights)))
 		c := p.candidate(now, e, backlog, estimate.computeTokens-estimate.presumedTokens)
 		c.Transfer = estimate.transferTime
 		c.Recompute += time.Duration(copyCostFactor * float64(p.speed.TokensTime(estimate.copiedTokens)))
 		room := p.hasRoom(e, r) && !p.exceedsPrefillLimit(e, r, backlog, estimate.computeTokens) && !(overShare && p.takenSlots(e) >= int(overShareSlotFraction*float64(e.ep.Slots)))
 		c.SlotWait = p.slotWait(e)
 		c.SlotPrice = p.slotPrice(e, d.slotSeconds)
-		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r) + spillPenaltyOf(r, rank, presumedHomes)).Seconds()
+		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r) + spillPenaltyOf(r, isPresumed, presumedHomes)).Seconds()
 		switch {
 		case !room:
 			out.minBusyCost = min(out.minBusyCost, cost)
--- a/internal/routing/presume.go
+++ b/internal/routing/presume.go
@@ -42,8 +42,8 @@
 }
 
 // spillPenaltyOf returns the additional cost of an engine that is no presumed home.
-func spillPenaltyOf(r *Request, rank, presumedHomes int) time.Duration {
-	if presumedHomes == 0 || rank < presumedHomes || r.PromptTokens < longPromptTokens {
+func spillPenaltyOf(r *Request, presumed bool, presumedHomes int) time.Duration {
+	if presumedHomes == 0 || presumed || r.PromptTokens < longPromptTokens {
 		return 0
 	}
 	return spillPenalty
--- a/internal/routing/presume_test.go
+++ b/internal/routing/presume_test.go
@@ -60,11 +60,14 @@
 	sessionRoots                           = 17
 )
 
-func newSessionFleet(daemons, engines, slots int) *sessionFleet {
+func newSessionFleet(daemons, engines, slots, old int) *sessionFleet {
 	f := &sessionFleet{random: rand.New(rand.NewPCG(1, 2)), held: map[string]map[string]bool{}, running: map[string]int{}}
 	endpoints := testEndpoints(engines, slots)
 	for i := range endpoints {
 		endpoints[i].TransferPerToken = time.Microsecond
+		if i < old {
+			endpoints[i].CostPenalty = 400 * time.Millisecond
+		}
 		f.held[endpoints[i].ID] = map[string]bool{}
 	}
 	for range daemons {
@@ -163,9 +166,9 @@
 // daemons of a large fleet do not know which engine holds them: each request went to any of
 // 16 engines. The load: long prompts of sessions that return to any daemon every two seconds.
 func TestSessionsFindTheirPartsInLargeFleets(t *testing.T) {
-	for _, size := range []struct{ daemons, engines, slots int }{{18, 12, 8}, {73, 72, 16}, {295, 130, 8}} {
-		t.Run(fmt.Sprintf("%d daemons, %d engines", size.daemons, size.engines), func(t *testing.T) {
-			f := newSessionFleet(size.daemons, size.engines, size.slots)
+	for _, size := range []struct{ daemons, engines, slots, old int }{{18, 12, 8, 0}, {73, 72, 16, 0}, {295, 130, 8, 0}, {73, 72, 16, 36}} {
+		t.Run(fmt.Sprintf("%d daemons, %d engines, %d with old weights", size.daemons, size.engines, size.old), func(t *testing.T) {
+			f := newSessionFleet(size.daemons, size.engines, size.slots, size.old)
 			f.run()
 			t.Logf("%d of %d returned tokens read again, %d requests, at most %d at an engine", f.again, f.returned, f.started, f.peak)
 			assert.Check(t, f.again*4 <= f.returned, "%d of %d tokens are read again", f.again, f.returned)
