Count a copy as complete only once its changes were passed on

The daemon that reads the store for others dated the record of versions by its last read as soon as that had arrived. Between this and the adoption of the versions in it, 5 to 50 ms on a slow machine (worked out), a record could be written that claimed to be complete and lacked them: had all daemons been lost before the next one, such a version would have counted as younger than it was. Found by reading. TestCompleteOnlyOnceChangesArePassedOn failed before.

--- a/internal/mirror/follower_test.go
+++ b/internal/mirror/follower_test.go
@@ -384,3 +384,47 @@
 		})
 	}
 }
+
+// followFirst lets all daemons follow the first one.
+type followFirst struct{ first Node }
+
+// Sources implements SourcePolicy.
+func (p followFirst) Sources(self Node, _ []Node) []Node {
+	if self == p.first {
+		return nil
+	}
+	return []Node{p.first}
+}
+
+// Guards against a record of versions that claims to be complete at the time of a read whose
+// versions are not adopted yet.
+func TestCompleteOnlyOnceChangesArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCopyFleet(t, 3)
+		d := f.daemons[0]
+		d.start()
+		d.stop()
+		var changes atomic.Int64
+		var m *Mirror
+		m = New(Settings{Table: table, MaxWait: time.Second, SoleMaxWait: time.Second, OnChange: func(_ map[string]platform.Change, read Read) {
+			changes.Add(1)
+			time.Sleep(50 * time.Millisecond)
+			at, ok := m.CompleteAt()
+			assert.Check(t, !ok || at < read.At, "complete at %d before the changes of %d are applied", at, read.At)
+		}}, daemonStore{d}, daemonStore{d}, eventlog.Discard())
+		policy := followFirst{d.node}
+		follower := NewFollower(FollowerSettings{Self: d.node, Others: func() []Node { return []Node{f.daemons[1].node, f.daemons[2].node} }, Clock: d.clock, Dial: d.dial, Policy: policy, StartPolicy: policy}, eventlog.Discard(), m)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = m.Run(ctx) }()
+		go func() { _ = follower.Run(ctx) }()
+		for range 5 {
+			time.Sleep(time.Second)
+			f.store.write("row", false)
+		}
+		time.Sleep(time.Second)
+		at, ok := m.CompleteAt()
+		assert.Assert(t, ok && at > 0 && changes.Load() >= 5, "%d changes", changes.Load())
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -120,6 +120,8 @@
 	readAt  time.Time
 	// lastReadAt is the store's time of the last read, this daemon's or its source's.
 	lastReadAt platform.StoreTime
+	// completeAt is the store's time of the last read whose changes were passed to OnChange.
+	completeAt platform.StoreTime
 	// revision counts the changes, revisions holds that of each row's last one.
 	revision  uint64
 	revisions map[string]uint64
@@ -245,14 +247,14 @@
 }
 
 // CompleteAt returns the store's time of the last read if this daemon reads the store for
-// others: the copy then had all changes.
+// others: all changes until then were passed to OnChange.
 func (m *Mirror) CompleteAt() (at platform.StoreTime, ok bool) {
 	if m.follower == nil || !m.follower.isSole() {
 		return 0, false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lastReadAt, m.storeOK && m.lastReadAt != 0
+	return m.completeAt, m.storeOK && m.completeAt != 0
 }
 
 func (m *Mirror) minInterval() time.Duration {
@@ -414,6 +416,9 @@
 	}
 	m.version, m.synced = c.Version, true
 	m.publish(changed, Read{Version: c.Version, First: first, At: c.ReadAt, AfterGap: gap, After: after})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.completeAt = max(m.completeAt, c.ReadAt)
 }
 
 // publish ends a change of the copy: it releases m.mu and calls OnChange.
--- a/internal/routing/presume.go
+++ b/internal/routing/presume.go
@@ -10,8 +10,8 @@
 	// presumedHomeCount is the number of homes of a prompt in a fleet whose daemons learn
 	// little of what engines hold: the fewer, the likelier one of them holds it.
 	presumedHomeCount = 2
-	// maxPresumedTokens is the number of tokens up to which a prompt's shared levels are
-	// computed as fast as they are fetched.
+	// minPresumedTokens is the number of shared tokens from which a prompt is fetched on a
+	// presumption: fewer are computed as fast.
 	minPresumedTokens = 256
 	// spillPenalty is the additional wait that a long prompt accepts for one of its homes.
 	spillPenalty = 150 * time.Millisecond
