--- a/review/standin/garbled.go
+++ b/review/standin/garbled.go
@@ -31,7 +31,7 @@
 // garbledCase: in spells, one engine of three garbles 2 in 100 of its answers. Later all engines
 // are sound, and the operator adds a route to their service. It must be served like the others.
 func garbledCase(record string) {
-	const spells, perSecond = 11, 100
+	const spells, perSecond = 13, 150
 	s := newSystem(3, record)
 	var orders []*engine
 	for i := range 3 {
