Keep a daemon's connections within its file descriptors

Cause: the loop of each listener returned every error of Accept, which ends the process, although a lack of descriptors passes by itself; and nothing bounded the sum of connections. Only those of callers had a limit (0.7 of maxFds), the directory's were open for two minutes without one. The listener of the copies ended the process the same way.

Change: package descriptor counts listeners, accepted and opened connections against maxFds less the 200 of files. A part of it, by the number of engines and daemons, is kept for the daemon's own connections. Beyond it idle connections to the directory are closed, then those of callers, and new ones are refused last; a connection with a request or with unread input is never closed. Accept waits out errors that pass and ends with its listener. A metric and event 107, one line in 10 s at most, tell of it.

TestConnectionsAreBounded asserted that the third connection over a limit of two is refused though the two are idle. It now asserts that an idle one yields, that connections with requests do not, and that beyond them a new one is refused.

The random choice among idle connections was preferred to the longest idle one, which callers that use their connections in turn need next; that was reasoned, not measured.

--- a/internal/cli/daemoncli/gateway.go
+++ b/internal/cli/daemoncli/gateway.go
@@ -50,9 +50,10 @@
 	sink := logsink.New(os.Stdout, logsink.DefaultQueueLines)
 	defer flushLog(sink)
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Gateway.Name, Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: sink})
-	store := platform.NewStore(s.Store.Address, httpconn.Dialer{Timeout: storeDialTimeout, UserTimeout: storeUnackedTimeout}.DialContext)
+	descriptors := s.Gateway.NewDescriptorBudget()
+	store := platform.NewStore(s.Store.Address, descriptors.Dialer(httpconn.Dialer{Timeout: storeDialTimeout, UserTimeout: storeUnackedTimeout}.DialContext))
 	defer store.Close()
-	network := gateway.Network{}.WithDefaults()
+	network := gateway.Network{}.Limited(descriptors)
 	pool := httpconn.NewPool(network.Dial)
 	d, err := gateway.New(s.Gateway, platform.NewGatewayPlatform(store, pool), pool, network, logger)
 	if err != nil {
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -18,6 +18,7 @@
 	DaemonDraining             ID = 104
 	DaemonStopped              ID = 105
 	DaemonIsolated             ID = 106
+	DescriptorsShort           ID = 107
 	RequestReceived            ID = 201
 	AttemptStarted             ID = 202
 	FirstToken                 ID = 203
@@ -92,6 +93,7 @@
 	{DaemonDraining, hclog.Info, "daemon draining"},
 	{DaemonStopped, hclog.Info, "daemon stopped"},
 	{DaemonIsolated, hclog.Warn, "daemon isolated from platform and peers"},
+	{DescriptorsShort, hclog.Warn, "file descriptors short"},
 	{RequestReceived, hclog.Debug, "request received"},
 	{AttemptStarted, hclog.Debug, "attempt started"},
 	{FirstToken, hclog.Debug, "first token"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/verbenabend/verbenabend/internal/boottime"
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
@@ -78,10 +79,6 @@
 	// bodyMemoryFraction is the fraction of the memory available to request
 	// bodies.
 	bodyMemoryFraction = 0.2
-	// callerConnFraction is the fraction of the file descriptors available to
-	// callers' connections; the rest is for upstreams, peers, the store and
-	// files.
-	callerConnFraction = 0.7
 	// defaultEntryMaxAge is how long callers may cache directory entries,
 	// unless the platform's maximum is shorter.
 	defaultEntryMaxAge = time.Second
@@ -155,6 +152,7 @@
 	newsQueue      *delayQueue[operatorNews]
 	goalRecorder   *goalRecorder
 	storeClock     *storeclock.Clock
+	descriptors    descriptorWatch
 	startedAt      time.Time
 }
 
@@ -193,6 +191,7 @@
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
 	d.registerGauges()
+	d.registerDescriptorGauges()
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, err
@@ -257,23 +256,27 @@
 	for _, spec := range []struct {
 		to      **server
 		address string
+		group   descriptor.Group
 		handler http.Handler
 	}{
-		{&d.callerServer, s.CallerListen, d.inFlight.Handler(d.forwarder, d.draining.Load)},
-		{&d.readinessServer, s.ReadyListen, d.platform.ReadinessHandler(d.Ready)},
-		{&d.directoryServer, s.DirectoryListen, d.platform.DirectoryHandler(d.entries, d.entryMaxAge())},
-		{&d.metricsServer, s.MetricsListen, http.HandlerFunc(d.serveMetrics)},
+		{&d.callerServer, s.CallerListen, callerConns, d.inFlight.Handler(d.forwarder, d.draining.Load)},
+		{&d.readinessServer, s.ReadyListen, readinessConns, d.platform.ReadinessHandler(d.Ready)},
+		{&d.directoryServer, s.DirectoryListen, directoryConns, d.platform.DirectoryHandler(d.entries, d.entryMaxAge())},
+		{&d.metricsServer, s.MetricsListen, metricsConns, http.HandlerFunc(d.serveMetrics)},
 	} {
 		if spec.address == "" {
 			continue
 		}
-		if *spec.to, err = newServer(d.network, spec.address, spec.handler); err != nil {
+		if *spec.to, err = newServer(d.network, spec.address, spec.group, spec.handler); err != nil {
 			return errors.Wrapf(err, "listen on %s", spec.address)
 		}
 	}
-	d.callerServer.maxConns = int64(callerConnFraction * float64(s.MaxDescriptors))
-	d.peerListener, err = d.network.Listen(s.PeerListen)
-	return errors.Wrapf(err, "listen on %s", s.PeerListen)
+	listener, err := d.network.Listen(s.PeerListen)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.PeerListen)
+	}
+	d.peerListener = d.network.Descriptors.Listen(listener, copyConns)
+	return nil
 }
 
 func (d *Daemon) entryMaxAge() time.Duration { return min(defaultEntryMaxAge, d.settings.EntryMaxAge) }
@@ -298,7 +301,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.copies.Run, d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.recordMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers),
+		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers), periodic(descriptorCheckInterval, d.checkDescriptors),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, d.copies)
 		},
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
 )
 
@@ -26,6 +27,15 @@
 	// DialProbe is like Dial, but only the context limits an attempt. If it is nil and
 	// Dial is not, it is Dial.
 	DialProbe func(ctx context.Context, network, address string) (net.Conn, error)
+	// Descriptors limits the daemon's connections; nil means no limit.
+	Descriptors *descriptor.Budget
+}
+
+// Limited returns the network with its connections within a budget.
+func (n Network) Limited(b *descriptor.Budget) Network {
+	n = n.WithDefaults()
+	n.Descriptors, n.Dial, n.DialProbe = b, b.Dialer(n.Dial), b.Dialer(n.DialProbe)
+	return n
 }
 
 // WithDefaults replaces nil functions by TCP.
@@ -42,6 +52,9 @@
 	if n.Dial == nil {
 		n.Dial = httpconn.Dialer{Timeout: dialTimeout, UserTimeout: ackTimeout}.DialContext
 	}
+	if n.Descriptors == nil {
+		n.Descriptors = descriptor.NewBudget(0)
+	}
 	return n
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -66,10 +66,11 @@
 }
 
 func (d *Daemon) provisionPeers() error {
-	listener, err := d.network.Listen(d.settings.GossipListen)
+	socket, err := d.network.Listen(d.settings.GossipListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for gossip")
 	}
+	listener := d.network.Descriptors.Listen(socket, gossipConns)
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
 		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,11 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
@@ -32,9 +32,6 @@
 type server struct {
 	listener net.Listener
 	handler  http.Handler
-	// maxConns limits open connections; 0 means no limit.
-	maxConns  int64
-	openConns atomic.Int64
 
 	mu       sync.Mutex
 	byLimits map[routetable.Limits]*limitedServer
@@ -49,12 +46,14 @@
 	listener *handoffListener
 }
 
-func newServer(network Network, address string, handler http.Handler) (*server, error) {
+// newServer returns a server at an address whose connections form a group of the network's
+// descriptors.
+func newServer(network Network, address string, group descriptor.Group, handler http.Handler) (*server, error) {
 	listener, err := network.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{listener: listener, handler: handler, byLimits: map[routetable.Limits]*limitedServer{}}
+	s := &server{listener: network.Descriptors.Listen(listener, group), handler: refuseReclaimed(handler), byLimits: map[routetable.Limits]*limitedServer{}}
 	s.setLimits(routetable.Limits{})
 	return s, nil
 }
@@ -76,7 +75,7 @@
 		limited = &limitedServer{listener: newHandoffListener(s.listener.Addr())}
 		limited.http = &http.Server{
 			Handler: s.handler, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout,
-			IdleTimeout: l.IdleTimeout + idleGrace, ConnState: s.trackConn,
+			IdleTimeout: l.IdleTimeout + idleGrace, ConnState: trackConn, ConnContext: withConn,
 		}
 		s.byLimits[l] = limited
 		go func() { _ = limited.http.Serve(limited.listener) }() // returns http.ErrServerClosed
@@ -92,15 +91,38 @@
 	return v
 }
 
-func (s *server) trackConn(_ net.Conn, state http.ConnState) {
+// trackConn marks a connection as idle between requests.
+func trackConn(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*descriptor.Conn)
+	if !ok {
+		return
+	}
 	switch state {
-	case http.StateNew:
-		s.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.openConns.Add(-1)
+	case http.StateIdle:
+		c.MarkIdle()
+	case http.StateActive:
+		c.MarkActive() // refuseReclaimed checks the result
 	}
 }
 
+// connKey is the context key of a request's *descriptor.Conn.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// refuseReclaimed drops requests that were buffered when their connection was reclaimed:
+// their responses would be lost.
+func refuseReclaimed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*descriptor.Conn); ok && !c.MarkActive() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serve accepts connections until the listener is closed.
 func (s *server) serve() error {
 	for {
@@ -114,7 +136,7 @@
 		s.mu.Lock()
 		limited := s.current
 		s.mu.Unlock()
-		if s.maxConns > 0 && s.openConns.Load() >= s.maxConns || !limited.listener.handOff(conn) {
+		if !limited.listener.handOff(conn) {
 			conn.Close()
 		}
 	}
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
@@ -22,9 +23,13 @@
 }
 
 func newTestServer(t *testing.T) *testServer {
+	return newTestServerWithin(t, descriptor.NewBudget(0), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+}
+
+func newTestServerWithin(t *testing.T, budget *descriptor.Budget, handler http.Handler) *testServer {
 	listener := newHandoffListener(&net.TCPAddr{})
-	network := Network{Listen: func(string) (net.Listener, error) { return listener, nil }}
-	s, err := newServer(network, "", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+	network := Network{Listen: func(string) (net.Listener, error) { return listener, nil }, Descriptors: budget}
+	s, err := newServer(network, "", callerConns, handler)
 	assert.NilError(t, err)
 	go func() { assert.Check(t, s.serve()) }()
 	return &testServer{s, listener}
@@ -92,16 +97,32 @@
 	})
 }
 
+// A new connection displaces an idle one and never one with a request, beyond which it is
+// refused.
 func TestConnectionsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newTestServer(t)
+		finish := make(chan struct{})
+		s := newTestServerWithin(t, descriptor.NewBudget(3), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Long") != "" {
+				<-finish
+			}
+			fmt.Fprint(w, "ok")
+		}))
 		defer s.close()
-		s.maxConns = 2
 		first, second := s.dial(t), s.dial(t)
-		assert.Equal(t, ask(first, ""), http.StatusOK)
+		results := make(chan int, 1)
+		go func() { results <- ask(first, "Long: yes\r\n") }()
 		assert.Equal(t, ask(second, ""), http.StatusOK)
-		assert.Equal(t, ask(s.dial(t), ""), 0)
-		first.Close()
+		third := s.dial(t)
+		assert.Equal(t, ask(third, ""), http.StatusOK, "an idle connection yields")
+		assert.Equal(t, ask(second, ""), 0)
+		go func() { results <- ask(third, "Long: yes\r\n") }()
+		synctest.Wait()
+		assert.Equal(t, ask(s.dial(t), ""), 0, "connections with requests do not")
+		close(finish)
+		for range 2 {
+			assert.Equal(t, <-results, http.StatusOK)
+		}
 		synctest.Wait()
 		assert.Equal(t, ask(s.dial(t), ""), http.StatusOK)
 	})
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,6 +46,12 @@
 	NameSuspectedParts   = "verbenabend_suspected_prompt_parts"
 	NameQuarantinedParts = "verbenabend_quarantined_prompt_parts"
 
+	// Metrics of the gateway's file descriptors.
+	NameDescriptorsOpen     = "verbenabend_descriptors_open"
+	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
+	NameConnsRefused        = "verbenabend_connections_refused_total"
+	NameDescriptorShortages = "verbenabend_descriptor_shortages_total"
+
 	resultOK          = "ok"
 	labelledForwarded = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
 	labelledByRoute   = `%s{route=%q}`
@@ -60,7 +66,7 @@
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld,
-	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge,
+	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	maxIdleConnsPerTarget = 16
+	// MaxIdleConnsPerTarget bounds the idle connections that are kept to one upstream.
+	MaxIdleConnsPerTarget = 16
 	// defaultIdleTimeout is how long an idle connection is kept when the upstream
 	// states no timeout.
 	defaultIdleTimeout = 20 * time.Second
@@ -187,7 +188,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.target.ID]) >= maxIdleConnsPerTarget {
+	if len(p.idle[c.target.ID]) >= MaxIdleConnsPerTarget {
 		c.Close()
 		return
 	}
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -55,6 +55,8 @@
 	stop context.CancelFunc
 	done chan error
 	log  logBuffer
+	// descriptors are the process's file descriptors, without a limit at first.
+	descriptors *fabric.Descriptors
 }
 
 // logBuffer collects the log lines of a daemon.
@@ -100,6 +102,8 @@
 	servers        map[string]*http.Server // by address
 	stopHeartbeats chan struct{}
 	daemonCount    int
+	// maxDescriptors is limits.maxFds of daemons that are started later; 0 for no limit.
+	maxDescriptors int
 	// firstDaemon is the index of the first daemon that startAll starts.
 	firstDaemon  int
 	revision     uint64
@@ -266,7 +270,7 @@
 // start starts the daemon with the given index. The store knows it as a client by
 // the daemon's name.
 func (d *deployment) start(i int) *process {
-	p := &process{name: fmt.Sprintf("daemon-%d", i), host: hostOf(i), done: make(chan error, 1)}
+	p := &process{name: fmt.Sprintf("daemon-%d", i), host: hostOf(i), done: make(chan error, 1), descriptors: fabric.NewDescriptors()}
 	storeAddress := fmt.Sprintf("10.9.0.%d:80", i+1)
 	handler := d.store.HandlerFor(p.name)
 	if h := d.wrapStore[i]; h != nil {
@@ -279,19 +283,23 @@
 		"listen.directory=" + p.address(directoryPort), "listen.control=" + p.address(peerPort),
 		fmt.Sprintf("portRange=%d,%d", gossipPort, gossipPort+9),
 		fmt.Sprintf("seeds=%s:%d,%s:%d", hostOf(d.firstDaemon), peerPort, hostOf(d.firstDaemon+1), peerPort),
-		"platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
+		fmt.Sprintf("limits.maxFds=%d", d.maxDescriptors), "platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
 	}, "\n")))
 	assert.NilError(d.t, err)
 	settings.Gateway.MetricsListen = p.address(metricsPort)
 	settings.Gateway.FleetKey = fleetKey
 	settings.Gateway.SinceBoot = func() time.Duration { return time.Since(d.bootedAt) + time.Duration(d.suspended.Load()) }
 	dial := d.net.Dialer(p.name)
-	network := gateway.Network{Listen: d.net.Listen, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+	listen := func(address string) (net.Listener, error) {
+		l, err := d.net.Listen(address)
+		return p.descriptors.Listener(l), err
+	}
+	network := gateway.Network{Listen: listen, Dial: p.descriptors.Dialer(func(ctx context.Context, network, address string) (net.Conn, error) {
 		if slices.ContainsFunc(d.engines, func(e *site.Upstream) bool { return e.Address == address }) {
 			time.Sleep(time.Duration(d.connectTime.Load()))
 		}
 		return dial(ctx, network, address)
-	}}
+	})}.Limited(settings.Gateway.NewDescriptorBudget())
 	store := platform.NewStore(storeAddress, network.Dial)
 	pool := httpconn.NewPool(network.Dial)
 	g, err := gateway.New(settings.Gateway, platform.NewGatewayPlatform(store, pool), pool, network, hclog.New(&hclog.LoggerOptions{Name: p.name, Output: &p.log, JSONFormat: true}))
