Count no shortage of our own against engines and peers

A daemon that could open no connection, for lack of descriptors, took that for a failure of the other end. Engines that had been tried then got no requests after the shortage had passed, peers were reported lost and left out of the directories, the source of the table copies was suspended, and a probe that could not be made cleared requests of the suspicion to have crashed an engine.

Change: descriptor.IsShortage tells these errors apart. Such an attempt counts for nothing, the request is refused at once with the verdict not-run, a probe is inconclusive, and a peer or source is simply tried again. The same holds for probes and attempts of the product's own interface.

The paths of the copies' source, of the store of kept cache and of the product's own interface were changed with the same check, but have no test of their own.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/lease"
@@ -241,7 +242,7 @@
 	} else {
 		err = d.services.Check(ctx, address)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || descriptor.IsShortage(err) {
 		return
 	}
 	if err != nil {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -158,7 +159,7 @@
 		}
 		err = t.dispatcher.probe(ctx, a.action.Endpoint, a.action.Incarnation)
 	}
-	if err == nil {
+	if err == nil || descriptor.IsShortage(err) {
 		return routing.Canceled
 	}
 	if isProcessGone(err) {
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 )
@@ -343,7 +344,8 @@
 	// at another upstream.
 	probeRefused
 	probeTimedOut
-	// probeInconclusive means that this process was held up, for lack of processor time.
+	// probeInconclusive means that this process was held up, for lack of processor time, or
+	// could not open a connection, for lack of descriptors.
 	probeInconclusive
 )
 
@@ -380,6 +382,8 @@
 		return probeAccepted, 0
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return probeRefused, 0
+	case descriptor.IsShortage(err):
+		return probeInconclusive, 0
 	case tryCtx.Err() != nil || isTimeout(err):
 		now := time.Now()
 		return probeTimedOut, max(now.Sub(start)-timeout, l.latenessSince(start, now))
--- a/internal/forward/liveness_test.go
+++ b/internal/forward/liveness_test.go
@@ -408,3 +408,25 @@
 		})
 	}
 }
+
+// A daemon without free descriptors took its own failure to connect for proof that the upstream
+// responds, and cleared requests of the suspicion to have crashed it.
+func TestOwnShortageProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+		}
+		l := NewLiveness(dial, func(string, bool) { t.Error("the upstream is reported") }, eventlog.Discard())
+		l.onCrash = func(_, _, _ string, _ []RunningRequest) { t.Error("a crash is reported") }
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = l.Run(ctx) })
+		u := &fleet.Registration{ID: "e", Address: "10.0.0.1:80"}
+		_, untrack := l.track(u, &transfer{}, func(error) { t.Error("a request is cancelled") })
+		l.recordBrokenConnection(u.ID, u.Process(), RunningRequest{Fingerprint: "f"}, func() { t.Error("a crash is ruled out") })
+		time.Sleep(3 * time.Second)
+		untrack()
+		stop()
+		wg.Wait()
+	})
+}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/routetable"
@@ -127,7 +128,7 @@
 		return false
 	}
 	if !failed.reached {
-		return len(t.failedUpstreams) <= maxUnreachableUpstreams
+		return !descriptor.IsShortage(err) && len(t.failedUpstreams) <= maxUnreachableUpstreams
 	}
 	if verdict.Of(err) != verdict.NotRun && (!t.route.Repeatable() || t.attemptsRun >= t.route.MaxAttempts) {
 		return false
@@ -294,6 +295,11 @@
 // recordNoResponse records an attempt that got no response, or one without
 // proof of its origin.
 func (t *transfer) recordNoResponse(s *service, action routing.Action, err error) error {
+	if verdict.Of(err) == verdict.NotRun && descriptor.IsShortage(err) {
+		t.finishAttempt(s, action, routing.Canceled, 0)
+		t.logEvent(eventlog.AttemptFailed, action.Endpoint, err)
+		return &attemptError{error: err}
+	}
 	reached := verdict.Of(err) != verdict.NotRun
 	if reached {
 		t.attemptsSent++
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
@@ -160,7 +161,7 @@
 // use, since a wrong entry only costs a recomputation; a store that is down
 // would stall engines that fetch from it, so it is taken out of use.
 func (f *cacheFollower) recordFailure(err error) {
-	if f.readFailed {
+	if f.readFailed || descriptor.IsShortage(err) {
 		return
 	}
 	f.readFailed = true
--- a/internal/gossip/dial.go
+++ b/internal/gossip/dial.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 )
 
 const (
@@ -139,9 +141,11 @@
 	defer cancel()
 	nc, err := n.cfg.Dial(ctx, address)
 	if err != nil {
-		n.mu.Lock()
-		n.markUnreachable(address)
-		n.mu.Unlock()
+		if !descriptor.IsShortage(err) {
+			n.mu.Lock()
+			n.markUnreachable(address)
+			n.mu.Unlock()
+		}
 		return false
 	}
 	connectedAt := time.Now()
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/verbenabend/verbenabend/internal/backoff"
+	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/platform"
 )
@@ -310,7 +311,13 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if !errors.Is(err, errBetterSource) && !errors.Is(err, errResync) {
+		switch {
+		case errors.IsAny(err, errBetterSource, errResync):
+		case descriptor.IsShortage(err):
+			if err := backoff.Sleep(ctx, f.checkInterval()); err != nil {
+				return err
+			}
+		default:
 			f.suspend(sources[0], err)
 			f.updateTurn()
 		}
--- a/lab/sitepath/descriptors_test.go
+++ b/lab/sitepath/descriptors_test.go
@@ -136,3 +136,49 @@
 	resp.Body.Close()
 	return resp
 }
+
+// While a daemon could open no connection, it took its own shortage for failures of engines
+// and peers: engines got no requests after it had passed, and peers were reported lost.
+func TestOwnShortageIsNoEvidence(t *testing.T) {
+	runOnDeployment(t, func(d *deployment) {
+		p := d.processes[0]
+		client := &http.Client{Transport: &http.Transport{DialContext: d.net.Dialer("caller")}, Timeout: streamTimeout}
+		defer client.CloseIdleConnections()
+		resp, err := client.Get("http://" + p.address(callerPort) + "/") // opens the connection
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		lossesBefore := map[*process]int{}
+		for _, q := range d.processes {
+			lossesBefore[q] = countLosses(t, q)
+		}
+		p.descriptors.SetLimit(0)
+		for n := range 10 {
+			resp := d.order(client, p, fmt.Sprint("refused-", n))
+			assert.Assert(t, resp != nil)
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, resp.Header.Get("Retry-After") != "")
+			assert.Equal(t, len(d.runs(fmt.Sprint("refused-", n))), 0, "a request that was refused ran")
+		}
+		time.Sleep(1500 * time.Millisecond)
+		p.descriptors.SetLimit(1 << 30)
+		time.Sleep(300 * time.Millisecond)
+		for range 30 {
+			a := d.ask(p, http.MethodPost, plainHost, "/order/1", nil)
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, http.StatusOK, a.body)
+		}
+		for _, l := range d.ledgers {
+			assert.Assert(t, len(l.Runs()) > 0, "%s gets no requests", l.ID)
+		}
+		for _, q := range d.processes {
+			assert.Equal(t, len(d.resolve(q)), daemons)
+			assert.Equal(t, countLosses(t, q), lossesBefore[q], "losses reported by %s", q.name)
+		}
+	})
+}
+
+// countLosses returns how often a daemon reported the loss of an upstream, a peer or a lease.
+func countLosses(t *testing.T, p *process) int {
+	return countEvents(t, p, eventlog.UpstreamDown) + countEvents(t, p, eventlog.PeerLost) + countEvents(t, p, eventlog.LeaseLost)
+}
