Read peers' copies beside the store after a poll without an answer

A daemon whose calls the store leaves unanswered sent requests to an engine that had begun to drain more than 4 s before: it noticed the lack after up to 2.5 s, then read the whole table for 1.5 s more, and only then asked a peer.

TestStateSpreadsByPeersWhenStoreFails covers this, but all its requests had one prompt, whose home was another engine. It now asks with twelve prompts at once, which have homes at all engines.

Change: the peers' copies are read while the table is.

One trace: the drain is in the store at 0.15 s, the poll and the read end without an answer at 4.42 s, requests at 4.15 and 4.35 s go to the draining engine.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -309,7 +309,10 @@
 	m.setCancelWait(nil)
 	// A poll that was canceled by Recheck or got no answer: the connection may be dead.
 	unanswered := err != nil && callCtx.Err() != nil && ctx.Err() == nil
-	if unanswered || errors.Is(err, platform.ErrHistoryLost) {
+	if unanswered {
+		return m.readUnanswered(ctx)
+	}
+	if errors.Is(err, platform.ErrHistoryLost) {
 		return m.readWholeTable(ctx)
 	}
 	if err != nil {
@@ -319,6 +322,23 @@
 	return nil
 }
 
+// readUnanswered reads the whole table after a poll without an answer. A peer's copy is read
+// meanwhile, because the store may leave this daemon alone without answers.
+func (m *Mirror) readUnanswered(ctx context.Context) error {
+	peersCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var peers sync.WaitGroup
+	peers.Go(func() {
+		_ = m.readPeers(peersCtx, 0) // if the store fails too, Run logs it and asks peers again
+	})
+	err := m.readWholeTable(ctx)
+	if err == nil {
+		cancel()
+	}
+	peers.Wait()
+	return err
+}
+
 func (m *Mirror) setCancelWait(cancel context.CancelFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -354,15 +374,23 @@
 	return backoff.Sleep(ctx, reappearancePollInterval)
 }
 
-// followPeers reads the copies of peers, which may be newer.
+// followPeers waits for newer copies of peers.
 func (m *Mirror) followPeers(ctx context.Context) error {
 	m.mu.Lock()
-	version, synced := m.version, m.synced
+	synced := m.synced
 	m.mu.Unlock()
-	wait := peerMaxWait/2 + time.Duration(rand.Int64N(int64(peerMaxWait/2)))
 	if !synced {
-		wait = 0
+		return m.readPeers(ctx, 0)
 	}
+	return m.readPeers(ctx, peerMaxWait/2+time.Duration(rand.Int64N(int64(peerMaxWait/2))))
+}
+
+// readPeers reads the copies of peers, which may be newer, and waits for a change if they are
+// not.
+func (m *Mirror) readPeers(ctx context.Context, wait time.Duration) error {
+	m.mu.Lock()
+	version := m.version
+	m.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	changes, err := m.peers.ReadChanges(callCtx, m.settings.Table, version, wait)
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,9 +66,15 @@
 					assert.Assert(t, !d.accepts(p, otherCallerKey), p.name)
 				}
 				before := len(d.engines[0].Runs())
-				for range 12 {
-					d.ask(withoutStore, http.MethodPost, modelHost, "/chat/1", nil)
+				var wg sync.WaitGroup
+				for i := range 12 {
+					wg.Go(func() {
+						d.ask(withoutStore, http.MethodPost, modelHost, "/chat/1", func(r *http.Request) {
+							r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%x:200,bb:100", 0xc10+i)) // of homes at all engines
+						})
+					})
 				}
+				wg.Wait()
 				assert.Equal(t, len(d.engines[0].Runs()), before, "a draining engine got requests")
 			})
 		})
