Keep prompts shared before an organisation was isolated behind its wall

Cause: the cache scope of all that are not isolated was the version of the weights alone, so it was the same before and after. A request also kept the scope of the desired state under which it was accepted, when it was resumed or had waited.

Change: the scope contains a digest of the names of all isolated organisations. Each daemon computes it from the desired state alone; only organisations that are not isolated ever use a scope with it, whatever states a daemon has skipped or not seen.

Open: a request that waits in an engine's own queue across the change keeps its scope.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -273,7 +273,7 @@
 	if p := t.metadata.Prompt; p != nil && t.serviceDef != nil && t.serviceDef.Engine != nil {
 		q.Weights = p.Model
 		q.PromptTokens, q.MaxOutputTokens, q.ExpectedOutputTokens = p.InputTokens, p.MaxOutputTokens, p.ExpectedOutputTokens
-		q.Chain = prefix.NewFromParts(t.cacheOwner(), prefixParts(p))
+		q.Chain = prefix.NewFromParts(t.sharingGroup(), prefixParts(p))
 	}
 	return q
 }
@@ -286,15 +286,6 @@
 	return out
 }
 
-// cacheOwner returns the organisation whose cached prompts may be used, empty
-// when the organisation shares its cache.
-func (t *transfer) cacheOwner() string {
-	if t.organisation != nil && t.organisation.Isolated {
-		return t.organisation.Name
-	}
-	return ""
-}
-
 // priority returns the request's priority at the engine; 0 is served first. It
 // orders by the organisation's priority and then by the route's.
 func (t *transfer) priority() int {
--- a/internal/forward/promptparts.go
+++ b/internal/forward/promptparts.go
@@ -68,7 +68,7 @@
 	}
 	out := make([]string, len(p.Parts)-1)
 	for i := range out {
-		out[i] = t.forwarder.PromptParts.Key(t.serviceName, p.Model, t.cacheOwner(), p.Parts[i].ID)
+		out[i] = t.forwarder.PromptParts.Key(t.serviceName, p.Model, t.promptPartOwner(), p.Parts[i].ID)
 	}
 	return out
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -402,7 +400,6 @@
 		d.HasPrompt = true
 		d.Priority = t.priority()
 		d.WeightsVersion = u.Version(p.Model)
-		d.CacheScope = cacheScope(t.cacheOwner(), d.WeightsVersion)
 		store := t.forwarder.Table().CacheStore()
 		if from := t.forwarder.Registry().ByID[action.Source]; from != nil && from.Version(p.Model) == d.WeightsVersion {
 			d.FetchFrom = from.Address
@@ -424,6 +421,9 @@
 			if s.heldOff(u) {
 				return nil, errHeldOff
 			}
+			if d.HasPrompt {
+				d.CacheScope = cacheScope(t.sharingGroup(), d.WeightsVersion)
+			}
 			return t.forwarder.Headers.UpstreamHeader(t.callerRequest.Header, d), nil
 		},
 		MatchesResponse: func(resp *http.Response) bool {
@@ -477,20 +477,3 @@
 	}
 	return f
 }
-
-// cacheScope separates cached prompts by owner and by the weights version that
-// computed them, since a cache store also keeps those of old weights.
-func cacheScope(owner string, version int) string {
-	return strconv.Itoa(version) + "/" + owner
-}
-
-// ParseCacheScope returns the owner and the weights version of a cache scope;
-// ok is false if the scope was not made by a daemon.
-func ParseCacheScope(scope string) (owner string, version int, ok bool) {
-	text, owner, ok := strings.Cut(scope, "/")
-	if !ok {
-		return "", 0, false
-	}
-	version, err := strconv.Atoi(text)
-	return owner, version, err == nil
-}
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -221,11 +221,11 @@
 	var cached []forward.CachedPart
 	var stored []forward.StoredPart
 	for _, c := range changes.Changes {
-		owner, version, ok := forward.ParseCacheScope(c.Scope)
+		group, version, ok := forward.ParseCacheScope(c.Scope)
 		if !ok {
 			continue
 		}
-		part := forward.CachedPart{Key: prefix.PartKey(owner, c.Part), Tokens: c.Tokens}
+		part := forward.CachedPart{Key: prefix.PartKey(group, c.Part), Tokens: c.Tokens}
 		switch {
 		case source.service == "":
 			stored = append(stored, forward.StoredPart{CachedPart: part, Version: version})
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -5,6 +5,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -151,11 +154,14 @@
 	routesByHost      map[string][]*Route // longest prefix first
 	serviceByName     map[string]*Service
 	organisationByKey map[string]*Organisation
+	// organisationByName includes organisations without a key.
+	organisationByName map[string]*Organisation
+	isolationDigest    string
 }
 
 // New returns the Table of a state, or an error for the first invalid route.
 func New(s State) (*Table, error) {
-	t := &Table{State: s, routesByHost: map[string][]*Route{}, serviceByName: map[string]*Service{}, organisationByKey: map[string]*Organisation{}}
+	t := &Table{State: s, routesByHost: map[string][]*Route{}, serviceByName: map[string]*Service{}, organisationByKey: map[string]*Organisation{}, organisationByName: map[string]*Organisation{}}
 	for i := range t.Services {
 		t.serviceByName[t.Services[i].Name] = &t.Services[i]
 	}
@@ -171,10 +177,13 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
 	for i := range t.Organisations {
-		for _, key := range t.Organisations[i].Keys {
-			t.organisationByKey[key] = &t.Organisations[i]
+		o := &t.Organisations[i]
+		t.organisationByName[o.Name] = o
+		for _, key := range o.Keys {
+			t.organisationByKey[key] = o
 		}
 	}
+	t.isolationDigest = isolationDigest(t.Organisations)
 	return t, nil
 }
 
@@ -226,6 +235,34 @@
 	return t.organisationByKey[key]
 }
 
+// Organisation returns the organisation of this name, or nil if there is none.
+func (t *Table) Organisation(name string) *Organisation { return t.organisationByName[name] }
+
+// IsolationDigest identifies the set of isolated organisations; it is empty if there are
+// none.
+func (t *Table) IsolationDigest() string { return t.isolationDigest }
+
+// isolationDigestBytes is enough to rule out that two sets of one deployment collide.
+const isolationDigestBytes = 12
+
+func isolationDigest(organisations []Organisation) string {
+	var names []string
+	for _, o := range organisations {
+		if o.Isolated {
+			names = append(names, o.Name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	hash := sha256.New()
+	for _, name := range slices.Compact(names) {
+		fmt.Fprintf(hash, "%d:%s", len(name), name)
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:isolationDigestBytes])
+}
+
 // RequiresKeys reports whether routes that are not public require an API key.
 func (t *Table) RequiresKeys() bool { return len(t.Organisations) > 0 }
 
