Bound the memory of all responses that are being read

Callers of other operators' systems lost requests when faulty engines sent bytes without end: the machine ran out of memory. Here each response was bounded (64 KB of heads, 256 KB of a buffered body, 1 MB of an event), their sum was not: the last daemon of a deployment may read from all slots of all engines at once.

Change: the parts of responses that are held beyond 16 KB each share a tenth of the memory setting. An event for which nothing is left breaks off its stream, which goes on at another engine if it may be resumed; a body is then relayed as it comes instead of being buffered for a retry. Usual events and bodies need nothing of it.

Evidence: five of twelve engines send events without end to one daemon of 134 MB. Heads, bodies, trailers, cache events and reports without end stayed at 40 MB or less. The requests to the other service were all served, before and after.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -73,12 +73,16 @@
 	// MaxBodyBytes limits the total size of request bodies held in memory; 0
 	// means no limit.
 	MaxBodyBytes int64
+	// MaxResponseBytes limits the total size of the parts of responses held in memory; 0 means
+	// no limit.
+	MaxResponseBytes int64
 }
 
 // Forwarder is the HTTP handler for callers' requests.
 type Forwarder struct {
 	Config
-	bodyBytes atomic.Int64 // total size of request bodies in memory
+	bodyBytes      atomic.Int64 // total size of request bodies in memory
+	responseMemory responseMemory
 	// stopAt caps the deadlines of new requests; nil unless the daemon is
 	// stopping.
 	stopAt atomic.Pointer[time.Time]
@@ -113,6 +117,7 @@
 		}
 	}
 	f := &Forwarder{Config: c}
+	f.responseMemory.limit = c.MaxResponseBytes
 	f.abortCtx, f.abort = context.WithCancel(context.Background())
 	return f
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	// completely before its headers are relayed, so that the request can be
 	// retried if the response breaks off.
 	maxBufferedBodyBytes = 256 << 10
+	// bodyReadBytes is the size of one read of a response body.
+	bodyReadBytes        = 4 << 10
 	eventStreamMediaType = "text/event-stream"
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
@@ -41,7 +44,9 @@
 
 // relayBody forwards a response that is not an event stream.
 func (t *transfer) relayBody(resp *httpconn.Response) error {
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBodyBytes+1))
+	memory := t.forwarder.responseMemory.lease()
+	defer memory.release()
+	buffered, whole, err := readBody(resp.Body, memory)
 	if err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response broke off")
 	}
@@ -51,16 +56,15 @@
 	if t.isRetryableStatus(resp.StatusCode) {
 		return verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "status "+strconv.Itoa(resp.StatusCode))
 	}
-	long := len(buffered) > maxBufferedBodyBytes
-	t.copyHeaders(resp, long)
-	if !long {
+	t.copyHeaders(resp, !whole)
+	if whole {
 		t.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 	}
 	t.writer.WriteHeader(resp.StatusCode)
 	if _, err := t.writer.Write(buffered); err != nil {
 		return errors.Mark(err, errCallerWrite)
 	}
-	if !long {
+	if whole {
 		return nil
 	}
 	if _, err := io.Copy(t.writer, resp.Body); err != nil {
@@ -69,6 +73,25 @@
 	return nil
 }
 
+// readBody reads a body of up to maxBufferedBodyBytes. whole is false if the body is longer or
+// the memory for responses is used up; then the rest is still to be read.
+func readBody(body io.Reader, memory *memoryLease) (buffered []byte, whole bool, err error) {
+	for {
+		if len(buffered) > maxBufferedBodyBytes || !memory.resize(len(buffered)+bodyReadBytes) {
+			return buffered, false, nil
+		}
+		buffered = slices.Grow(buffered, bodyReadBytes)
+		n, err := body.Read(buffered[len(buffered) : len(buffered)+bodyReadBytes])
+		buffered = buffered[:len(buffered)+n]
+		if errors.Is(err, io.EOF) {
+			return buffered, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
 // isRetryableStatus reports whether the request should be retried: the upstream
 // answered 500 and the route allows another run.
 func (t *transfer) isRetryableStatus(status int) bool {
@@ -82,7 +105,8 @@
 
 // relayEvents forwards events as they arrive, each only once it is complete.
 func (t *transfer) relayEvents(resp *httpconn.Response) (int, error) {
-	events := &eventReader{source: bufio.NewReader(resp.Body)}
+	events := &eventReader{source: bufio.NewReader(resp.Body), memory: t.forwarder.responseMemory.lease()}
+	defer events.memory.release()
 	controller := http.NewResponseController(t.writer)
 	resumed := t.responseStarted
 	if !resumed {
@@ -147,16 +171,24 @@
 type eventReader struct {
 	source *bufio.Reader
 	buffer []byte
+	memory *memoryLease
 }
 
 // next returns the next complete event; its bytes are valid until the next
 // call. The error is io.EOF when the stream ends between two events.
 func (r *eventReader) next() (event, error) {
 	r.buffer = r.buffer[:0]
+	if cap(r.buffer) > unleasedBytes {
+		r.buffer = nil
+	}
+	r.memory.release()
 	var e event
 	lineStart := 0
 	for {
 		part, err := r.source.ReadSlice('\n')
+		if !r.memory.resize(len(r.buffer) + len(part)) {
+			return event{}, errResponseMemory
+		}
 		r.buffer = append(r.buffer, part...)
 		if len(r.buffer) > maxEventBytes {
 			return event{}, errors.Newf("stream event exceeds %d bytes", maxEventBytes)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	// bodyMemoryFraction is the fraction of the memory available to request
 	// bodies.
 	bodyMemoryFraction = 0.2
+	// responseMemoryFraction is the fraction available to parts of responses that are not
+	// relayed yet. Go's heap takes up to three times as much while they grow.
+	responseMemoryFraction = 0.1
 	// defaultEntryMaxAge is how long callers may cache directory entries,
 	// unless the platform's maximum is shorter.
 	defaultEntryMaxAge = time.Second
@@ -186,7 +189,7 @@
 	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Quarantine, d.log, minCrashInterval)
 	d.forwarder = forward.New(forward.Config{
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
+		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -19,9 +19,9 @@
 // in Unix milliseconds.
 const firstIncarnationStartMS = 1700000000000
 
-// slots is the number of concurrent requests that an upstream reports. It serves
+// defaultSlots is the number of concurrent requests that an upstream reports. It serves
 // more at once unless QueueLength is set.
-const slots = 8
+const defaultSlots = 8
 
 // Behaviour is how an upstream treats one request.
 type Behaviour int
@@ -116,6 +116,13 @@
 	endlessInterval = 50 * time.Millisecond
 )
 
+func (u *Upstream) slots() int {
+	if u.Slots != 0 {
+		return u.Slots
+	}
+	return defaultSlots
+}
+
 // Run is a request that an upstream started to execute.
 type Run struct {
 	ID     string
@@ -150,6 +157,10 @@
 	SwitchDuration time.Duration
 	// LoadBandwidth, if not nil, is shared with other upstreams and slows switches.
 	LoadBandwidth *LoadBandwidth
+	// EndlessControl makes calls of the control interface get the Endless response too.
+	EndlessControl bool
+	// Slots replaces defaultSlots if it is not 0.
+	Slots int
 	// QueueLength, if not 0, is how many requests may wait while all slots are
 	// taken. Their runs start when they get a slot.
 	QueueLength int
@@ -200,7 +211,7 @@
 	if u.draining {
 		state = "draining"
 	}
-	row := map[string]any{"service": u.Service, "addr": u.Address, "zone": u.Zone, "version": "v1", "slots": slots, "state": state, "coldLeftMs": 0, "seq": 17, "born": firstIncarnationStartMS + u.restarts}
+	row := map[string]any{"service": u.Service, "addr": u.Address, "zone": u.Zone, "version": "v1", "slots": u.slots(), "state": state, "coldLeftMs": 0, "seq": 17, "born": firstIncarnationStartMS + u.restarts}
 	if u.Model != "" {
 		row["models"] = []map[string]any{{"name": u.Model, "version": u.version, "adapters": []string{}}}
 	}
@@ -269,6 +280,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if u.EndlessControl && (r.URL.Path == "/order" || r.URL.Path == "/report" || r.URL.Path == "/kv-events") {
+		u.respondEndlessly(w, &Run{})
+		return
+	}
 	switch r.URL.Path {
 	case "/order":
 		u.handleOrder(w, r)
@@ -301,7 +316,7 @@
 	version, switching, queued := u.version, u.switching, len(u.waiting)
 	u.mu.Unlock()
 	h := w.Header()
-	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", u.running()+1, queued, slots))
+	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", u.running()+1, queued, u.slots()))
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	expected := r.Header.Get("X-Expected-Version")
 	if expected != "" && expected != strconv.Itoa(version) {
@@ -385,7 +400,7 @@
 func (u *Upstream) takeSlot(ctx context.Context) bool {
 	u.mu.Lock()
 	switch {
-	case u.QueueLength == 0 || u.takenSlots < slots:
+	case u.QueueLength == 0 || u.takenSlots < u.slots():
 		u.takenSlots++
 		u.mu.Unlock()
 		return true
