--- a/internal/gateway/descriptors.go
+++ b/internal/gateway/descriptors.go
@@ -57,9 +57,9 @@
 		return
 	}
 	w.logged, w.loggedAt = stats, time.Now()
-	cause := stats.LastCause
-	if cause == "" {
-		cause = "all descriptors in use"
+	cause := "all descriptors in use"
+	if refused+failed > 0 {
+		cause = stats.LastCause
 	}
 	d.log.Emit(eventlog.DescriptorsShort, eventlog.Fields{Detail: fmt.Sprintf("%s: %d of %d in use, %v; %d idle connections closed, %d new ones refused, %d failures to accept or connect",
 		cause, stats.Open, budget.Limit(), stats.Accepted, reclaimed, refused, failed)})
