Test all listeners and the lease during a shortage of descriptors

TestOwnShortageIsNoEvidence also connects to the listeners of requests, readiness, directory, metrics, copies and gossip while nothing can be accepted; all of them serve after it. TestLastDaemonKeepsItsDescriptors lets the last daemon give new weights to all engines in the shortage, under one lease.

--- a/internal/mirror/follower_test.go
+++ b/internal/mirror/follower_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,13 +57,14 @@
 	serving  context.Context
 	// cutOff daemons reach neither the store nor others, refused ones are turned away by
 	// the store, delayed ones get its answers late.
-	cutOff, refused, down atomic.Bool
-	delay                 atomic.Int64
-	mu                    sync.Mutex
-	conns                 []net.Conn
-	versions              []uint64
-	clock                 *storeclock.Clock
-	startedAt             time.Time
+	// short ones have no descriptor for a connection to others.
+	cutOff, refused, down, short atomic.Bool
+	delay                        atomic.Int64
+	mu                           sync.Mutex
+	conns                        []net.Conn
+	versions                     []uint64
+	clock                        *storeclock.Clock
+	startedAt                    time.Time
 }
 
 // countingStore counts the calls to a fakeStore and tells the time.
@@ -167,6 +170,9 @@
 	i := slices.IndexFunc(d.fleet.daemons, func(x *copyDaemon) bool { return x.node.Address == address })
 	other := d.fleet.daemons[i]
 	time.Sleep(4 * time.Millisecond)
+	if d.short.Load() {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	}
 	if d.cutOff.Load() || other.cutOff.Load() {
 		time.Sleep(300 * time.Millisecond)
 		return nil, errCutOff
@@ -428,3 +434,41 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// A daemon without free descriptors suspended the sources that it could not reach, longer with
+// each attempt.
+func TestOwnShortageSuspendsNoSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCopyFleet(t, minFleet+2)
+		defer f.stopAll()
+		f.start()
+		time.Sleep(contactTime)
+		d := f.daemons[len(f.daemons)-1]
+		reading, source := d.follower.Reading()
+		assert.Assert(t, !reading && source != "")
+		sourceAddress := source + ":1" // it did close a connection
+		d.short.Store(true)
+		d.mu.Lock()
+		for _, c := range d.conns {
+			c.Close()
+		}
+		d.mu.Unlock()
+		time.Sleep(contactTime)
+		d.follower.mu.Lock()
+		for address, s := range d.follower.suspended {
+			assert.Check(t, address == sourceAddress && s.failures == 1, "%s: %d failures", address, s.failures)
+		}
+		d.follower.mu.Unlock()
+		f.store.write("news", false)
+		time.Sleep(newsLimit)
+		d.mu.Lock()
+		newest := d.versions[len(d.versions)-1]
+		d.mu.Unlock()
+		assert.Equal(t, newest, f.store.version, "the store is read meanwhile")
+		d.short.Store(false)
+		time.Sleep(turnCheckInterval + newsLimit)
+		reading, again := d.follower.Reading()
+		assert.Assert(t, !reading)
+		assert.Equal(t, again, source)
+	})
+}
--- a/lab/sitepath/descriptors_test.go
+++ b/lab/sitepath/descriptors_test.go
@@ -1,6 +1,7 @@
 package sitepath
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -99,6 +100,8 @@
 		d.net.SetPartition(func(from, address string) bool {
 			return slices.ContainsFunc(lost, func(p *process) bool { return from == p.name || strings.HasPrefix(address, p.host+":") })
 		})
+		time.Sleep(2 * time.Second)
+		d.setGoalVersion(2) // takes a lease and orders
 		wg.Wait()
 		d.net.SetPartition(fabric.NoConnections)
 		select {
@@ -113,6 +116,10 @@
 		assert.Assert(t, survivor.descriptors.Most() <= sockets)
 		lines := countEvents(t, survivor, eventlog.DescriptorsShort)
 		assert.Assert(t, lines > 0 && lines <= 3, "%d log lines", lines)
+		for _, e := range d.engines {
+			assert.Equal(t, e.Version(), 2, "%s got no new weights", e.ID)
+		}
+		assert.Equal(t, countEvents(t, survivor, eventlog.LeaseAcquired), 1, "the lease was lost before all engines had new weights")
 		for _, id := range []eventlog.ID{eventlog.UpstreamDown, eventlog.FeedLost} {
 			assert.Equal(t, countEvents(t, survivor, id), 0, "event %d", id)
 		}
@@ -160,8 +167,12 @@
 			assert.Assert(t, resp.Header.Get("Retry-After") != "")
 			assert.Equal(t, len(d.runs(fmt.Sprint("refused-", n))), 0, "a request that was refused ran")
 		}
+		waiting := d.askAllListeners(p)
 		time.Sleep(1500 * time.Millisecond)
 		p.descriptors.SetLimit(1 << 30)
+		for range cap(waiting) {
+			assert.NilError(t, <-waiting, "a listener does not serve after the shortage")
+		}
 		time.Sleep(300 * time.Millisecond)
 		for range 30 {
 			a := d.ask(p, http.MethodPost, plainHost, "/order/1", nil)
@@ -178,6 +189,32 @@
 	})
 }
 
+// askAllListeners connects to all listeners of a daemon at once. The channel receives whether the
+// daemon has accepted and answered, or for its peers' listeners accepted, each of the connections.
+func (d *deployment) askAllListeners(p *process) chan error {
+	ask := map[int]string{callerPort: "/", readyPort: "/readyz", directoryPort: "/resolve?name=x&zone=a", metricsPort: "/metrics", peerPort: "", gossipPort: ""}
+	results := make(chan error, len(ask))
+	for port, path := range ask {
+		go func() {
+			if path == "" {
+				conn, err := d.net.Dialer("caller")(context.Background(), "tcp", p.address(port))
+				if err == nil {
+					_, err = conn.Write([]byte{0}) // blocks until the daemon reads
+					conn.Close()
+				}
+				results <- err
+				return
+			}
+			resp, err := d.client().Get("http://" + p.address(port) + path)
+			if err == nil {
+				resp.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	return results
+}
+
 // countLosses returns how often a daemon reported the loss of an upstream, a peer or a lease.
 func countLosses(t *testing.T, p *process) int {
 	return countEvents(t, p, eventlog.UpstreamDown) + countEvents(t, p, eventlog.PeerLost) + countEvents(t, p, eventlog.LeaseLost)
