Wait for both connections' states in the test of bounded connections

The first request was sent by a goroutine that had not run yet, so that the first connection was idle too and could be the one to yield.

--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -113,6 +113,7 @@
 		results := make(chan int, 1)
 		go func() { results <- ask(first, "Long: yes\r\n") }()
 		assert.Equal(t, ask(second, ""), http.StatusOK)
+		synctest.Wait() // until the first request is read and the second connection idle
 		third := s.dial(t)
 		assert.Equal(t, ask(third, ""), http.StatusOK, "an idle connection yields")
 		assert.Equal(t, ask(second, ""), 0)
