--- a/internal/gateway/descriptors.go
+++ b/internal/gateway/descriptors.go
@@ -57,7 +57,7 @@
 		return
 	}
 	w.logged, w.loggedAt = stats, time.Now()
-	cause := "all descriptors in use"
+	cause := "callers use all descriptors that are not reserved"
 	if refused+failed > 0 {
 		cause = stats.LastCause
 	}
