Transfer peers' copies only if they are newer than an unanswered poll's

While the store answers nobody, each poll without an answer brought two whole tables from peers, changed or not. The wait for a newer copy now outlasts the read of the store, so that an equal one is not sent. TestStateSpreadsByPeersWhenStoreFails passes 40 runs.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -322,19 +322,18 @@
 	return nil
 }
 
-// readUnanswered reads the whole table after a poll without an answer. A peer's copy is read
-// meanwhile, because the store may leave this daemon alone without answers.
+// readUnanswered reads the whole table after a poll without an answer. Newer copies of peers
+// are awaited meanwhile, because the store may leave this daemon alone without answers.
 func (m *Mirror) readUnanswered(ctx context.Context) error {
 	peersCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var peers sync.WaitGroup
 	peers.Go(func() {
-		_ = m.readPeers(peersCtx, 0) // if the store fails too, Run logs it and asks peers again
+		// The wait outlasts the read: a copy that is not newer costs no transfer. If the
+		// store fails too, Run logs it and asks peers again.
+		_ = m.readPeers(peersCtx, 2*callTimeout)
 	})
 	err := m.readWholeTable(ctx)
-	if err == nil {
-		cancel()
-	}
+	cancel()
 	peers.Wait()
 	return err
 }
