Shorten the names of sharing groups

The digest now has 40 bits in 7 characters, and the group of one organisation begins with a full stop, which no digest contains.

TestRequestsUnderWayKeepToTheNewestIsolation took the second run in the order of engines for the resumed one; it now sorts by time.

--- a/internal/forward/cachescope.go
+++ b/internal/forward/cachescope.go
@@ -7,12 +7,10 @@
 	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
-const (
-	// sharedGroup and ownGroup begin the names of sharing groups, so that no organisation's
-	// name can be taken for a shared group.
-	sharedGroup = "shared:"
-	ownGroup    = "own:"
-)
+// ownGroup begins the name of a sharing group of one organisation. No digest contains it, so
+// that no organisation's name can be taken for a shared group. Names are short because every
+// cache event carries one.
+const ownGroup = "."
 
 // sharingGroup returns the group of organisations that share cached prompts with the
 // request, by the newest desired state: a request may have been accepted under an older one.
@@ -35,7 +33,7 @@
 			return ownGroup + organisation // removed organisations finish their requests apart
 		}
 	}
-	return sharedGroup + table.IsolationDigest()
+	return table.IsolationDigest()
 }
 
 // promptPartOwner returns the organisation whose prompt parts are quarantined apart from
--- a/internal/forward/cachescope_test.go
+++ b/internal/forward/cachescope_test.go
@@ -24,7 +24,7 @@
 // In any history of desired states, with daemons that apply older ones, no request finds a
 // prompt across the wall of an organisation that is isolated now.
 func TestNoPromptCrossesALaterWall(t *testing.T) {
-	names := []string{"a", "b", "c", "own:a", "shared:", ""}
+	names := []string{"a", "b", "c", ".a", "0aZ_-9x", ""}
 	rapid.Check(t, func(t *rapid.T) {
 		writers := map[string]map[string]bool{} // organisations that wrote into a group
 		var history []*routetable.Table
@@ -84,7 +84,7 @@
 }
 
 func TestCacheScopeRoundTrip(t *testing.T) {
-	for _, group := range []string{sharedGroup, ownGroup + "a/b", sharedGroup + "00ff"} {
+	for _, group := range []string{"", ownGroup + "a/b", "0aZ_-9x"} {
 		got, version, ok := ParseCacheScope(cacheScope(group, 7))
 		assert.Assert(t, ok)
 		assert.Equal(t, got, group)
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -6,7 +6,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"fmt"
 	"net"
 	"slices"
@@ -238,12 +238,13 @@
 // Organisation returns the organisation of this name, or nil if there is none.
 func (t *Table) Organisation(name string) *Organisation { return t.organisationByName[name] }
 
-// IsolationDigest identifies the set of isolated organisations; it is empty if there are
-// none.
+// IsolationDigest identifies the set of isolated organisations, in letters, digits, hyphens and
+// underscores; it is empty if there are none.
 func (t *Table) IsolationDigest() string { return t.isolationDigest }
 
-// isolationDigestBytes is enough to rule out that two sets of one deployment collide.
-const isolationDigestBytes = 12
+// isolationDigestBytes makes it unlikely enough that two of a deployment's sets collide: 1 in
+// 200 million for 100 sets.
+const isolationDigestBytes = 5
 
 func isolationDigest(organisations []Organisation) string {
 	var names []string
@@ -260,7 +261,7 @@
 	for _, name := range slices.Compact(names) {
 		fmt.Fprintf(hash, "%d:%s", len(name), name)
 	}
-	return hex.EncodeToString(hash.Sum(nil)[:isolationDigestBytes])
+	return base64.RawURLEncoding.EncodeToString(hash.Sum(nil)[:isolationDigestBytes])
 }
 
 // RequiresKeys reports whether routes that are not public require an API key.
--- a/lab/sitepath/isolation_test.go
+++ b/lab/sitepath/isolation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -119,6 +120,7 @@
 		assert.NilError(t, a.err)
 		runs := d.runs(id)
 		assert.Equal(t, len(runs), 2)
+		slices.SortFunc(runs, func(a, b site.Run) int { return a.StartedAt.Compare(b.StartedAt) })
 		assert.Assert(t, scopeOf(runs[1]) != before, "a resumed request uses prompts across the wall")
 
 		time.Sleep(configDeadline)
