--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -340,10 +341,29 @@
 	f.source = ""
 	f.mu.Unlock()
 	if followed {
-		f.log.Emit(eventlog.FeedSourceLost, eventlog.Fields{Detail: n.Name + ": " + err.Error()})
+		f.log.Emit(eventlog.FeedSourceLost, eventlog.Fields{Detail: n.Name + ": " + err.Error() + f.describeAge()})
 	}
 }
 
+// describeAge returns, for a log line, how old the copies are held to be, and by table how
+// long ago the store last answered by its clock, at this daemon or at one that it follows.
+func (f *Follower) describeAge() string {
+	age, known := f.age(time.Now())
+	storeNow, read := f.settings.Clock.Now()
+	if !known || !read {
+		return ""
+	}
+	out := fmt.Sprintf("; copies %s old, answers of the store:", age.Round(time.Millisecond))
+	for _, m := range f.mirrors {
+		m.mu.Lock()
+		if m.lastReadAt != 0 {
+			out += fmt.Sprintf(" %s %s", m.settings.Table, storeNow.Sub(m.lastReadAt))
+		}
+		m.mu.Unlock()
+	}
+	return out
+}
+
 // logRole logs whom this daemon follows, or that it reads the store, when that changes.
 func (f *Follower) logRole(source string) {
 	role := "reads the store"
@@ -356,7 +376,7 @@
 	f.role = role
 	f.mu.Unlock()
 	if changed {
-		f.log.Emit(eventlog.FeedSource, eventlog.Fields{Detail: role})
+		f.log.Emit(eventlog.FeedSource, eventlog.Fields{Detail: role + f.describeAge()})
 	}
 }
 
