Show that changes are missing for too long at followers of a reader without answers

The tests hold fleets of 10, 60 and 300 daemons to the stated bounds (2 s at ten, 3 s at more) all the while: the reader, or it and its successor, get no answers of the store, are turned away, cut off, stand still or get slow answers; or the store leaves a third of the daemons unanswered.

--- a/internal/mirror/follower_test.go
+++ b/internal/mirror/follower_test.go
@@ -56,15 +56,18 @@
 	stop     context.CancelFunc
 	serving  context.Context
 	// cutOff daemons reach neither the store nor others, refused ones are turned away by
-	// the store, delayed ones get its answers late.
-	// short ones have no descriptor for a connection to others.
-	cutOff, refused, down, short atomic.Bool
-	delay                        atomic.Int64
-	mu                           sync.Mutex
-	conns                        []net.Conn
-	versions                     []uint64
-	clock                        *storeclock.Clock
-	startedAt                    time.Time
+	// the store, unanswered ones get no answer of it, delayed ones get its answers late.
+	// short ones have no descriptor for a connection to others, frozen ones stand still.
+	cutOff, refused, unanswered, frozen, down, short atomic.Bool
+	delay                                            atomic.Int64
+	// impaired daemons have a fault, others are in order since inOrderSince, in Unix ns.
+	impaired     atomic.Bool
+	inOrderSince atomic.Int64
+	mu           sync.Mutex
+	conns        []net.Conn
+	versions     []uint64
+	clock        *storeclock.Clock
+	startedAt    time.Time
 }
 
 // countingStore counts the calls to a fakeStore and tells the time.
@@ -81,7 +84,10 @@
 // daemonStore is the store as one daemon reaches it.
 type daemonStore struct{ d *copyDaemon }
 
-func (s daemonStore) call(read func() (platform.Changes, error)) (platform.Changes, error) {
+func (s daemonStore) call(ctx context.Context, read func() (platform.Changes, error)) (platform.Changes, error) {
+	if err := s.d.awaitPath(ctx); err != nil {
+		return platform.Changes{}, err
+	}
 	s.d.fleet.store.calls.Add(1)
 	time.Sleep(4*time.Millisecond + time.Duration(s.d.delay.Load()))
 	if s.d.cutOff.Load() {
@@ -97,16 +103,32 @@
 		time.Sleep(2 * time.Second)
 		return platform.Changes{}, errCutOff
 	}
-	c.ReadAt = s.d.clock.Observe(s.d.fleet.store.now(), sentAt)
+	readAt := s.d.fleet.store.now()
+	if err := s.d.awaitPath(ctx); err != nil {
+		return platform.Changes{}, err
+	}
+	c.ReadAt = s.d.clock.Observe(readAt, sentAt)
 	return c, err
 }
 
+// awaitPath waits until the daemon runs and the store's packets reach it, like a connection
+// that outlasts a cut.
+func (d *copyDaemon) awaitPath(ctx context.Context) error {
+	for d.unanswered.Load() || d.frozen.Load() {
+		if ctx.Err() != nil && !d.frozen.Load() {
+			return ctx.Err()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
 func (s daemonStore) ReadTable(ctx context.Context, t string) (platform.Changes, error) {
-	return s.call(func() (platform.Changes, error) { return s.d.fleet.store.ReadTable(ctx, t) })
+	return s.call(ctx, func() (platform.Changes, error) { return s.d.fleet.store.ReadTable(ctx, t) })
 }
 
 func (s daemonStore) ReadChanges(ctx context.Context, t string, after uint64, wait time.Duration) (platform.Changes, error) {
-	return s.call(func() (platform.Changes, error) { return s.d.fleet.store.ReadChanges(ctx, t, after, wait) })
+	return s.call(ctx, func() (platform.Changes, error) { return s.d.fleet.store.ReadChanges(ctx, t, after, wait) })
 }
 
 func newCopyFleet(t *testing.T, size int) *copyFleet {
@@ -201,6 +223,9 @@
 	if c.a.cutOff.Load() || c.b.cutOff.Load() {
 		return len(b), nil
 	}
+	for c.a.frozen.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
 	return c.Conn.Write(b)
 }
 
--- /dev/null
+++ b/internal/mirror/staleness_test.go
@@ -0,0 +1,177 @@
+package mirror
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stalenessFleets are fleets that follow few readers, with the stated bounds of their
+// deployments: how long a change may be missing at a daemon in contact, and how long one
+// must have been in order to be in contact.
+var stalenessFleets = []struct {
+	size                 int
+	maxAge, contactAfter time.Duration
+}{
+	{minFleet, 2 * time.Second, 3 * time.Second},
+	{60, 3 * time.Second, 4 * time.Second},
+	{300, 3 * time.Second, 4 * time.Second},
+}
+
+// newsLog records when versions were written.
+type newsLog struct {
+	versions  []uint64
+	writtenAt []time.Time
+}
+
+// due returns the newest version that was written at a time or before, 0 if there is none.
+func (l *newsLog) due(at time.Time) uint64 {
+	for i, t := range slices.Backward(l.writtenAt) {
+		if !t.After(at) {
+			return l.versions[i]
+		}
+	}
+	return 0
+}
+
+// impairments are the faults of a reader that leave its followers in contact. The reader is
+// impaired while the flag is set.
+var impairments = map[string]func(*copyDaemon, bool){
+	"the store leaves it unanswered": func(d *copyDaemon, on bool) { d.unanswered.Store(on) },
+	"the store turns it away":        func(d *copyDaemon, on bool) { d.refused.Store(on) },
+	"it is cut off":                  func(d *copyDaemon, on bool) { d.cutOff.Store(on) },
+	"it stands still":                func(d *copyDaemon, on bool) { d.frozen.Store(on) },
+	"its answers are slow": func(d *copyDaemon, on bool) {
+		d.delay.Store(0)
+		if on {
+			d.delay.Store(int64(1200 * time.Millisecond))
+		}
+	},
+}
+
+// Guards against followers that take an open call of their reader for a proof that nothing
+// changed: changes were missing for up to 3.3 s, with a bound of 2 s, when the store left
+// the reader without answers.
+func TestStalenessBoundWithoutTheReader(t *testing.T) {
+	for name, impair := range impairments {
+		for _, readers := range []int{1, 2} {
+			for _, newsEvery := range []time.Duration{100 * time.Millisecond, 2300 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s/%d readers/news every %s", name, readers, newsEvery), func(t *testing.T) {
+					checkStaleness(t, newsEvery, func(f *copyFleet) {
+						for range 2 {
+							impaired := f.ranked()[:readers]
+							for _, d := range impaired {
+								d.impair(impair, true)
+							}
+							time.Sleep(4 * time.Second)
+							for _, d := range impaired {
+								d.impair(impair, false)
+							}
+							time.Sleep(6 * time.Second)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against the same when the store leaves a third of the daemons without answers, its
+// reader first.
+func TestStalenessBoundWhileTheStoreLeavesAThirdUnanswered(t *testing.T) {
+	checkStaleness(t, 700*time.Millisecond, func(f *copyFleet) {
+		for offset := range 3 {
+			for i, d := range f.ranked() {
+				d.impair(impairments["the store leaves it unanswered"], i%3 == offset)
+			}
+			time.Sleep(6 * time.Second)
+			for _, d := range f.daemons {
+				d.impair(impairments["the store leaves it unanswered"], false)
+			}
+			time.Sleep(6 * time.Second)
+		}
+	})
+}
+
+// impair sets or ends an impairment; the daemon is out of contact meanwhile.
+func (d *copyDaemon) impair(set func(*copyDaemon, bool), on bool) {
+	if on {
+		d.impaired.Store(true)
+	}
+	set(d, on)
+	if !on && d.impaired.Swap(false) {
+		d.inOrderSince.Store(time.Now().UnixNano())
+	}
+}
+
+// ranked returns the daemons in the order in which they are to read the store.
+func (f *copyFleet) ranked() []*copyDaemon {
+	var nodes []Node
+	for _, d := range f.daemons {
+		nodes = append(nodes, d.node)
+	}
+	var out []*copyDaemon
+	for _, n := range (RankedSources{Global: len(nodes)}).Sources(Node{Name: "none"}, nodes) {
+		out = append(out, f.daemons[slices.Index(nodes, n)])
+	}
+	for _, d := range f.daemons { // those behind the unknown node
+		if !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// checkStaleness runs fleets in which faults happen, and checks all the while that each
+// daemon in contact knows the changes that were made before the stated bound.
+func checkStaleness(t *testing.T, newsEvery time.Duration, faults func(f *copyFleet)) {
+	for _, c := range stalenessFleets {
+		if testing.Short() && c.size > 60 {
+			continue
+		}
+		t.Run(fmt.Sprint(c.size, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCopyFleet(t, c.size)
+				f.start()
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, f.readers()[0], f.ranked()[0])
+				var done atomic.Bool
+				go func() {
+					faults(f)
+					done.Store(true)
+				}()
+				var news newsLog
+				late, worst := 0, time.Duration(0)
+				for nextNews := time.Now(); !done.Load(); time.Sleep(20 * time.Millisecond) {
+					now := time.Now()
+					if !now.Before(nextNews) {
+						f.store.write(fmt.Sprint("row ", len(news.versions)%50), false)
+						news.versions, news.writtenAt = append(news.versions, f.store.version), append(news.writtenAt, now)
+						nextNews = nextNews.Add(newsEvery)
+					}
+					due := news.due(now.Add(-c.maxAge))
+					for _, d := range f.daemons {
+						inContact := !d.impaired.Load() && now.Sub(time.Unix(0, d.inOrderSince.Load())) >= c.contactAfter
+						if version := d.mirror.copyVersion(false); inContact && version < due {
+							late++
+							missing := news.writtenAt[slices.IndexFunc(news.versions, func(v uint64) bool { return v > version })]
+							worst = max(worst, now.Sub(missing))
+						}
+					}
+				}
+				assert.Check(t, late == 0, "changes were missing for up to %s, bound %s", worst, c.maxAge)
+				for _, d := range f.daemons {
+					d.mu.Lock()
+					assert.Check(t, slices.IsSorted(d.versions), "the version of %s went back", d.node.Name)
+					d.mu.Unlock()
+				}
+				f.stopAll()
+			})
+		})
+	}
+}
