Date copies by the store's last answer, and ask before the bound

What callers saw: in fleets of ten or more, for up to 3.3 s after a change of the desired state was acknowledged (bound 2 s), 404 on a route that was added, service on a key that was taken away, runs at the old service.

Cause: a daemon whose poll of the store was open said that its copies were 0 s old. A poll that the store never answers proves nothing: the copies began to age when it failed, 3.5 s later, and only then the followers' limit of 2 s began, which alone is the whole bound.

Change: copies are as old as the store's last answer says, by its clock, at the reader and each follower; answers that confirm them are passed on at once. A daemon whose sources are all late stays with the last one. Ruled out: a second reader, the same limit for all (the whole fleet reads at once).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,11 +91,11 @@
 	// quarantineReadInterval is the minimum interval between reads of the quarantined
 	// parts, which change fast while gossip fails and engines crash.
 	quarantineReadInterval = 400 * time.Millisecond
-	// upstreamMaxWait and operatorMaxWait limit a long poll at the store, soleMaxWait those
-	// of a daemon that reads for others: it bounds how long a lost answer goes unnoticed.
+	// upstreamMaxWait and operatorMaxWait limit a long poll at the store.
 	upstreamMaxWait = time.Second
 	operatorMaxWait = 20 * time.Second
-	soleMaxWait     = 2 * time.Second
+	// defaultChangeTimeLimit is the default of Settings.ChangeTimeLimit.
+	defaultChangeTimeLimit = 2 * time.Second
 	// firstStartHold and restartHold are how long a daemon that knows no other waits for
 	// peers before it reads the store. At the first start machines come up one by one;
 	// after a loss of power peers are there at once or not at all.
@@ -166,6 +166,9 @@
 	if s.SinceBoot == nil {
 		s.SinceBoot = boottime.Now
 	}
+	if s.ChangeTimeLimit == 0 {
+		s.ChangeTimeLimit = defaultChangeTimeLimit
+	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
 		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newDelayQueue[rollout.Goal](), reportQueue: newDelayQueue[goalReport](), revisionQueue: newDelayQueue[uint64](), newsQueue: newDelayQueue[operatorNews](),
@@ -213,16 +216,16 @@
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
-		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, SoleMaxWait: soleMaxWait, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
+		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, MaxAge: d.settings.ChangeTimeLimit, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreamMirror = mirror.New(mirror.Settings{
-		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, SoleMaxWait: soleMaxWait, MinInterval: upstreamReadInterval, SoleMinInterval: 2 * upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
+		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MaxAge: d.settings.ChangeTimeLimit, MinInterval: upstreamReadInterval, SoleMinInterval: 2 * upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
 	}, d.platform.Feed, peers, d.log)
 	d.quarantineMirror = mirror.New(mirror.Settings{
-		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, SoleMaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
+		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
 	}, d.platform.Feed, peers, d.log)
 	d.recordMirror = mirror.New(mirror.Settings{
-		Table: goalRecordKey, MaxWait: recordMaxWait, SoleMaxWait: recordMaxWait, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.applyRecordRows(rows) },
+		Table: goalRecordKey, MaxWait: recordMaxWait, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.applyRecordRows(rows) },
 	}, goalRecordFeed{d.platform.Table}, peers, d.log)
 	d.copies = mirror.NewFollower(mirror.FollowerSettings{
 		Self: mirror.Node{Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.PeerListen}, Others: d.copySources, StartHold: d.startHold(),
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -52,7 +52,10 @@
 	// comes before this one, so that the fleet's rate does not grow with its size.
 	goalRetryPerRank = 50 * time.Millisecond
 	// goalRecordFactTTL is how long the fact of a renewal is spread.
-	goalRecordFactTTL = 2 * (goalRecordInterval + soleMaxWait)
+	goalRecordFactTTL = 2 * (goalRecordInterval + maxCompletionAge)
+	// maxCompletionAge is how long ago the last answer of the store to the daemon that reads
+	// for others may be in calm.
+	maxCompletionAge = 2 * time.Second
 	// goalRecordTimeout limits one write, including retries.
 	goalRecordTimeout = 2 * platform.CallTimeout
 	// goalPageRows is the number of goals that are read at once.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -56,6 +56,9 @@
 	FirstStart bool
 	// FencedOrders is set if engines reject orders with an old fencing token.
 	FencedOrders bool
+	// ChangeTimeLimit is how long after its acknowledgement a change of the operators' or the
+	// upstreams' table has to be in force at each daemon; default is 2 s.
+	ChangeTimeLimit time.Duration
 	// WeightSwitchTimeLimit is the time limit for engines to switch to new weights.
 	WeightSwitchTimeLimit time.Duration
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -19,16 +20,28 @@
 )
 
 const (
-	// maxCopyAge is the age from which on the copies of others do not do, so that this
-	// daemon reads the store. Two frames in a row may be late, at this daemon's source and
-	// at the one before.
-	maxCopyAge = 4 * streamInterval
-	// frameTimeout is how long a source may send nothing.
-	frameTimeout = 1200 * time.Millisecond
+	// pollShare is the share of Settings.MaxAge after which a poll of the store is answered
+	// although nothing changed, pollPatience the share for which its answer may be late.
+	pollShare, pollPatience = 0.45, 0.25
+	// successorShare, relayShare and leafShare are the shares of Settings.MaxAge after which
+	// a daemon's copies are stale: that of the daemon next in turn to read the store, of
+	// those that others of their data centre follow, and of the others. Each finds the one
+	// before reading already, unless it fails too; what is left is for a read of the store.
+	successorShare, relayShare, leafShare = 0.6, 0.7, 0.8
+	// sourceShare is the share after which another source is followed, which may have
+	// become newer meanwhile.
+	sourceShare = (relayShare + leafShare) / 2
+	// maxFrameInterval is how long a source may send nothing.
+	maxFrameInterval = 1200 * time.Millisecond
 	// startPatience is how long a starting daemon that knows others waits for their copies.
 	startPatience = 600 * time.Millisecond
-	// turnCheckInterval is the interval between checks of whom to follow.
-	turnCheckInterval = 100 * time.Millisecond
+	// turnCheckInterval is the maximum interval between checks of whom to follow,
+	// minTurnCheckInterval the minimum.
+	turnCheckInterval    = 100 * time.Millisecond
+	minTurnCheckInterval = 5 * time.Millisecond
+	// minConfirmation is the least advance of the time of confirmation that is passed on at
+	// once. It lets daemons that follow each other pass nothing on.
+	minConfirmation = 50 * time.Millisecond
 	// startCheckInterval is turnCheckInterval until the first copy.
 	startCheckInterval = 20 * time.Millisecond
 	// rankInterval is the minimum interval between rankings of the known daemons once there
@@ -81,9 +94,12 @@
 
 	mu        sync.Mutex
 	startedAt time.Time
-	// confirmedAt is the latest time at which the copies are known to be complete by a
-	// source's frame; zero before the first.
-	confirmedAt time.Time
+	// sourceAt is the latest time, as Clock.Local, at which the copies are known to have been
+	// complete by a source's frame; sourced is unset before the first.
+	sourceAt time.Duration
+	sourced  bool
+	// passedOn is the time of confirmation, as Clock.Local, that followers were told last.
+	passedOn time.Duration
 	// suspended holds the sources that failed, by address.
 	suspended map[string]suspension
 	// source is the name of the daemon that is followed, empty if there is none; role is
@@ -137,9 +153,9 @@
 func (f *Follower) sources(now time.Time) []Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmedAt.IsZero() || now.Sub(f.rankedAt) >= rankInterval {
+	if !f.sourced || now.Sub(f.rankedAt) >= rankInterval {
 		policy, others := f.settings.Policy, f.settings.Others()
-		if f.confirmedAt.IsZero() && !f.reading {
+		if !f.sourced && !f.reading {
 			policy = f.settings.StartPolicy
 		}
 		f.ranked, f.rankedAt, f.othersKnown = policy.Sources(f.settings.Self, others), now, len(others) > 0
@@ -161,17 +177,75 @@
 	defer f.mu.Unlock()
 	age := now.Sub(f.startedAt)
 	switch {
-	case len(sources) == 0 && f.confirmedAt.IsZero():
+	case len(sources) == 0 && !f.sourced:
 		return f.othersKnown || age >= f.settings.StartHold
 	case len(sources) == 0:
 		return true
-	case f.confirmedAt.IsZero():
+	case !f.sourced:
 		return age >= startPatience
 	default:
-		return now.Sub(f.confirmedAt) > maxCopyAge
+		return f.settings.Clock.Local()-f.sourceAt > f.staleAge()
 	}
 }
 
+// maxAge returns the smallest limit of the tables that have one; 0 if none has.
+func (f *Follower) maxAge() time.Duration {
+	limit := time.Duration(0)
+	for _, m := range f.mirrors {
+		if age := m.settings.MaxAge; age > 0 && (limit == 0 || age < limit) {
+			limit = age
+		}
+	}
+	return limit
+}
+
+// share returns a part of a time.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
+// staleAge returns the age from which on the copies of others do not do, so that this daemon
+// reads the store. f.mu must be held.
+func (f *Follower) staleAge() time.Duration {
+	local := 0
+	for _, n := range f.ranked {
+		if n.DataCentre == f.settings.Self.DataCentre {
+			local++
+		}
+	}
+	switch {
+	case len(f.ranked) <= 1:
+		return share(f.maxAge(), successorShare)
+	case local <= 1:
+		return share(f.maxAge(), relayShare)
+	default:
+		return share(f.maxAge(), leafShare)
+	}
+}
+
+// maxSourceAge returns the age from which on another source is followed. f.mu must be held.
+func (f *Follower) maxSourceAge() time.Duration {
+	return min(f.staleAge(), share(f.maxAge(), sourceShare))
+}
+
+// frameTimeout returns how long to wait for the next frame of a source: not beyond the time
+// at which its copies are too old, if there are others.
+func (f *Follower) frameTimeout() time.Duration {
+	others := len(f.sources(time.Now())) > 1
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := f.maxSourceAge() - (f.settings.Clock.Local() - f.sourceAt)
+	if !f.sourced || !others || left <= 0 {
+		return maxFrameInterval
+	}
+	return min(left, maxFrameInterval)
+}
+
+// hasSources reports whether there are daemons that this one may follow, now or later.
+func (f *Follower) hasSources() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.ranked) > 0
+}
+
 // updateTurn decides whether this daemon reads the store from now on.
 func (f *Follower) updateTurn() {
 	reading := f.mustRead(time.Now())
@@ -203,10 +277,17 @@
 func (f *Follower) checkInterval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmedAt.IsZero() && !f.reading {
+	if !f.sourced {
+		if f.reading {
+			return turnCheckInterval
+		}
 		return startCheckInterval
 	}
-	return turnCheckInterval
+	untilStale := f.staleAge() - (f.settings.Clock.Local() - f.sourceAt)
+	if untilStale < 0 {
+		return turnCheckInterval
+	}
+	return min(max(untilStale, minTurnCheckInterval), turnCheckInterval)
 }
 
 // isSole reports whether other daemons may follow this one. Of two others, at most one has
@@ -262,9 +343,10 @@
 	return f.reading, f.source
 }
 
-// Age returns how long ago the copies were last known to be complete.
+// Age returns how long ago the copies of the tables that have a maximum age were last known
+// to be complete.
 func (f *Follower) Age() time.Duration {
-	age, known := f.age(time.Now())
+	age, known := f.age()
 	if !known {
 		return time.Since(f.startedAt)
 	}
@@ -272,23 +354,39 @@
 }
 
 // age is Age; known is false if a table has not been read.
-func (f *Follower) age(now time.Time) (age time.Duration, known bool) {
-	f.mu.Lock()
-	reading, confirmedAt := f.reading, f.confirmedAt
-	f.mu.Unlock()
+func (f *Follower) age() (age time.Duration, known bool) {
+	at, known := f.lastConfirmed()
+	return max(0, f.settings.Clock.Local()-at), known
+}
+
+// lastConfirmed returns the time, as Clock.Local, at which the copies of the tables that have
+// a maximum age were last known to be complete; known is false if a table has not been read.
+func (f *Follower) lastConfirmed() (at time.Duration, known bool) {
+	limited := false
 	for _, m := range f.mirrors {
-		readAge, synced := m.readAge(now)
-		if !synced {
+		tableAt, ok := m.lastConfirmed()
+		if !ok {
 			return 0, false
 		}
-		if reading {
-			age = max(age, min(readAge, now.Sub(confirmedAt)))
+		if m.settings.MaxAge > 0 && (!limited || tableAt < at) {
+			at, limited = tableAt, true
 		}
 	}
-	if !reading {
-		age = now.Sub(confirmedAt)
+	return at, true
+}
+
+// notifyConfirmed passes on that the copies were confirmed, if that is news.
+func (f *Follower) notifyConfirmed() {
+	at, known := f.lastConfirmed()
+	f.mu.Lock()
+	isNews := known && at >= f.passedOn+minConfirmation
+	if isNews {
+		f.passedOn = at
+	}
+	f.mu.Unlock()
+	if isNews {
+		f.notify()
 	}
-	return max(age, 0), true
 }
 
 // Run follows other daemons whenever there are any to follow, until ctx ends.
@@ -328,6 +426,8 @@
 var (
 	errBetterSource = errors.New("another source is preferred")
 	errStaleSource  = errors.New("the source's copies are too old")
+	// errIncompleteSource is the error of a source without copies of all tables.
+	errIncompleteSource = errors.New("the source lacks copies")
 )
 
 // suspend stops following a source for a while.
@@ -336,7 +436,12 @@
 	f.mu.Lock()
 	maps.DeleteFunc(f.suspended, func(_ string, s suspension) bool { return now.Sub(s.until) > sourceBackoff.Max })
 	failures := f.suspended[n.Address].failures
-	f.suspended[n.Address] = suspension{until: now.Add(sourceBackoff.Delay(failures)), failures: failures + 1}
+	if errors.Is(err, errStaleSource) {
+		// It may be newer again as soon as the store answers it.
+		f.suspended[n.Address] = suspension{until: now.Add(sourceBackoff.Min), failures: failures}
+	} else {
+		f.suspended[n.Address] = suspension{until: now.Add(sourceBackoff.Delay(failures)), failures: failures + 1}
+	}
 	followed := f.source == n.Name
 	f.source = ""
 	f.mu.Unlock()
@@ -348,7 +453,7 @@
 // describeAge returns, for a log line, how old the copies are held to be, and by table how
 // long ago the store last answered by its clock, at this daemon or at one that it follows.
 func (f *Follower) describeAge() string {
-	age, known := f.age(time.Now())
+	age, known := f.age()
 	storeNow, read := f.settings.Clock.Now()
 	if !known || !read {
 		return ""
@@ -393,30 +498,44 @@
 	for _, m := range f.mirrors {
 		req.Follow[m.settings.Table] = m.copyVersion(whole)
 	}
-	if err := conn.SetDeadline(time.Now().Add(frameTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(maxFrameInterval)); err != nil {
 		return err
 	}
 	if err := writeFrame(conn, &req); err != nil {
 		return err
 	}
 	for streamed := false; ; {
-		if err := conn.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(f.frameTimeout())); err != nil {
 			return err
 		}
 		var frame copyFrame
 		if err := readFrame(conn, maxResponseBytes, &frame); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && f.sourceIsStale() {
+				return errStaleSource
+			}
 			return err
 		}
-		if err := f.applyFrame(source, &frame, streamed); err != nil {
+		err := f.applyFrame(source, &frame, streamed)
+		sources := f.sources(time.Now())
+		switch {
+		case errors.Is(err, errStaleSource) && len(sources) == 1 && sources[0] == source:
+			// There is no other: it may be the first to hear of the store again.
+		case err != nil:
 			return err
-		}
-		streamed = streamed || frame.AgeMs >= 0
-		if sources := f.sources(time.Now()); len(sources) == 0 || sources[0] != source {
+		case len(sources) == 0 || sources[0] != source:
 			return errBetterSource
 		}
+		streamed = streamed || frame.AgeMs >= 0
 	}
 }
 
+// sourceIsStale reports whether the copies are too old by the source's last frame.
+func (f *Follower) sourceIsStale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sourced && f.settings.Clock.Local()-f.sourceAt >= f.maxSourceAge()
+}
+
 // takeResync reports whether whole tables have to be requested, and resets it.
 func (f *Follower) takeResync() bool {
 	f.mu.Lock()
@@ -430,23 +549,25 @@
 var errResync = errors.New("the copy differs from the source's")
 
 // applyFrame applies a frame; streamed is set if it follows one with all tables. It fails if
-// the source does not know all tables although there was time for it, or if its knowledge
-// is too old.
+// the source does not know all tables although there was time for it. The error is
+// errStaleSource if its knowledge is too old; the frame counts nevertheless.
 func (f *Follower) applyFrame(source Node, frame *copyFrame, streamed bool) error {
 	now := time.Now()
 	f.mu.Lock()
-	starting := f.confirmedAt.IsZero() && now.Sub(f.startedAt) < startPatience
+	starting := !f.sourced && now.Sub(f.startedAt) < startPatience
+	maxAge := f.maxSourceAge()
 	f.mu.Unlock()
-	age := time.Duration(frame.AgeMs) * time.Millisecond
+	if frame.Now != 0 {
+		f.settings.Clock.ObserveRelayed(frame.Now)
+	}
 	switch {
 	case frame.AgeMs < 0 && starting:
 		return nil // it starts too and is about to read the tables
-	case frame.AgeMs < 0 || age > maxCopyAge || !streamed && len(frame.Tables) != len(f.mirrors):
-		return errStaleSource
-	}
-	if frame.Now != 0 {
-		f.settings.Clock.ObserveRelayed(frame.Now)
+	case frame.AgeMs < 0 || !streamed && len(frame.Tables) != len(f.mirrors):
+		return errIncompleteSource
 	}
+	age := time.Duration(frame.AgeMs)*time.Millisecond + f.transit(frame)
+	at := f.settings.Clock.Local() - age
 	for _, m := range f.mirrors {
 		for i := range frame.Tables {
 			if frame.Tables[i].Table == m.settings.Table && !m.applyCopied(&frame.Tables[i], source.Name) && f.mayResync(now) {
@@ -454,16 +575,36 @@
 			}
 		}
 	}
+	for _, m := range f.mirrors {
+		m.confirm(at)
+	}
 	f.mu.Lock()
-	if at := now.Add(-age); at.After(f.confirmedAt) {
-		f.confirmedAt = at
+	if !f.sourced || at > f.sourceAt {
+		f.sourceAt, f.sourced = at, true
 	}
+	f.mu.Unlock()
+	f.notifyConfirmed()
+	if age > maxAge {
+		return errStaleSource
+	}
+	f.mu.Lock()
 	delete(f.suspended, source.Address)
 	f.mu.Unlock()
 	f.logRole(source.Name)
 	return nil
 }
 
+// transit returns how long a frame was on its way, by the store's clock as its sender and
+// this daemon estimate it. A sender that stood still, or a link that was cut, may have held
+// it up.
+func (f *Follower) transit(frame *copyFrame) time.Duration {
+	now, ok := f.settings.Clock.Now()
+	if !ok || frame.Now == 0 {
+		return 0
+	}
+	return max(0, now.Sub(f.settings.Clock.FromStore(frame.Now)))
+}
+
 func (f *Follower) mayResync(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -50,9 +50,11 @@
 	MinInterval time.Duration
 	// SoleMinInterval is MinInterval while other daemons follow this one.
 	SoleMinInterval time.Duration
-	// MaxWait is the maximum duration of one long poll, SoleMaxWait the same while other
-	// daemons follow this one: none of them shows that the store's answer was lost.
-	MaxWait, SoleMaxWait time.Duration
+	// MaxWait is the maximum duration of one long poll.
+	MaxWait time.Duration
+	// MaxAge is how old the copy may become in a fleet where few daemons read the store:
+	// the time in which a change has to be known everywhere. 0 means no limit.
+	MaxAge time.Duration
 	// RowsExpire is set if rows are removed when their writers stop renewing
 	// them. After an outage, missing rows are kept for the reappearanceWindow.
 	RowsExpire bool
@@ -115,9 +117,13 @@
 	// recheck requests a read of the store although another daemon is followed.
 	recheck chan struct{}
 	// storeOK is set after a read of the store until one fails or another daemon is
-	// followed; readAt is when the last one ended.
+	// followed.
 	storeOK bool
-	readAt  time.Time
+	// confirmedAt is the latest time, as Clock.Local, at which the copy is known to have been
+	// complete, by an answer of the store to this daemon or to one that it follows; confirmed
+	// is unset before the first.
+	confirmedAt time.Duration
+	confirmed   bool
 	// lastReadAt is the store's time of the last read, this daemon's or its source's.
 	lastReadAt platform.StoreTime
 	// completeAt is the store's time of the last read whose changes were passed to OnChange.
@@ -192,15 +198,21 @@
 	m.storeOK = false
 }
 
-// readAge returns how long ago the copy was last known to be complete by a read of the
-// store; synced is false if it never was.
-func (m *Mirror) readAge(now time.Time) (age time.Duration, synced bool) {
+// confirm notes that the copy was complete at a time of Clock.Local.
+func (m *Mirror) confirm(at time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.storeOK {
-		return 0, true // a long poll would have told of changes
+	if !m.confirmed || at > m.confirmedAt {
+		m.confirmedAt, m.confirmed = at, true
 	}
-	return now.Sub(m.readAt), m.synced
+}
+
+// lastConfirmed returns the latest time, as Clock.Local, at which the copy is known to have
+// been complete; ok is false if there is none.
+func (m *Mirror) lastConfirmed() (at time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmedAt, m.synced && m.confirmed
 }
 
 // copyVersion returns the version of the copy, 0 if there is none or anew is set.
@@ -258,19 +270,23 @@
 }
 
 func (m *Mirror) minInterval() time.Duration {
+	interval := m.settings.MinInterval
+	if m.inReappearanceWindow() {
+		interval = max(interval, reappearancePollInterval)
+	}
 	if m.follower != nil && m.follower.isSole() {
-		return max(m.settings.MinInterval, m.settings.SoleMinInterval)
+		interval = max(interval, m.settings.SoleMinInterval)
+	}
+	if m.isAgeLimited() {
+		interval = min(interval, share(m.settings.MaxAge, pollShare))
 	}
-	return m.settings.MinInterval
+	return interval
 }
 
 func (m *Mirror) recordRead(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.storeOK = err == nil
-	if err == nil {
-		m.readAt = time.Now()
-	}
 }
 
 func (m *Mirror) recordFailure(err error) {
@@ -293,17 +309,17 @@
 	if !synced || m.storeFailing || m.inReappearanceWindow() {
 		return m.readWholeTable(ctx)
 	}
-	wait := m.settings.MaxWait
+	wait, timeout := m.settings.MaxWait, callTimeout
 	switch {
 	case m.follower != nil && !reading:
 		wait = 0 // followers wait for the proof that this daemon reads the store
-	case m.follower != nil && m.follower.isSole():
-		wait = m.settings.SoleMaxWait
+	case m.isAgeLimited():
+		wait, timeout = m.pollWait(), share(m.settings.MaxAge, pollPatience)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	m.setCancelWait(cancel)
-	start := time.Now()
+	start, sentAt := time.Now(), m.local()
 	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, version, wait)
 	took := time.Since(start)
 	m.setCancelWait(nil)
@@ -319,9 +335,49 @@
 		return err
 	}
 	m.apply(changes, took)
+	m.confirmRead(changes.ReadAt, sentAt)
 	return nil
 }
 
+// isAgeLimited reports whether the copy has a maximum age and others depend on this daemon's
+// reads, or it on theirs.
+func (m *Mirror) isAgeLimited() bool {
+	return m.settings.MaxAge > 0 && m.follower != nil && (m.follower.isSole() || m.follower.hasSources())
+}
+
+// pollWait returns how long a poll may wait for the copy to be confirmed in time although
+// nothing changes.
+func (m *Mirror) pollWait() time.Duration {
+	wait := share(m.settings.MaxAge, pollShare)
+	if at, ok := m.lastConfirmed(); ok {
+		wait -= m.local() - at
+	}
+	return max(0, wait)
+}
+
+// local returns the present time of Clock.Local.
+func (m *Mirror) local() time.Duration {
+	if m.settings.Clock == nil {
+		return 0
+	}
+	return m.settings.Clock.Local()
+}
+
+// confirmRead notes that the store read the copy at a time of its clock, in response to a
+// call that was sent at a time of Clock.Local. An answer may have been late, so that the
+// time of its receipt proves nothing.
+func (m *Mirror) confirmRead(readAt platform.StoreTime, sentAt time.Duration) {
+	if m.follower == nil {
+		return
+	}
+	at := sentAt
+	if now, ok := m.settings.Clock.Now(); ok && readAt != 0 {
+		at = max(at, m.local()-max(0, now.Sub(readAt)))
+	}
+	m.confirm(at)
+	m.follower.notifyConfirmed()
+}
+
 // readUnanswered reads the whole table after a poll without an answer. Newer copies of peers
 // are awaited meanwhile, because the store may leave this daemon alone without answers.
 func (m *Mirror) readUnanswered(ctx context.Context) error {
@@ -351,7 +407,7 @@
 func (m *Mirror) readWholeTable(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	start := time.Now()
+	start, sentAt := time.Now(), m.local()
 	changes, err := m.store.ReadTable(callCtx, m.settings.Table)
 	if err != nil {
 		return err
@@ -363,14 +419,11 @@
 		m.log.Emit(eventlog.FeedRecovered, eventlog.Fields{Detail: m.settings.Table})
 	}
 	m.apply(changes, took)
-	if !m.inReappearanceWindow() {
-		return nil
-	}
-	if time.Since(m.recoveredAt) > reappearanceWindow {
+	m.confirmRead(changes.ReadAt, sentAt)
+	if m.inReappearanceWindow() && time.Since(m.recoveredAt) > reappearanceWindow {
 		m.recoveredAt = time.Time{}
-		return nil
 	}
-	return backoff.Sleep(ctx, reappearancePollInterval)
+	return nil
 }
 
 // followPeers waits for newer copies of peers.
--- a/internal/mirror/stream.go
+++ b/internal/mirror/stream.go
@@ -117,13 +117,14 @@
 	for table, version := range versions {
 		positions[table] = position{version: version}
 	}
-	tick := time.NewTicker(streamInterval)
-	defer tick.Stop()
+	silent := time.NewTimer(streamInterval)
+	defer silent.Stop()
 	for {
 		changed := f.changedSignal()
 		frame := copyFrame{AgeMs: unknownAge}
-		if age, known := f.age(time.Now()); known {
-			frame.AgeMs = age.Milliseconds()
+		if age, known := f.age(); known {
+			// Rounded up, or daemons that follow each other would make their copies newer.
+			frame.AgeMs = age.Milliseconds() + 1
 		}
 		if now, ok := f.settings.Clock.Now(); ok {
 			frame.Now = f.settings.Clock.ToStore(now)
@@ -140,11 +141,12 @@
 		if conn.SetWriteDeadline(time.Now().Add(callTimeout)) != nil || writeFrame(conn, &frame) != nil {
 			return
 		}
+		silent.Reset(streamInterval)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-tick.C:
+		case <-silent.C:
 		}
 	}
 }
