--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -176,6 +176,9 @@
 	// beginning with that for r, or none to serve it as usual. Requests after the last
 	// step get an Answer.
 	ChooseScript func(r *http.Request) []Step
+	// RateLimit holds the values of the Server-Limit header of all responses to requests; nil
+	// for none.
+	RateLimit atomic.Pointer[[]string]
 	// RetryAfter is the Retry-After header of refusals by Shed and ShedSilently; empty
 	// for none.
 	RetryAfter string
@@ -318,6 +321,9 @@
 	h := w.Header()
 	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", u.running()+1, queued, u.slots()))
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if values := u.RateLimit.Load(); values != nil {
+		h["Server-Limit"] = *values
+	}
 	expected := r.Header.Get("X-Expected-Version")
 	if expected != "" && expected != strconv.Itoa(version) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
