Divide the rate that an engine states among all daemons

Cause: nothing read Server-Limit, a promise that binds all daemons together, of which each knows a part.

Change: time is divided into turns by the store's clock, which all daemons estimate; each turn belongs to one of them, by weighted rendezvous hashing, so that they agree without messages (internal/ratelimit). A limit is told to peers, dated by the store's clock; it ends with the engine's word or its process. Every attempt passes one gate in the scheduler. An engine without an allowance is no candidate; where all are, what would wait too long is refused at once. Ruled out: fixed token buckets, counts told by gossip, leases in the store.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -36,6 +36,8 @@
 	CacheEventsUnreadable      ID = 305
 	CacheEventsReadable        ID = 306
 	UpstreamHeldOff            ID = 307
+	UpstreamRateLimited        ID = 308
+	UpstreamRateMalformed      ID = 309
 	DocumentAdopted            ID = 401
 	DocumentAccepted           ID = 402
 	DocumentRejected           ID = 403
@@ -111,6 +113,8 @@
 	{CacheEventsUnreadable, hclog.Info, "cache events of an engine are unreadable"},
 	{CacheEventsReadable, hclog.Info, "cache events of an engine are readable again"},
 	{UpstreamHeldOff, hclog.Info, "upstream asks for no requests"},
+	{UpstreamRateLimited, hclog.Info, "rate limit of an upstream"},
+	{UpstreamRateMalformed, hclog.Warn, "malformed rate limit of an upstream"},
 	{DocumentAdopted, hclog.Info, "document adopted"},
 	{DocumentAccepted, hclog.Info, "document accepted"},
 	{DocumentRejected, hclog.Info, "document rejected"},
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -69,7 +69,15 @@
 	// OnLeaving is called, before the response is relayed, for each response in which
 	// an upstream says that it leaves; may be nil.
 	OnLeaving func(u *fleet.Registration)
-	Log       *eventlog.Log
+	// OnRateLimit is called for each response that tells something of an upstream's rate
+	// limit; may be nil.
+	OnRateLimit func(u *fleet.Registration)
+	// OnRateLimited is called for each attempt that goes elsewhere because of a rate limit,
+	// and for each request that is refused; may be nil.
+	OnRateLimited func(refused bool)
+	// OnMalformedRateLimit is called for each stated rate limit without meaning; may be nil.
+	OnMalformedRateLimit func()
+	Log                  *eventlog.Log
 	// MaxBodyBytes limits the total size of request bodies held in memory; 0
 	// means no limit.
 	MaxBodyBytes int64
@@ -101,6 +109,15 @@
 	if c.OnLeaving == nil {
 		c.OnLeaving = func(*fleet.Registration) {}
 	}
+	if c.OnRateLimit == nil {
+		c.OnRateLimit = func(*fleet.Registration) {}
+	}
+	if c.OnRateLimited == nil {
+		c.OnRateLimited = func(bool) {}
+	}
+	if c.OnMalformedRateLimit == nil {
+		c.OnMalformedRateLimit = func() {}
+	}
 	if c.OnOutcome == nil {
 		c.OnOutcome = func(Outcome) {}
 	}
--- a/internal/forward/metadata.go
+++ b/internal/forward/metadata.go
@@ -85,6 +85,11 @@
 	// HoldOff is how long the upstream wants no more requests from this daemon; 0 if
 	// not stated.
 	HoldOff time.Duration
+	// RateLimit is how many requests a second the upstream takes from all daemons together;
+	// 0 if not stated.
+	RateLimit float64
+	// MalformedRateLimit is a stated rate limit that has no meaning; empty if there is none.
+	MalformedRateLimit string
 	// HasOriginProof is set if the response proves that an upstream of the deployment
 	// sent it.
 	HasOriginProof bool
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -46,6 +46,7 @@
 	// daemonCount may be relied on.
 	startedAt    time.Time
 	knowsDaemons bool
+	shares       daemonShares
 }
 
 // daemonCountDelay is the time after its start from which a daemon without peers
@@ -64,6 +65,10 @@
 	runner *schedule.Runner
 	// holdOffsEnd is when the last of the hold-offs ends; nil if there was none.
 	holdOffsEnd atomic.Pointer[time.Time]
+	// rateLimited is set once an upstream has stated a rate limit; malformedLoggedAt is when
+	// one without meaning was last logged, in Unix nanoseconds.
+	rateLimited       atomic.Bool
+	malformedLoggedAt atomic.Int64
 
 	mu        sync.Mutex
 	retries   *admission.Budget
@@ -253,6 +258,7 @@
 	}
 	svc.runner.OnShareDue(s.signalShareDue)
 	svc.setDaemonCount(s.daemonCount, s.retryBurst())
+	svc.setShares(s.shares)
 	if s.knowsDaemons {
 		svc.grantRetries(s.retryBurst())
 	}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -175,6 +175,9 @@
 	select {
 	case action := <-actions:
 		t.queueTime += time.Since(submitted)
+		if action.RateLimited {
+			t.forwarder.OnRateLimited(action.Kind == routing.Refuse)
+		}
 		if action.Kind == routing.Refuse {
 			e := verdict.New(verdict.NotRun, action.Code, "no upstream can accept the request in time")
 			e.RetryAfter = action.RetryAfter
@@ -282,9 +285,9 @@
 
 // attemptOutcome counts an error as the upstream's failure unless the caller
 // disconnected, the deadline of the request or of the attempt passed, or the upstream
-// is held off.
+// is held off or its rate limited.
 func (t *transfer) attemptOutcome(upstream string, err error) routing.Outcome {
-	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errHeldOff) || !time.Now().Before(t.attemptDeadline(upstream)) {
+	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.IsAny(err, errHeldOff, errRateLimited) || !time.Now().Before(t.attemptDeadline(upstream)) {
 		return routing.Canceled
 	}
 	return routing.Failed
@@ -421,6 +424,9 @@
 			if s.heldOff(u) {
 				return nil, errHeldOff
 			}
+			if !s.admits(id, u) {
+				return nil, errRateLimited
+			}
 			if d.HasPrompt {
 				d.CacheScope = cacheScope(t.sharingGroup(), d.WeightsVersion)
 			}
@@ -433,13 +439,14 @@
 	}
 }
 
-// recordResponseMetadata applies the hold-off, the load, the weights version and the
-// leaving that a response reports. A misdirected request may have been answered by
+// recordResponseMetadata applies the hold-off, the rate limit, the load, the weights version and
+// the leaving that a response reports. A misdirected request may have been answered by
 // another upstream.
 func (t *transfer) recordResponseMetadata(s *service, u *fleet.Registration, metadata ResponseMetadata) {
 	if metadata.HoldOff > 0 && s.holdOff(u, metadata.HoldOff) {
 		t.forwarder.Log.Emit(eventlog.UpstreamHeldOff, eventlog.Fields{Service: s.name, Upstream: u.ID, RequestID: t.metadata.ID, Detail: "for " + metadata.HoldOff.String()})
 	}
+	t.recordRateLimit(s, u, metadata)
 	if l := metadata.Load; l != nil {
 		s.runner.Do(func(sched routing.Scheduler, now time.Time) {
 			sched.ApplyLoadReport(now, routing.LoadReport{Endpoint: u.ID, At: now, Running: l.Running, Queued: l.Queued, Slowdown: l.Slowdown})
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -28,16 +28,17 @@
 			reading, _ := d.copies.Reading()
 			return boolGauge(reading)
 		},
-		telemetry.NamePeers:            func() float64 { return float64(len(d.gossipNode.Peers())) },
-		telemetry.NameGossipSent:       func() float64 { return float64(d.gossipNode.Stats().SentBytes) },
-		telemetry.NameGossipReceived:   func() float64 { return float64(d.gossipNode.Stats().ReceivedBytes) },
-		telemetry.NameGossipFacts:      func() float64 { return float64(d.gossipNode.Stats().Facts) },
-		telemetry.NameEnginesBehind:    func() float64 { return float64(d.enginesBehind()) },
-		telemetry.NameEnginesExpired:   func() float64 { return float64(d.expiredEngines.Load()) },
-		telemetry.NameGoalsUndated:     func() float64 { return float64(d.undatedGoals()) },
-		telemetry.NameSuspectedParts:   func() float64 { return float64(d.promptParts.SuspectedCount()) },
-		telemetry.NameQuarantinedParts: func() float64 { return float64(d.promptParts.QuarantinedCount()) },
-		telemetry.NameLeaseHeld:        func() float64 { return boolGauge(d.leaseHeld.Load()) },
+		telemetry.NamePeers:                func() float64 { return float64(len(d.gossipNode.Peers())) },
+		telemetry.NameGossipSent:           func() float64 { return float64(d.gossipNode.Stats().SentBytes) },
+		telemetry.NameGossipReceived:       func() float64 { return float64(d.gossipNode.Stats().ReceivedBytes) },
+		telemetry.NameGossipFacts:          func() float64 { return float64(d.gossipNode.Stats().Facts) },
+		telemetry.NameEnginesBehind:        func() float64 { return float64(d.enginesBehind()) },
+		telemetry.NameEnginesExpired:       func() float64 { return float64(d.expiredEngines.Load()) },
+		telemetry.NameGoalsUndated:         func() float64 { return float64(d.undatedGoals()) },
+		telemetry.NameSuspectedParts:       func() float64 { return float64(d.promptParts.SuspectedCount()) },
+		telemetry.NameQuarantinedParts:     func() float64 { return float64(d.promptParts.QuarantinedCount()) },
+		telemetry.NameRateLimitedUpstreams: func() float64 { return float64(d.services.RateLimits()) },
+		telemetry.NameLeaseHeld:            func() float64 { return boolGauge(d.leaseHeld.Load()) },
 		telemetry.NameStateRevision: func() float64 {
 			if table := d.view.table.Load(); table != nil {
 				return float64(table.Revision)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -92,6 +92,7 @@
 	node.Subscribe(gossip.KindGoalVersion, d.receiveGoal)
 	node.Subscribe(gossip.KindStateRevision, d.receiveRevision)
 	node.Subscribe(gossip.KindGoalRecord, d.receiveGoalRecord)
+	node.Subscribe(gossip.KindRateLimit, d.receiveRateLimit)
 	return nil
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -174,6 +174,7 @@
 	d.view.registered = list
 	d.pruneLearnedVersions()
 	d.view.leaving.prune(time.Now(), list)
+	d.rateFacts.prune(list)
 	d.view.mu.Unlock()
 	d.updateServices()
 }
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -52,6 +52,10 @@
 	// KindWitness announces that its origin finds a daemon unresponsive. ID is made of the
 	// daemon's name and the origin's, Value is the version of the daemon's fact by then.
 	KindWitness Kind = 13
+	// KindRateLimit announces the rate limit that an upstream states, or that it states none
+	// any more. ID names the start of its process, Version holds the time on the store's
+	// clock and the rate: one fact serves all daemons.
+	KindRateLimit Kind = 14
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -21,6 +21,8 @@
 	// organisationHash is the hash of the organisation's name.
 	organisationHash uint64
 	gotFirstToken    bool
+	// admitted is set once the attempt has used an allowance of the engine's rate limit.
+	admitted bool
 	// hintAge is the age of the cache hint that the choice relied on, negative
 	// without one; hintedBlocks is the number of blocks that the hint covers.
 	hintAge      time.Duration
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -57,6 +57,8 @@
 	// presumedSource is the home, other than engine, that is presumed to hold the prompt;
 	// empty for none.
 	presumedSource string
+	// rateLimited is true if an engine with a rate limit was ruled out.
+	rateLimited bool
 	// anyEligible is true if some home may run the request, with or without room.
 	anyEligible bool
 }
@@ -87,6 +89,7 @@
 		}
 		e := p.engines[i]
 		if e == exclude || p.excluded(now, e, r) {
+			out.rateLimited = out.rateLimited || e.limiter != nil
 			continue
 		}
 		out.anyEligible = true
@@ -373,7 +376,7 @@
 	if slices.Contains(r.ExcludedEndpoints, e.ep.ID) || r.Isolated && e.ownIsolated > 0 {
 		return true
 	}
-	return p.rules.ejection && p.isEjected(now, e)
+	return p.rules.ejection && p.isEjected(now, e) || p.lacksAllowance(now, e)
 }
 
 // isEjected reports whether the engine gets no work after failures. When its
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -124,10 +124,10 @@
 // queuedHomes returns the homes of a queued request, which are computed again when
 // the engines change.
 func (p *Policy) queuedHomes(now time.Time, w *queuedRequest) []int {
-	if w.engineGeneration == p.engineGeneration {
+	if w.engineGeneration == p.engineGeneration && p.rateLimits.limited == 0 {
 		return w.homes
 	}
-	return p.homes(now, w.request)
+	return p.homes(now, w.request) // which engines have an allowance changes all the time
 }
 
 // worthWaiting reports whether a cheaper home without room is worth waiting for.
@@ -150,13 +150,14 @@
 	if e.failures > 0 {
 		e.probing = true
 	}
+	a.admitted = e.limiter != nil && e.limiter.Take()
 	e.add(a)
 	p.shareDue = p.shareDue || a.uncachedTokens >= longPromptTokens
 	p.ownAttempts++
 	p.countDemand(now, f.request, 1)
 	p.organisations.get(a.organisationHash).ownAttempts++
 	f.attempts = append(f.attempts, a)
-	action := Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation, Reasons: Reasons{
+	action := Action{Kind: kind, Request: f.request, Endpoint: e.ep.ID, Incarnation: e.ep.Incarnation, RateLimited: c.rateLimited, Reasons: Reasons{
 		Rank: c.rank, Homes: c.homes, HeldTokens: int(c.heldTokens), ComputeTokens: int(c.uncachedTokens), Wait: c.candidate.Wait + c.candidate.SlotWait,
 		Cost: time.Duration(c.cost * float64(time.Second)), Slowdown: c.candidate.Slowdown, Running: p.takenSlots(e) - 1,
 	}}
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -31,6 +31,7 @@
 		p.engines = append(p.engines, e)
 	}
 	p.keepRemoved(old)
+	p.applyRateLimits()
 	p.sizeTables(now)
 	p.countEjected(now)
 	p.chooseReserved()
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -5,6 +5,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/admission"
 	"github.com/verbenabend/verbenabend/internal/placement"
+	"github.com/verbenabend/verbenabend/internal/ratelimit"
 )
 
 const (
@@ -54,6 +55,8 @@
 	probing bool
 	// heldOffUntil is when the engine's hold-off ends.
 	heldOffUntil time.Time
+	// limiter is this daemon's part of the rate that the engine states; nil without one.
+	limiter *ratelimit.Limiter
 }
 
 // peerTotals sums the loads that peers shared for an engine.
--- a/internal/routing/holdoff.go
+++ b/internal/routing/holdoff.go
@@ -62,9 +62,9 @@
 const maxSpares = 16
 
 // replaceHeldOff returns the homes of a request, or other engines of its pool while
-// hold-offs leave it none of its homes.
+// hold-offs and rate limits leave it none of its homes.
 func (p *Policy) replaceHeldOff(now time.Time, r *Request, pool *placement.Pool, homes []int) []int {
-	if len(p.holdOffs) == 0 {
+	if len(p.holdOffs) == 0 && p.rateLimits.limited == 0 {
 		return homes
 	}
 	heldOff := false
@@ -73,7 +73,7 @@
 		if !p.excluded(now, e, r) {
 			return homes
 		}
-		heldOff = heldOff || now.Before(e.heldOffUntil)
+		heldOff = heldOff || now.Before(e.heldOffUntil) || p.lacksAllowance(now, e)
 	}
 	if !heldOff {
 		return homes
@@ -86,13 +86,14 @@
 	return spares[:min(len(spares), maxSpares)]
 }
 
-// refuseHeldOff refuses the queued requests that hold-offs have left without an engine.
+// refuseHeldOff refuses the queued requests that hold-offs and rate limits have left without
+// an engine.
 func (p *Policy) refuseHeldOff(now time.Time) {
 	if !p.checkHeldOff {
 		return
 	}
 	p.checkHeldOff = false
-	if len(p.holdOffs) == 0 {
+	if len(p.holdOffs) == 0 && p.rateLimits.limited == 0 {
 		return
 	}
 	for _, it := range p.queue.Items() {
@@ -102,29 +103,44 @@
 	}
 }
 
-// refuseIfHeldOff refuses a request if all engines that could run it are held off for
-// longer than it may wait, and reports whether it did.
+// refuseIfHeldOff refuses a request if all engines that could run it are held off, or take
+// nothing because of their rate limits, for longer than it may wait, and reports whether it did.
 func (p *Policy) refuseIfHeldOff(now time.Time, it *admission.Item[*queuedRequest]) bool {
 	r := it.Value.request
 	pool := p.pool(r)
-	if pool == nil || len(p.holdOffs) == 0 || len(p.holdOffs)+len(r.ExcludedEndpoints) < len(pool.Members) {
-		return false // some engine is not held off
+	if pool == nil || len(p.holdOffs)+p.rateLimits.limited == 0 || len(p.holdOffs)+p.rateLimits.limited+len(r.ExcludedEndpoints) < len(pool.Members) {
+		return false // some engine takes requests
 	}
 	var end time.Time
+	perSecond := 0.0
 	for _, i := range pool.Members {
 		e := p.engines[i]
-		heldOff := now.Before(e.heldOffUntil)
-		if heldOff {
+		excluded := slices.Contains(r.ExcludedEndpoints, e.ep.ID)
+		switch {
+		case now.Before(e.heldOffUntil):
 			end = earlier(end, e.heldOffUntil)
+			if !excluded && !e.heldOffUntil.After(it.ExpiresAt) {
+				return false
+			}
+		case excluded:
+		case p.lacksAllowance(now, e):
+			perSecond += e.limiter.PerSecond(p.rateGroup())
+		default:
+			return false
 		}
-		if !slices.Contains(r.ExcludedEndpoints, e.ep.ID) && (!heldOff || !e.heldOffUntil.After(it.ExpiresAt)) {
+	}
+	rateLimited := perSecond > 0
+	if rateLimited {
+		free := now.Add(p.allowanceWait(perSecond))
+		if !free.After(it.ExpiresAt) {
 			return false
 		}
+		end = earlier(end, free)
 	}
 	if end.IsZero() {
 		return false
 	}
 	p.refuseItem(it, end.Sub(now))
-	p.actions[len(p.actions)-1].HeldOff = true
+	p.actions[len(p.actions)-1].HeldOff, p.actions[len(p.actions)-1].RateLimited = true, rateLimited
 	return true
 }
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -122,6 +122,7 @@
 // new work before it orders that engine to switch weights.
 func (p *Policy) collectLoads(now time.Time) []PeerLoad {
 	p.shareDue = false
+	p.rateLimits.ownRequests = p.ownAttempts
 	p.shareBuffer = p.shareBuffer[:0]
 	for _, e := range p.engines {
 		p.collectLoad(now, e)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -51,6 +51,8 @@
 	engineGeneration int
 	// holdOffs holds the ends of hold-offs, of engines that are not listed too.
 	holdOffs map[process]time.Time
+	// rateLimits holds the rates that engines state, of engines that are not listed too.
+	rateLimits rateLimits
 	// holdOffsEndAt is no later than the first end of a hold-off; zero if there is none.
 	holdOffsEndAt time.Time
 	// checkHeldOff is true if queued requests may have lost their last engine.
@@ -121,7 +123,7 @@
 	p := &Policy{
 		rules: newRules(s.DisabledRules), settings: s, daemonCount: 1,
 		byID: map[string]*engine{}, pools: map[string]*placement.Pool{},
-		inFlight: map[string]*inFlight{}, peers: map[string]*peerState{}, holdOffs: map[process]time.Time{},
+		inFlight: map[string]*inFlight{}, peers: map[string]*peerState{}, holdOffs: map[process]time.Time{}, rateLimits: rateLimits{byProcess: map[process]*rateState{}},
 		speed:       placement.NewPrefillSpeed(),
 		hedgeBudget: admission.NewBudget(s.HedgePercent, 0),
 		retryBudget: admission.NewBudget(s.RetryPercent, initialRetryBudget),
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -117,6 +117,9 @@
 	// HeldOff is set for Refuse if no engine takes the request before RetryAfter has
 	// passed.
 	HeldOff bool
+	// RateLimited is set for Refuse if that is because of stated rate limits, and for Start
+	// and Hedge if such a limit ruled an engine out.
+	RateLimited bool
 }
 
 // Refusal holds the details of a refusal, for the log.
@@ -313,6 +316,38 @@
 	HeldOff(now time.Time, endpoint string, startedAt int64) bool
 }
 
+// RateLimit is a rate that an engine states, or that it states none.
+type RateLimit struct {
+	// PerSecond is how many requests a second the engine takes from all daemons together;
+	// 0 for no limit.
+	PerSecond float64
+	// At is when a response that stated the limit was received or, for none, when the
+	// request was sent whose response stated none: a response that was on its way when the
+	// engine began to state a limit does not end it.
+	At time.Time
+}
+
+// RateLimitKeeper is implemented by a Scheduler that keeps to the rate limits that engines
+// state, together with the other daemons.
+type RateLimitKeeper interface {
+	// SetRateLimit records what an engine stated to this daemon or to another, for one run of
+	// the engine's process. It is ignored if something newer is known. changed reports
+	// whether the rate is another now.
+	SetRateLimit(now time.Time, endpoint string, startedAt int64, limit RateLimit) (changed bool)
+	// RateLimit returns what is known of a run of an engine's process; known is false if it
+	// never stated a limit.
+	RateLimit(endpoint string, startedAt int64) (limit RateLimit, known bool)
+	// RateLimits returns how many engines' rates are limited.
+	RateLimits() int
+	// SetDaemons sets the names of all daemons, of which self is this one.
+	SetDaemons(now time.Time, self string, daemons []string)
+	// SetSharedTime sets the time on a clock that all daemons share.
+	SetSharedTime(now time.Time, shared time.Duration)
+	// Admit reports whether an attempt that was started may be sent: the limit may have
+	// become known since.
+	Admit(now time.Time, id, endpoint string) bool
+}
+
 // ShareNotifier is implemented by a Scheduler that reports when its loads should be
 // shared with peers at once instead of after the interval.
 type ShareNotifier interface {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,19 +46,25 @@
 	NameSuspectedParts   = "verbenabend_suspected_prompt_parts"
 	NameQuarantinedParts = "verbenabend_quarantined_prompt_parts"
 
+	// Metrics of the rate limits that upstreams state.
+	NameRateLimitedUpstreams = "verbenabend_rate_limited_upstreams"
+	NameRateLimitedRequests  = "verbenabend_rate_limited_requests_total"
+	NameMalformedRateLimits  = "verbenabend_malformed_rate_limits_total"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
 	NameConnsRefused        = "verbenabend_connections_refused_total"
 	NameDescriptorShortages = "verbenabend_descriptor_shortages_total"
 
-	resultOK          = "ok"
-	labelledForwarded = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
-	labelledByRoute   = `%s{route=%q}`
-	labelledByCall    = NameStoreCallSeconds + `{call=%q,result=%q}`
-	labelledEvent     = NameEvents + `{event="%d"}`
-	labelledRequests  = NameRequests + `{service=%q,result=%q}`
-	labelledByService = `%s{service=%q}`
+	resultOK            = "ok"
+	labelledRateLimited = NameRateLimitedRequests + `{result=%q}`
+	labelledForwarded   = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
+	labelledByRoute     = `%s{route=%q}`
+	labelledByCall      = NameStoreCallSeconds + `{call=%q,result=%q}`
+	labelledEvent       = NameEvents + `{event="%d"}`
+	labelledRequests    = NameRequests + `{service=%q,result=%q}`
+	labelledByService   = `%s{service=%q}`
 )
 
 // Names lists all metrics.
@@ -67,6 +73,7 @@
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
+	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -120,6 +127,19 @@
 	}
 }
 
+// CountRateLimited counts a request that rate limits of upstreams kept from one, so that it was
+// sent elsewhere or refused.
+func (m *Metrics) CountRateLimited(refused bool) {
+	result := "diverted"
+	if refused {
+		result = "refused"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(labelledRateLimited, result)).Inc()
+}
+
+// CountMalformedRateLimit counts a stated rate limit without meaning.
+func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
+
 // RecordStoreCall records a call to the platform's store; err is nil on success.
 func (m *Metrics) RecordStoreCall(call string, duration time.Duration, err error) {
 	result := resultOK
