Report attempts however they end, and take no odd status for an answer

Cause: the status made the handler panic. The attempt was never reported to the scheduler, which counted it at its engine for good.

Change: a status below 100 or above 599 is no answer. An attempt is reported when its function ends, also by a panic, and its connection closed or kept. A panic ends its request alone and is logged with the request's id (event 211). Metric verbenabend_attempts.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -29,6 +29,7 @@
 	StreamResumed              ID = 208
 	CallerDisconnected         ID = 209
 	HedgeStarted               ID = 210
+	RequestPanicked            ID = 211
 	UpstreamServing            ID = 301
 	UpstreamLeaving            ID = 302
 	UpstreamDown               ID = 303
@@ -106,6 +107,7 @@
 	{StreamResumed, hclog.Info, "stream resumed"},
 	{CallerDisconnected, hclog.Info, "caller disconnected"},
 	{HedgeStarted, hclog.Debug, "hedge started"},
+	{RequestPanicked, hclog.Error, "handler of a request panicked"},
 	{UpstreamServing, hclog.Info, "upstream serving"},
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
 	{UpstreamDown, hclog.Warn, "upstream down"},
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,8 @@
 	// maxQueueWaitFraction is the fraction of a route's time-to-first-byte goal
 	// that a request may queue in the daemon.
 	maxQueueWaitFraction = 1.0 / 8
+	// maxLoggedStack is how many bytes of a panic's stack are logged.
+	maxLoggedStack = 4 << 10
 	// defaultFirstByteGoal applies to routes without a goal.
 	defaultFirstByteGoal = time.Second
 )
@@ -154,7 +157,9 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	t, err := f.accept(w, r)
+	t := &transfer{forwarder: f, writer: w, callerRequest: r, receivedAt: time.Now()}
+	defer t.containPanic()
+	err := t.accept()
 	if err != nil {
 		t.writeError(err)
 		return
@@ -166,38 +171,52 @@
 	t.run(ctx)
 }
 
-// accept authenticates the request, selects its route and service and reads its
-// body. The returned transfer is never nil.
-func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*transfer, error) {
-	t := &transfer{forwarder: f, writer: w, callerRequest: r, receivedAt: time.Now()}
+// containPanic ends a request whose handler panicked. Its caller is promised nothing, since the
+// panic may have come at any point.
+func (t *transfer) containPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		stack := debug.Stack()
+		t.logEvent(eventlog.RequestPanicked, "", errors.Newf("%v: %s", cause, stack[:min(len(stack), maxLoggedStack)]))
+		t.recordOutcome(ResultPanicked, t.verdict())
+	}
+	panic(http.ErrAbortHandler) // closes the connection
+}
+
+// accept authenticates the request, selects its route and service and reads its body.
+func (t *transfer) accept() error {
+	f, w, r := t.forwarder, t.writer, t.callerRequest
 	if f.refusing.Load() {
 		w.Header().Set("Connection", "close")
 		e := verdict.New(verdict.NotRun, verdict.CodeDraining, "this daemon is draining; retry at another daemon")
 		e.RetryAfter = drainRetryAfter
-		return t, e
+		return e
 	}
 	table := f.Table()
 	if table == nil {
 		e := verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "this daemon has not loaded the desired state yet")
 		e.RetryAfter = startupRetryAfter
-		return t, e
+		return e
 	}
 	t.revision = table.Revision
 	var err error
 	if t.metadata, err = f.Headers.ReadRequest(r.Header); err != nil {
-		return t, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "invalid request headers")
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "invalid request headers")
 	}
 	if t.metadata.ID == "" {
-		return t, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request ID header is missing")
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request ID header is missing")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if t.route = table.Match(r.Host, path); t.route == nil {
-		return t, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for "+r.Host+path)
+		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for "+r.Host+path)
 	}
 	if table.RequiresKeys() {
 		t.organisation = table.OrganisationByKey(t.metadata.Key)
 		if t.organisation == nil && !t.route.Public {
-			return t, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown API key")
+			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown API key")
 		}
 	}
 	t.serviceName = t.route.ChooseService(t.metadata.ID)
@@ -206,7 +225,7 @@
 	if stop := f.stopAt.Load(); stop != nil && stop.Before(t.deadline) {
 		t.deadline = *stop
 	}
-	return t, t.readBody(table.Limits.BodyBytes)
+	return t.readBody(table.Limits.BodyBytes)
 }
 
 // timeout returns the time limit of the request: the caller's or the default,
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -43,6 +43,8 @@
 	// relayed.
 	ResultTruncated          = "cut"
 	ResultCallerDisconnected = "caller-gone"
+	// ResultPanicked is a request whose handler panicked.
+	ResultPanicked = "panic"
 )
 
 // recordOutcome reports the outcome of the request; only the first call has an
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -378,6 +378,19 @@
 	return requests, uncomputedTokens
 }
 
+// Attempts returns how many attempts at upstreams have not ended.
+func (s *Services) Attempts() int {
+	n := 0
+	for _, svc := range s.all() {
+		svc.runner.Do(func(sched routing.Scheduler, _ time.Time) {
+			if c, ok := sched.(routing.RequestCounter); ok {
+				n += c.Attempts()
+			}
+		})
+	}
+	return n
+}
+
 // LoadsForPeers returns, for each service, the load figures to share with
 // peers.
 func (s *Services) LoadsForPeers() map[string][]routing.PeerLoad {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -56,6 +56,8 @@
 	begun         bool
 	onTrial       bool
 	handBackTrial func()
+	// unfinished is set while an attempt has to be reported to the scheduler.
+	unfinished bool
 	// process is the upstream's to which the current attempt goes.
 	process string
 	// sentAt is when the current attempt was sent, brokenAt when its connection broke.
@@ -183,6 +185,12 @@
 			e.RetryAfter = action.RetryAfter
 			return &refusedError{e, action.Refusal, action.HeldOff}
 		}
+		t.unfinished = true
+		defer func() {
+			if t.unfinished { // the attempt ended by a panic
+				t.finishAttempt(s, action, routing.Canceled, 0)
+			}
+		}()
 		return t.send(ctx, s, action)
 	case <-ctx.Done():
 		return &attemptError{error: verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadlineUnreachable, "the deadline passed before an upstream was available")}
@@ -217,10 +225,11 @@
 	if err != nil {
 		return t.recordNoResponse(s, action, withCause(ctx, err))
 	}
+	defer resp.Body.Close() // without effect on a connection that was returned to the pool
 	recordByte()
 	metadata := t.forwarder.Headers.ReadResponse(resp.StatusCode, resp.Header)
 	if metadata.RequestID == "" && resp.Reused {
-		resp.Body.Close() // it may be a repeated response to an earlier request
+		// It may be a repeated response to an earlier request.
 		return t.recordNoResponse(s, action, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response on a reused connection does not name its request"))
 	}
 	t.recordResponseMetadata(s, u, metadata)
@@ -230,7 +239,6 @@
 		return t.recordRejection(s, action, resp.StatusCode, metadata)
 	}
 	if !metadata.HasOriginProof && resp.StatusCode/100 == 2 {
-		resp.Body.Close()
 		return t.recordNoResponse(s, action, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response lacks the proof that an upstream of this deployment sent it"))
 	}
 	t.attemptsSent++
@@ -375,7 +383,9 @@
 	return &attemptError{error: err, reached: true}
 }
 
+// finishAttempt reports the end of an attempt to the scheduler, which holds its place until then.
 func (t *transfer) finishAttempt(s *service, action routing.Action, outcome routing.Outcome, events int) {
+	t.unfinished = false
 	s.runner.Do(func(sched routing.Scheduler, now time.Time) {
 		sched.Finished(now, t.metadata.ID, action.Endpoint, outcome, events)
 	})
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -22,6 +22,7 @@
 func (d *Daemon) registerGauges() {
 	for name, value := range map[string]func() float64{
 		telemetry.NameInFlightRequests: func() float64 { return float64(d.inFlight.Load()) },
+		telemetry.NameAttempts:         func() float64 { return float64(d.services.Attempts()) },
 		telemetry.NamePlatformUp:       func() float64 { return boolGauge(d.storeFailedSince.Load() == nil) },
 		telemetry.NameCopiesAge:        func() float64 { return d.copies.Age().Seconds() },
 		telemetry.NameStoreReader: func() float64 {
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -221,6 +221,9 @@
 	return requests, pendingTokens
 }
 
+// Attempts implements RequestCounter.
+func (p *Policy) Attempts() int { return p.ownAttempts }
+
 // ShareDue reports whether the loads should be shared with peers at once.
 func (p *Policy) ShareDue() bool { return p.shareDue }
 
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -304,6 +304,8 @@
 	// known to run, and how many prompt tokens it has to compute for those without
 	// a first token; 0 for an unknown engine.
 	Requests(endpoint string) (requests, pendingTokens int)
+	// Attempts returns how many attempts of this daemon have not been reported as finished.
+	Attempts() int
 }
 
 // HoldOffKeeper is implemented by a Scheduler that starts nothing at engines that are
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -43,6 +43,7 @@
 	NameEnginesExpired   = "verbenabend_engines_expired"
 	NameGoalsUndated     = "verbenabend_goals_undated"
 	NameLeaseHeld        = "verbenabend_lease_held"
+	NameAttempts         = "verbenabend_attempts"
 	NameSuspectedParts   = "verbenabend_suspected_prompt_parts"
 	NameQuarantinedParts = "verbenabend_quarantined_prompt_parts"
 
@@ -71,7 +72,7 @@
 var Names = []string{
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
-	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld,
+	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
 }
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -35,6 +35,8 @@
 	// response is read. Longer bodies are written concurrently, since an upstream
 	// may respond before it has read them.
 	maxInlineBodyBytes = 4 << 10
+	// maxStatus is the greatest status that HTTP has.
+	maxStatus = 599
 	// maxStrayResponses bounds the skipped responses to other requests.
 	maxStrayResponses = 2
 	// maxStrayBodyBytes bounds the body of each of them.
@@ -249,8 +251,7 @@
 	}
 	if r.ReadyHeader != nil {
 		ready := *r
-		if ready.Header, err = r.ReadyHeader(); err != nil {
-			c.Close()
+		if ready.Header, err = readyHeader(r, c); err != nil {
 			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUpstreamFailed, "nothing was sent to "+t.ID)
 		}
 		r = &ready
@@ -272,6 +273,19 @@
 	return &Response{Response: resp, Reused: c.reused, conn: c}, nil
 }
 
+// readyHeader calls ReadyHeader, and closes the connection unless it returns a header.
+func readyHeader(r *Request, c *conn) (h http.Header, err error) {
+	ready := false
+	defer func() {
+		if !ready {
+			c.Close() // also if it panics
+		}
+	}()
+	h, err = r.ReadyHeader()
+	ready = err == nil
+	return h, err
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	pool            *Pool
@@ -330,7 +344,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read the response")
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+			return nil, errors.Newf("read the response: HTTP has no status %03d", resp.StatusCode)
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.MatchesResponse == nil || r.MatchesResponse(resp) {
