Reserve memory for requests' bodies before they arrive

Cause: bodies counted against their limit only once they had arrived, and their buffers were allocated before.

Change: memory is reserved first, for bodies in chunks before each growth, and given back however the request ends. What does not fit is refused before it is read; the rest of its body is discarded, so that a caller that sends before it reads gets the answer. Error responses state their length. The part of the memory is 0.3 now, 0.2 before. Metrics of the bytes that are held.

--- a/internal/forward/attemptends_test.go
+++ b/internal/forward/attemptends_test.go
@@ -154,7 +154,7 @@
 	if end == endCallerLeaves {
 		time.AfterFunc(300*time.Millisecond, cancel)
 	}
-	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body of "+id)).WithContext(ctx)
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(strings.Repeat(id, 1<<10))).WithContext(ctx)
 	r.Host = "host"
 	r.Header.Set("Id", id)
 	r.Header.Set("End", string(end))
@@ -197,7 +197,7 @@
 					assert.Check(t, requests == 0, "%d attempts are counted at %s after %q", requests, u, ends)
 				}
 			})
-			assert.Check(t, f.bodyBytes.Load() == 0, "%d bytes of bodies are held after %q", f.bodyBytes.Load(), ends)
+			assert.Check(t, f.bodyMemory.used.Load() == 0, "%d bytes of bodies are held after %q", f.bodyMemory.used.Load(), ends)
 			assert.Check(t, f.responseMemory.used.Load() == 0, "%d bytes of responses are held after %q", f.responseMemory.used.Load(), ends)
 			closeAll()
 			time.Sleep(2 * time.Minute) // until the upstreams have ended
--- a/internal/forward/errorresponse.go
+++ b/internal/forward/errorresponse.go
@@ -55,9 +55,14 @@
 	}
 	t.logEvent(event, "", errors.Wrapf(err, "status %d", status))
 	t.recordOutcome(string(code), t.verdict())
+	text, marshalErr := json.Marshal(body)
+	if marshalErr != nil { // unreachable: the body has texts only
+		text = nil
+	}
 	t.writer.Header().Set("Content-Type", "application/json")
+	t.writer.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
 	t.writer.WriteHeader(status)
-	_ = json.NewEncoder(t.writer).Encode(body) // a write fails only when the caller has disconnected
+	_, _ = t.writer.Write(append(text, '\n')) // fails only when the caller has disconnected
 }
 
 // minRetryAfter is the shortest Retry-After delay of a refusal, before jitter.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -38,6 +38,11 @@
 	// drainRetryAfter is the Retry-After delay of a draining daemon; the caller
 	// retries at another daemon.
 	drainRetryAfter = 20 * time.Millisecond
+	// bodyRetryAfter is the Retry-After delay while the memory for bodies is full: those that
+	// fill it take about as long to arrive.
+	bodyRetryAfter = time.Second
+	// minBodyBuffer is the size of the first buffer for a body of unknown length.
+	minBodyBuffer = 4 << 10
 	// maxQueueWaitFraction is the fraction of a route's time-to-first-byte goal
 	// that a request may queue in the daemon.
 	maxQueueWaitFraction = 1.0 / 8
@@ -92,8 +97,9 @@
 // Forwarder is the HTTP handler for callers' requests.
 type Forwarder struct {
 	Config
-	bodyBytes      atomic.Int64 // total size of request bodies in memory
-	responseMemory responseMemory
+	// bodyMemory is held by requests' bodies from before they are read to their request's end,
+	// responseMemory by the parts of responses that are not relayed yet.
+	bodyMemory, responseMemory memoryBudget
 	// stopAt caps the deadlines of new requests; nil unless the daemon is
 	// stopping.
 	stopAt atomic.Pointer[time.Time]
@@ -137,7 +143,8 @@
 		}
 	}
 	f := &Forwarder{Config: c}
-	f.responseMemory.limit = c.MaxResponseBytes
+	f.responseMemory.limit, f.responseMemory.unleased = c.MaxResponseBytes, unleasedBytes
+	f.bodyMemory.limit, f.bodyMemory.unleased = c.MaxBodyBytes, unleasedBodyBytes
 	f.abortCtx, f.abort = context.WithCancel(context.Background())
 	return f
 }
@@ -157,14 +164,18 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	t := &transfer{forwarder: f, writer: w, callerRequest: r, receivedAt: time.Now()}
+	t := &transfer{forwarder: f, writer: w, callerRequest: r, receivedAt: time.Now(), bodyMemory: f.bodyMemory.lease()}
 	defer t.containPanic()
+	defer t.bodyMemory.release()
 	err := t.accept()
+	if errors.Is(err, errBodyMemory) {
+		t.refuseBody(err)
+		return
+	}
 	if err != nil {
 		t.writeError(err)
 		return
 	}
-	defer f.bodyBytes.Add(-int64(len(t.body)))
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(deadlineGrace))
 	defer cancel()
 	defer context.AfterFunc(f.abortCtx, cancel)()
@@ -249,10 +260,8 @@
 	if maxBytes > 0 && r.ContentLength > int64(maxBytes) {
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the request body exceeds the size limit")
 	}
-	if t.forwarder.MaxBodyBytes > 0 && t.forwarder.bodyBytes.Load()+max(0, r.ContentLength) > t.forwarder.MaxBodyBytes {
-		e := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the daemon's memory for request bodies is full")
-		e.RetryAfter = t.jitteredRetryAfter(startupRetryAfter)
-		return e
+	if !t.bodyMemory.resize(int(max(0, r.ContentLength))) {
+		return t.bodyMemoryError()
 	}
 	source := io.Reader(r.Body)
 	if maxBytes > 0 {
@@ -267,7 +276,10 @@
 		t.body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(source, t.body)
 	} else {
-		t.body, err = io.ReadAll(source)
+		t.body, err = t.readChunks(source)
+	}
+	if errors.Is(err, errBodyMemory) {
+		return t.bodyMemoryError()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeDeadlineUnreachable, "the request body did not arrive before the deadline")
@@ -278,10 +290,51 @@
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "failed to clear the read deadline")
 	}
-	t.forwarder.bodyBytes.Add(int64(len(t.body)))
 	return nil
 }
 
+// errBodyMemory is the error of a body for which there is no memory left.
+var errBodyMemory = errors.New("the daemon's memory for request bodies is full")
+
+func (t *transfer) bodyMemoryError() error {
+	e := verdict.Wrap(errBodyMemory, verdict.NotRun, verdict.CodeOverloaded, "the request was not read")
+	e.RetryAfter = bodyRetryAfter
+	return e
+}
+
+// refuseBody answers a request whose body is not read. The rest of the body is discarded, because
+// a caller that still sends it would not see the answer on a connection that is closed.
+func (t *transfer) refuseBody(err error) {
+	controller := http.NewResponseController(t.writer)
+	discards := controller.EnableFullDuplex() == nil
+	t.writer.Header().Set("Connection", "close")
+	t.writeError(err)
+	if discards && controller.Flush() == nil && controller.SetReadDeadline(t.deadline) == nil {
+		_, _ = io.Copy(io.Discard, t.callerRequest.Body) // the caller may leave at any time
+	}
+}
+
+// readChunks reads a body of unknown length. Memory for it is reserved before it grows.
+func (t *transfer) readChunks(source io.Reader) (body []byte, err error) {
+	for {
+		if len(body) == cap(body) {
+			size := max(minBodyBuffer, 2*cap(body))
+			if !t.bodyMemory.resize(size) {
+				return nil, errBodyMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // jitteredRetryAfter returns a random delay around d, so that callers refused
 // together do not all retry at the same time. It is capped by the caller's
 // remaining time.
--- a/internal/forward/responsememory_test.go
+++ b/internal/forward/memory_test.go
@@ -13,7 +13,7 @@
 // response held is free again after its event and after its end.
 func TestResponseMemoryIsShared(t *testing.T) {
 	const limit = 100 << 10
-	m := &responseMemory{limit: limit}
+	m := &memoryBudget{limit: limit, unleased: unleasedBytes}
 	long := "data: " + strings.Repeat("x", unleasedBytes+limit-1000) + "\n\n"
 	reader := func(text string) *eventReader {
 		return &eventReader{source: bufio.NewReader(strings.NewReader(text)), memory: m.lease()}
@@ -42,7 +42,7 @@
 func TestReadBody(t *testing.T) {
 	for _, size := range []int{0, 1, bodyReadBytes, 100_000, maxBufferedBodyBytes, 2 * maxBufferedBodyBytes} {
 		text := bytes.Repeat([]byte("x"), size)
-		body, whole, err := readBody(bytes.NewReader(text), (&responseMemory{}).lease())
+		body, whole, err := readBody(bytes.NewReader(text), (&memoryBudget{unleased: unleasedBytes}).lease())
 		assert.NilError(t, err)
 		assert.Equal(t, whole, size <= maxBufferedBodyBytes, size)
 		assert.Assert(t, bytes.Equal(body, text[:len(body)]))
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -28,7 +28,7 @@
 	for _, text := range []string{"x", "data: x\n", ": x\n", "id: 1\n"} {
 		source := &endlessReader{text: text}
 		reader := bufio.NewReader(source)
-		events := &eventReader{source: reader, memory: (&responseMemory{}).lease()}
+		events := &eventReader{source: reader, memory: (&memoryBudget{unleased: unleasedBytes}).lease()}
 		_, err := events.next()
 		assert.ErrorContains(t, err, "stream event exceeds 1048576 bytes")
 		assert.Assert(t, source.n <= maxEventBytes+2*reader.Size(), "%d bytes read", source.n)
@@ -41,7 +41,7 @@
 func TestLongLineIsOneLine(t *testing.T) {
 	for _, part := range []string{"id: 9", ": x"} {
 		source := bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", 10)+part+"\nid: 1\n\n"+": "+strings.Repeat("y", 14)+part+"\n\n"), 16)
-		events := &eventReader{source: source, memory: (&responseMemory{}).lease()}
+		events := &eventReader{source: source, memory: (&memoryBudget{unleased: unleasedBytes}).lease()}
 		e, err := events.next()
 		assert.NilError(t, err)
 		assert.Equal(t, e.id, "1")
@@ -52,7 +52,7 @@
 		assert.Assert(t, !e.hasFields)
 	}
 	source := bufio.NewReaderSize(strings.NewReader("id: 1\ndata: "+strings.Repeat("x", 10)+"id: 9\n\n"), 16)
-	e, err := (&eventReader{source: source, memory: (&responseMemory{}).lease()}).next()
+	e, err := (&eventReader{source: source, memory: (&memoryBudget{unleased: unleasedBytes}).lease()}).next()
 	assert.NilError(t, err)
 	assert.Equal(t, e.id, "1")
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -29,6 +29,7 @@
 	serviceName  string
 	serviceDef   *routetable.Service
 	body         []byte
+	bodyMemory   *memoryLease
 	receivedAt   time.Time
 	firstByteAt  time.Time // of the newest response
 	deadline     time.Time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,7 @@
 	memoryLimitFraction = 0.7
 	// bodyMemoryFraction is the fraction of the memory available to request
 	// bodies.
-	bodyMemoryFraction = 0.2
+	bodyMemoryFraction = 0.3
 	// responseMemoryFraction is the fraction available to parts of responses that are not
 	// relayed yet. Go's heap takes up to three times as much while they grow.
 	responseMemoryFraction = 0.1
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -23,8 +23,16 @@
 	for name, value := range map[string]func() float64{
 		telemetry.NameInFlightRequests: func() float64 { return float64(d.inFlight.Load()) },
 		telemetry.NameAttempts:         func() float64 { return float64(d.services.Attempts()) },
-		telemetry.NamePlatformUp:       func() float64 { return boolGauge(d.storeFailedSince.Load() == nil) },
-		telemetry.NameCopiesAge:        func() float64 { return d.copies.Age().Seconds() },
+		telemetry.NameBodyBytes: func() float64 {
+			bodies, _ := d.forwarder.HeldBytes()
+			return float64(bodies)
+		},
+		telemetry.NameResponseBytes: func() float64 {
+			_, responses := d.forwarder.HeldBytes()
+			return float64(responses)
+		},
+		telemetry.NamePlatformUp: func() float64 { return boolGauge(d.storeFailedSince.Load() == nil) },
+		telemetry.NameCopiesAge:  func() float64 { return d.copies.Age().Seconds() },
 		telemetry.NameStoreReader: func() float64 {
 			reading, _ := d.copies.Reading()
 			return boolGauge(reading)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -44,6 +44,8 @@
 	NameGoalsUndated     = "verbenabend_goals_undated"
 	NameLeaseHeld        = "verbenabend_lease_held"
 	NameAttempts         = "verbenabend_attempts"
+	NameBodyBytes        = "verbenabend_request_body_bytes"
+	NameResponseBytes    = "verbenabend_response_bytes"
 	NameSuspectedParts   = "verbenabend_suspected_prompt_parts"
 	NameQuarantinedParts = "verbenabend_quarantined_prompt_parts"
 
@@ -72,7 +74,7 @@
 var Names = []string{
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
-	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts,
+	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
 }
--- a/lab/sitepath/attemptends_test.go
+++ b/lab/sitepath/attemptends_test.go
@@ -34,7 +34,7 @@
 func (d *deployment) checkNothingHeld() {
 	d.t.Helper()
 	for _, p := range d.processes {
-		for _, name := range []string{telemetry.NameInFlightRequests, telemetry.NameAttempts} {
+		for _, name := range []string{telemetry.NameInFlightRequests, telemetry.NameAttempts, telemetry.NameBodyBytes, telemetry.NameResponseBytes} {
 			assert.Check(d.t, d.metric(p, name) == 0, "%s of %s is %g", name, p.name, d.metric(p, name))
 		}
 	}
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -128,9 +128,21 @@
 
 // runOnDeploymentOf runs a test on a deployment of the given size.
 func runOnDeploymentOf(t *testing.T, daemonCount, engineCount int, test func(d *deployment)) {
+	runDeployment(t, engineCount, func(d *deployment) { d.daemonCount = daemonCount }, test)
+}
+
+// runOnDeploymentWith runs a test on a deployment that prepare has changed before it starts.
+func runOnDeploymentWith(t *testing.T, prepare, test func(d *deployment)) {
+	runDeployment(t, engines, func(d *deployment) {
+		d.daemonCount = daemons
+		prepare(d)
+	}, test)
+}
+
+func runDeployment(t *testing.T, engineCount int, prepare, test func(d *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, engineCount)
-		d.daemonCount = daemonCount
+		prepare(d)
 		defer d.close()
 		d.startAll()
 		test(d)
