Close connections whose limit for headers is lower than the desired state's

What callers saw: 431 for headers that a newer desired state allows, on connections from before it.

Cause: each connection keeps the limits under which it was accepted.

Change: when the limit is raised, connections with a lower one are closed, idle ones at once, others with their next response.

TestRaisedHeaderLimitReachesOldConnections failed before.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -28,7 +28,7 @@
 
 // server is one HTTP listener whose limits can change at run time. Each
 // connection keeps the limits in force when it was accepted: there is one
-// http.Server per set of limits.
+// http.Server per set of limits. Connections with a lower limit for headers are closed.
 type server struct {
 	listener net.Listener
 	handler  http.Handler
@@ -42,6 +42,7 @@
 // limitedServer is an http.Server with the listener that passes connections to
 // it.
 type limitedServer struct {
+	limits   routetable.Limits
 	http     *http.Server
 	listener *handoffListener
 }
@@ -72,7 +73,7 @@
 	}
 	limited := s.byLimits[l]
 	if limited == nil {
-		limited = &limitedServer{listener: newHandoffListener(s.listener.Addr())}
+		limited = &limitedServer{limits: l, listener: newHandoffListener(s.listener.Addr())}
 		limited.http = &http.Server{
 			Handler: s.handler, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout,
 			IdleTimeout: l.IdleTimeout + idleGrace, ConnState: trackConn, ConnContext: withConn,
@@ -80,6 +81,14 @@
 		s.byLimits[l] = limited
 		go func() { _ = limited.http.Serve(limited.listener) }() // returns http.ErrServerClosed
 	}
+	limited.http.SetKeepAlivesEnabled(true)
+	for _, earlier := range s.byLimits {
+		if earlier.limits.HeaderBytes < l.HeaderBytes {
+			// Its connections would reject headers that are allowed now. Idle ones are
+			// closed, others with their next response.
+			earlier.http.SetKeepAlivesEnabled(false)
+		}
+	}
 	s.current = limited
 }
 
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -97,6 +97,42 @@
 	})
 }
 
+// Guards against 431 for headers that a newer desired state allows, on connections from before
+// it. Those that are idle are closed at once, others with their response; a lower limit closes
+// none.
+func TestRaisedHeaderLimitReachesOldConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s := newTestServerWithin(t, descriptor.NewBudget(0), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Wait") != "" {
+				<-release
+			}
+			fmt.Fprint(w, "ok")
+		}))
+		defer s.close()
+		long := "Long: " + strings.Repeat("x", 20<<10) + "\r\n"
+		s.setLimits(routetable.Limits{HeaderBytes: 32 << 10})
+		kept := s.dial(t)
+		assert.Equal(t, ask(kept, ""), http.StatusOK)
+		s.setLimits(routetable.Limits{HeaderBytes: 4 << 10})
+		assert.Equal(t, ask(kept, long), http.StatusOK, "a lower limit closes no connection")
+		idle, busy := s.dial(t), s.dial(t)
+		assert.Equal(t, ask(idle, ""), http.StatusOK)
+		status := make(chan int)
+		go func() { status <- ask(busy, "Wait: 1\r\n") }()
+		synctest.Wait()
+		s.setLimits(routetable.Limits{HeaderBytes: 32 << 10})
+		assert.Equal(t, ask(idle, long), 0, "the connection is closed, no response is wrong")
+		close(release)
+		assert.Equal(t, <-status, http.StatusOK, "a request in flight is answered")
+		assert.Equal(t, ask(busy, long), 0)
+		assert.Equal(t, ask(kept, long), http.StatusOK)
+		fresh := s.dial(t)
+		assert.Equal(t, ask(fresh, long), http.StatusOK)
+		assert.Equal(t, ask(fresh, long), http.StatusOK, "connections of the newest limit are kept")
+	})
+}
+
 // A new connection displaces an idle one and never one with a request, beyond which it is
 // refused.
 func TestConnectionsAreBounded(t *testing.T) {
