Let facts about rate limits be renewed while they are known

Each look at a known fact counted as news of it, so that it was announced again only 30 s after it had expired: daemons that joined meanwhile did not hear of the limit. Only what a peer announces counts now.

--- a/internal/gateway/ratelimits.go
+++ b/internal/gateway/ratelimits.go
@@ -151,18 +151,26 @@
 	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindRateLimit, ID: rateFactID(startOf(u)), Version: rateFactVersion(limit.PerSecond, at), TTL: rateLimitTTL})
 }
 
-// receiveRateLimit applies what a peer announced of an upstream's rate.
+// receiveRateLimit takes what a peer has just announced of an upstream's rate.
 func (d *Daemon) receiveRateLimit(f gossip.Fact) {
+	if k, ok := parseRateFactID(f.ID); ok {
+		perSecond, _ := parseRateFactVersion(f.Version)
+		d.rateFacts.note(k, perSecond, time.Now())
+	}
+	d.applyRateLimit(f)
+}
+
+// applyRateLimit applies what a peer announced of an upstream's rate, if the upstream is known.
+func (d *Daemon) applyRateLimit(f gossip.Fact) {
 	k, ok := parseRateFactID(f.ID)
 	u := d.registry.Snapshot().ByID[k.id]
 	storeNow, timed := d.storeClock.Now()
 	if !ok || u == nil || u.StartedAt != k.startedAt || !timed {
-		return // refreshRateLimits comes back to it
+		return // refreshRateLimits tries again
 	}
 	now := time.Now()
 	perSecond, at := parseRateFactVersion(f.Version)
 	limit := routing.RateLimit{PerSecond: perSecond, At: now.Add(min(0, d.storeClock.FromStore(at).Sub(storeNow)))}
-	d.rateFacts.note(k, perSecond, now)
 	if d.services.SetRateLimit(u, limit) {
 		d.log.Emit(eventlog.UpstreamRateLimited, eventlog.Fields{Service: u.Service, Upstream: u.ID, Detail: forward.DescribeRateLimit(limit) + ", heard from " + f.Origin})
 	}
@@ -183,7 +191,7 @@
 	d.services.SetDaemons(d.settings.Name, d.rateFacts.sharing(live, time.Now()), shared, timed)
 	for _, f := range d.gossipNode.Facts(gossip.KindRateLimit) {
 		if f.Origin != d.settings.Name {
-			d.receiveRateLimit(f)
+			d.applyRateLimit(f)
 		}
 	}
 }
