Give back the memory of refused bodies before the rest arrives

A body in chunks that did not fit kept its memory while the rest of it was discarded, so that the others did not fit either; and two that grew at the same moment could count each other's attempt. Growth that does not fit now gives all bytes back in the same step.

Ruled out: the load of the machine alone, since the order of events is enough (TestRefusedBodyHoldsNoMemory, virtual time, fails before).

--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -24,6 +24,11 @@
 
 // sendSlowly begins a request whose body is not complete yet; length is -1 for one in chunks.
 func sendSlowly(f *Forwarder, id string, length int64, arrived int) *slowBody {
+	return sendSlowlyTo(f, func(w *httptest.ResponseRecorder) http.ResponseWriter { return deadlineRecorder{w} }, id, length, arrived)
+}
+
+// sendSlowlyTo is sendSlowly with the writer of the response.
+func sendSlowlyTo(f *Forwarder, writerOf func(*httptest.ResponseRecorder) http.ResponseWriter, id string, length int64, arrived int) *slowBody {
 	reader, writer := io.Pipe()
 	b := &slowBody{reader, writer, make(chan int, 1)}
 	r := httptest.NewRequest(http.MethodPost, "/unsafe/1", reader).WithContext(context.Background())
@@ -32,7 +37,7 @@
 	r.Header.Set("End", string(endServed))
 	w := httptest.NewRecorder()
 	go func() {
-		f.ServeHTTP(deadlineRecorder{w}, r)
+		f.ServeHTTP(writerOf(w), r)
 		reader.Close()
 		b.status <- w.Code
 	}()
@@ -88,3 +93,34 @@
 		}
 	}
 }
+
+// duplexRecorder lets the rest of a refused body be discarded, as a server's connection does.
+type duplexRecorder struct{ deadlineRecorder }
+
+func (duplexRecorder) EnableFullDuplex() error { return nil }
+
+// Guards against a burst of bodies in chunks of which none is accepted: those that were refused
+// held their memory until their callers had sent the rest, so that the others did not fit either.
+func TestRefusedBodyHoldsNoMemory(t *testing.T) {
+	const limit, arrived, rest = 1 << 20, 400 << 10, 200 << 10 // bytes; the second part needs a larger buffer
+	synctest.Test(t, func(t *testing.T) {
+		f, closeAll := newEndingForwarder(t, eventlog.Discard())
+		f.bodyMemory.limit = limit
+		writerOf := func(w *httptest.ResponseRecorder) http.ResponseWriter {
+			return duplexRecorder{deadlineRecorder{w}}
+		}
+		first := sendSlowlyTo(f, writerOf, "first", -1, arrived)
+		second := sendSlowlyTo(f, writerOf, "second", -1, arrived)
+		for _, b := range []*slowBody{first, second} {
+			go func() { _, _ = b.writer.Write(make([]byte, rest)) }()
+			synctest.Wait()
+		}
+		second.complete()
+		assert.Equal(t, <-second.status, http.StatusOK)
+		first.complete()
+		assert.Equal(t, <-first.status, http.StatusServiceUnavailable)
+		assert.Equal(t, f.bodyMemory.used.Load(), int64(0))
+		closeAll()
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -319,7 +319,7 @@
 	for {
 		if len(body) == cap(body) {
 			size := max(minBodyBuffer, 2*cap(body))
-			if !t.bodyMemory.resize(size) {
+			if !t.bodyMemory.resizeOrRelease(size) {
 				return nil, errBodyMemory
 			}
 			body = append(make([]byte, 0, size), body...)
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -38,17 +38,33 @@
 
 // resize sets how many bytes are held. It returns false, and changes nothing, if they exceed the
 // memory.
-func (l *memoryLease) resize(bytes int) bool {
+func (l *memoryLease) resize(bytes int) bool { return l.set(bytes, l.held) }
+
+// resizeOrRelease is resize, but gives all bytes back if they exceed the memory. Both is one
+// step, so that of several holders that grow at the same time one gets what the others give back.
+func (l *memoryLease) resizeOrRelease(bytes int) bool { return l.set(bytes, 0) }
+
+// set sets how many bytes are held, or that otherwise are held if these exceed the memory.
+func (l *memoryLease) set(bytes int, otherwise int64) bool {
 	want := int64(max(0, bytes-l.memory.unleased))
 	if want <= l.held {
 		return true
 	}
-	if used := l.memory.used.Add(want - l.held); l.memory.limit > 0 && used > l.memory.limit {
-		l.memory.used.Add(l.held - want)
-		return false
+	for {
+		used, fits := l.memory.used.Load(), true
+		next := used + want - l.held
+		if l.memory.limit > 0 && next > l.memory.limit {
+			next, fits = used+otherwise-l.held, false
+		}
+		if !l.memory.used.CompareAndSwap(used, next) {
+			continue
+		}
+		l.held = otherwise
+		if fits {
+			l.held = want
+		}
+		return fits
 	}
-	l.held = want
-	return true
 }
 
 // release gives all bytes back.
