Keep organisations within quotas across all daemons

The desired state may give an organisation a rate and a burst, in tokens or requests, for all daemons together. One daemon per organisation, chosen by rendezvous hashing, holds its token bucket; the others hold small leases and use a share of their own while it does not answer. Requests over the quota get 429 with a retry time; attempts that no upstream ran are refunded.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -30,6 +30,11 @@
 	CallerDisconnected         ID = 209
 	HedgeStarted               ID = 210
 	RequestPanicked            ID = 211
+	AllowanceMalformed         ID = 212
+	AllowanceOwned             ID = 213
+	AllowanceOwnerLost         ID = 214
+	AllowanceOwnerFound        ID = 215
+	AllowanceExceeded          ID = 216
 	UpstreamServing            ID = 301
 	UpstreamLeaving            ID = 302
 	UpstreamDown               ID = 303
@@ -108,6 +113,11 @@
 	{CallerDisconnected, hclog.Info, "caller disconnected"},
 	{HedgeStarted, hclog.Debug, "hedge started"},
 	{RequestPanicked, hclog.Error, "handler of a request panicked"},
+	{AllowanceMalformed, hclog.Warn, "quota malformed"},
+	{AllowanceOwned, hclog.Info, "quota counted here"},
+	{AllowanceOwnerLost, hclog.Warn, "quota's owner does not answer"},
+	{AllowanceOwnerFound, hclog.Info, "quota's owner answers again"},
+	{AllowanceExceeded, hclog.Info, "organisation over its quota"},
 	{UpstreamServing, hclog.Info, "upstream serving"},
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
 	{UpstreamDown, hclog.Warn, "upstream down"},
--- a/internal/forward/errorresponse.go
+++ b/internal/forward/errorresponse.go
@@ -47,6 +47,10 @@
 			t.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 		}
 	}
+	if e, ok := verdict.As(err); ok && status == http.StatusTooManyRequests {
+		after := max(t.capRetryAfter(e.RetryAfter), time.Millisecond) // spread out by the quota's owner
+		t.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
 	var body errorBody
 	body.Error.Message, body.Error.Code, body.Error.Verdict = err.Error(), code, verdict.Of(err).String()
 	event := eventlog.RequestFailed
@@ -84,6 +88,8 @@
 		return http.StatusUnauthorized, code
 	case verdict.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge, code
+	case verdict.CodeRateLimited:
+		return http.StatusTooManyRequests, code
 	}
 	if verdict.Of(err) == verdict.NotRun && t.attemptsRun == 0 {
 		return http.StatusServiceUnavailable, code
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -85,7 +85,9 @@
 	OnRateLimited func(refused bool)
 	// OnMalformedRateLimit is called for each stated rate limit without meaning; may be nil.
 	OnMalformedRateLimit func()
-	Log                  *eventlog.Log
+	// Allowances keeps organisations within their quotas; may be nil.
+	Allowances Allowances
+	Log        *eventlog.Log
 	// MaxBodyBytes limits the total size of request bodies held in memory; 0
 	// means no limit.
 	MaxBodyBytes int64
--- a/internal/forward/metadata.go
+++ b/internal/forward/metadata.go
@@ -22,6 +22,10 @@
 	LastEventID string
 	// Prompt is nil if the request describes none.
 	Prompt *Prompt
+	// Tokens is the sum of the prompt's length and the maximum length of the output, if
+	// HasTokens is set.
+	Tokens    float64
+	HasTokens bool
 }
 
 // Prompt describes the prompt of a request to a model.
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -68,6 +68,9 @@
 	// upstreamDeadline is the deadline of the current attempt.
 	upstreamDeadline time.Time
 
+	// charges counts the attempts that the organisation's quota was charged for.
+	charges int
+
 	// revision is the revision of the desired state that the request is served
 	// by.
 	revision uint64
@@ -83,6 +86,7 @@
 	s.creditRetries()
 	t.lastEventID = t.metadata.LastEventID
 	defer t.endTrial()
+	defer t.settleAllowance()
 	for {
 		if err := t.quarantineError(); err != nil {
 			t.failOrAbort(err)
@@ -92,6 +96,10 @@
 			t.failOrAbort(err)
 			return
 		}
+		if err := t.chargeAllowance(ctx); err != nil {
+			t.failOrAbort(err)
+			return
+		}
 		err := t.attempt(ctx, s)
 		if err == nil {
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,6 +147,7 @@
 	storeFailedSince atomic.Pointer[time.Time]
 	leaseHeld        atomic.Bool
 	rateFacts        rateFacts
+	allowances       *allowances
 	// expiredEngines counts the engines left out because of their weights.
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
@@ -179,6 +180,7 @@
 		d.log.Emit(eventlog.StoreClockSetBack, eventlog.Fields{Detail: "by " + by.String()})
 	})
 	d.log.Observe(d.metrics.CountEvent)
+	d.allowances = newAllowances(d)
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
 	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
 	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics, d.storeClock}
@@ -193,7 +195,7 @@
 	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Quarantine, d.log, minCrashInterval)
 	d.forwarder = forward.New(forward.Config{
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		Allowances: d.allowances, Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
@@ -231,7 +233,7 @@
 	d.copies = mirror.NewFollower(mirror.FollowerSettings{
 		Self: mirror.Node{Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.PeerListen}, Others: d.copySources, StartHold: d.startHold(),
 		Policy:      mirror.RankedSources{MinFleet: minFollowingFleet, Local: localSources, Global: globalSources},
-		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock,
+		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock, Protocols: map[string]func(net.Conn, string){allowanceProtocol: d.allowances.serve},
 	}, d.log, d.operatorMirror, d.upstreamMirror, d.quarantineMirror, d.recordMirror)
 }
 
@@ -308,7 +310,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.copies.Run, d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.recordMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers), periodic(memberRefreshInterval, d.refreshRateLimits), periodic(descriptorCheckInterval, d.checkDescriptors),
+		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers), periodic(memberRefreshInterval, d.refreshRateLimits), d.allowances.run, periodic(descriptorCheckInterval, d.checkDescriptors),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, d.copies)
 		},
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -47,6 +47,7 @@
 		telemetry.NameSuspectedParts:       func() float64 { return float64(d.promptParts.SuspectedCount()) },
 		telemetry.NameQuarantinedParts:     func() float64 { return float64(d.promptParts.QuarantinedCount()) },
 		telemetry.NameRateLimitedUpstreams: func() float64 { return float64(d.services.RateLimits()) },
+		telemetry.NameQuotaAge:             func() float64 { return d.allowances.estimateAge().Seconds() },
 		telemetry.NameLeaseHeld:            func() float64 { return boolGauge(d.leaseHeld.Load()) },
 		telemetry.NameStateRevision: func() float64 {
 			if table := d.view.table.Load(); table != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/allowance"
+)
 
 // Settings configures a gateway daemon. A platform adapter fills it in.
 type Settings struct {
@@ -45,6 +49,9 @@
 	RetryRatio float64
 	RetrySlack int
 
+	// Quota holds the tolerances of organisations' quotas.
+	Quota allowance.Bounds
+
 	// SinceBoot returns the time since the machine booted, including suspended time;
 	// default is the system's clock.
 	SinceBoot func() time.Duration
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -139,6 +139,7 @@
 		d.logSkippedRow(row, err)
 		return
 	}
+	d.allowances.setLimits(table)
 	d.view.table.Store(table)
 	d.callerServer.setLimits(state.Limits)
 	d.queueRevision(state.Revision)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -71,6 +71,9 @@
 	// Dial connects to another daemon.
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Clock Clock
+	// Protocols handles connections that peers open for other protocols, by name. The
+	// connection is closed when a handler returns, or when Serve ends.
+	Protocols map[string]func(conn net.Conn, peer string)
 }
 
 // Follower keeps the copies of a daemon up to date from those of another daemon, so that
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -42,6 +42,15 @@
 	// Follow, if set, requests a stream of frames with the changes of tables since their
 	// versions, in place of a response.
 	Follow map[string]uint64 `msgpack:",omitempty"`
+	// Protocol, if set, passes the connection to the handler of another protocol. From is
+	// the daemon that opened it.
+	Protocol string `msgpack:",omitempty"`
+	From     string `msgpack:",omitempty"`
+}
+
+// StartProtocol passes a connection of a daemon to a peer's handler of a protocol.
+func StartProtocol(conn net.Conn, protocol, from string) error {
+	return writeFrame(conn, &peerRequest{Protocol: protocol, From: from})
 }
 
 // peerResponse is a copy of a table; Known is false if the peer has none.
@@ -158,6 +167,12 @@
 		if conn.SetReadDeadline(time.Now().Add(peerIdleTimeout)) != nil || readFrame(conn, maxRequestBytes, &req) != nil {
 			return // the peer disconnected or sent an invalid frame
 		}
+		if req.Protocol != "" {
+			if handle := f.settings.Protocols[req.Protocol]; handle != nil {
+				handle(conn, req.From)
+			}
+			return
+		}
 		if req.Follow != nil {
 			f.serveStream(ctx, conn, req.Follow)
 			return
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -128,6 +128,34 @@
 	Priority *int
 	// Isolated organisations share no cached prompts with others.
 	Isolated bool
+	// Allowance is the organisation's quota across all daemons.
+	Allowance Allowance
+}
+
+// Allowance is a quota: a token bucket for the requests of an organisation.
+type Allowance struct {
+	// PerSecond is 0 if there is no limit. It and Burst are in tokens if InTokens is set,
+	// otherwise in requests.
+	PerSecond float64
+	Burst     float64
+	InTokens  bool
+	// UnstatedTokens is what a request costs that does not state its tokens.
+	UnstatedTokens float64
+}
+
+// Limited reports whether there is a limit.
+func (a Allowance) Limited() bool { return a.PerSecond > 0 }
+
+// Cost returns the cost of a request, which states its tokens if stated is set.
+func (a Allowance) Cost(tokens float64, stated bool) float64 {
+	switch {
+	case !a.InTokens:
+		return 1
+	case stated:
+		return tokens
+	default:
+		return a.UnstatedTokens
+	}
 }
 
 // Limits restrict callers' requests and connections; 0 means no limit stated.
@@ -146,6 +174,8 @@
 	Services      []Service
 	Organisations []Organisation
 	Limits        Limits
+	// Faults describes values without meaning, which were replaced.
+	Faults []string
 }
 
 // Table indexes one revision of the desired state.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -54,6 +54,11 @@
 	NameRateLimitedRequests  = "verbenabend_rate_limited_requests_total"
 	NameMalformedRateLimits  = "verbenabend_malformed_rate_limits_total"
 
+	// Metrics of organisations' quotas.
+	NameQuotaUsed     = "verbenabend_quota_used_total"
+	NameQuotaRejected = "verbenabend_quota_rejected_total"
+	NameQuotaAge      = "verbenabend_quota_age_seconds"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -68,6 +73,7 @@
 	labelledEvent       = NameEvents + `{event="%d"}`
 	labelledRequests    = NameRequests + `{service=%q,result=%q}`
 	labelledByService   = `%s{service=%q}`
+	labelledByOrg       = `%s{organisation=%q}`
 )
 
 // Names lists all metrics.
@@ -76,7 +82,7 @@
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
-	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
+	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameQuotaUsed, NameQuotaRejected, NameQuotaAge,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -140,6 +146,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(labelledRateLimited, result)).Inc()
 }
 
+// CountQuotaUsed counts what requests took of an organisation's quota, in its unit. What was
+// refunded is not subtracted.
+func (m *Metrics) CountQuotaUsed(organisation string, amount float64) {
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf(labelledByOrg, NameQuotaUsed, organisation)).Add(amount)
+}
+
+// CountQuotaRejected counts a request that was refused because of an organisation's quota.
+func (m *Metrics) CountQuotaRejected(organisation string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(labelledByOrg, NameQuotaRejected, organisation)).Inc()
+}
+
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -60,6 +60,7 @@
 	CodeIdempotencyKeyRequired Code = "idempotency_key_required"
 	CodeIdempotencyKeyReused   Code = "idempotency_key_reused"
 	CodeOverloaded             Code = "overloaded"
+	CodeRateLimited            Code = "rate_limited"
 	CodeDeadlineUnreachable    Code = "deadline_unreachable"
 	CodeNoUpstream             Code = "no_upstream"
 	CodeQuarantined            Code = "quarantined"
