Relay the upstream's own failure of a read that has no other attempt

Cause: a read that an upstream answered with 500 was given up for a retry before it was known whether there is one. Without a retry (budget used up, scheduler refuses, no other upstream, the retry gets no response or one that breaks off) callers got a 502 of the daemon's own. With maxAttempts 2 two responses with 500 were relayed; with 3 the second one too became 502. The body of that 502 could also say not-run although an earlier attempt had run.

Change: a complete response with status 500 is kept, within the memory for responses, while another attempt runs, and relayed if that brings no response. The verdict in an error body covers all attempts.

--- a/internal/forward/errorresponse.go
+++ b/internal/forward/errorresponse.go
@@ -12,14 +12,18 @@
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
-// failOrAbort ends a failed request: with an error response, or by aborting the
-// connection when part of a response was already relayed.
+// failOrAbort ends a failed request: with the upstream's own failure or an error response, or
+// by aborting the connection when part of a response was already relayed.
 func (t *transfer) failOrAbort(err error) {
 	if t.responseStarted {
 		t.logEvent(eventlog.RequestFailed, "", err)
 		t.recordOutcome(ResultTruncated, t.verdict())
 		panic(http.ErrAbortHandler) // a clean close would make the truncated response look complete
 	}
+	if t.failure != nil {
+		t.relayFailure(err)
+		return
+	}
 	t.writeError(err)
 }
 
@@ -48,7 +52,11 @@
 		}
 	}
 	var body errorBody
-	body.Error.Message, body.Error.Code, body.Error.Verdict = err.Error(), code, verdict.Of(err).String()
+	v := verdict.Of(err)
+	if v == verdict.NotRun { // the last attempt was not; earlier ones may have been
+		v = t.verdict()
+	}
+	body.Error.Message, body.Error.Code, body.Error.Verdict = err.Error(), code, v.String()
 	event := eventlog.RequestFailed
 	if status < http.StatusInternalServerError || status == http.StatusServiceUnavailable {
 		event = eventlog.RequestRefused
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -45,7 +46,7 @@
 // relayBody forwards a response that is not an event stream.
 func (t *transfer) relayBody(resp *httpconn.Response) error {
 	memory := t.forwarder.responseMemory.lease()
-	defer memory.release()
+	defer func() { memory.release() }()
 	buffered, whole, err := readBody(resp.Body, memory)
 	if err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response broke off")
@@ -53,7 +54,11 @@
 	if t.responseStarted {
 		return verdict.New(verdict.Ran, verdict.CodeStreamLost, "the upstream did not resume the stream: status "+strconv.Itoa(resp.StatusCode))
 	}
-	if t.isRetryableStatus(resp.StatusCode) {
+	if t.isRetryableStatus(resp.StatusCode) && (whole || t.reserveRetry()) {
+		if whole {
+			t.keepFailure(&failedResponse{resp.StatusCode, resp.Header, buffered, memory})
+			memory = t.forwarder.responseMemory.lease() // the kept response holds the other one
+		}
 		return verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "status "+strconv.Itoa(resp.StatusCode))
 	}
 	t.copyHeaders(resp, !whole)
@@ -98,6 +103,34 @@
 	return status == http.StatusInternalServerError && t.route.Kind == routetable.Safe && t.attemptsRun < t.route.MaxAttempts
 }
 
+// failedResponse is a complete response of an upstream that is relayed unless another attempt
+// succeeds.
+type failedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+	memory *memoryLease
+}
+
+// keepFailure keeps the newest failed response; nil gives up the one that is kept.
+func (t *transfer) keepFailure(f *failedResponse) {
+	if t.failure != nil {
+		t.failure.memory.release()
+	}
+	t.failure = f
+}
+
+// relayFailure relays the kept response because there is no other attempt, for the reason err.
+func (t *transfer) relayFailure(err error) {
+	f := t.failure
+	t.logEvent(eventlog.RequestFailed, "", errors.Wrapf(err, "the upstream's response with status %d is relayed, there is no other attempt", f.status))
+	t.recordOutcome(ResultUpstreamError, verdict.Ran)
+	t.forwarder.Headers.CallerHeader(t.writer.Header(), f.header)
+	t.writer.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
+	t.writer.WriteHeader(f.status)
+	_, _ = t.writer.Write(f.body) // fails only when the caller has disconnected
+}
+
 func (t *transfer) copyHeaders(resp *httpconn.Response, started bool) {
 	t.forwarder.Headers.CallerHeader(t.writer.Header(), resp.Header)
 	t.responseStarted = started
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -40,6 +40,12 @@
 	attemptsSent    int
 	attemptsRun     int
 	failedUpstreams []string
+	// failure is the response that callers get if no other attempt succeeds; nil if none is kept.
+	failure *failedResponse
+	// retryReserved is set once the next attempt is paid for from the retry budget.
+	retryReserved bool
+	// service is that of the request's attempts.
+	service *service
 	// recordByte reports received data to Liveness.
 	recordByte func()
 	// responseStarted is set once the headers of a response were relayed before
@@ -80,7 +86,9 @@
 // run makes attempts until the request has a response or fails.
 func (t *transfer) run(ctx context.Context) {
 	s := t.forwarder.Services.get(t.serviceName)
+	t.service = s
 	s.creditRetries()
+	defer t.keepFailure(nil)
 	t.lastEventID = t.metadata.LastEventID
 	defer t.endTrial()
 	for {
@@ -134,7 +142,16 @@
 	if verdict.Of(err) != verdict.NotRun && (!t.route.Repeatable() || t.attemptsRun >= t.route.MaxAttempts) {
 		return false
 	}
-	return s.takeRetry()
+	reserved := t.retryReserved
+	t.retryReserved = false
+	return reserved || s.takeRetry()
+}
+
+// reserveRetry takes the next attempt from the retry budget, if it allows one, before the
+// current attempt ends.
+func (t *transfer) reserveRetry() bool {
+	t.retryReserved = t.retryReserved || t.service.takeRetry()
+	return t.retryReserved
 }
 
 // maxUnreachableUpstreams limits how many unreachable upstreams one request
