Let a safe request go again to its only upstreams

Cause: an upstream where an attempt failed is ruled out for the request. When it failed at each upstream of the service, the scheduler refused the next attempt although maxAttempts and the retry budget allowed one, and callers got 502 or the failure.

Change: when no other upstream is left, a safe request is admitted once more at those where it failed.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,8 @@
 	attemptsSent    int
 	attemptsRun     int
 	failedUpstreams []string
+	// triedAll is set once a safe request may go again to upstreams where it failed.
+	triedAll bool
 	// failure is the response that callers get if no other attempt succeeds; nil if none is kept.
 	failure *failedResponse
 	// retryReserved is set once the next attempt is paid for from the retry budget.
@@ -111,9 +114,24 @@
 		}
 		t.awaitCrashCheck(ctx)
 		t.abortIfCallerLeft(err)
+		t.readmitUpstreams()
 	}
 }
 
+// readmitUpstreams lets a safe request go once more to the upstreams where it failed when there
+// are no others: another attempt there may succeed, without one the request fails for certain.
+func (t *transfer) readmitUpstreams() {
+	if t.triedAll || t.attemptsRun == 0 || t.route.Kind != routetable.Safe {
+		return
+	}
+	for _, u := range t.forwarder.Registry().ByService[t.serviceName] {
+		if !u.Leaving && !slices.Contains(t.failedUpstreams, u.ID) {
+			return
+		}
+	}
+	t.triedAll, t.failedUpstreams = true, nil
+}
+
 // abortIfCallerLeft ends a request whose caller has disconnected. err is the error of
 // its last attempt.
 func (t *transfer) abortIfCallerLeft(err error) {
