Detect a connection reset while a request is written

Cause: an upstream answered a long upload at once, without a length, sent a part of its response and reset the connection. A reset is reported once only; the blocked write got it, the reader saw the end of the connection, and callers got the part as a complete response.

Change: the end of a response that only its connection delimits counts only once the request is written without an error, within 1 s.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -34,23 +34,30 @@
 	probeFailuresUntilDown = 2
 )
 
-// loops returns the daemon's background loops; each runs until its context ends.
+// loops returns the daemon's background loops; each runs until its context ends. Their calls to
+// the platform are background calls, except for the first read of the documents, without which
+// the daemon serves nobody.
 func (d *Daemon) loops() []func(context.Context) error {
 	return []func(context.Context) error{
 		d.pollDocuments,
-		d.onceRecords.Run,
-		d.suspects.Run,
-		d.promptParts.Run,
-		d.pollParts,
-		d.pollInstances,
+		background(d.onceRecords.Run),
+		background(d.suspects.Run),
+		background(d.promptParts.Run),
+		background(d.pollParts),
+		background(d.pollInstances),
 		d.probePeriodically,
 		d.every(loadPublishInterval, d.publishLoad),
 		d.every(membershipInterval, d.refreshMembers),
 		d.watchReadiness,
-		d.runRollouts,
+		background(d.runRollouts),
 	}
 }
 
+// background marks a loop's calls to the platform as background calls.
+func background(loop func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error { return loop(platform.WithBackground(ctx)) }
+}
+
 // runRollouts loads the weights that the documents require onto the engines
 // while this daemon holds the rollout lease.
 func (d *Daemon) runRollouts(ctx context.Context) error {
@@ -69,7 +76,7 @@
 		}
 	}
 	d.documentsKnown.Store(true)
-	return d.poller.Run(ctx)
+	return d.poller.Run(platform.WithBackground(ctx))
 }
 
 // sleep waits for interval and returns false if ctx ends first.
--- a/internal/forward/attemptends_test.go
+++ b/internal/forward/attemptends_test.go
@@ -113,24 +113,31 @@
 
 // newEndingForwarder returns a Forwarder with one service of two upstreams.
 func newEndingForwarder(t assert.TestingT, log *eventlog.Log) (*Forwarder, func()) {
-	table, err := routetable.New(routetable.State{
-		Services: []routetable.Service{{Name: "ledger"}},
-		Routes:   []routetable.Route{{Name: "read", Host: "host", PathPrefix: "/safe/", Kind: routetable.Safe, MaxAttempts: 2, Targets: []routetable.Target{{Service: "ledger", Weight: 1}}}, {Name: "order", Host: "host", PathPrefix: "/unsafe/", Kind: routetable.Unsafe, MaxAttempts: 1, Targets: []routetable.Target{{Service: "ledger", Weight: 1}}}},
-	})
-	assert.NilError(t, err)
-	services := NewServices(RetryLimits{Slack: 50}, func(string) time.Duration { return 0 })
-	registry := fleet.NewRegistry()
-	snapshot := registry.Replace([]fleet.Registration{{ID: "u-1", Address: "1", Service: "ledger", Slots: 64, StartedAt: 1}, {ID: "u-2", Address: "2", Service: "ledger", Slots: 64, StartedAt: 1}})
-	services.Update(View{Table: table, Registry: snapshot})
 	unreachable := func(ctx context.Context) bool { return ctx.Value(unreachableKey{}) != nil }
-	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+	return newForwarderOver(t, log, func(ctx context.Context, _, _ string) (net.Conn, error) {
 		if unreachable(ctx) {
 			return nil, errors.New("no route")
 		}
 		near, far := net.Pipe()
 		go serveEnd(far)
 		return near, nil
+	})
+}
+
+// newForwarderOver returns a Forwarder with one service of two upstreams that dial connects to.
+func newForwarderOver(t assert.TestingT, log *eventlog.Log, dial func(ctx context.Context, network, address string) (net.Conn, error)) (*Forwarder, func()) {
+	route := func(name string, kind routetable.Kind, attempts int) routetable.Route {
+		return routetable.Route{Name: name, Host: "host", PathPrefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Targets: []routetable.Target{{Service: "ledger", Weight: 1}}}
 	}
+	table, err := routetable.New(routetable.State{
+		Services: []routetable.Service{{Name: "ledger"}},
+		Routes:   []routetable.Route{route("safe", routetable.Safe, 2), route("unsafe", routetable.Unsafe, 1), route("stream", routetable.Stream, 1)},
+	})
+	assert.NilError(t, err)
+	services := NewServices(RetryLimits{Slack: 50}, func(string) time.Duration { return 0 })
+	registry := fleet.NewRegistry()
+	snapshot := registry.Replace([]fleet.Registration{{ID: "u-1", Address: "1", Service: "ledger", Slots: 64, StartedAt: 1}, {ID: "u-2", Address: "2", Service: "ledger", Slots: 64, StartedAt: 1}})
+	services.Update(View{Table: table, Registry: snapshot})
 	pool := httpconn.NewPool(dial)
 	f := New(Config{
 		Headers: endingCodec{}, Pool: pool, Services: services, Liveness: NewLiveness(dial, func(string, bool) {}, log), Log: log,
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -27,6 +27,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	pace    platform.Pace
 
 	cacheMu         sync.Mutex
 	cachedInstances cachedList
@@ -158,7 +159,19 @@
 	return decodeResponse(resp.status, resp.body, into)
 }
 
+// exchange makes one call at the daemon's pace.
 func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (response, error) {
+	if err := c.pace.Wait(ctx); err != nil {
+		return response{}, verdict.Wrap(err, verdict.NotRun, verdict.CodePlatformUnavailable, "the call was not made at the pace after an outage")
+	}
+	resp, err := c.send(ctx, method, path, header, body)
+	if err != nil && !errors.Is(err, context.Canceled) || resp.status >= http.StatusInternalServerError {
+		c.pace.RecordFailure()
+	}
+	return resp, err
+}
+
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	ctx, sent := httpverdict.TrackSend(ctx)
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -35,6 +35,9 @@
 	// response is read. Longer bodies are written concurrently, since an upstream
 	// may respond before it has read them.
 	maxInlineBodyBytes = 4 << 10
+	// maxWriteWait is how long the end of a response without a length waits for the rest of the
+	// request to be written: an upstream that rejects a body reads on so that its response arrives.
+	maxWriteWait = time.Second
 	// maxStatus is the greatest status that HTTP has.
 	maxStatus = 599
 	// maxStrayResponses bounds the skipped responses to other requests.
@@ -269,7 +272,7 @@
 		}
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "no response from "+t.ID)
 	}
-	resp.Body = &body{exchange: x, source: resp.Body, idleTimeout: idleTimeoutOf(resp)}
+	resp.Body = &body{exchange: x, source: resp.Body, idleTimeout: idleTimeoutOf(resp), endsWithConnection: endsWithConnection(resp)}
 	return &Response{Response: resp, Reused: c.reused, conn: c}, nil
 }
 
@@ -292,6 +295,7 @@
 	conn            *conn
 	written         chan error
 	writing         bool // the request is still being written
+	writeError      error
 	stopCancelWatch func() bool
 	once            sync.Once
 }
@@ -299,6 +303,7 @@
 func (x *exchange) run(r *Request) (*http.Response, error) {
 	if len(r.Body) <= maxInlineBodyBytes {
 		if err := x.write(r); err != nil {
+			x.writeError = err
 			return x.readEarlyResponse(r, err)
 		}
 		return x.read(r)
@@ -375,6 +380,28 @@
 	return err
 }
 
+// errRequestCut is the error of a response whose end can't be told from that of its connection.
+var errRequestCut = errors.Wrap(io.ErrUnexpectedEOF, "the connection failed while the request was written")
+
+// awaitWrite returns nil once the request is written, and the error of a write that failed or
+// took longer than maxWriteWait. A reset connection reports its error once only: when a write
+// has got it, the reader sees the end of a response that only the end of its connection
+// delimits, as if the upstream had ended it in order.
+func (x *exchange) awaitWrite() error {
+	if !x.writing {
+		return x.writeError
+	}
+	timer := time.NewTimer(maxWriteWait)
+	defer timer.Stop()
+	select {
+	case x.writeError = <-x.written:
+		x.writing = false
+		return x.writeError
+	case <-timer.C:
+		return context.DeadlineExceeded
+	}
+}
+
 // complete ends the exchange after a complete response and keeps the connection
 // if it can be reused.
 func (x *exchange) complete(idleTimeout time.Duration) {
@@ -410,11 +437,16 @@
 	exchange    *exchange
 	source      io.ReadCloser
 	idleTimeout time.Duration
+	// endsWithConnection is set if nothing else marks the end of the body.
+	endsWithConnection bool
 }
 
 // Read implements io.Reader. io.EOF means that the body is complete.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
+	if errors.Is(err, io.EOF) && b.endsWithConnection && b.exchange.awaitWrite() != nil {
+		err = errRequestCut
+	}
 	if errors.Is(err, io.EOF) {
 		b.exchange.complete(b.idleTimeout)
 		return n, io.EOF
