--- a/internal/upstream/httpservice/client.go
+++ b/internal/upstream/httpservice/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,9 @@
 	dialTimeout   = 2 * time.Second
 	checkTimeout  = 2 * time.Second
 	maxReplyBytes = 32 << 20
+	// maxWriteWait is how long the end of a response without a length waits for the rest of the
+	// call to be written.
+	maxWriteWait = time.Second
 	// maxHeadBytes bounds the heads of one response, those of informational responses
 	// before it included.
 	maxHeadBytes = 64 << 10
@@ -56,6 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	ctx, sent := httpverdict.TrackSend(ctx)
+	ctx, written := trackWrite(ctx)
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "the call is not a valid HTTP request")
@@ -74,7 +79,38 @@
 		return nil, verdict.Wrap(err, sent.Verdict(), verdict.CodeUpstreamFailed, "upstream unreachable")
 	}
 	defer resp.Body.Close()
-	return readReply(resp, call.RequestID)
+	reply, err := readReply(resp, call.RequestID)
+	if err == nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !wasWritten(ctx, written) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the connection failed while the call was written")
+	}
+	return reply, err
+}
+
+// trackWrite returns a context for sending one request, and a channel that receives the result
+// of writing it.
+func trackWrite(ctx context.Context) (context.Context, <-chan error) {
+	written := make(chan error, 1)
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+		select {
+		case written <- i.Err:
+		default:
+		}
+	}}
+	return httptrace.WithClientTrace(ctx, trace), written
+}
+
+// wasWritten reports whether the request was written without an error, within maxWriteWait. A
+// reset connection reports its error once only: when a write has got it, a response that only
+// the end of its connection delimits seems to end in order.
+func wasWritten(ctx context.Context, written <-chan error) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxWriteWait)
+	defer cancel()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // Check implements upstream.Services. Any HTTP response, whatever its status,
