--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,14 @@
 	attemptsSent    int
 	attemptsRun     int
 	failedUpstreams []string
+	// triedAll is set once a safe request may go again to upstreams where it failed.
+	triedAll bool
+	// failure is the response that callers get if no other attempt succeeds; nil if none is kept.
+	failure *failedResponse
+	// retryReserved is set once the next attempt is paid for from the retry budget.
+	retryReserved bool
+	// service is that of the request's attempts.
+	service *service
 	// recordByte reports received data to Liveness.
 	recordByte func()
 	// responseStarted is set once the headers of a response were relayed before
@@ -83,7 +92,9 @@
 // run makes attempts until the request has a response or fails.
 func (t *transfer) run(ctx context.Context) {
 	s := t.forwarder.Services.get(t.serviceName)
+	t.service = s
 	s.creditRetries()
+	defer t.keepFailure(nil)
 	t.lastEventID = t.metadata.LastEventID
 	defer t.endTrial()
 	defer t.settleAllowance()
@@ -111,9 +122,24 @@
 		}
 		t.awaitCrashCheck(ctx)
 		t.abortIfCallerLeft(err)
+		t.readmitUpstreams()
 	}
 }
 
+// readmitUpstreams lets a safe request go once more to the upstreams where it failed when there
+// are no others: another attempt there may succeed, without one the request fails for certain.
+func (t *transfer) readmitUpstreams() {
+	if t.triedAll || t.attemptsRun == 0 || t.route.Kind != routetable.Safe {
+		return
+	}
+	for _, u := range t.forwarder.Registry().ByService[t.serviceName] {
+		if !u.Leaving && !slices.Contains(t.failedUpstreams, u.ID) {
+			return
+		}
+	}
+	t.triedAll, t.failedUpstreams = true, nil
+}
+
 // abortIfCallerLeft ends a request whose caller has disconnected. err is the error of
 // its last attempt.
 func (t *transfer) abortIfCallerLeft(err error) {
@@ -142,7 +168,16 @@
 	if verdict.Of(err) != verdict.NotRun && (!t.route.Repeatable() || t.attemptsRun >= t.route.MaxAttempts) {
 		return false
 	}
-	return s.takeRetry()
+	reserved := t.retryReserved
+	t.retryReserved = false
+	return reserved || s.takeRetry()
+}
+
+// reserveRetry takes the next attempt from the retry budget, if it allows one, before the
+// current attempt ends.
+func (t *transfer) reserveRetry() bool {
+	t.retryReserved = t.retryReserved || t.service.takeRetry()
+	return t.retryReserved
 }
 
 // maxUnreachableUpstreams limits how many unreachable upstreams one request
