--- a/internal/daemon/promptparts.go
+++ b/internal/daemon/promptparts.go
@@ -77,7 +77,7 @@
 		rows, err := listRows(ctx, d.partTable)
 		switch {
 		case err == nil:
-			d.promptParts.ApplyRows(rows)
+			d.promptParts.ApplyRows(rows, 0)
 			if failing {
 				d.log.Emit(eventlog.FeedRecovered, eventlog.Fields{Detail: "quarantined prompt parts"})
 			}
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -192,7 +192,7 @@
 		rows[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
 	}
 	for _, p := range c.parts {
-		p.ApplyRows(rows)
+		p.ApplyRows(rows, 0)
 	}
 }
 
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -8,7 +8,7 @@
 // ID is the number of a kind of event. Numbers are never reused.
 type ID int
 
-// Kinds of events: 1xx process, 2xx requests, 3xx upstreams, 4xx documents,
+// Kinds of events: 1xx process, 2xx requests (240 to 249 the store's eras), 3xx upstreams, 4xx documents,
 // 5xx platform, 6xx peers, 7xx at-most-once calls, 8xx quarantine, 9xx leases
 // and orders to engines.
 const (
@@ -30,6 +30,7 @@
 	CallerDisconnected         ID = 209
 	HedgeStarted               ID = 210
 	RequestPanicked            ID = 211
+	StoreRestored              ID = 240
 	UpstreamServing            ID = 301
 	UpstreamLeaving            ID = 302
 	UpstreamDown               ID = 303
@@ -108,6 +109,7 @@
 	{CallerDisconnected, hclog.Info, "caller disconnected"},
 	{HedgeStarted, hclog.Debug, "hedge started"},
 	{RequestPanicked, hclog.Error, "handler of a request panicked"},
+	{StoreRestored, hclog.Warn, "store restored from an older copy"},
 	{UpstreamServing, hclog.Info, "upstream serving"},
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
 	{UpstreamDown, hclog.Warn, "upstream down"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,6 +156,7 @@
 	newsQueue      *delayQueue[operatorNews]
 	goalRecorder   *goalRecorder
 	storeClock     *storeclock.Clock
+	eras           *platform.Eras
 	descriptors    descriptorWatch
 	startedAt      time.Time
 }
@@ -179,6 +180,7 @@
 		d.log.Emit(eventlog.StoreClockSetBack, eventlog.Fields{Detail: "by " + by.String()})
 	})
 	d.log.Observe(d.metrics.CountEvent)
+	d.eras = platform.ErasOf(p.Table)
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
 	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
 	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics, d.storeClock}
@@ -197,6 +199,7 @@
 	})
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
+	d.eras.OnRestore(d.storeRestored)
 	d.registerGauges()
 	d.registerDescriptorGauges()
 	if err := d.listen(); err != nil {
@@ -217,21 +220,21 @@
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
-		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, MaxAge: d.settings.ChangeTimeLimit, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
+		Table: d.platform.OperatorTable, MaxWait: operatorMaxWait, MaxAge: d.settings.ChangeTimeLimit, IsNewer: d.isNewerOperatorRow, OnChange: d.applyOperatorRows, OnStoreRead: d.recordStoreRead,
 	}, d.platform.Feed, peers, d.log)
 	d.upstreamMirror = mirror.New(mirror.Settings{
 		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MaxAge: d.settings.ChangeTimeLimit, MinInterval: upstreamReadInterval, SoleMinInterval: 2 * upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
 	}, d.platform.Feed, peers, d.log)
 	d.quarantineMirror = mirror.New(mirror.Settings{
-		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.promptParts.ApplyRows(rows) },
+		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, read mirror.Read) { d.promptParts.ApplyRows(rows, read.Era) },
 	}, d.platform.Feed, peers, d.log)
 	d.recordMirror = mirror.New(mirror.Settings{
 		Table: goalRecordKey, MaxWait: recordMaxWait, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.applyRecordRows(rows) },
-	}, goalRecordFeed{d.platform.Table}, peers, d.log)
+	}, goalRecordFeed{d.platform.Table, d.eras}, peers, d.log)
 	d.copies = mirror.NewFollower(mirror.FollowerSettings{
 		Self: mirror.Node{Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.PeerListen}, Others: d.copySources, StartHold: d.startHold(),
 		Policy:      mirror.RankedSources{MinFleet: minFollowingFleet, Local: localSources, Global: globalSources},
-		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock,
+		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock, Eras: d.eras,
 	}, d.log, d.operatorMirror, d.upstreamMirror, d.quarantineMirror, d.recordMirror)
 }
 
--- a/internal/gateway/goalrecord.go
+++ b/internal/gateway/goalrecord.go
@@ -78,15 +78,18 @@
 	// goalsRead is set once the operators' goals were read.
 	goalsRead atomic.Bool
 	wake      chan struct{}
+	// restored is set once the store was seen to be restored. Facts that say that the row contains
+	// a goal may then be about a row that it lost.
+	restored atomic.Bool
 	// startDelay is how long after its start this daemon does not write the row.
 	startDelay time.Duration
 	// missed holds the versions, by model, that were new at the last read of the goals
 	// for the row; only keepGoalRecord uses it.
 	missed map[string]int
-	// written is the row as this daemon wrote it last, writtenVersion its version; 0 if that
+	// written is the row as this daemon wrote it last, writtenAt its position; zero if that
 	// is unknown. Only keepGoalRecord uses them.
-	written        rollout.GoalRecord
-	writtenVersion uint64
+	written   rollout.GoalRecord
+	writtenAt platform.Position
 
 	mu sync.Mutex
 	// asOf is GoalRecord.AsOf of the row as it was last read; rollout.UnknownTime if an
@@ -139,6 +142,15 @@
 	}
 }
 
+// forgetRecorded forgets what the row contains: the store lost its last writes.
+func (r *goalRecorder) forgetRecorded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restored.Store(true)
+	clear(r.recorded)
+	r.renewedUntil = 0
+}
+
 // contains reports whether the row is known to contain a daemon's goal.
 func (r *goalRecorder) contains(g rollout.Goal) bool {
 	r.mu.Lock()
@@ -260,18 +272,18 @@
 func (d *Daemon) isLargeFleet() bool { return len(d.members.Live()) >= minFollowingFleet }
 
 // readGoalRecord reads the row and applies it. The version is 0 if there is none.
-func (d *Daemon) readGoalRecord(ctx context.Context) (record rollout.GoalRecord, version uint64, err error) {
+func (d *Daemon) readGoalRecord(ctx context.Context) (record rollout.GoalRecord, at platform.Position, err error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
 	row, err := d.platform.Table.Get(ctx, goalRecordKey)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return record, 0, err
+		return record, at, err
 	}
 	if err == nil {
 		record = d.decodeGoalRecord(row.Value)
 	}
 	d.applyGoalRecord(&record)
-	return record, row.Version, nil
+	return record, platform.Position{Era: row.Era, Version: row.Version}, nil
 }
 
 // decodeGoalRecord decodes the row. One that cannot be read is replaced; it dates nothing.
@@ -295,23 +307,29 @@
 
 // goalRecordFeed presents the row under goalRecordKey as a table of its own, which tells no
 // changes.
-type goalRecordFeed struct{ table platform.Table }
+type goalRecordFeed struct {
+	table platform.Table
+	eras  *platform.Eras
+}
 
 // ReadTable implements platform.Feed.
 func (f goalRecordFeed) ReadTable(ctx context.Context, _ string) (platform.Changes, error) {
 	row, err := f.table.Get(ctx, goalRecordKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Changes{Whole: true, Version: 1}, nil
+		return platform.Changes{Whole: true, Version: 1, Era: row.Era}, nil
 	}
 	if err != nil {
 		return platform.Changes{}, err
 	}
-	return platform.Changes{Whole: true, Version: row.Version, ReadAt: row.ReadAt, Rows: []platform.Change{{Key: row.Key, Value: row.Value, Version: row.Version}}}, nil
+	return platform.Changes{Whole: true, Version: row.Version, Era: row.Era, ReadAt: row.ReadAt, Rows: []platform.Change{{Key: row.Key, Value: row.Value, Version: row.Version}}}, nil
 }
 
 // ReadChanges implements platform.Feed.
-func (goalRecordFeed) ReadChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Changes, error) {
-	return platform.Changes{Version: after}, backoff.Sleep(ctx, wait)
+func (f goalRecordFeed) ReadChanges(ctx context.Context, _ string, after platform.Position, wait time.Duration) (platform.Changes, error) {
+	if era, _ := f.eras.Current(); era != after.Era {
+		return platform.Changes{}, platform.ErrRestored
+	}
+	return platform.Changes{Version: after.Version, Era: after.Era}, backoff.Sleep(ctx, wait)
 }
 
 // recordOnThisClock returns what a row still tells if the store's clock went back since
@@ -372,9 +390,9 @@
 	ctx, cancel := context.WithTimeout(ctx, goalRecordTimeout)
 	defer cancel()
 	for try := 0; ; try++ {
-		record, version := d.goalRecorder.written, d.goalRecorder.writtenVersion
-		if version == 0 {
-			if record, version, err = d.readGoalRecord(ctx); err != nil {
+		record, at := d.goalRecorder.written, d.goalRecorder.writtenAt
+		if era, _ := d.eras.Current(); at.Version == 0 || at.Era != era {
+			if record, at, err = d.readGoalRecord(ctx); err != nil {
 				return false, err
 			}
 		}
@@ -390,28 +408,29 @@
 		}
 		next := d.nextGoalRecord(&record, completeAt)
 		d.goalRecorder.written = *next
-		d.goalRecorder.writtenVersion, err = d.commitGoalRecord(ctx, next, version)
+		d.goalRecorder.writtenAt, err = d.commitGoalRecord(ctx, next, at)
 		if err == nil {
 			d.shareRecordedGoals(next)
 			return completeAt > 0, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) || try >= maxGoalRecordConflicts {
+		if !errors.IsAny(err, platform.ErrConflict, platform.ErrEraChanged) || try >= maxGoalRecordConflicts {
 			return false, err
 		}
 	}
 }
 
-// commitGoalRecord writes the row if it has a version, and returns its next one; 0 if that is
-// not known.
-func (d *Daemon) commitGoalRecord(ctx context.Context, record *rollout.GoalRecord, version uint64) (uint64, error) {
+// commitGoalRecord writes the row if it is at a position, and returns its next one; zero if that
+// is not known.
+func (d *Daemon) commitGoalRecord(ctx context.Context, record *rollout.GoalRecord, at platform.Position) (platform.Position, error) {
 	onStoreClock := record.WithTimes(d.storeClock.ToStore)
 	value, err := onStoreClock.Encode()
 	if err != nil {
-		return 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "write the record of weight versions")
+		return platform.Position{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "write the record of weight versions")
 	}
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: goalRecordKey, Version: version}},
+		Conditions: []platform.Condition{{Key: goalRecordKey, Version: at.Version}},
 		Writes:     []platform.Write{{Key: goalRecordKey, Value: value}},
+		Era:        at.Era,
 	}
 	return platform.CommitVersion(ctx, d.platform.Table, txn, func(ctx context.Context) (bool, error) {
 		row, err := d.platform.Table.Get(ctx, goalRecordKey)
@@ -553,12 +572,16 @@
 		return
 	}
 	d.goalRecorder.renewed(record.AsOf)
-	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindGoalRecord, ID: goalRecordKey, Version: uint64(asOf), TTL: goalRecordFactTTL})
+	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindGoalRecord, ID: goalRecordKey, Version: uint64(asOf), TTL: goalRecordFactTTL, Value: d.eraOfFact()})
 }
 
 // receiveGoalRecord notes that a peer renewed the row. A time that is yet to come is of a
 // clock that went back since.
+// So does one of an era before the store was restored, which may have lost that row.
 func (d *Daemon) receiveGoalRecord(f gossip.Fact) {
+	if !d.isOfCurrentEra(f) {
+		return
+	}
 	asOf := d.storeClock.FromStore(platform.StoreTime(f.Version))
 	if now, ok := d.storeClock.Now(); ok && asOf <= now.Add(storeclock.MaxError) {
 		d.goalRecorder.renewed(asOf)
--- a/internal/gateway/goals.go
+++ b/internal/gateway/goals.go
@@ -202,7 +202,7 @@
 	if !dated {
 		r.requestedAt = d.storeClock.ToStore(now.Add(-r.age))
 	}
-	if v.recorded {
+	if v.recorded && !d.goalRecorder.restored.Load() {
 		d.goalRecorder.remove(g.Model, g.Version)
 	}
 	d.reportGoal(r)
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -32,7 +32,11 @@
 			return float64(responses)
 		},
 		telemetry.NamePlatformUp: func() float64 { return boolGauge(d.storeFailedSince.Load() == nil) },
-		telemetry.NameCopiesAge:  func() float64 { return d.copies.Age().Seconds() },
+		telemetry.NameStoreEra: func() float64 {
+			era, _ := d.eras.Current()
+			return float64(era)
+		},
+		telemetry.NameCopiesAge: func() float64 { return d.copies.Age().Seconds() },
 		telemetry.NameStoreReader: func() float64 {
 			reading, _ := d.copies.Reading()
 			return boolGauge(reading)
@@ -124,17 +128,20 @@
 }
 
 // CommitVersion implements platform.VersionedTable.
-func (t timedTable) CommitVersion(ctx context.Context, txn platform.Txn) (version uint64, err error) {
+func (t timedTable) CommitVersion(ctx context.Context, txn platform.Txn) (platform.Position, error) {
 	table, ok := t.Table.(platform.VersionedTable)
 	if !ok {
-		return 0, t.Commit(ctx, txn)
+		return platform.Position{}, t.Commit(ctx, txn)
 	}
 	start := time.Now()
-	version, err = table.CommitVersion(ctx, txn)
+	written, err := table.CommitVersion(ctx, txn)
 	t.record("commit", start, err)
-	return version, err
+	return written, err
 }
 
+// Eras implements platform.EraTable.
+func (t timedTable) Eras() *platform.Eras { return platform.ErasOf(t.Table) }
+
 // clockedFeed records the store's time in its responses. ReadAt is a time of the clock.
 type clockedFeed struct {
 	platform.Feed
@@ -150,7 +157,7 @@
 }
 
 // ReadChanges implements platform.Feed.
-func (f clockedFeed) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (f clockedFeed) ReadChanges(ctx context.Context, table string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	sentAt := f.clock.Local()
 	changes, err := f.Feed.ReadChanges(ctx, table, after, wait)
 	changes.ReadAt = f.clock.Observe(changes.ReadAt, sentAt)
--- a/internal/gateway/storeclock_test.go
+++ b/internal/gateway/storeclock_test.go
@@ -37,7 +37,7 @@
 	}, nil
 }
 
-func (f *restartingFeed) ReadChanges(ctx context.Context, table string, _ uint64, _ time.Duration) (platform.Changes, error) {
+func (f *restartingFeed) ReadChanges(ctx context.Context, table string, _ platform.Position, _ time.Duration) (platform.Changes, error) {
 	time.Sleep(10 * time.Millisecond)
 	return f.ReadTable(ctx, table)
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"strconv"
 	"sync"
@@ -23,6 +24,8 @@
 	// usableUntil holds, by upstream ID, when requests at upstreams with
 	// superseded weights must have ended. The map is never modified.
 	usableUntil atomic.Pointer[map[string]platform.StoreTime]
+	// state is used by applyOperatorRows only.
+	state stateInForce
 	// leaving are the upstreams that said in a response that they leave.
 	leaving leavingUpstreams
 
@@ -49,6 +52,51 @@
 	learnedVersions map[versionKey]int
 }
 
+// stateInForce is the row of the desired state in force.
+type stateInForce struct {
+	value []byte
+	at    platform.Position
+	// firstEra is the era of the first state that was in force.
+	firstEra uint64
+}
+
+func (s *stateInForce) set(row platform.Change, era uint64) {
+	if s.value == nil {
+		s.firstEra = era
+	}
+	s.value, s.at = row.Value, platform.Position{Era: era, Version: row.Version}
+}
+
+// isReplacedBy reports whether a row with the same revision replaces the one in force. It notes
+// the row's position if it has the same content.
+func (s *stateInForce) isReplacedBy(row platform.Change, era uint64) bool {
+	at := platform.Position{Era: era, Version: row.Version}
+	if !s.at.Before(at) || era <= s.firstEra {
+		return false
+	}
+	if bytes.Equal(row.Value, s.value) {
+		s.at = at
+		return false
+	}
+	return true
+}
+
+// isNewerOperatorRow implements mirror.Settings.IsNewer by the revisions of desired states and by
+// goal versions.
+func (d *Daemon) isNewerOperatorRow(kept, restored platform.Change) bool {
+	decoder := d.platform.Rows
+	if old, ok, err := decoder.State(kept.Key, kept.Value); ok && err == nil {
+		state, _, err := decoder.State(restored.Key, restored.Value)
+		return err == nil && state.Revision < old.Revision
+	}
+	_, oldVersion, ok, err := decoder.VersionGoal(kept.Key, kept.Value)
+	if !ok || err != nil {
+		return false
+	}
+	_, version, ok, err := decoder.VersionGoal(restored.Key, restored.Value)
+	return ok && err == nil && version < oldVersion
+}
+
 type versionKey struct {
 	id        string
 	startedAt int64
@@ -60,7 +108,7 @@
 	goals := map[string]requestedVersion{}
 	for key, row := range rows {
 		if state, ok, err := d.platform.Rows.State(key, row.Value); ok || err != nil {
-			d.applyState(row, state, err)
+			d.applyState(row, state, read.Era, err)
 			continue
 		}
 		model, version, ok, err := d.platform.Rows.VersionGoal(key, row.Value)
@@ -125,13 +173,14 @@
 }
 
 // applyState puts a desired state in force if its revision is newer than the
-// current one.
-func (d *Daemon) applyState(row platform.Change, state routetable.State, err error) {
+// current one, or if it has another content under the same revision and was written after the
+// store was restored: operators may have written it again without what the store lost.
+func (d *Daemon) applyState(row platform.Change, state routetable.State, era uint64, err error) {
 	if err != nil {
 		d.logSkippedRow(row, err)
 		return
 	}
-	if old := d.view.table.Load(); old != nil && state.Revision <= old.Revision {
+	if old := d.view.table.Load(); old != nil && (state.Revision < old.Revision || state.Revision == old.Revision && !d.view.state.isReplacedBy(row, era)) {
 		return
 	}
 	table, err := routetable.New(state)
@@ -140,6 +189,7 @@
 		return
 	}
 	d.view.table.Store(table)
+	d.view.state.set(row, era)
 	d.callerServer.setLimits(state.Limits)
 	d.queueRevision(state.Revision)
 	d.log.Emit(eventlog.StateAdopted, eventlog.Fields{Detail: fmt.Sprintf("revision %d: %d routes, %d organisations", state.Revision, len(state.Routes), len(state.Organisations))})
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -12,6 +12,13 @@
 // on the condition that the row still has the version that it watched: a late
 // renewal makes one of the two writes fail.
 //
+// A store that returns from an older copy (platform.Eras) may have lost the row of a holder that
+// still acts, and issues versions again. A candidate therefore waits, from when its daemon first
+// saw the store's era, as it would for a holder that was just granted the lease, unless the row
+// was written in that era. A holder goes on if the restored row still is its own and its lease
+// had not ended when it read it: then no other was granted one in the older era. Fencing tokens
+// have the era in their high bits.
+//
 // A holder that is paused between checking its deadline and sending an order
 // can still send it late. Receivers of orders must refuse an old fencing token;
 // where they do not, a new holder also waits the longest time that an order can
@@ -75,6 +82,7 @@
 // Keeper acquires, renews and releases one lease.
 type Keeper struct {
 	table    platform.Table
+	eras     *platform.Eras
 	settings Settings
 	log      *eventlog.Log
 }
@@ -90,7 +98,7 @@
 	if s.Patience == nil {
 		s.Patience = func() time.Duration { return 0 }
 	}
-	return &Keeper{table: table, settings: s, log: log}
+	return &Keeper{table: table, eras: platform.ErasOf(table), settings: s, log: log}
 }
 
 // Lease is a lease that this daemon acquired. It is safe for concurrent use.
@@ -150,8 +158,8 @@
 type grant struct {
 	record record
 	sentAt timePoint
-	// version is that of the row; 0 if it is not known.
-	version uint64
+	// at is the position of the row; zero if it is not known.
+	at platform.Position
 }
 
 // acquire waits until the lease is free and acquires it. It returns only ctx's
@@ -163,12 +171,12 @@
 		row, old, err := k.read(ctx)
 		pause := k.pollInterval()
 		if err == nil {
-			if row.Version != watched.Version || watchedSince.IsZero() {
+			if row.Version != watched.Version || row.Era != watched.Era || watchedSince.IsZero() {
 				watched, watchedSince = row, time.Now()
 			}
-			remaining := k.requiredWait(old) - time.Since(watchedSince)
+			remaining := max(k.requiredWait(old, row.Era)-time.Since(watchedSince), k.requiredEraWait(old, row.Era))
 			if remaining <= 0 {
-				if g, ok := k.claim(ctx, row.Version, old); ok {
+				if g, ok := k.claim(ctx, row, old); ok {
 					return g, nil
 				}
 			} else {
@@ -181,20 +189,57 @@
 	}
 }
 
-// requiredWait returns how long the row must not have changed before a candidate
-// may write it.
-func (k *Keeper) requiredWait(old record) time.Duration {
+// requiredWait returns how long the row must not have changed in an era before a candidate
+// may write it. A record of an older era says nothing of a release: a write that was held up may
+// have replaced a later holder's record.
+func (k *Keeper) requiredWait(old record, era uint64) time.Duration {
 	own := old.Holder == k.settings.Holder
 	switch {
 	case old.Fence == 0:
 		return k.settings.Patience()
+	case old.Era != era:
+		return k.fullWait(old.leaseDuration())
 	case own && (old.Released || k.settings.ExclusiveHolder):
 		return k.settings.MaxActionDelay
 	case old.Released:
 		return max(k.settings.MaxActionDelay, k.settings.MinHandoverPause, k.settings.Patience())
 	default:
-		return old.leaseDuration() + old.leaseDuration()/driftDivisor + max(k.settings.MaxActionDelay, k.settings.MinTakeoverPause)
+		return k.fullWait(old.leaseDuration())
+	}
+}
+
+// fullWait returns how long after it was granted a lease of a duration, and what its holder did
+// under it, has ended.
+func (k *Keeper) fullWait(duration time.Duration) time.Duration {
+	return duration + duration/driftDivisor + max(k.settings.MaxActionDelay, k.settings.MinTakeoverPause)
+}
+
+// requiredEraWait returns how much longer a holder may act whose row the store may have lost when
+// it entered an era.
+func (k *Keeper) requiredEraWait(old record, era uint64) time.Duration {
+	current, since := k.eras.Current()
+	if era == 0 || old.Era == era {
+		return 0
 	}
+	if current != era {
+		return k.settings.Duration // read again
+	}
+	return k.fullWait(max(k.settings.Duration, old.leaseDuration())) - time.Since(since)
+}
+
+// eraBits is the number of low bits of a fencing token that hold no era. Tokens are JSON numbers,
+// so below 2^53: 1,024 eras, and at 1,200 writes a second the store takes 232 years to issue as
+// many versions as the low bits hold.
+const eraBits = 43
+
+// nextFence returns the fencing token of a claim on a row. In an era it follows from the row's
+// version, on which the claim is conditional: no other claim in the era succeeds on the same one,
+// whatever became of the rows that were lost.
+func nextFence(row platform.Row, old record) uint64 {
+	if row.Era == 0 {
+		return old.Fence + 1
+	}
+	return max(old.Fence, row.Era<<eraBits+row.Version) + 1
 }
 
 // LastHolder returns who held the lease last; empty if nobody ever did.
@@ -203,40 +248,41 @@
 	return r.Holder, err
 }
 
-func (k *Keeper) claim(ctx context.Context, version uint64, old record) (grant, bool) {
-	next := record{Fence: old.Fence + 1, Holder: k.settings.Holder, Nonce: rand.Text(), Millis: k.settings.Duration.Milliseconds()}
+func (k *Keeper) claim(ctx context.Context, row platform.Row, old record) (grant, bool) {
+	next := record{Fence: nextFence(row, old), Era: row.Era, Holder: k.settings.Holder, Nonce: rand.Text(), Millis: k.settings.Duration.Milliseconds()}
 	g := grant{record: next, sentAt: k.now()}
-	if err := k.write(ctx, &g, version); err != nil {
+	if err := k.write(ctx, &g, platform.Position{Era: row.Era, Version: row.Version}); err != nil {
 		return grant{}, false
 	}
 	return g, true
 }
 
-// write commits a grant on the condition that the row has the version, and sets that of the
+// write commits a grant on the condition that the row is at a position, and sets that of the
 // grant. It stops trying when the grant would have expired.
-func (k *Keeper) write(ctx context.Context, g *grant, version uint64) error {
+func (k *Keeper) write(ctx context.Context, g *grant, at platform.Position) error {
 	ctx, cancel := context.WithDeadline(ctx, g.sentAt.monotonic.Add(g.record.leaseDuration()))
 	defer cancel()
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: k.rowKey(), Version: version}},
+		Conditions: []platform.Condition{{Key: k.rowKey(), Version: at.Version}},
 		Writes:     []platform.Write{{Key: k.rowKey(), Value: encodeRecord(g.record)}},
+		Era:        at.Era,
 	}
 	var err error
-	g.version, err = platform.CommitVersion(ctx, k.table, txn, func(ctx context.Context) (bool, error) {
-		_, found, err := k.read(ctx)
-		return found.Nonce == g.record.Nonce, err
+	g.at, err = platform.CommitVersion(ctx, k.table, txn, func(ctx context.Context) (bool, error) {
+		row, found, err := k.read(ctx)
+		return found.Nonce == g.record.Nonce && row.Era == at.Era, err
 	})
 	return err
 }
 
 // read returns the row and its record; a row that does not exist has version 0
-// and fence 0.
+// and fence 0, and the era.
 func (k *Keeper) read(ctx context.Context) (platform.Row, record, error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
 	row, err := k.table.Get(ctx, k.rowKey())
 	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, record{}, nil
+		return platform.Row{Era: row.Era}, record{}, nil
 	}
 	if err != nil {
 		return platform.Row{}, record{}, err
@@ -290,7 +336,7 @@
 	ctx, cancel := context.WithDeadline(ctx, held.Deadline())
 	defer cancel()
 	for try := 0; ; try++ {
-		next, err := k.renew(ctx, g)
+		next, err := k.renew(ctx, held, g)
 		if err == nil {
 			return next, nil
 		}
@@ -306,9 +352,10 @@
 // renewalBackoff spaces the retries of a renewal.
 var renewalBackoff = backoff.Policy{Min: 100 * time.Millisecond, Max: time.Second}
 
-func (k *Keeper) renew(ctx context.Context, g grant) (grant, error) {
-	if g.version != 0 {
-		if next, err := k.renewAt(ctx, g, g.version); err == nil || !errors.Is(err, platform.ErrConflict) {
+func (k *Keeper) renew(ctx context.Context, held *Lease, g grant) (grant, error) {
+	if era, _ := k.eras.Current(); g.at.Version != 0 && g.at.Era == era {
+		next, err := k.renewAt(ctx, g, g.at)
+		if err == nil || !errors.IsAny(err, platform.ErrConflict, platform.ErrEraChanged) {
 			return next, err
 		}
 	}
@@ -319,14 +366,18 @@
 	if found.Fence != g.record.Fence || found.Released {
 		return grant{}, verdict.Wrap(platform.ErrConflict, verdict.NotRun, verdict.CodeConflict, "the lease was acquired by another holder or released")
 	}
-	return k.renewAt(ctx, g, row.Version)
+	if row.Era != g.record.Era && !held.Valid() {
+		return grant{}, verdict.Wrap(platform.ErrConflict, verdict.NotRun, verdict.CodeConflict, "the lease ended before the store was restored")
+	}
+	g.record.Era = row.Era
+	return k.renewAt(ctx, g, platform.Position{Era: row.Era, Version: row.Version})
 }
 
-// renewAt renews the lease if the row has a version.
-func (k *Keeper) renewAt(ctx context.Context, g grant, version uint64) (grant, error) {
+// renewAt renews the lease if the row is at a position.
+func (k *Keeper) renewAt(ctx context.Context, g grant, at platform.Position) (grant, error) {
 	next := grant{record: g.record, sentAt: k.now()}
 	next.record.Nonce = rand.Text()
-	if err := k.write(ctx, &next, version); err != nil {
+	if err := k.write(ctx, &next, at); err != nil {
 		return grant{}, err
 	}
 	return next, nil
@@ -341,8 +392,12 @@
 	if err != nil || found.Fence != g.record.Fence || found.Released {
 		return
 	}
+	if found.Era != row.Era {
+		return // the rows of later holders may be lost
+	}
 	found.Released, found.Nonce = true, rand.Text()
 	_ = k.table.Commit(ctx, platform.Txn{
+		Era:        row.Era,
 		Conditions: []platform.Condition{{Key: k.rowKey(), Version: row.Version}},
 		Writes:     []platform.Write{{Key: k.rowKey(), Value: encodeRecord(found)}},
 	})
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -18,6 +18,8 @@
 	Nonce  string
 	// Millis is the lease's duration from the sending of the write, in milliseconds.
 	Millis int64
+	// Era is the store's era in which the record was written; 0 if the store states none.
+	Era uint64 `msgpack:",omitempty"`
 	// Released is set when the holder released the lease.
 	Released bool
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -71,6 +71,8 @@
 	// Dial connects to another daemon.
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Clock Clock
+	// Eras is told the eras that other daemons state; may be nil.
+	Eras *platform.Eras
 }
 
 // Follower keeps the copies of a daemon up to date from those of another daemon, so that
@@ -359,9 +361,13 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	req, whole := peerRequest{Follow: map[string]uint64{}}, f.takeResync()
+	req, whole := peerRequest{Follow: map[string]uint64{}, FollowEras: map[string]uint64{}}, f.takeResync()
 	for _, m := range f.mirrors {
-		req.Follow[m.settings.Table] = m.copyVersion(whole)
+		at := m.copyPosition(whole)
+		req.Follow[m.settings.Table] = at.Version
+		if at.Era != 0 {
+			req.FollowEras[m.settings.Table] = at.Era
+		}
 	}
 	if err := conn.SetDeadline(time.Now().Add(maxFrameInterval)); err != nil {
 		return err
@@ -415,6 +421,7 @@
 	starting := !f.sourced && now.Sub(f.startedAt) < startPatience
 	maxAge := f.maxSourceAge()
 	f.mu.Unlock()
+	f.observeEra(frame.Era)
 	if frame.Now != 0 {
 		f.settings.Clock.ObserveRelayed(frame.Now)
 	}
@@ -433,6 +440,10 @@
 			}
 		}
 	}
+	if frame.Era < f.era() {
+		// What it vouches for was before the store was restored.
+		return errStaleSource
+	}
 	for _, m := range f.mirrors {
 		m.confirm(at)
 	}
@@ -452,6 +463,27 @@
 	return nil
 }
 
+// observeEra notes an era that another daemon stated.
+func (f *Follower) observeEra(era uint64) {
+	if f.settings.Eras != nil {
+		f.settings.Eras.Observe(era)
+	}
+}
+
+// era returns the lowest era of the copies that have a maximum age.
+func (f *Follower) era() uint64 {
+	lowest, found := uint64(0), false
+	for _, m := range f.mirrors {
+		if m.settings.MaxAge == 0 {
+			continue
+		}
+		if era := m.copyPosition(false).Era; !found || era < lowest {
+			lowest, found = era, true
+		}
+	}
+	return lowest
+}
+
 func (f *Follower) mayResync(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/mirror/follower_test.go
+++ b/internal/mirror/follower_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -45,6 +46,8 @@
 	daemons []*copyDaemon
 	// knowsAll is unset while daemons know only those before them in order of name.
 	knowsAll bool
+	// minFleet is SourcePolicy's.
+	minFleet int
 	// maxAge is the stated bound for changes.
 	maxAge time.Duration
 }
@@ -67,8 +70,9 @@
 	inOrderSince atomic.Int64
 	mu           sync.Mutex
 	conns        []net.Conn
-	versions     []uint64
+	positions    []platform.Position
 	clock        *storeclock.Clock
+	eras         *platform.Eras
 	startedAt    time.Time
 }
 
@@ -76,7 +80,9 @@
 type countingStore struct {
 	fakeStore
 	calls atomic.Int64
-	start time.Time
+	// wholeReads counts those that read a whole table.
+	wholeReads atomic.Int64
+	start      time.Time
 }
 
 func (s *countingStore) now() platform.StoreTime {
@@ -110,6 +116,9 @@
 		return platform.Changes{}, err
 	}
 	c.ReadAt = s.d.clock.Observe(readAt, sentAt)
+	if c.Era < s.d.eras.Observe(c.Era) && err == nil {
+		err = platform.ErrOldEra // as the client discards it
+	}
 	return c, err
 }
 
@@ -126,15 +135,16 @@
 }
 
 func (s daemonStore) ReadTable(ctx context.Context, t string) (platform.Changes, error) {
+	s.d.fleet.store.wholeReads.Add(1)
 	return s.call(ctx, func() (platform.Changes, error) { return s.d.fleet.store.ReadTable(ctx, t) })
 }
 
-func (s daemonStore) ReadChanges(ctx context.Context, t string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (s daemonStore) ReadChanges(ctx context.Context, t string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	return s.call(ctx, func() (platform.Changes, error) { return s.d.fleet.store.ReadChanges(ctx, t, after, wait) })
 }
 
 func newCopyFleet(t *testing.T, size int) *copyFleet {
-	f := &copyFleet{t: t, store: &countingStore{fakeStore: fakeStore{rows: map[string]platform.Change{}}, start: time.Now()}, knowsAll: true, maxAge: newsLimit}
+	f := &copyFleet{t: t, store: &countingStore{fakeStore: fakeStore{rows: map[string]platform.Change{}}, start: time.Now()}, knowsAll: true, minFleet: minFleet, maxAge: newsLimit}
 	f.store.write("first", false)
 	for i := range size {
 		d := &copyDaemon{fleet: f, node: Node{Name: fmt.Sprintf("daemon-%03d", i), DataCentre: fmt.Sprint("dc-", i%testSites), Address: fmt.Sprintf("daemon-%03d:1", i)}}
@@ -155,6 +165,7 @@
 	d.down.Store(false)
 	d.startedAt = time.Now()
 	d.clock = storeclock.New(func() time.Duration { return 0 }, func(time.Duration) {})
+	d.eras = &platform.Eras{}
 	peers := &Peers{Addresses: func() []string {
 		var out []string
 		for _, n := range d.others() {
@@ -165,11 +176,11 @@
 	d.mirror = New(Settings{Table: table, MinInterval: 400 * time.Millisecond, MaxWait: time.Second, MaxAge: d.fleet.maxAge, OnChange: func(_ map[string]platform.Change, read Read) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.versions = append(d.versions, read.Version)
+		d.positions = append(d.positions, platform.Position{Era: read.Era, Version: read.Version})
 	}}, daemonStore{d}, peers, eventlog.Discard())
 	d.follower = NewFollower(FollowerSettings{
-		Self: d.node, Others: d.others, StartHold: gossipDelay, Clock: d.clock, Dial: d.dial,
-		Policy: RankedSources{MinFleet: minFleet, Local: 2, Global: 3}, StartPolicy: RankedSources{Local: 2, Global: 3},
+		Self: d.node, Others: d.others, StartHold: gossipDelay, Clock: d.clock, Eras: d.eras, Dial: d.dial,
+		Policy: RankedSources{MinFleet: d.fleet.minFleet, Local: 2, Global: 3}, StartPolicy: RankedSources{Local: 2, Global: 3},
 	}, eventlog.Discard(), d.mirror)
 	go func() { _ = d.mirror.Run(ctx) }()
 	go func() { _ = d.follower.Run(ctx) }()
@@ -270,17 +281,21 @@
 func (f *copyFleet) checkNews(what string, inOrder func(*copyDaemon) bool) {
 	f.t.Helper()
 	f.store.write("news "+what, false)
-	want := f.store.version
+	want := platform.Position{Era: f.store.era, Version: f.store.version}
 	time.Sleep(newsLimit)
 	late := 0
 	for _, d := range f.daemons {
-		if !d.down.Load() && inOrder(d) && d.mirror.copyVersion(false) < want {
+		if !d.down.Load() && inOrder(d) && d.mirror.copyPosition(false).Before(want) {
 			late++
 		}
 	}
 	assert.Check(f.t, late == 0, "%s: %d of %d daemons lack the row after %s", what, late, len(f.daemons), newsLimit)
 }
 
+func comparePositions(a, b platform.Position) int {
+	return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.Version, b.Version))
+}
+
 func healthy(d *copyDaemon) bool { return !d.cutOff.Load() }
 
 // fleetSizes returns the sizes to test; with -short, as under the race detector, without the
@@ -303,7 +318,7 @@
 				test(t, f)
 				for _, d := range f.daemons {
 					d.mu.Lock()
-					assert.Check(t, slices.IsSorted(d.versions), "the version of %s went back", d.node.Name)
+					assert.Check(t, slices.IsSortedFunc(d.positions, comparePositions), "the version of %s went back", d.node.Name)
 					d.mu.Unlock()
 				}
 				f.stopAll()
@@ -489,7 +504,7 @@
 		f.store.write("news", false)
 		time.Sleep(newsLimit)
 		d.mu.Lock()
-		newest := d.versions[len(d.versions)-1]
+		newest := d.positions[len(d.positions)-1].Version
 		d.mu.Unlock()
 		assert.Equal(t, newest, f.store.version, "the store is read meanwhile")
 		d.short.Store(false)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,7 +4,9 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -58,6 +60,10 @@
 	// RowsExpire is set if rows are removed when their writers stop renewing
 	// them. After an outage, missing rows are kept for the reappearanceWindow.
 	RowsExpire bool
+	// IsNewer reports whether a row of the copy is newer than the row of a store that was
+	// restored from an older copy. It then stays until the row is written again. nil if the
+	// rows do not tell.
+	IsNewer func(kept, restored platform.Change) bool
 	// OnChange is called with all rows after each change; calls do not overlap.
 	OnChange func(rows map[string]platform.Change, read Read)
 	// OnStoreRead is called after each read of the store, with its error, and with nil
@@ -69,8 +75,8 @@
 
 // Read describes how the rows of a copy were read.
 type Read struct {
-	// Version is the store's version.
-	Version uint64
+	// Version is the store's version, Era its era.
+	Version, Era uint64
 	// First is set for the first read: changes before it were not seen.
 	First bool
 	// At is when the store read the rows; 0 if they are a peer's copy.
@@ -106,11 +112,18 @@
 	peers    platform.Feed
 	log      *eventlog.Log
 
-	mu      sync.Mutex
-	rows    map[string]platform.Change
-	version uint64
-	synced  bool
-	changed chan struct{}
+	mu   sync.Mutex
+	rows map[string]platform.Change
+	// at is the store's position of the copy.
+	at     platform.Position
+	synced bool
+	// withheld holds the versions of restored rows that are left out, by key: they were removed
+	// before the store was restored. They count again once they are written again.
+	withheld map[string]uint64
+	// restoredAt is when a copy whose rows expire last changed to a newer era, zero once all rows
+	// that were lost and not written again are removed.
+	restoredAt time.Time
+	changed    chan struct{}
 	// cancelWait cancels the current long poll at the store; nil if there is
 	// none.
 	cancelWait context.CancelFunc
@@ -165,7 +178,7 @@
 	if s.OnStoreRead == nil {
 		s.OnStoreRead = func(error) {}
 	}
-	return &Mirror{settings: s, store: store, peers: peers, log: log, rows: map[string]platform.Change{}, changed: make(chan struct{}), recheck: make(chan struct{}, 1), revisions: map[string]uint64{}, tombstones: map[string]tombstone{}, sights: map[string]sight{}}
+	return &Mirror{settings: s, store: store, peers: peers, log: log, rows: map[string]platform.Change{}, changed: make(chan struct{}), recheck: make(chan struct{}, 1), revisions: map[string]uint64{}, tombstones: map[string]tombstone{}, sights: map[string]sight{}, withheld: map[string]uint64{}}
 }
 
 // Synced reports whether the table has been read.
@@ -198,14 +211,14 @@
 	m.storeOK = false
 }
 
-// copyVersion returns the version of the copy, 0 if there is none or anew is set.
-func (m *Mirror) copyVersion(anew bool) uint64 {
+// copyPosition returns the position of the copy, zero if there is none or anew is set.
+func (m *Mirror) copyPosition(anew bool) platform.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if anew || !m.synced {
-		return 0
+		return platform.Position{}
 	}
-	return m.version
+	return m.at
 }
 
 // Run follows the table until ctx ends.
@@ -254,7 +267,10 @@
 
 func (m *Mirror) minInterval() time.Duration {
 	interval := m.settings.MinInterval
-	if m.inReappearanceWindow() {
+	m.mu.Lock()
+	restored := !m.restoredAt.IsZero()
+	m.mu.Unlock()
+	if restored || m.inReappearanceWindow() {
 		interval = max(interval, reappearancePollInterval)
 	}
 	if m.follower != nil && m.follower.isSole() {
@@ -273,7 +289,7 @@
 }
 
 func (m *Mirror) recordFailure(err error) {
-	if errors.Is(err, platform.ErrHistoryLost) {
+	if errors.IsAny(err, platform.ErrHistoryLost, platform.ErrRestored, platform.ErrOldEra) {
 		return
 	}
 	if !m.storeFailing {
@@ -285,11 +301,11 @@
 // followStore reads the table or its changes from the store once.
 func (m *Mirror) followStore(ctx context.Context) error {
 	m.mu.Lock()
-	version, synced, reading := m.version, m.synced, m.storeOK
+	at, synced, reading, restored := m.at, m.synced, m.storeOK, !m.restoredAt.IsZero()
 	m.mu.Unlock()
 	// After an outage read the whole table: rows that expired meanwhile may be
 	// missing in the history.
-	if !synced || m.storeFailing || m.inReappearanceWindow() {
+	if !synced || m.storeFailing || restored || m.inReappearanceWindow() {
 		return m.readWholeTable(ctx)
 	}
 	wait, timeout := m.settings.MaxWait, callTimeout
@@ -303,7 +319,7 @@
 	defer cancel()
 	m.setCancelWait(cancel)
 	start, sentAt := time.Now(), m.local()
-	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, version, wait)
+	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, at, wait)
 	took := time.Since(start)
 	m.setCancelWait(nil)
 	// A poll that was canceled by Recheck or got no answer: the connection may be dead.
@@ -314,6 +330,9 @@
 	if errors.Is(err, platform.ErrHistoryLost) {
 		return m.readWholeTable(ctx)
 	}
+	if errors.IsAny(err, platform.ErrRestored, platform.ErrOldEra) {
+		return m.readRestored(ctx, at.Era)
+	}
 	if err != nil {
 		return err
 	}
@@ -348,6 +367,29 @@
 	return m.settings.RowsExpire && !m.recoveredAt.IsZero()
 }
 
+const (
+	// Daemons that all learn at once that the store was restored read its tables after a random
+	// part of a spread that grows with their number: 330 daemons read four tables within
+	// maxRestoredSpread, 3,300 a second of the 6,000 that the store serves.
+	restoredSpreadPerDaemon = 2 * time.Millisecond
+	maxRestoredSpread       = 400 * time.Millisecond
+)
+
+// readRestored reads the whole table of a store that is in a newer era than the copy, unless
+// a followed daemon's copy comes first.
+func (m *Mirror) readRestored(ctx context.Context, era uint64) error {
+	if m.follower != nil {
+		spread := min(time.Duration(len(m.follower.settings.Others()))*restoredSpreadPerDaemon, maxRestoredSpread)
+		if err := backoff.Sleep(ctx, rand.N(spread+1)); err != nil {
+			return err
+		}
+	}
+	if m.copyPosition(false).Era > era {
+		return nil
+	}
+	return m.readWholeTable(ctx)
+}
+
 func (m *Mirror) readWholeTable(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -367,6 +409,11 @@
 	if m.inReappearanceWindow() && time.Since(m.recoveredAt) > reappearanceWindow {
 		m.recoveredAt = time.Time{}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if start.Sub(m.restoredAt) > reappearanceWindow {
+		m.restoredAt = time.Time{}
+	}
 	return nil
 }
 
@@ -385,14 +432,17 @@
 // not.
 func (m *Mirror) readPeers(ctx context.Context, wait time.Duration) error {
 	m.mu.Lock()
-	version := m.version
+	at := m.at
 	m.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	changes, err := m.peers.ReadChanges(callCtx, m.settings.Table, version, wait)
+	changes, err := m.peers.ReadChanges(callCtx, m.settings.Table, at, wait)
 	if err != nil {
 		return err
 	}
+	if m.follower != nil {
+		m.follower.observeEra(changes.Era)
+	}
 	m.apply(changes, 0)
 	return nil
 }
@@ -417,19 +467,27 @@
 func (m *Mirror) apply(c platform.Changes, took time.Duration) {
 	m.applying.Lock()
 	defer m.applying.Unlock()
+	if era := m.copyPosition(false).Era; c.Era < era || c.Era > era && !c.Whole {
+		return
+	}
 	after, gap := m.readGap(c.ReadAt, took)
 	m.mu.Lock()
-	if m.synced && c.Version < m.version {
+	if m.synced && c.At().Before(m.at) {
 		m.mu.Unlock()
 		return
 	}
 	first := !m.synced
 	changed := first
 	m.revision++
-	if c.Whole {
+	rows := c.Rows
+	switch {
+	case m.synced && c.Era > m.at.Era:
+		gap = true // lost writes and their repetitions may lie in between
+		changed, rows = m.replaceRestored(rows, c.Era), nil
+	case c.Whole:
 		changed = m.removeMissing(c) || changed
 	}
-	for _, row := range c.Rows {
+	for _, row := range rows {
 		if !m.applyRow(row) {
 			continue
 		}
@@ -438,8 +496,8 @@
 			m.sights[row.Key] = sight{at: m.settings.Clock.ToStore(c.ReadAt), noted: m.settings.Clock.Local()}
 		}
 	}
-	m.version, m.synced = c.Version, true
-	m.publish(changed, Read{Version: c.Version, First: first, At: c.ReadAt, AfterGap: gap, After: after})
+	m.at, m.synced = c.At(), true
+	m.publish(changed, Read{Version: c.Version, Era: c.Era, First: first, At: c.ReadAt, AfterGap: gap, After: after})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.completeAt = max(m.completeAt, c.ReadAt)
@@ -472,10 +530,25 @@
 	defer m.applying.Unlock()
 	clock := m.settings.Clock
 	m.mu.Lock()
-	read := Read{Version: max(t.Version, m.version), First: !m.synced, AfterGap: true, After: m.lastReadAt, Sights: map[string]Sight{}}
+	if m.synced && (t.Era < m.at.Era || t.Era > m.at.Era && !t.Whole) {
+		defer m.mu.Unlock()
+		return t.Era < m.at.Era // the source learns of the era soon
+	}
+	restored := m.synced && t.Era > m.at.Era
+	at := platform.Position{Era: t.Era, Version: t.Version}
+	if m.synced && at.Before(m.at) {
+		at = m.at
+	}
+	read := Read{Version: at.Version, Era: at.Era, First: !m.synced, AfterGap: true, After: m.lastReadAt, Sights: map[string]Sight{}}
 	changed := read.First
 	m.revision++
-	if t.Whole && t.Version >= m.version {
+	if restored {
+		rows := make([]platform.Change, 0, len(t.Rows))
+		for _, row := range t.Rows {
+			rows = append(rows, row.change())
+		}
+		changed = m.replaceRestored(rows, t.Era)
+	} else if t.Whole && t.Version >= m.at.Version && !m.keepsLostRows() {
 		present := make(map[string]bool, len(t.Rows))
 		for _, row := range t.Rows {
 			present[row.Key] = true
@@ -484,11 +557,11 @@
 	}
 	for _, row := range t.Rows {
 		old, known := m.rows[row.Key]
-		if row.Deleted && known && old.Version > row.Version || !m.applyRow(platform.Change{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}) {
+		if !restored && (row.Deleted && known && old.Version > row.Version || !m.applyRow(row.change())) {
 			continue
 		}
-		changed = true
-		if row.SeenAt != 0 {
+		changed = changed || !restored
+		if applied := m.rows[row.Key]; row.SeenAt != 0 && applied.Version == row.Version && bytes.Equal(applied.Value, row.Value) {
 			age := time.Duration(max(0, row.SeenAgeMs)) * time.Millisecond
 			m.sights[row.Key] = sight{at: row.SeenAt, age: age, noted: clock.Local()}
 			read.Sights[row.Key] = Sight{At: row.SeenAt, Age: age, By: source}
@@ -497,8 +570,8 @@
 	if t.ReadAt != 0 {
 		m.lastReadAt = max(m.lastReadAt, clock.FromStore(t.ReadAt))
 	}
-	same := t.Version < m.version || t.Count == len(m.rows)
-	m.version, m.synced = read.Version, true
+	same := t.Version < m.at.Version || t.Count >= len(m.rows) && t.Count <= len(m.rows)+len(m.withheld) || m.keepsLostRows()
+	m.at, m.synced = at, true
 	m.publish(changed, read)
 	m.settings.OnStoreRead(nil)
 	return same
@@ -507,6 +580,12 @@
 // applyRow applies one change and reports whether it changed the copy. m.mu must be held.
 func (m *Mirror) applyRow(row platform.Change) bool {
 	old, known := m.rows[row.Key]
+	if version, withheld := m.withheld[row.Key]; withheld {
+		if !row.Deleted && row.Version <= version {
+			return false
+		}
+		delete(m.withheld, row.Key)
+	}
 	if row.Deleted {
 		if known {
 			m.remove(row.Key, max(row.Version, old.Version))
@@ -541,6 +620,7 @@
 // any. m.mu must be held.
 func (m *Mirror) removeExcept(present map[string]bool, version uint64) bool {
 	changed := false
+	maps.DeleteFunc(m.withheld, func(key string, _ uint64) bool { return !present[key] })
 	for key := range m.rows {
 		if !present[key] {
 			m.remove(key, version)
@@ -550,10 +630,62 @@
 	return changed
 }
 
+// keepsLostRows reports whether rows that the store lost when it was restored may still be written
+// again. m.mu must be held.
+func (m *Mirror) keepsLostRows() bool {
+	return m.settings.RowsExpire && time.Since(m.restoredAt) <= reappearanceWindow
+}
+
+// replaceRestored replaces the copy by all rows of a store that was restored from an older copy.
+// Rows that are older than the copy's do not replace them until they are written again: those of
+// which the copy is newer, and of tables whose writers renew their rows all that the copy may have
+// seen change, or be removed, in the older era. It reports whether the rows changed. m.mu must be
+// held.
+func (m *Mirror) replaceRestored(restored []platform.Change, era uint64) bool {
+	previous, last := m.rows, m.at.Version
+	m.rows, m.revisions, m.withheld = make(map[string]platform.Change, len(restored)), map[string]uint64{}, map[string]uint64{}
+	clear(m.tombstones)
+	m.droppedRevision, m.droppedVersion = m.revision, 0
+	m.at.Era = era
+	if m.settings.RowsExpire {
+		m.restoredAt = time.Now()
+	}
+	changed := false
+	for _, row := range restored {
+		old, known := previous[row.Key]
+		mayBeOld := m.settings.RowsExpire && row.Version <= last
+		if !known && mayBeOld {
+			m.withheld[row.Key] = row.Version
+			continue
+		}
+		if known && (mayBeOld || m.settings.IsNewer != nil && m.settings.IsNewer(old, row)) {
+			row.Value = old.Value
+		}
+		if !known || !bytes.Equal(old.Value, row.Value) {
+			changed = true
+			delete(m.sights, row.Key)
+		}
+		m.rows[row.Key], m.revisions[row.Key] = row, m.revision
+	}
+	for key, row := range previous {
+		if _, present := m.rows[key]; present {
+			continue
+		}
+		if m.settings.RowsExpire {
+			row.Version = 0 // any write replaces it
+			m.rows[key], m.revisions[key] = row, m.revision
+			continue
+		}
+		changed = true
+		delete(m.sights, key)
+	}
+	return changed
+}
+
 // removeMissing removes rows that are absent from a read of the whole table and
 // reports whether there were any. During the reappearanceWindow they are kept.
 func (m *Mirror) removeMissing(c platform.Changes) bool {
-	if m.inReappearanceWindow() && time.Since(m.recoveredAt) <= reappearanceWindow {
+	if m.keepsLostRows() || m.inReappearanceWindow() && time.Since(m.recoveredAt) <= reappearanceWindow {
 		return false
 	}
 	present := make(map[string]bool, len(c.Rows))
@@ -570,7 +702,7 @@
 	if !m.synced {
 		return platform.Changes{}, errNotSynced
 	}
-	out := platform.Changes{Version: m.version, Whole: true, Rows: make([]platform.Change, 0, len(m.rows))}
+	out := platform.Changes{Version: m.at.Version, Era: m.at.Era, Whole: true, Rows: make([]platform.Change, 0, len(m.rows))}
 	for _, row := range m.rows {
 		out.Rows = append(out.Rows, row)
 	}
@@ -581,15 +713,15 @@
 var errNotSynced = errors.New("the table has not been read yet")
 
 // ReadChanges implements platform.Feed for peers. It returns the whole table as
-// soon as the copy is newer than version after, or when wait has passed.
-func (m *Mirror) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+// soon as the copy is newer than position after, or when wait has passed.
+func (m *Mirror) ReadChanges(ctx context.Context, table string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	timer := time.NewTimer(max(wait, time.Nanosecond))
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		version, changed := m.version, m.changed
+		at, changed := m.at, m.changed
 		m.mu.Unlock()
-		if version > after {
+		if after.Before(at) {
 			return m.ReadTable(ctx, table)
 		}
 		select {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -30,6 +32,23 @@
 	version  uint64
 	lostUpTo uint64
 	down     bool
+	// era is 0 until the store is first restored or setEra is called.
+	era uint64
+}
+
+// snapshot returns a copy to which restore returns.
+func (s *fakeStore) snapshot() (rows map[string]platform.Change, history []platform.Change, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows), slices.Clone(s.history), s.version
+}
+
+// restore begins a new era with an older copy.
+func (s *fakeStore) restore(rows map[string]platform.Change, history []platform.Change, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.version = maps.Clone(rows), slices.Clone(history), version
+	s.era++
 }
 
 var errDown = errors.New("the store is down")
@@ -65,27 +84,29 @@
 	if s.down {
 		return platform.Changes{}, errDown
 	}
-	out := platform.Changes{Version: s.version, Whole: true}
+	out := platform.Changes{Version: s.version, Era: s.era, Whole: true}
 	for _, row := range s.rows {
 		out.Rows = append(out.Rows, row)
 	}
 	return out, nil
 }
 
-func (s *fakeStore) ReadChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (s *fakeStore) ReadChanges(ctx context.Context, _ string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(20 * time.Millisecond) {
 		s.mu.Lock()
-		out := platform.Changes{Version: s.version}
+		out := platform.Changes{Version: s.version, Era: s.era}
 		for _, c := range s.history {
-			if c.Version > after {
+			if c.Version > after.Version {
 				out.Rows = append(out.Rows, c)
 			}
 		}
-		down, lost := s.down, after < s.lostUpTo
+		down, lost, restored := s.down, after.Version < s.lostUpTo, after.Era != s.era
 		s.mu.Unlock()
 		switch {
 		case down:
 			return platform.Changes{}, errDown
+		case restored:
+			return platform.Changes{}, platform.ErrRestored
 		case lost:
 			return platform.Changes{}, platform.ErrHistoryLost
 		case len(out.Rows) > 0 || !time.Now().Before(end) || ctx.Err() != nil:
@@ -155,7 +176,7 @@
 // hangingStore never answers a long poll, like a dead connection.
 type hangingStore struct{ fakeStore }
 
-func (s *hangingStore) ReadChanges(ctx context.Context, _ string, _ uint64, _ time.Duration) (platform.Changes, error) {
+func (s *hangingStore) ReadChanges(ctx context.Context, _ string, _ platform.Position, _ time.Duration) (platform.Changes, error) {
 	<-ctx.Done()
 	return platform.Changes{}, ctx.Err()
 }
@@ -203,7 +224,7 @@
 	return c, err
 }
 
-func (s *clockedStore) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (s *clockedStore) ReadChanges(ctx context.Context, table string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	c, err := s.fakeStore.ReadChanges(ctx, table, after, wait)
 	c.ReadAt = s.now()
 	if err == nil && s.loseNext.CompareAndSwap(true, false) {
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -36,12 +36,15 @@
 // names.
 type peerRequest struct {
 	Table string
-	// After is the version of the requester's copy.
+	// After is the version of the requester's copy, Era its era.
 	After  uint64
+	Era    uint64 `msgpack:",omitempty"`
 	WaitMs int64
 	// Follow, if set, requests a stream of frames with the changes of tables since their
 	// versions, in place of a response.
 	Follow map[string]uint64 `msgpack:",omitempty"`
+	// FollowEras holds the eras of those versions that are not 0.
+	FollowEras map[string]uint64 `msgpack:",omitempty"`
 }
 
 // peerResponse is a copy of a table; Known is false if the peer has none.
@@ -49,6 +52,7 @@
 type peerResponse struct {
 	Known   bool
 	Version uint64
+	Era     uint64 `msgpack:",omitempty"`
 	Rows    []platform.Change
 }
 
@@ -159,14 +163,14 @@
 			return // the peer disconnected or sent an invalid frame
 		}
 		if req.Follow != nil {
-			f.serveStream(ctx, conn, req.Follow)
+			f.serveStream(ctx, conn, req.Follow, req.FollowEras)
 			return
 		}
 		var resp peerResponse
 		if m := f.mirror(req.Table); m != nil {
 			wait := min(max(0, time.Duration(req.WaitMs)*time.Millisecond), maxRequestWait)
-			if c, err := m.ReadChanges(ctx, req.Table, req.After, wait); err == nil {
-				resp = peerResponse{Known: true, Version: c.Version, Rows: c.Rows}
+			if c, err := m.ReadChanges(ctx, req.Table, platform.Position{Era: req.Era, Version: req.After}, wait); err == nil {
+				resp = peerResponse{Known: true, Version: c.Version, Era: c.Era, Rows: c.Rows}
 			}
 		}
 		if conn.SetWriteDeadline(time.Now().Add(callTimeout)) != nil || writeFrame(conn, &resp) != nil {
@@ -197,13 +201,13 @@
 
 // ReadTable implements platform.Feed.
 func (p *Peers) ReadTable(ctx context.Context, table string) (platform.Changes, error) {
-	return p.ReadChanges(ctx, table, 0, 0)
+	return p.ReadChanges(ctx, table, platform.Position{}, 0)
 }
 
 // ReadChanges implements platform.Feed. It requests the copies of up to
 // parallelRequests peers and returns the first response newer than after, or
 // else the newest.
-func (p *Peers) ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (p *Peers) ReadChanges(ctx context.Context, table string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	addresses := p.Addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(parallelRequests, len(addresses))]
@@ -219,7 +223,7 @@
 	results := make(chan result, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			c, err := p.fetch(ctx, address, peerRequest{Table: table, After: after, WaitMs: wait.Milliseconds()})
+			c, err := p.fetch(ctx, address, peerRequest{Table: table, After: after.Version, Era: after.Era, WaitMs: wait.Milliseconds()})
 			results <- result{c, err}
 		}()
 	}
@@ -232,10 +236,10 @@
 			lastErr = r.err
 			continue
 		}
-		if !found || r.changes.Version > newest.Version {
+		if !found || newest.At().Before(r.changes.At()) {
 			newest, found = r.changes, true
 		}
-		if newest.Version > after {
+		if after.Before(newest.At()) {
 			return newest, nil
 		}
 	}
@@ -263,5 +267,5 @@
 	if !resp.Known {
 		return platform.Changes{}, errNotSynced
 	}
-	return platform.Changes{Rows: resp.Rows, Version: resp.Version, Whole: true}, nil
+	return platform.Changes{Rows: resp.Rows, Version: resp.Version, Era: resp.Era, Whole: true}, nil
 }
--- a/internal/mirror/staleness_test.go
+++ b/internal/mirror/staleness_test.go
@@ -187,7 +187,7 @@
 					due := news.due(now.Add(-c.maxAge))
 					for _, d := range f.daemons {
 						inContact := !d.impaired.Load() && now.Sub(time.Unix(0, d.inOrderSince.Load())) >= c.contactAfter
-						if version := d.mirror.copyVersion(false); inContact && version < due {
+						if version := d.mirror.copyPosition(false).Version; inContact && version < due {
 							late++
 							missing := news.writtenAt[slices.IndexFunc(news.versions, func(v uint64) bool { return v > version })]
 							worst = max(worst, now.Sub(missing))
@@ -197,7 +197,7 @@
 				assert.Check(t, late == 0, "changes were missing for up to %s, bound %s", worst, c.maxAge)
 				for _, d := range f.daemons {
 					d.mu.Lock()
-					assert.Check(t, slices.IsSorted(d.versions), "the version of %s went back", d.node.Name)
+					assert.Check(t, slices.IsSortedFunc(d.positions, comparePositions), "the version of %s went back", d.node.Name)
 					d.mu.Unlock()
 				}
 				f.stopAll()
--- a/internal/mirror/stream.go
+++ b/internal/mirror/stream.go
@@ -25,6 +25,8 @@
 	AgeMs int64
 	// Now is the sender's estimate of the store's clock; 0 if it has none.
 	Now platform.StoreTime `msgpack:",omitempty"`
+	// Era is the lowest era of the tables that AgeMs is about; 0 if the store states none.
+	Era uint64 `msgpack:",omitempty"`
 	// Tables holds all tables in the first frame of a stream, then those with news.
 	Tables []copiedTable `msgpack:",omitempty"`
 }
@@ -33,6 +35,7 @@
 type copiedTable struct {
 	Table   string
 	Version uint64
+	Era     uint64 `msgpack:",omitempty"`
 	// ReadAt is when the store was last read for this copy, on the store's clock; 0 if
 	// unknown.
 	ReadAt platform.StoreTime
@@ -55,10 +58,15 @@
 	SeenAgeMs int64
 }
 
+func (r *copiedRow) change() platform.Change {
+	return platform.Change{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+}
+
 // position is how far a follower has a table: by the store's version when the stream
 // begins, then by the sender's own count of changes.
 type position struct {
 	version  uint64
+	era      uint64
 	revision uint64
 	streamed bool
 	readAt   platform.StoreTime
@@ -69,7 +77,7 @@
 func (m *Mirror) changesSince(p position) (copiedTable, position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := copiedTable{Table: m.settings.Table, Version: m.version, Count: len(m.rows)}
+	t := copiedTable{Table: m.settings.Table, Version: m.at.Version, Era: m.at.Era, Count: len(m.rows)}
 	if m.settings.Clock != nil && m.lastReadAt != 0 {
 		t.ReadAt = m.settings.Clock.ToStore(m.lastReadAt)
 	}
@@ -78,7 +86,8 @@
 	} else {
 		t.Whole = p.version == 0 || p.version < m.droppedVersion
 	}
-	next := position{revision: m.revision, streamed: true, readAt: t.ReadAt}
+	t.Whole = t.Whole || p.era != m.at.Era
+	next := position{era: m.at.Era, revision: m.revision, streamed: true, readAt: t.ReadAt}
 	if p == next && !t.Whole {
 		return t, next
 	}
@@ -110,18 +119,18 @@
 	return out
 }
 
-// serveStream sends frames to a follower, which has the given versions of the tables, until
-// ctx ends or the follower is gone.
-func (f *Follower) serveStream(ctx context.Context, conn net.Conn, versions map[string]uint64) {
+// serveStream sends frames to a follower, which has the given versions of the tables in the
+// given eras, until ctx ends or the follower is gone.
+func (f *Follower) serveStream(ctx context.Context, conn net.Conn, versions, eras map[string]uint64) {
 	positions := map[string]position{}
 	for table, version := range versions {
-		positions[table] = position{version: version}
+		positions[table] = position{version: version, era: eras[table]}
 	}
 	silent := time.NewTimer(streamInterval)
 	defer silent.Stop()
 	for {
 		changed := f.changedSignal()
-		frame := copyFrame{AgeMs: unknownAge}
+		frame := copyFrame{AgeMs: unknownAge, Era: f.era()}
 		if age, known := f.age(); known {
 			// Rounded up, or daemons that follow each other would make their copies newer.
 			frame.AgeMs = age.Milliseconds() + 1
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -26,6 +26,8 @@
 // conflict, which an earlier try of the same transaction may have caused, and
 // after a lost response, since reads may still work.
 //
+// ErrEraChanged is not retried: the conditions mean nothing in a newer era.
+//
 // The error is ErrConflict when another writer committed first; any other error
 // with verdict.NotRun means that txn had no effect and never will; with
 // verdict.MayHaveRun it may have had, or may still have, its effect.
@@ -36,6 +38,11 @@
 		switch {
 		case err == nil:
 			return nil
+		case errors.Is(err, ErrEraChanged):
+			if outcomeUnknown {
+				err = verdict.Wrap(err, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "the response of the table was lost before the store was restored")
+			}
+			return err
 		case errors.Is(err, ErrConflict):
 			committed, readErr := isApplied(ctx)
 			if readErr == nil {
@@ -78,33 +85,32 @@
 	Delete(ctx context.Context, key string) error
 }
 
-// CommitVersion is CommitResolved that also returns the version of the rows written; 0 if it
-// is not known.
-func CommitVersion(ctx context.Context, t Table, txn Txn, isApplied func(context.Context) (bool, error)) (version uint64, err error) {
+// CommitVersion is CommitResolved that also returns the version of the rows written; it is zero
+// if it is not known.
+func CommitVersion(ctx context.Context, t Table, txn Txn, isApplied func(context.Context) (bool, error)) (Position, error) {
 	recorder := &versionRecorder{Table: t}
-	err = CommitResolved(ctx, recorder, txn, isApplied)
-	if err != nil {
-		return 0, err
+	if err := CommitResolved(ctx, recorder, txn, isApplied); err != nil {
+		return Position{}, err
 	}
-	return recorder.version, nil
+	return recorder.written, nil
 }
 
 // versionRecorder records the version of the last transaction.
 type versionRecorder struct {
 	Table
-	version uint64
+	written Position
 }
 
 // Commit implements Table.
 func (r *versionRecorder) Commit(ctx context.Context, txn Txn) (err error) {
-	r.version = 0
+	r.written = Position{}
 	table, ok := r.Table.(VersionedTable)
 	if !ok {
 		return r.Table.Commit(ctx, txn)
 	}
-	version, err := table.CommitVersion(ctx, txn)
+	written, err := table.CommitVersion(ctx, txn)
 	if err == nil {
-		r.version = version
+		r.written = written
 	}
 	return err
 }
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -11,6 +11,10 @@
 // requested version; read the whole table again.
 var ErrHistoryLost = errors.New("the store no longer keeps the requested changes")
 
+// ErrRestored reports that the store is in another era than that of the requested version; read
+// the whole table again.
+var ErrRestored = errors.New("the store was restored from an older copy")
+
 // Change is the newest value of a row, or its deletion.
 type Change struct {
 	Key     string
@@ -24,6 +28,8 @@
 	Rows []Change
 	// Version is the store's version at which Rows were read.
 	Version uint64
+	// Era is the store's era; 0 if it states none.
+	Era uint64
 	// Whole is set when Rows are all rows of the table.
 	Whole bool
 	// ReadAt is when the store read Rows; 0 if it did not say, as in the copies of peers.
@@ -31,12 +37,15 @@
 }
 
 // Feed reads tables and their changes. Versions come from one counter for all
-// tables and grow with each transaction.
+// tables and grow with each transaction of an era.
 type Feed interface {
 	// ReadTable returns a consistent snapshot of all rows of a table.
 	ReadTable(ctx context.Context, table string) (Changes, error)
-	// ReadChanges returns the changes of a table after a version; when there are
-	// none, it waits for one, at most for wait. The error is ErrHistoryLost when
-	// the whole table has to be read again.
-	ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+	// ReadChanges returns the changes of a table after a position; when there are
+	// none, it waits for one, at most for wait. The error is ErrHistoryLost, or
+	// ErrRestored, when the whole table has to be read again.
+	ReadChanges(ctx context.Context, table string, after Position, wait time.Duration) (Changes, error)
 }
+
+// At returns the position at which the changes were read.
+func (c *Changes) At() Position { return Position{Era: c.Era, Version: c.Version} }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -25,6 +25,9 @@
 	Version uint64
 	// ReadAt is when the store read the row; 0 if it did not say.
 	ReadAt StoreTime
+	// Era is the era of the store in which the row was read, also with ErrNotFound; 0 if it
+	// states none.
+	Era uint64
 }
 
 // StoreTime is a time on the store's clock, in milliseconds. That clock is steady,
@@ -55,6 +58,9 @@
 type Txn struct {
 	Conditions []Condition
 	Writes     []Write
+	// Era is the era in which the versions of Conditions were read. Commit fails with
+	// ErrEraChanged if the store is in another one. 0 is not checked.
+	Era uint64
 }
 
 // Table is the platform's transactional table service.
@@ -77,8 +83,8 @@
 // that a writer need not read them before it writes again.
 type VersionedTable interface {
 	Table
-	// CommitVersion is Commit; version is 0 if it is not known.
-	CommitVersion(ctx context.Context, txn Txn) (version uint64, err error)
+	// CommitVersion is Commit; the result is zero if it is not known.
+	CommitVersion(ctx context.Context, txn Txn) (Position, error)
 }
 
 // Objects is the platform's object store.
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/verbenabend/verbenabend/internal/backoff"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -41,6 +43,7 @@
 // and platform.Instances; Objects returns its object store.
 type Client struct {
 	platform *Platform
+	eras     platform.Eras
 
 	mu            sync.Mutex
 	plannedFaults []Fault
@@ -115,19 +118,68 @@
 
 // Get implements platform.Table.
 func (c *Client) Get(ctx context.Context, key string) (row platform.Row, err error) {
-	err = c.read(ctx, &c.tableDown, func() (e error) { row, e = c.platform.get(key); return e })
-	return row, err
+	era := uint64(0)
+	err = c.read(ctx, &c.tableDown, func() (e error) { row, e = c.platform.get(key); era = row.Era; return e })
+	return row, c.observe(era, err)
+}
+
+// Eras implements platform.EraTable.
+func (c *Client) Eras() *platform.Eras { return &c.eras }
+
+// observe notes the era of a response, and discards one of an older era.
+func (c *Client) observe(era uint64, err error) error {
+	if era < c.eras.Observe(era) && (err == nil || errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict)) {
+		return verdict.Wrap(platform.ErrOldEra, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "call of the platform")
+	}
+	return err
 }
 
 // List implements platform.Table.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, err error) {
-	err = c.read(ctx, &c.tableDown, func() error { rows = c.platform.list(prefix, after, limit); return nil })
-	return rows, err
+	era := uint64(0)
+	err = c.read(ctx, &c.tableDown, func() error {
+		rows, era = c.platform.list(prefix, after, limit), c.platform.currentEra()
+		return nil
+	})
+	return rows, c.observe(era, err)
 }
 
 // Commit implements platform.Table.
 func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
-	return c.call(ctx, &c.tableDown, true, func() error { return c.platform.commit(txn) })
+	_, err := c.CommitVersion(ctx, txn)
+	return err
+}
+
+// CommitVersion implements platform.VersionedTable.
+func (c *Client) CommitVersion(ctx context.Context, txn platform.Txn) (platform.Position, error) {
+	if era, _ := c.eras.Current(); txn.Era != 0 && txn.Era != era {
+		return platform.Position{}, verdict.Wrap(platform.ErrEraChanged, verdict.NotRun, verdict.CodePlatformUnavailable, "commit")
+	}
+	var mu sync.Mutex // a late effect comes when the call has ended
+	var written platform.Position
+	err := c.call(ctx, &c.tableDown, true, func() error {
+		at, err := c.platform.commit(txn)
+		mu.Lock()
+		defer mu.Unlock()
+		written = at
+		return err
+	})
+	mu.Lock()
+	at := written
+	mu.Unlock()
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return platform.Position{}, err // no response
+	}
+	if err := c.observe(at.Era, err); err != nil {
+		return platform.Position{}, err
+	}
+	if txn.Era != 0 && txn.Era != at.Era {
+		return platform.Position{}, verdict.Wrap(platform.ErrEraChanged, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "commit")
+	}
+	if at.Era == 0 {
+		return platform.Position{}, nil // a platform without eras does not tell versions either
+	}
+	return at, nil
 }
 
 // ListInstances implements platform.Instances.
--- a/internal/platform/platformtest/platform.go
+++ b/internal/platform/platformtest/platform.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -24,6 +25,43 @@
 	instanceLists []instanceList
 	reads         int
 	writes        int
+	// era is 0 until SetEra is called.
+	era uint64
+}
+
+// Snapshot is a copy of the rows.
+type Snapshot struct {
+	rows    map[string]platform.Row
+	version uint64
+}
+
+// SetEra makes the platform state an era in all responses.
+func (p *Platform) SetEra(era uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era = era
+}
+
+// Snapshot returns a copy of the rows.
+func (p *Platform) Snapshot() Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Snapshot{maps.Clone(p.rows), p.version}
+}
+
+// Restore returns the rows to an older copy in the next era. Versions are issued again.
+func (p *Platform) Restore(s Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows, p.version = maps.Clone(s.rows), s.version
+	p.era++
+}
+
+// currentEra returns the era that a response states which is sent now.
+func (p *Platform) currentEra() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
 }
 
 type instanceList struct {
@@ -72,8 +110,9 @@
 	defer p.mu.Unlock()
 	p.reads++
 	row, ok := p.rows[key]
+	row.Era = p.era
 	if !ok {
-		return platform.Row{}, notFound()
+		return row, notFound()
 	}
 	row.Value = bytes.Clone(row.Value)
 	return row, nil
@@ -86,7 +125,7 @@
 	var out []platform.Row
 	for k, row := range p.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
-			row.Value = bytes.Clone(row.Value)
+			row.Value, row.Era = bytes.Clone(row.Value), p.era
 			out = append(out, row)
 		}
 	}
@@ -94,13 +133,13 @@
 	return out[:min(limit, len(out))]
 }
 
-func (p *Platform) commit(txn platform.Txn) error {
+func (p *Platform) commit(txn platform.Txn) (platform.Position, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writes++
 	for _, c := range txn.Conditions {
 		if p.rows[c.Key].Version != c.Version {
-			return verdict.Wrap(platform.ErrConflict, verdict.NotRun, verdict.CodeConflict, c.Key)
+			return platform.Position{Era: p.era}, verdict.Wrap(platform.ErrConflict, verdict.NotRun, verdict.CodeConflict, c.Key)
 		}
 	}
 	p.version++
@@ -111,7 +150,7 @@
 		}
 		p.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: p.version}
 	}
-	return nil
+	return platform.Position{Era: p.era, Version: p.version}, nil
 }
 
 func (p *Platform) putObject(key string, body []byte) {
@@ -171,10 +210,11 @@
 }
 
 var (
-	_ platform.Table         = (*Client)(nil)
-	_ platform.Instances     = (*Client)(nil)
-	_ platform.Objects       = Objects{}
-	_ platform.ObjectDeleter = Objects{}
+	_ platform.VersionedTable = (*Client)(nil)
+	_ platform.EraTable       = (*Client)(nil)
+	_ platform.Instances      = (*Client)(nil)
+	_ platform.Objects        = Objects{}
+	_ platform.ObjectDeleter  = Objects{}
 )
 
 // Objects is a client's object store.
--- a/internal/suspects/parts.go
+++ b/internal/suspects/parts.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -118,6 +119,10 @@
 	writingSuspicions bool
 	// invalidRows holds the keys of the rows that ApplyRows skipped last.
 	invalidRows map[string]bool
+	// era is the store's era of the rows that were applied last; 0 if the store states none.
+	era uint64
+	// keepLostUntil is until when rows that the store lost when it was restored are kept.
+	keepLostUntil time.Time
 	// ctx ends the writing of rows in the background.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -420,9 +425,20 @@
 	Deep bool
 }
 
+const (
+	// lostRowSpread is the time over which daemons spread the writes of a row that the store lost,
+	// so that one daemon's row serves all: with 300 daemons about 15 write before they see it.
+	lostRowSpread = 10 * time.Second
+	// lostRowLifetime is how long a daemon keeps a lost row that nobody has written again.
+	lostRowLifetime = lostRowSpread + rowWriteTimeout
+	// lostVersion stands for the version of a lost row.
+	lostVersion = math.MaxUint64
+)
+
 // ApplyRows applies the rows of all quarantined and suspected parts, as the table has
-// them. Invalid rows are skipped and logged once.
-func (p *Parts) ApplyRows(rows map[string]platform.Change) {
+// them in an era of the store. Invalid rows are skipped and logged once. Rows of quarantined parts
+// that are missing in a newer era are written again.
+func (p *Parts) ApplyRows(rows map[string]platform.Change, era uint64) {
 	now := time.Now()
 	invalid := map[string]bool{}
 	decoded := map[string]quarantineRow{}
@@ -454,7 +470,14 @@
 			changed = append(changed, part)
 		}
 	}
-	for _, part := range p.state.setRows(decoded) {
+	if p.era != 0 && era > p.era {
+		p.keepLostUntil = now.Add(lostRowLifetime)
+		for _, part := range p.state.keepLostRows(decoded) {
+			time.AfterFunc(rand.N(lostRowSpread), func() { p.writeLostRow(part) })
+		}
+	}
+	p.era = max(p.era, era)
+	for _, part := range p.state.setRows(decoded, now.Before(p.keepLostUntil)) {
 		go p.deleteRow(part, decoded[part].version)
 	}
 	for _, part := range changed {
@@ -564,6 +587,7 @@
 		v.Claim = claim
 		txn = appendPut(txn, part, version, v)
 	}
+	txn.Era = p.era
 	return parts, txn, true
 }
 
@@ -574,6 +598,9 @@
 	_, v.Trials = r.quarantinedSince()
 	if r.row != nil {
 		v.Organisation, v.Unrun, version = r.row.organisation, r.row.unrun, r.row.version
+		if version == lostVersion {
+			version = 0
+		}
 	}
 	return v, version
 }
@@ -606,12 +633,24 @@
 	})
 }
 
+// writeLostRow writes the row of a part again that the store lost, unless it has one again.
+func (p *Parts) writeLostRow(part string) {
+	p.commit(part, func() (platform.Txn, bool) {
+		r := p.state.parts[part]
+		if r == nil || !r.hasRow() || r.row.version != lostVersion {
+			return platform.Txn{}, false
+		}
+		v, version := r.rowValue()
+		return appendPut(platform.Txn{}, part, version, v), true
+	})
+}
+
 // deleteRow deletes the row of a part unless it has changed. If it has, ApplyRows decides
 // on the new version.
 func (p *Parts) deleteRow(part string, version uint64) {
 	p.commit(part, func() (platform.Txn, bool) {
 		r := p.state.parts[part]
-		return appendDelete(platform.Txn{}, part, version), r != nil && r.row != nil && r.row.version == version
+		return appendDelete(platform.Txn{}, part, version), r != nil && r.row != nil && r.row.version == version && version != lostVersion
 	})
 }
 
@@ -630,6 +669,7 @@
 	for try := 0; ; try++ {
 		p.mu.Lock()
 		txn, needed := next()
+		txn.Era = p.era
 		p.mu.Unlock()
 		if !needed {
 			return
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -57,7 +57,7 @@
 		out[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
 	}
 	for _, p := range f.daemons {
-		p.ApplyRows(out)
+		p.ApplyRows(out, 0)
 	}
 	return out
 }
@@ -400,11 +400,11 @@
 	row := func(since time.Time) map[string]quarantineRow {
 		return map[string]quarantineRow{"p": {version: uint64(since.Unix()), since: since}}
 	}
-	s.setRows(row(at))
+	s.setRows(row(at), false)
 	s.release("p", at.Add(time.Second))
-	assert.DeepEqual(t, s.setRows(row(at.Add(2*time.Second))), []string{"p"})
+	assert.DeepEqual(t, s.setRows(row(at.Add(2*time.Second)), false), []string{"p"})
 	assert.Assert(t, !s.isQuarantined("p"))
-	assert.Equal(t, len(s.setRows(row(at.Add(2*releaseWindow)))), 0)
+	assert.Equal(t, len(s.setRows(row(at.Add(2*releaseWindow)), false)), 0)
 	assert.Assert(t, s.isQuarantined("p"))
 }
 
@@ -447,7 +447,7 @@
 			for _, r := range rows {
 				out[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
 			}
-			f.daemons[0].ApplyRows(out)
+			f.daemons[0].ApplyRows(out, 0)
 			return out
 		}
 		for _, row := range read() {
--- a/internal/suspects/partstate.go
+++ b/internal/suspects/partstate.go
@@ -631,11 +631,15 @@
 
 // setRows replaces the rows of all parts. Rows whose version is known keep the time at
 // which it was first seen. It returns the parts whose new row is out of date: this daemon
-// has released them since their last crash.
-func (s *partState) setRows(rows map[string]quarantineRow) (outdated []string) {
+// has released them since their last crash. Lost rows that are absent stay if keepLost is set.
+func (s *partState) setRows(rows map[string]quarantineRow, keepLost bool) (outdated []string) {
 	s.rows = 0
 	for part, r := range s.parts {
 		if _, present := rows[part]; !present && r.row != nil {
+			if keepLost && r.row.version == lostVersion {
+				s.rows++
+				continue
+			}
 			r.row = nil
 			s.dropIfUnused(part)
 		}
@@ -659,6 +663,23 @@
 	return outdated
 }
 
+// keepLostRows prepares for the rows of a store that was restored, which issues versions again.
+// It marks those as lost that are absent, and returns their parts.
+func (s *partState) keepLostRows(rows map[string]quarantineRow) (lost []string) {
+	for part, r := range s.parts {
+		if !r.hasRow() {
+			continue
+		}
+		row := *r.row
+		row.version = lostVersion
+		r.row = &row
+		if _, present := rows[part]; !present {
+			lost = append(lost, part)
+		}
+	}
+	return lost
+}
+
 // rowToEvict returns the part whose row has to make room for a new one; ok is false
 // if there is room.
 func (s *partState) rowToEvict() (part string, ok bool) {
--- a/internal/suspects/partstate_test.go
+++ b/internal/suspects/partstate_test.go
@@ -147,7 +147,7 @@
 	for i := range maxQuarantinedParts - 1 {
 		rows[fmt.Sprint("row", i)] = quarantineRow{version: 1, since: at.Add(time.Duration(i+1) * time.Second), organisation: "large"}
 	}
-	s.setRows(rows)
+	s.setRows(rows, false)
 	evicted, full := s.rowToEvict()
 	assert.Assert(t, full)
 	assert.Equal(t, evicted, "row0")
@@ -166,7 +166,7 @@
 		}
 		afterFifth := max(0, crashes-5)
 		for now := at.Add(time.Minute); now.Before(at.Add(24 * time.Hour)); now = now.Add(time.Second) {
-			s.setRows(map[string]quarantineRow{"p": row})
+			s.setRows(map[string]quarantineRow{"p": row}, false)
 			if !s.trialDue([]string{"p"}, 1, now) {
 				continue
 			}
@@ -199,7 +199,7 @@
 		total, afterFifth := crashes, 0
 		var when []time.Duration
 		for now := at.Add(time.Minute); now.Before(at.Add(24 * time.Hour)); now = now.Add(time.Second) {
-			s.setRows(map[string]quarantineRow{"p": row})
+			s.setRows(map[string]quarantineRow{"p": row}, false)
 			if now.Sub(at)%partExpiryInterval == 0 {
 				s.expire(now.Add(-CrashTTL), at)
 			}
@@ -270,7 +270,7 @@
 			}
 			v, version := s.parts[part].rowValue()
 			rows[part] = quarantineRow{version: version + 1, trials: v.Trials + 1, deep: v.Deep, since: now}
-			s.setRows(rows)
+			s.setRows(rows, false)
 		}
 		all++
 		if all > 5 {
@@ -280,7 +280,7 @@
 		if s.rowOutdated(part) {
 			v, version := s.parts[part].rowValue()
 			rows[part] = quarantineRow{version: version + 1, trials: v.Trials, deep: v.Deep, since: now}
-			s.setRows(rows)
+			s.setRows(rows, false)
 		}
 	}
 	return all, afterFifth
@@ -334,7 +334,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newPartState(testCrashInterval)
 			c.row.version, c.row.since = 1, at
-			s.setRows(map[string]quarantineRow{c.part: c.row, other: {version: 1, since: at, trials: othersTrials, deep: true}})
+			s.setRows(map[string]quarantineRow{c.part: c.row, other: {version: 1, since: at, trials: othersTrials, deep: true}}, false)
 			due := trialInterval(c.trials)
 			assert.Assert(t, !s.trialDue([]string{c.part}, 1, at.Add(due-time.Second)))
 			assert.Assert(t, s.trialDue([]string{c.part}, 1, at.Add(due)))
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,7 @@
 	NameDocumentRevision    = "verbenabend_document_revision"
 	NamePlatformUp          = "verbenabend_platform_up"
 	NameStoreReader         = "verbenabend_store_reader"
+	NameStoreEra            = "verbenabend_store_era"
 	NameCopiesAge           = "verbenabend_copies_age_seconds"
 	NamePeers               = "verbenabend_peers"
 	NameGossipSent          = "verbenabend_gossip_sent_bytes_total"
@@ -75,7 +76,7 @@
 	NameEvents, NameRequests, NameFirstTokenSeconds, NameRequestSeconds, NamePromptTokens, NameCachedTokens, NameInFlightRequests,
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
-	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
+	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameStoreEra, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
 }
 
--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -54,6 +55,75 @@
 	// forward.
 	startedAt time.Time
 	skipped   time.Duration
+	// era is stated in the header Store-Era of all responses; 0 is not stated.
+	era uint64
+}
+
+// Snapshot is a copy of a Store's rows.
+type Snapshot struct {
+	rows             map[rowKey]storeRow
+	history          []storeRow
+	version          uint64
+	compactedVersion uint64
+}
+
+// SetEra makes the store state an era in all responses. 0 states none.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Snapshot returns a copy of the rows.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version, compactedVersion: s.compactedVersion}
+}
+
+// Restore returns the store to an older copy in the next era. Reads from versions that it does
+// not have get status 410, also those that are open.
+func (s *Store) Restore(c Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.version, s.compactedVersion = maps.Clone(c.rows), slices.Clone(c.history), c.version, c.compactedVersion
+	s.era++
+	s.notifyWatchers()
+}
+
+// eraWriter states the era in which a response begins.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+	began bool
+}
+
+// WriteHeader implements http.ResponseWriter. A caller that holds the lock has set the header.
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.began && w.Header().Get(eraHeader) == "" {
+		w.store.mu.Lock()
+		w.store.stateEra(w.Header())
+		w.store.mu.Unlock()
+	}
+	w.began = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(b []byte) (int, error) {
+	if !w.began {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+const eraHeader = "Store-Era"
+
+// stateEra sets the header. s.mu must be held.
+func (s *Store) stateEra(h http.Header) {
+	if s.era != 0 {
+		h.Set(eraHeader, strconv.FormatUint(s.era, 10))
+	}
 }
 
 // NewStore returns an empty Store.
@@ -139,7 +209,8 @@
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", func(w http.ResponseWriter, r *http.Request) { s.transact(w, r, client) })
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w := &eraWriter{ResponseWriter: out, store: s}
 		s.mu.Lock()
 		s.calls[client]++
 		f := s.faults[client]
@@ -198,6 +269,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	resp := storeResponse{Ver: s.version, NowMs: s.nowMS()}
 	for k, row := range s.rows {
 		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") && (q.Get("to") == "" || k.key < q.Get("to")) {
@@ -220,7 +292,8 @@
 	for {
 		s.mu.Lock()
 		resp := storeResponse{Ver: s.version, NowMs: s.nowMS()}
-		compacted := after < s.compactedVersion
+		compacted := after < s.compactedVersion || after > s.version
+		s.stateEra(w.Header())
 		for _, row := range s.history {
 			if row.Table == q.Get("table") && row.Ver > after {
 				resp.Rows = append(resp.Rows, row)
@@ -262,16 +335,17 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status, resp, dropResponse := s.apply(t, client)
+	status, resp, dropResponse := s.apply(w.Header(), t, client)
 	if dropResponse {
 		panic(http.ErrAbortHandler)
 	}
 	writeResponse(w, status, resp)
 }
 
-func (s *Store) apply(t storeTxn, client string) (status int, resp storeResponse, dropResponse bool) {
+func (s *Store) apply(h http.Header, t storeTxn, client string) (status int, resp storeResponse, dropResponse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(h)
 	refused := s.faults[client].RefuseWritesTo
 	for _, row := range slices.Concat(t.Puts, t.Deletes) {
 		if refused != "" && strings.HasPrefix(row.Key, refused) {
