--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -8,7 +8,7 @@
 // ID is the number of a kind of event. Numbers are never reused.
 type ID int
 
-// Kinds of events: 1xx process, 2xx requests, 3xx upstreams, 4xx documents,
+// Kinds of events: 1xx process, 2xx requests (240 to 249 the store's eras), 3xx upstreams, 4xx documents,
 // 5xx platform, 6xx peers, 7xx at-most-once calls, 8xx quarantine, 9xx leases
 // and orders to engines.
 const (
@@ -35,6 +35,7 @@
 	AllowanceOwnerLost         ID = 214
 	AllowanceOwnerFound        ID = 215
 	AllowanceExceeded          ID = 216
+	StoreRestored              ID = 240
 	UpstreamServing            ID = 301
 	UpstreamLeaving            ID = 302
 	UpstreamDown               ID = 303
@@ -118,6 +119,7 @@
 	{AllowanceOwnerLost, hclog.Warn, "quota's owner does not answer"},
 	{AllowanceOwnerFound, hclog.Info, "quota's owner answers again"},
 	{AllowanceExceeded, hclog.Info, "organisation over its quota"},
+	{StoreRestored, hclog.Warn, "store restored from an older copy"},
 	{UpstreamServing, hclog.Info, "upstream serving"},
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
 	{UpstreamDown, hclog.Warn, "upstream down"},
