--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -55,7 +55,7 @@
 	probeInterval = 250 * time.Millisecond
 	// reportInterval is the minimum interval between requests that only report usage.
 	reportInterval = 100 * time.Millisecond
-	// shareMemory is how long the level of a daemon's own share is kept after its last use.
+	// shareMemory is how long after its last use a daemon's own share is still in use.
 	shareMemory = 2 * time.Second
 	// spentPeriod is half the time after which usage without the owner is no longer reported.
 	spentPeriod = time.Second
--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// fill fills the bucket.
+func (b *Bucket) fill() {
+	b.level = b.capacity()
+	b.clamp()
+}
+
 // expire forgets leases whose time has passed.
 func (b *Bucket) expire(now time.Time) {
 	b.expiredAt, b.heldTotal, b.usage, b.active = now, 0, 0, 0
--- a/internal/allowance/lease.go
+++ b/internal/allowance/lease.go
@@ -158,16 +158,17 @@
 // fallback decides by this daemon's own share: 1 of known daemons, at a position among them.
 func (l *lease) fallback(now time.Time, cost float64, known int, position float64) Decision {
 	rate := l.limit.PerSecond / float64(known)
-	if now.Sub(l.ownAt) > shareMemory && !l.silentSince(now) {
-		// Each daemon may overdraw its share by one request. Their debts begin in steps, so
-		// that together they do not exceed the quota at the start.
-		if l.own = 0; float64(known)*l.largest > l.bounds.Slack/2 {
-			l.own = -l.largest * position
-		}
-		l.ownAt = now
-	}
 	if now.After(l.ownAt) {
-		l.own = min(0, l.own+rate*now.Sub(l.ownAt).Seconds())
+		if !l.ownAt.IsZero() {
+			l.own = min(0, l.own+rate*now.Sub(l.ownAt).Seconds())
+		}
+		if l.ownAt.IsZero() || now.Sub(l.ownAt) > shareMemory && !l.silentSince() {
+			// Each daemon may overdraw its share by one request. Their debts begin in steps,
+			// so that together they do not exceed the quota at once.
+			if float64(known)*l.largest > l.bounds.Slack/2 {
+				l.own = min(l.own, -l.largest*position)
+			}
+		}
 		l.ownAt = now
 	}
 	if l.own < 0 {
@@ -181,7 +182,7 @@
 }
 
 // silentSince reports whether the owner has been silent since the share was last used.
-func (l *lease) silentSince(now time.Time) bool { return l.silent && l.heardAt.Before(l.ownAt) }
+func (l *lease) silentSince() bool { return l.silent && l.heardAt.Before(l.ownAt) }
 
 // due reports whether a request to the owner is due.
 func (l *lease) due(now time.Time) bool {
--- a/internal/allowance/node.go
+++ b/internal/allowance/node.go
@@ -13,6 +13,7 @@
 	bounds        Bounds
 	fleet         fleetView
 	refreshedAt   time.Time
+	limitsKnown   bool
 	organisations map[string]*organisation
 	lastTicket    uint64
 	lastSeq       uint64
@@ -57,8 +58,11 @@
 		}
 		o.limit = l
 		o.lease.setLimit(l)
-		n.assign(now, o)
+		if n.assign(now, o) && n.limitsKnown && n.fleet.settled {
+			o.bucket.fill() // the limit is new, so no daemon has granted the burst
+		}
 	}
+	n.limitsKnown = true
 	return results
 }
 
--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -302,11 +302,7 @@
 
 // load offers requests to the first of several daemons, a rate of tokens per second in all.
 func (s *simulation) load(daemons int, tokensPerSecond float64, d time.Duration) {
-	var mean float64
-	for i := range 10 {
-		mean += s.cost(i) / 10
-	}
-	interval := time.Duration(mean / tokensPerSecond * float64(time.Second))
+	interval := time.Duration(s.meanCost() / tokensPerSecond * float64(time.Second))
 	end := s.now.Add(d)
 	random := rand.New(rand.NewPCG(1, uint64(daemons)))
 	var next func()
@@ -322,6 +318,13 @@
 	s.after(interval, next)
 }
 
+func (s *simulation) meanCost() (mean float64) {
+	for i := range 20 {
+		mean += s.cost(i) / 20
+	}
+	return mean
+}
+
 // most returns the greatest usage of a window that starts at from or later.
 func (s *simulation) most(from time.Duration) float64 {
 	first, window := int(from/time.Millisecond), int(simBounds.Window/time.Millisecond)
