--- a/internal/allowance/lease.go
+++ b/internal/allowance/lease.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -54,11 +55,10 @@
 	askedAt time.Time
 	sent    []waiter
 	// After a refusal requests that cost refusedCost or more are refused until pausedUntil,
-	// with retry times from retryAt on, over spread. renewAt is when the lease may be renewed.
+	// with retry times from retryFrom to retryTo. renewAt is when the lease may be renewed.
 	refusedCost          float64
 	pausedUntil, renewAt time.Time
-	retryAt              time.Time
-	spread               time.Duration
+	retryFrom, retryTo   time.Time
 	refusals             uint64
 	// returned and spent are reported with the next request; spent has the amounts of this
 	// period and of the one before.
@@ -126,12 +126,16 @@
 	if cost < l.refusedCost || !now.Before(l.pausedUntil) {
 		return Decision{}, false
 	}
+	retry := l.retryFrom.Sub(now) + time.Duration(l.spreadPart()*float64(l.retryTo.Sub(l.retryFrom)))
+	return Decision{Kind: Refused, RetryAfter: max(time.Millisecond, retry)}, true
+}
+
+// spreadPart returns a number from 0 to 1. Those of consecutive refusals are spread evenly.
+func (l *lease) spreadPart() float64 {
+	const goldenRatio = 0.6180339887498949
 	l.refusals++
-	// Multiples of the golden ratio are spread evenly.
-	const golden = 0.6180339887498949
-	part := float64(l.refusals) * golden
-	part -= float64(int64(part))
-	return Decision{Kind: Refused, RetryAfter: max(time.Millisecond, l.retryAt.Sub(now)) + time.Duration(part*float64(l.spread))}, true
+	_, part := math.Modf(float64(l.refusals) * goldenRatio)
+	return part
 }
 
 // spend counts usage without the owner.
@@ -154,21 +158,22 @@
 // fallback decides by this daemon's own share: 1 of known daemons, at a position among them.
 func (l *lease) fallback(now time.Time, cost float64, known int, position float64) Decision {
 	rate := l.limit.PerSecond / float64(known)
-	if now.Sub(l.ownAt) > shareMemory && !l.silentSince(now) {
-		// Each daemon may overdraw its share by one request. Their debts begin in steps, so
-		// that together they do not exceed the quota at the start.
-		if l.own = 0; float64(known)*l.largest > l.bounds.Slack/2 {
-			l.own = -l.largest * position
-		}
-		l.ownAt = now
-	}
 	if now.After(l.ownAt) {
-		l.own = min(0, l.own+rate*now.Sub(l.ownAt).Seconds())
+		if !l.ownAt.IsZero() {
+			l.own = min(0, l.own+rate*now.Sub(l.ownAt).Seconds())
+		}
+		if l.ownAt.IsZero() || now.Sub(l.ownAt) > shareMemory && !l.silentSince() {
+			// Each daemon may overdraw its share by one request. Their debts begin in steps,
+			// so that together they do not exceed the quota at once.
+			if float64(known)*l.largest > l.bounds.Slack/2 {
+				l.own = min(l.own, -l.largest*position)
+			}
+		}
 		l.ownAt = now
 	}
 	if l.own < 0 {
-		l.refusals++
-		return Decision{Kind: Refused, RetryAfter: max(time.Millisecond, seconds(-l.own/rate))}
+		retry := min(seconds(-l.own/rate), maxShareRetryAfter)
+		return Decision{Kind: Refused, RetryAfter: max(time.Millisecond, retry/2+time.Duration(l.spreadPart()*float64(retry)))}
 	}
 	l.own -= cost
 	l.use(now, cost)
@@ -177,7 +182,7 @@
 }
 
 // silentSince reports whether the owner has been silent since the share was last used.
-func (l *lease) silentSince(now time.Time) bool { return l.silent && l.heardAt.Before(l.ownAt) }
+func (l *lease) silentSince() bool { return l.silent && l.heardAt.Before(l.ownAt) }
 
 // due reports whether a request to the owner is due.
 func (l *lease) due(now time.Time) bool {
@@ -253,8 +258,9 @@
 	l.renewAt = now.Add(pause)
 	if refused >= 0 {
 		l.refusedCost, l.pausedUntil = l.sent[refused].cost, now.Add(pause)
-		l.retryAt = now.Add(time.Duration(r.RetryMs[refused]) * time.Millisecond)
-		l.spread = min(time.Duration(max(0, r.SpreadMs))*time.Millisecond, l.bounds.Window)
+		from := min(time.Duration(max(0, r.ReadyMs))*time.Millisecond, maxRetryAfter)
+		spread := min(time.Duration(max(0, r.SpreadMs))*time.Millisecond, maxRetryAfter)
+		l.retryFrom, l.retryTo = now.Add(from), now.Add(max(from, spread))
 	}
 	l.sent = nil
 	if granted := amount(r.Granted); granted > 0 {
