Read upstreams' responses while their callers read slowly

Cause: one goroutine read the upstream's response and wrote the caller's. A slow caller made the daemon leave the response unread, and an engine cuts off what stays unread for some seconds; a caller that read nothing held its request for ever. A body for an upstream that read nothing for 0.8 s lost its connection (TCP_USER_TIMEOUT covers a closed window too), and such bodies could fill the memory for bodies.

Change: with the entry pressure of the settings' list contracts, a response goes through a queue that counts in the memory for responses. When that is used up for 1 s, the response whose end costs least is ended (internal/slowread) with its connection closed, and so is one whose caller takes no block of 4 KB in 75 s. Bodies on their way to one upstream take an eighth of the memory for bodies, sent bytes may stay unread for 30 s within the request's deadline, and buffers of sockets are bounded. Event 320, two metrics. Without the entry nothing changes.

Measured: TestSlowCallerGetsWholeResponse, TestCallerThatReadsNothingIsEndedFirst, TestBodiesForSlowUpstreamsAreBounded and TestBodyOutlastsPauseOfItsReader fail without it.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -39,6 +39,7 @@
 	UpstreamHeldOff            ID = 307
 	UpstreamRateLimited        ID = 308
 	UpstreamRateMalformed      ID = 309
+	SlowReaderEnded            ID = 320 // a caller reads too slowly
 	DocumentAdopted            ID = 401
 	DocumentAccepted           ID = 402
 	DocumentRejected           ID = 403
@@ -117,6 +118,7 @@
 	{UpstreamHeldOff, hclog.Info, "upstream asks for no requests"},
 	{UpstreamRateLimited, hclog.Info, "rate limit of an upstream"},
 	{UpstreamRateMalformed, hclog.Warn, "malformed rate limit of an upstream"},
+	{SlowReaderEnded, hclog.Warn, "response to a slow caller ended"},
 	{DocumentAdopted, hclog.Info, "document adopted"},
 	{DocumentAccepted, hclog.Info, "document accepted"},
 	{DocumentRejected, hclog.Info, "document rejected"},
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -92,6 +92,15 @@
 	// MaxResponseBytes limits the total size of the parts of responses held in memory; 0 means
 	// no limit.
 	MaxResponseBytes int64
+	// SlowReaders is set if callers and upstreams may read slowly: responses are read while their
+	// callers read slowly, and the bodies on their way to each upstream are bounded.
+	SlowReaders bool
+	// OnSlowReader is called for each response that is ended because its caller reads it too
+	// slowly; may be nil.
+	OnSlowReader func()
+	// OnUploadDiverted is called for each attempt that goes elsewhere because an upstream reads
+	// bodies slowly; may be nil.
+	OnUploadDiverted func()
 }
 
 // Forwarder is the HTTP handler for callers' requests.
@@ -100,6 +109,8 @@
 	// bodyMemory is held by requests' bodies from before they are read to their request's end,
 	// responseMemory by the parts of responses that are not relayed yet.
 	bodyMemory, responseMemory memoryBudget
+	spools                     spools
+	uploads                    uploads
 	// stopAt caps the deadlines of new requests; nil unless the daemon is
 	// stopping.
 	stopAt atomic.Pointer[time.Time]
@@ -130,6 +141,12 @@
 	if c.OnOutcome == nil {
 		c.OnOutcome = func(Outcome) {}
 	}
+	if c.OnSlowReader == nil {
+		c.OnSlowReader = func() {}
+	}
+	if c.OnUploadDiverted == nil {
+		c.OnUploadDiverted = func() {}
+	}
 	if c.UsableUntil == nil {
 		c.UsableUntil = noLimit
 	}
@@ -145,6 +162,7 @@
 	f := &Forwarder{Config: c}
 	f.responseMemory.limit, f.responseMemory.unleased = c.MaxResponseBytes, unleasedBytes
 	f.bodyMemory.limit, f.bodyMemory.unleased = c.MaxBodyBytes, unleasedBodyBytes
+	f.spools.active, f.uploads.bytes = map[*spool]struct{}{}, map[string]int64{}
 	f.abortCtx, f.abort = context.WithCancel(context.Background())
 	return f
 }
@@ -167,6 +185,11 @@
 	t := &transfer{forwarder: f, writer: w, callerRequest: r, receivedAt: time.Now(), bodyMemory: f.bodyMemory.lease()}
 	defer t.containPanic()
 	defer t.bodyMemory.release()
+	if f.SlowReaders {
+		t.spool = f.newSpool(w, r)
+		t.writer = t.spool
+		defer t.spool.abandon() // after finish without effect
+	}
 	err := t.accept()
 	if errors.Is(err, errBodyMemory) {
 		t.refuseBody(err)
@@ -179,7 +202,22 @@
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(deadlineGrace))
 	defer cancel()
 	defer context.AfterFunc(f.abortCtx, cancel)()
+	t.spool.setRequest(t.priority(), t.deadline, cancel)
 	t.run(ctx)
+	t.awaitCaller()
+}
+
+// awaitCaller waits until the caller has read the response.
+func (t *transfer) awaitCaller() {
+	if t.spool == nil {
+		return
+	}
+	t.body = nil
+	t.bodyMemory.release()
+	t.keepFailure(nil)
+	if err := t.spool.finish(); err != nil {
+		t.abortIfCallerLeft(err)
+	}
 }
 
 // containPanic ends a request whose handler panicked. Its caller is promised nothing, since the
@@ -265,7 +303,7 @@
 	}
 	source := io.Reader(r.Body)
 	if maxBytes > 0 {
-		source = http.MaxBytesReader(t.writer, r.Body, int64(maxBytes))
+		source = http.MaxBytesReader(t.callerWriter(), r.Body, int64(maxBytes))
 	}
 	controller := http.NewResponseController(t.writer)
 	if err := controller.SetReadDeadline(t.deadline); err != nil {
@@ -293,6 +331,15 @@
 	return nil
 }
 
+// callerWriter returns the writer of net/http, which closes the connection after a body that is
+// too long.
+func (t *transfer) callerWriter() http.ResponseWriter {
+	if t.spool != nil {
+		return t.spool.writer
+	}
+	return t.writer
+}
+
 // errBodyMemory is the error of a body for which there is no memory left.
 var errBodyMemory = errors.New("the daemon's memory for request bodies is full")
 
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -51,6 +51,19 @@
 	return true
 }
 
+// shrink gives back what exceeds a number of bytes.
+func (l *memoryLease) shrink(bytes int) {
+	if want := int64(max(0, bytes-l.memory.unleased)); want < l.held {
+		l.memory.used.Add(want - l.held)
+		l.held = want
+	}
+}
+
+// hasRoom reports whether so many more bytes can be held.
+func (m *memoryBudget) hasRoom(bytes int64) bool {
+	return m.limit == 0 || m.used.Load()+bytes <= m.limit
+}
+
 // release gives all bytes back.
 func (l *memoryLease) release() {
 	if l.held > 0 {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -43,6 +43,8 @@
 	// relayed.
 	ResultTruncated          = "cut"
 	ResultCallerDisconnected = "caller-gone"
+	// ResultSlowReader is a response that was cut off because its caller read it too slowly.
+	ResultSlowReader = "caller-slow"
 	// ResultPanicked is a request whose handler panicked.
 	ResultPanicked = "panic"
 )
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -23,6 +23,8 @@
 	forwarder     *Forwarder
 	writer        http.ResponseWriter
 	callerRequest *http.Request
+	// spool is the writer if callers may read slowly, otherwise nil.
+	spool *spool
 
 	metadata     RequestMetadata
 	route        *routetable.Route
@@ -132,9 +134,15 @@
 	t.triedAll, t.failedUpstreams = true, nil
 }
 
-// abortIfCallerLeft ends a request whose caller has disconnected. err is the error of
-// its last attempt.
+// abortIfCallerLeft ends a request whose caller has disconnected or reads too slowly. err is the
+// error of its last attempt.
 func (t *transfer) abortIfCallerLeft(err error) {
+	if ended := t.spool.ended(); ended != nil && t.callerRequest.Context().Err() == nil {
+		t.logEvent(eventlog.SlowReaderEnded, "", ended)
+		t.recordOutcome(ResultSlowReader, t.verdict())
+		t.forwarder.OnSlowReader()
+		panic(http.ErrAbortHandler) // a clean close would make the truncated response look complete
+	}
 	if t.callerRequest.Context().Err() == nil {
 		return
 	}
@@ -257,7 +265,9 @@
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
 	t.begun, t.sentAt, t.process = false, time.Now(), u.Process()
-	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, t.upstreamRequest(s, u, action))
+	request := t.upstreamRequest(s, u, action)
+	defer t.boundUploads(u.ID, request)()
+	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, request)
 	if err != nil {
 		return t.recordNoResponse(s, action, withCause(ctx, err))
 	}
@@ -331,7 +341,7 @@
 // disconnected, the deadline of the request or of the attempt passed, or the upstream
 // is held off or its rate limited.
 func (t *transfer) attemptOutcome(upstream string, err error) routing.Outcome {
-	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.IsAny(err, errHeldOff, errRateLimited) || !time.Now().Before(t.attemptDeadline(upstream)) {
+	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.IsAny(err, errHeldOff, errRateLimited, errUploadsWait) || t.spool.ended() != nil || !time.Now().Before(t.attemptDeadline(upstream)) {
 		return routing.Canceled
 	}
 	return routing.Failed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,12 @@
 	// responseMemoryFraction is the fraction available to parts of responses that are not
 	// relayed yet. Go's heap takes up to three times as much while they grow.
 	responseMemoryFraction = 0.1
+	// slowReaderMemoryFraction replaces responseMemoryFraction where callers may read slowly: the
+	// queues for them are released block by block, so that Go's heap takes less besides.
+	slowReaderMemoryFraction = 0.2
+	// slowUpstreamTimeout is how long an upstream that may read slowly can leave sent bytes
+	// unread. Requests end at their deadlines, and probes find dead upstreams sooner.
+	slowUpstreamTimeout = 30 * time.Second
 	// defaultEntryMaxAge is how long callers may cache directory entries,
 	// unless the platform's maximum is shorter.
 	defaultEntryMaxAge = time.Second
@@ -191,9 +197,15 @@
 	}
 	d.suspects = suspects.New(s.Name, d.gossipNode, d.platform.Table, d.log, minCrashInterval)
 	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Quarantine, d.log, minCrashInterval)
+	responseMemory := responseMemoryFraction
+	if s.SlowReaders {
+		responseMemory = slowReaderMemoryFraction
+		d.pool.SetSlowUpstreams(slowUpstreamTimeout, socketBufferBytes)
+	}
 	d.forwarder = forward.New(forward.Config{
+		SlowReaders: s.SlowReaders, OnSlowReader: d.metrics.CountSlowReader, OnUploadDiverted: d.metrics.CountUploadDiverted,
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemory * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
@@ -274,7 +286,11 @@
 		if spec.address == "" {
 			continue
 		}
-		if *spec.to, err = newServer(d.network, spec.address, spec.group, spec.handler); err != nil {
+		network := d.network
+		if s.SlowReaders && spec.to == &d.callerServer {
+			network = network.bounded()
+		}
+		if *spec.to, err = newServer(network, spec.address, spec.group, spec.handler); err != nil {
 			return errors.Wrapf(err, "listen on %s", spec.address)
 		}
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,10 @@
 	// MaxDescriptors limits open file descriptors; 0 means no limit.
 	MaxDescriptors int
 
+	// SlowReaders is set if callers and engines may read slowly, and engines cut off responses that
+	// stay unread for some seconds.
+	SlowReaders bool
+
 	// EntryMaxAge is the longest max-age that the directory may give to its
 	// entries.
 	EntryMaxAge time.Duration
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -54,6 +54,10 @@
 	NameRateLimitedRequests  = "verbenabend_rate_limited_requests_total"
 	NameMalformedRateLimits  = "verbenabend_malformed_rate_limits_total"
 
+	// Metrics of callers and upstreams that read slowly.
+	NameSlowReaders     = "verbenabend_slow_readers_ended_total"
+	NameUploadsDiverted = "verbenabend_uploads_diverted_total"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -77,6 +81,7 @@
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
+	NameSlowReaders, NameUploadsDiverted,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -143,6 +148,13 @@
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
+// CountSlowReader counts a response that was ended because its caller read it too slowly.
+func (m *Metrics) CountSlowReader() { m.set.GetOrCreateCounter(NameSlowReaders).Inc() }
+
+// CountUploadDiverted counts an attempt that went elsewhere because bodies on their way to its
+// upstream waited to be read.
+func (m *Metrics) CountUploadDiverted() { m.set.GetOrCreateCounter(NameUploadsDiverted).Inc() }
+
 // RecordStoreCall records a call to the platform's store; err is nil on success.
 func (m *Metrics) RecordStoreCall(call string, duration time.Duration, err error) {
 	result := resultOK
--- a/internal/upstream/httpconn/dialer.go
+++ b/internal/upstream/httpconn/dialer.go
@@ -42,3 +42,23 @@
 	}
 	return dialer.DialContext(ctx, network, address)
 }
+
+// slowUpstreams are the options of connections to upstreams that may read slowly.
+type slowUpstreams struct {
+	userTimeout time.Duration
+	writeBuffer int // bytes
+}
+
+// apply sets the options of a connection. Without effect on others than TCP.
+func (o *slowUpstreams) apply(c net.Conn) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return // in-memory connections of tests
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { // if an option can't be set, that of the dialer stays
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.userTimeout.Milliseconds()))
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, o.writeBuffer)
+		})
+	}
+}
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -83,6 +83,8 @@
 	// MatchesResponse reports whether a response belongs to this request; nil accepts every
 	// response.
 	MatchesResponse func(*http.Response) bool
+	// OnWritten, if not nil, is called when the request was written or a write has failed.
+	OnWritten func()
 }
 
 // Pool keeps connections to upstreams. It is safe for concurrent use.
@@ -90,8 +92,10 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	opened atomic.Int64
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	// slowUpstreams is nil unless upstreams may read slowly.
+	slowUpstreams atomic.Pointer[slowUpstreams]
+	mu            sync.Mutex
+	idle          map[string][]*conn
 }
 
 // NewPool returns a Pool that connects by dial.
@@ -99,6 +103,14 @@
 	return &Pool{dial: dial, idle: map[string][]*conn{}}
 }
 
+// SetSlowUpstreams prepares connections opened from now on for upstreams that read slowly: sent
+// bytes may stay unacknowledged for userTimeout (TCP_USER_TIMEOUT), which also bounds how long an
+// upstream may read nothing of a body, and the kernel buffers writeBuffer bytes of it, twice that
+// on Linux. Requests end with their contexts all the same.
+func (p *Pool) SetSlowUpstreams(userTimeout time.Duration, writeBuffer int) {
+	p.slowUpstreams.Store(&slowUpstreams{userTimeout, writeBuffer})
+}
+
 // OpenedConnections returns how many connections were opened.
 func (p *Pool) OpenedConnections() int64 { return p.opened.Load() }
 
@@ -223,6 +235,9 @@
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUpstreamFailed, "connect to "+t.ID)
 	}
+	if o := p.slowUpstreams.Load(); o != nil {
+		o.apply(raw)
+	}
 	p.opened.Add(1)
 	in := &source{conn: raw}
 	return &conn{Conn: raw, target: t, source: in, reader: bufio.NewReaderSize(in, readBufferBytes)}, nil
@@ -324,6 +339,9 @@
 }
 
 func (x *exchange) write(r *Request) error {
+	if r.OnWritten != nil {
+		defer r.OnWritten()
+	}
 	w := bufio.NewWriterSize(x.conn, min(len(r.Body)+1024, 32<<10))
 	w.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
