--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -60,6 +60,10 @@
 	NameQuotaRejected = "verbenabend_quota_rejected_total"
 	NameQuotaAge      = "verbenabend_quota_age_seconds"
 
+	// Metrics of callers and upstreams that read slowly.
+	NameSlowReaders     = "verbenabend_slow_readers_ended_total"
+	NameUploadsDiverted = "verbenabend_uploads_diverted_total"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -84,6 +88,7 @@
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameStoreEra, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameQuotaUsed, NameQuotaRejected, NameQuotaAge,
+	NameSlowReaders, NameUploadsDiverted,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -161,6 +166,13 @@
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
+// CountSlowReader counts a response that was ended because its caller read it too slowly.
+func (m *Metrics) CountSlowReader() { m.set.GetOrCreateCounter(NameSlowReaders).Inc() }
+
+// CountUploadDiverted counts an attempt that went elsewhere because bodies on their way to its
+// upstream waited to be read.
+func (m *Metrics) CountUploadDiverted() { m.set.GetOrCreateCounter(NameUploadsDiverted).Inc() }
+
 // RecordStoreCall records a call to the platform's store; err is nil on success.
 func (m *Metrics) RecordStoreCall(call string, duration time.Duration, err error) {
 	result := resultOK
