Announce long prompts where load figures of all engines do not fit

In fleets of 78 and 90 daemons no daemon knows what the others send, so long prompts converge on a few engines: load figures of all engines from every daemon exceed the gossip budget and none are sent.

Daemons there announce each long prompt instead (gossip fact kind 15): engine, shared prompt, tokens to compute, tokens of memory, age. Receivers add it to the engine's backlog, which decays as the engine computes, to its memory, to the hints and to the fleet-wide rate of the shared prompt. The fact also carries load reports of engines where requests wait, and samples of engines' prefill speeds. Where the budget does not allow all, a sample is announced with its weight.

With announcements, the number of presumed homes of a long prompt follows its rate times the prefill time of the uncached part; a long prompt does not start at an engine whose memory it would exceed; predicted times are compared as they are; engines that read a shared prompt count as holding it but are not fetched from yet. Load figures are no longer sent if they could be sent only less often than every 2 s; all other fleets decide as before.

--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -139,7 +139,7 @@
 		}
 		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), StartedAt: u.StartedAt, Slots: u.Slots, DataCentre: u.DataCentre, Delay: s.delay(u.DataCentre), Hash: u.Hash}
 		if def.Engine != nil {
-			ep.TransferPerToken = transferTimePerToken(def.Engine)
+			ep.TransferPerToken, ep.MemoryTokens = transferTimePerToken(def.Engine), def.Engine.CacheTokens
 		}
 		if v.CostPenalty != nil {
 			ep.CostPenalty = v.CostPenalty(u)
@@ -194,7 +194,7 @@
 }
 
 func sameEndpoint(a, b routing.Endpoint) bool {
-	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.Delay == b.Delay && a.CostPenalty == b.CostPenalty && a.StoppingSoon == b.StoppingSoon && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.MemoryTokens == b.MemoryTokens && a.Delay == b.Delay && a.CostPenalty == b.CostPenalty && a.StoppingSoon == b.StoppingSoon && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
 }
 
 // SetDaemonCount sets the number of daemons that share the upstreams, including
@@ -405,6 +405,45 @@
 	return out
 }
 
+// SetAnnouncing sets whether the schedulers announce long prompts instead of their loads.
+func (s *Services) SetAnnouncing(on bool) {
+	for _, svc := range s.all() {
+		svc.withAnnouncer(func(a routing.Announcer, now time.Time) { a.SetAnnouncing(now, on) })
+	}
+}
+
+// TakeAnnouncements returns what is to be announced to peers, of all services.
+func (s *Services) TakeAnnouncements() routing.Announcements {
+	var out routing.Announcements
+	for _, svc := range s.all() {
+		svc.withAnnouncer(func(a routing.Announcer, now time.Time) {
+			taken := a.TakeAnnouncements(now)
+			out.Prompts = append(out.Prompts, taken.Prompts...)
+			out.Reports = append(out.Reports, taken.Reports...)
+			out.Speeds = append(out.Speeds, taken.Speeds...)
+		})
+	}
+	return out
+}
+
+// ApplyAnnouncements passes a peer's announcements for a service's upstreams to its scheduler.
+func (s *Services) ApplyAnnouncements(name string, announcements routing.Announcements) {
+	s.mu.Lock()
+	svc := s.byName[name]
+	s.mu.Unlock()
+	if svc != nil {
+		svc.withAnnouncer(func(a routing.Announcer, now time.Time) { a.ApplyAnnouncements(now, announcements) })
+	}
+}
+
+func (svc *service) withAnnouncer(fn func(a routing.Announcer, now time.Time)) {
+	svc.runner.Do(func(sched routing.Scheduler, now time.Time) {
+		if a, ok := sched.(routing.Announcer); ok {
+			fn(a, now)
+		}
+	})
+}
+
 // ShareDue returns a channel that receives a token when load figures should be
 // shared with peers at once; the receiver then calls LoadsForPeers.
 func (s *Services) ShareDue() <-chan struct{} { return s.shareDue }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -23,6 +24,7 @@
 	"github.com/verbenabend/verbenabend/internal/inflight"
 	"github.com/verbenabend/verbenabend/internal/membership"
 	"github.com/verbenabend/verbenabend/internal/mirror"
+	"github.com/verbenabend/verbenabend/internal/peerload"
 	"github.com/verbenabend/verbenabend/internal/platform"
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routetable"
@@ -150,14 +152,18 @@
 	// expiredEngines counts the engines left out because of their weights.
 	expiredEngines atomic.Int64
 	engineIndexes  map[string]*engineIndex // used by receiveLoad only
-	goalQueue      *delayQueue[rollout.Goal]
-	reportQueue    *delayQueue[goalReport]
-	revisionQueue  *delayQueue[uint64]
-	newsQueue      *delayQueue[operatorNews]
-	goalRecorder   *goalRecorder
-	storeClock     *storeclock.Clock
-	descriptors    descriptorWatch
-	startedAt      time.Time
+	// announcer is used by publishLoads only, the next two by receiveAnnouncement only.
+	announcer            *peerload.Announcer
+	announcementReceiver *peerload.AnnouncementReceiver
+	announcedSnapshot    *fleet.RegistrySnapshot
+	goalQueue            *delayQueue[rollout.Goal]
+	reportQueue          *delayQueue[goalReport]
+	revisionQueue        *delayQueue[uint64]
+	newsQueue            *delayQueue[operatorNews]
+	goalRecorder         *goalRecorder
+	storeClock           *storeclock.Clock
+	descriptors          descriptorWatch
+	startedAt            time.Time
 }
 
 // New returns a daemon that listens but does not serve yet. pool holds the
@@ -172,7 +178,7 @@
 	}
 	d := &Daemon{
 		settings: s, platform: p, network: network, metrics: telemetry.New(), log: eventlog.New(s.Name, logger, eventRingSize),
-		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, goalQueue: newDelayQueue[rollout.Goal](), reportQueue: newDelayQueue[goalReport](), revisionQueue: newDelayQueue[uint64](), newsQueue: newDelayQueue[operatorNews](),
+		pool: pool, registry: fleet.NewRegistry(), engineIndexes: map[string]*engineIndex{}, announcer: peerload.NewAnnouncer(time.Now(), s.Name, rand.Uint64()), announcementReceiver: peerload.NewAnnouncementReceiver(), goalQueue: newDelayQueue[rollout.Goal](), reportQueue: newDelayQueue[goalReport](), revisionQueue: newDelayQueue[uint64](), newsQueue: newDelayQueue[operatorNews](),
 		goalRecorder: newGoalRecorder(), startedAt: time.Now(),
 	}
 	d.storeClock = storeclock.New(s.SinceBoot, func(by time.Duration) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -73,7 +73,7 @@
 	listener := d.network.Descriptors.Listen(socket, gossipConns)
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
-		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
+		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, MaxLoadInterval: maxLoadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
 		Heartbeat: peerHeartbeatInterval, IdleTimeout: peerIdleTimeout, MaxBackoff: maxRedialBackoff,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
@@ -87,6 +87,7 @@
 	d.publishAvailability() // before peers hear of this daemon
 	node.Subscribe(gossip.KindDaemon, func(gossip.Fact) { d.refreshMembers() })
 	node.Subscribe(gossip.KindLoad, d.receiveLoad)
+	node.Subscribe(gossip.KindAnnouncement, d.receiveAnnouncement)
 	node.Subscribe(gossip.KindWeightSwitch, d.receiveSwitch)
 	node.Subscribe(gossip.KindUnresponsive, d.receiveUnresponsive)
 	node.Subscribe(gossip.KindGoalVersion, d.receiveGoal)
@@ -194,7 +195,8 @@
 }
 
 // publishLoads shares this daemon's load figures with peers, as often as the
-// gossip bandwidth allows; urgent updates are sent at once.
+// gossip bandwidth allows; urgent updates are sent at once. Where they do not fit, it
+// announces long prompts instead.
 func (d *Daemon) publishLoads(ctx context.Context) error {
 	timer := time.NewTimer(time.Nanosecond)
 	defer timer.Stop()
@@ -207,10 +209,21 @@
 			shareDue = true
 		case <-timer.C:
 		}
+		now := time.Now()
+		announcing := !d.gossipNode.LoadsFit(now)
+		d.services.SetAnnouncing(announcing)
+		if announcing {
+			d.publishAnnouncements(now)
+			shareDue = false
+		}
 		if shareDue || d.gossipNode.TimeUntilLoadDue(time.Now()) == 0 {
 			d.gossipNode.PublishLoads(peerload.Facts(d.settings.Name, d.services.LoadsForPeers(), loadTTL), shareDue)
 		}
-		timer.Reset(max(minLoadInterval, d.gossipNode.TimeUntilLoadDue(time.Now())))
+		wait := max(minLoadInterval, d.gossipNode.TimeUntilLoadDue(time.Now()))
+		if !d.gossipNode.LoadsFit(time.Now()) {
+			wait = min(wait, announcementCheckInterval)
+		}
+		timer.Reset(wait)
 	}
 }
 
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -36,7 +36,7 @@
 		return priorityUrgent
 	case KindEngine:
 		return priorityEngine
-	case KindLoad:
+	case KindLoad, KindAnnouncement:
 		return priorityLoad
 	default:
 		return priorityDaemon
@@ -45,7 +45,7 @@
 
 // isPeriodic reports whether facts of the kind are republished continuously:
 // a lost one is soon replaced, so a single copy to each daemon is enough.
-func isPeriodic(k Kind) bool { return k == KindDaemon || k == KindLoad }
+func isPeriodic(k Kind) bool { return k == KindDaemon || k == KindLoad || k == KindAnnouncement }
 
 // tokenBucket is a token bucket over the bytes that a daemon sends. The lower a
 // fact's priority, the larger the fraction of the burst that it may not use. Daemons'
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -90,6 +90,9 @@
 	FlushInterval time.Duration
 	// MinLoadInterval is the shortest interval between a daemon's load updates.
 	MinLoadInterval time.Duration
+	// MaxLoadInterval, if set, is the longest interval between a daemon's load updates. Where
+	// the budget requires a longer one, none are sent for loadPause.
+	MaxLoadInterval time.Duration
 	// SummaryInterval is the mean interval between anti-entropy rounds on a connection.
 	SummaryInterval time.Duration
 	// RotateInterval is how long a choice of neighbours is kept.
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -108,7 +108,7 @@
 // flushDelay returns how long a fact may wait to share a frame with others.
 func (c *conn) flushDelay(e *entry) time.Duration {
 	delay := c.node.cfg.FlushInterval
-	if e.fact.Kind == KindLoad || e.valueUnchanged {
+	if e.fact.Kind == KindLoad || e.fact.Kind == KindAnnouncement || e.valueUnchanged {
 		return delay
 	}
 	return delay / newFactDelayDivisor
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -56,6 +56,9 @@
 	// any more. ID names the start of its process, Version holds the time on the store's
 	// clock and the rate: one fact serves all daemons.
 	KindRateLimit Kind = 14
+	// KindAnnouncement announces the long prompts that a daemon has sent in about the last
+	// second. ID is a hash of the daemon's name.
+	KindAnnouncement Kind = 15
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -18,11 +18,22 @@
 // maxLoadAge. Each daemon relays each update about once, so its cost per second
 // is daemons*bytes/interval.
 func LoadInterval(daemons, bytes, bytesPerSecond int, minInterval time.Duration) (time.Duration, bool) {
-	loadBytesPerSecond := max(bytesPerSecond-daemons*renewalBytesPerSecondPerDaemon, bytesPerSecond/minLoadShareDivisor, 1)
-	required := time.Duration(daemons) * time.Duration(bytes) * time.Second / time.Duration(loadBytesPerSecond)
+	required := time.Duration(daemons) * time.Duration(bytes) * time.Second / time.Duration(loadBytes(daemons, bytesPerSecond))
 	return max(required, minInterval), required <= maxLoadAge
 }
 
+// loadBytes returns how many bytes a second of the budget are left for load figures or
+// announcements.
+func loadBytes(daemons, bytesPerSecond int) int {
+	return max(bytesPerSecond-daemons*renewalBytesPerSecondPerDaemon, bytesPerSecond/minLoadShareDivisor, 1)
+}
+
+// AnnouncementBytes returns how many bytes a second each daemon may publish in place of load
+// figures, so that all daemons together use what the budget leaves for these.
+func AnnouncementBytes(daemons, bytesPerSecond int) float64 {
+	return float64(loadBytes(daemons, bytesPerSecond)) / float64(max(1, daemons))
+}
+
 const (
 	// refreshIntervalPerDaemon lengthens the refresh interval in larger fleets. It
 	// applies to the default budget; a greater budget shortens it in proportion.
--- a/internal/gossip/loaddue.go
+++ b/internal/gossip/loaddue.go
@@ -30,6 +30,18 @@
 	n.flushLoads(now)
 }
 
+// LoadsFit reports whether load figures fit into the budget: the last ones could be sent as
+// often as Config.MaxLoadInterval demands, and so could those of the last minute.
+func (n *Node) LoadsFit(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !now.Before(n.loadsPausedUntil)
+}
+
+// loadPause is how long no load figures are sent after some that did not fit, so that daemons
+// do not change back and forth between load figures and announcements.
+const loadPause = time.Minute
+
 // maxUrgentLoadAdvance is how long before they are due urgent load figures may
 // be sent. Where the budget makes the load interval longer, they wait like others.
 const maxUrgentLoadAdvance = 200 * time.Millisecond
--- a/internal/gossip/maintain.go
+++ b/internal/gossip/maintain.go
@@ -93,6 +93,12 @@
 		}
 	}
 	interval, feasible := LoadInterval(n.daemons(now), size, n.cfg.BytesPerSecond, n.cfg.MinLoadInterval)
+	if longest := n.cfg.MaxLoadInterval; longest > 0 {
+		if interval > longest {
+			n.loadsPausedUntil = now.Add(loadPause)
+		}
+		feasible = !now.Before(n.loadsPausedUntil)
+	}
 	if feasible {
 		n.nextLoadAt = now.Add(interval)
 	} else {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -53,6 +53,8 @@
 	// pendingLoads are this daemon's load figures that are not yet sent.
 	pendingLoads map[factKey]bool
 	nextLoadAt   time.Time
+	// loadsPausedUntil is until when no load figures are sent because they did not fit.
+	loadsPausedUntil time.Time
 	// cachedMembers is the result of decodeMembers; it is current if membersValid.
 	cachedMembers []member
 	membersValid  bool
--- a/internal/placement/rates.go
+++ b/internal/placement/rates.go
@@ -36,7 +36,10 @@
 func (r *Rates) Bytes() int { return len(r.entries) * rateEntryBytes }
 
 // Observe counts one occurrence of key and returns its rate per second.
-func (r *Rates) Observe(now time.Time, key uint64) float64 {
+func (r *Rates) Observe(now time.Time, key uint64) float64 { return r.ObserveWeighted(now, key, 1) }
+
+// ObserveWeighted counts weight occurrences of key and returns its rate per second.
+func (r *Rates) ObserveWeighted(now time.Time, key uint64, weight float64) float64 {
 	seconds := now.Sub(r.epoch).Seconds()
 	set := r.entrySet(key)
 	victim := &set[0]
@@ -45,14 +48,14 @@
 		e := &set[i]
 		count := e.countAt(seconds)
 		if e.key == key {
-			e.decayedCount, e.updatedAt = count+1, seconds
+			e.decayedCount, e.updatedAt = count+weight, seconds
 			return e.perSecond(seconds)
 		}
 		if count < lowest {
 			victim, lowest = e, count
 		}
 	}
-	*victim = rateEntry{key: key, decayedCount: 1, updatedAt: seconds}
+	*victim = rateEntry{key: key, decayedCount: weight, updatedAt: seconds}
 	return victim.perSecond(seconds)
 }
 
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -12,6 +12,11 @@
 	// computes for this attempt, tokensAhead the number it computes before them.
 	uncachedTokens float64
 	tokensAhead    float64
+	// memoryTokens is the predicted number of prompt and output tokens that the engine keeps.
+	memoryTokens float64
+	// reading is true if the engine did not hold the prompt's shared levels when the attempt
+	// was sent.
+	reading bool
 	// expectedFirstToken is the predicted time to first token at normal speed,
 	// without network delay.
 	expectedFirstToken time.Duration
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -104,10 +104,10 @@
 		c := p.candidate(now, e, backlog, estimate.computeTokens-estimate.presumedTokens)
 		c.Transfer = estimate.transferTime
 		c.Recompute += time.Duration(copyCostFactor * float64(p.speed.TokensTime(estimate.copiedTokens)))
-		room := p.hasRoom(e, r) && !p.exceedsPrefillLimit(e, r, backlog, estimate.computeTokens) && !(overShare && p.takenSlots(e) >= int(overShareSlotFraction*float64(e.ep.Slots)))
+		room := p.hasRoom(e, r) && !p.lacksMemory(now, e, r) && !p.exceedsPrefillLimit(e, r, backlog, estimate.computeTokens) && !(overShare && p.takenSlots(e) >= int(overShareSlotFraction*float64(e.ep.Slots)))
 		c.SlotWait = p.slotWait(e)
 		c.SlotPrice = p.slotPrice(e, d.slotSeconds)
-		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r) + spillPenaltyOf(r, isPresumed, presumedHomes)).Seconds()
+		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r) + p.spillPenaltyOf(r, isPresumed, presumedHomes)).Seconds()
 		switch {
 		case !room:
 			out.minBusyCost = min(out.minBusyCost, cost)
@@ -140,7 +140,7 @@
 	if !p.rules.peerLoad {
 		return e.ownAttempts
 	}
-	return max(e.ownAttempts+e.peerLoad.requests, p.reportedRequests(e))
+	return max(e.ownAttempts+e.peerLoad.requests+e.announcedRequests(), p.reportedRequests(e))
 }
 
 // maxFreshPeers is the number of peers up to which their loads arrive within about
@@ -193,8 +193,8 @@
 
 // price returns the price of recomputation for a request.
 func (p *Policy) price(r *Request) float64 {
-	if !p.rules.recomputePrice {
-		return 1
+	if !p.rules.recomputePrice || p.announcing.on && r.PromptTokens >= longPromptTokens {
+		return 1 // predicted times are compared as they are
 	}
 	load := 0.0
 	if p.rules.loadPrice {
@@ -241,7 +241,8 @@
 	if p.rules.peerLoad {
 		tokens += float64(e.peerLoad.pendingTokens)
 	}
-	return tokens
+	p.drainAnnounced(now, e)
+	return tokens + e.announcedTokens()
 }
 
 // ownBacklog estimates how many prompt tokens of this daemon's requests the engine
@@ -257,7 +258,7 @@
 		prefillStart = e.lastFirstTokenAt
 	}
 	computed := p.speed.TokensIn(now.Sub(prefillStart)) / p.slowdown(now, e)
-	if peers := float64(e.peerLoad.pendingTokens); p.rules.peerLoad && peers > 0 {
+	if peers := float64(e.peerLoad.pendingTokens) + e.announcedTokens(); p.rules.peerLoad && peers > 0 {
 		computed *= e.ownTokens / (e.ownTokens + peers)
 	}
 	return e.ownTokens - min((1-uncomputedFraction)*head.uncachedTokens, max(0, computed))
@@ -278,6 +279,9 @@
 	if slowdown, ok := e.reportedSlowdown(now); ok {
 		return max(slowdown, e.overdueSlowdown(now))
 	}
+	if p.announcing.on && e.relativeTime.samples > 0 {
+		return max(e.relativeTime.value(), e.overdueSlowdown(now))
+	}
 	slowdown, measured := p.ownSlowdown(now, e)
 	if p.rules.peerSlowdown {
 		slowdown = averageWithPeers(slowdown, measured, &e.peerLoad)
@@ -343,7 +347,7 @@
 func (p *Policy) heldBlocks(now time.Time, e *engine, r *Request) int {
 	c := &r.Chain
 	if e.tokensByPart != nil && c.Parts != nil {
-		return e.cachedBlocks(c)
+		return max(e.cachedBlocks(c), p.announcedBlocks(e, c))
 	}
 	for level := len(c.Levels) - 1; level >= max(0, len(c.Levels)-maxHintLevels); level-- {
 		if p.hints.Holds(now, c.Levels[level], e.hintKey) {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -142,11 +142,12 @@
 func (p *Policy) start(now time.Time, f *inFlight, c choice, kind ActionKind) {
 	e := c.engine
 	a := &attempt{
-		request: f.request, engine: e, sentAt: now, uncachedTokens: c.uncachedTokens, tokensAhead: p.backlog(now, e),
+		request: f.request, engine: e, sentAt: now, uncachedTokens: c.uncachedTokens, tokensAhead: p.backlog(now, e), memoryTokens: p.memoryTokens(f.request),
 		roundTripDelay: 2 * e.ep.Delay, isolated: f.request.Isolated, organisationHash: f.demand.organisationHash, hintAge: -1,
 	}
 	a.expectedFirstToken = p.speed.FirstToken(a.tokensAhead+a.uncachedTokens) + c.candidate.Transfer
 	p.recordHint(now, a)
+	p.announceStart(now, a)
 	if e.failures > 0 {
 		e.probing = true
 	}
@@ -268,7 +269,11 @@
 			p.homesBuffer = appendPermuted(p.homesBuffer, split.others.Members, seed)
 			return dropRepeated(p.homesBuffer, n)
 		}
-		return p.homePicker.PickByHomeKey(&r.Chain, &split.others, longPromptHomes)
+		homes := longPromptHomes
+		if p.announcing.on {
+			homes = len(split.others.Members) // their loads are known
+		}
+		return p.homePicker.PickByHomeKey(&r.Chain, &split.others, homes)
 	}
 	switch {
 	case !p.rules.homes:
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -41,6 +41,16 @@
 	prefillUtilisation prefillUtilisation
 	peerLoad           peerTotals
 	report             LoadReport
+	// announced are the prompts that peers announced, in the order of receipt; drainedAt is
+	// when their progress was last predicted.
+	announced []announcedPrompt
+	drainedAt time.Time
+	// relativeTime is the engine's prefill time relative to others, where it is learnt.
+	relativeTime relativeTime
+	// reportAnnouncedAt is when this daemon or a peer last announced a load report.
+	reportAnnouncedAt time.Time
+	// ownMemory is the sum of the memory tokens of this daemon's attempts.
+	ownMemory float64
 	// unsharedLevels are the hashes of prompt levels to share with peers.
 	unsharedLevels []uint64
 	// tokensByPart is the number of tokens of each part that the engine reports as
@@ -118,6 +128,7 @@
 func (e *engine) add(a *attempt) {
 	e.ownAttempts++
 	e.ownTokens += a.uncachedTokens
+	e.ownMemory += a.memoryTokens
 	if a.isolated {
 		e.ownIsolated++
 	}
@@ -142,6 +153,7 @@
 func (e *engine) remove(a *attempt) {
 	e.markFirstToken(a)
 	e.ownAttempts--
+	e.ownMemory = max(0, e.ownMemory-a.memoryTokens)
 	if a.isolated {
 		e.ownIsolated--
 	}
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -24,6 +24,7 @@
 		computedTokens = a.tokensAhead + max(0, float64(a.request.PromptTokens-cachedTokens))
 	}
 	a.engine.observedSlowdown.Observe(now, placement.Ratio(observed, p.speed.FirstToken(computedTokens)))
+	p.observeSpeed(a, observed, computedTokens)
 	if p.slowdown(now, a.engine) < slowdownThreshold {
 		p.speed.Observe(computedTokens, observed)
 	}
@@ -96,6 +97,7 @@
 		a.engine.recordSuccess()
 		a.engine.limit.Completed()
 		p.responseStats.observe(a.request, outputTokens, now.Sub(a.firstTokenAt), now.Sub(a.sentAt))
+		p.announcing.observe(a, now.Sub(a.sentAt))
 		p.recordHeld(now, a.engine, a.request)
 	case Rejected:
 		// A limit of one request each is none where daemons outnumber slots.
@@ -136,5 +138,6 @@
 	p.setNow(now)
 	if e := p.byID[r.Endpoint]; e != nil && r.At.After(e.report.At) {
 		e.report = r
+		p.announceReport(now, e)
 	}
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -97,6 +97,8 @@
 	hedgeBudget *admission.Budget
 	retryBudget *admission.Budget
 
+	// announcing is the state of announcements to peers.
+	announcing announcing
 	// shareDue is true if loads should be shared with peers at once.
 	shareDue bool
 
--- a/internal/routing/prefillestimate.go
+++ b/internal/routing/prefillestimate.go
@@ -127,6 +127,9 @@
 		if e.failures > 0 {
 			continue // a fetch from a failed engine would block
 		}
+		if p.announcing.on && e.isReading(now, r.Chain.HomeKey()) {
+			continue // it cannot be fetched yet
+		}
 		if n := p.heldBlocks(now, e, r); n > h.engineBlocks {
 			h.engine, h.engineBlocks = e, n
 		}
--- a/internal/routing/rules.go
+++ b/internal/routing/rules.go
@@ -38,6 +38,16 @@
 	RulePeerSlowdown = "peer-slowdown"
 	// RuleLoadReports uses engines' load reports if peers share none.
 	RuleLoadReports = "load-reports"
+	// RuleAnnouncements uses announcements of long prompts in fleets too large for the loads of all engines.
+	RuleAnnouncements = "announcements"
+	// RuleRateHomes sets the number of homes of a long prompt by its announced rate and prefill time.
+	RuleRateHomes = "rate-homes"
+	// RuleEngineMemory keeps long prompts from engines whose memory they exceed.
+	RuleEngineMemory = "engine-memory"
+	// RuleSharedPrefill sends a long prompt to the engine that is reading its shared levels.
+	RuleSharedPrefill = "shared-prefill"
+	// RuleEngineSpeeds learns the prefill speeds of engines from first tokens, where announcements are used.
+	RuleEngineSpeeds = "engine-speeds"
 	// RuleEjection ejects engines that fail.
 	RuleEjection = "ejection"
 	// RuleLimits adapts the daemon's concurrency limit at each engine; otherwise the engine's slots are the limit.
@@ -65,6 +75,7 @@
 	ejection, limits, patience, fairness, earlyRefusal                               bool
 	deferral, hedges, crowdPrice, peerHints, shareHeadroom, transfers                bool
 	segregation, prefillLimit, cacheStore                                            bool
+	announcements, rateHomes, engineMemory, sharedPrefill, engineSpeeds              bool
 }
 
 func newRules(without []string) rules {
@@ -81,6 +92,6 @@
 		patience: !off[RulePatience], fairness: !off[RuleFairness],
 		earlyRefusal: !off[RuleEarlyRefusal], deferral: !off[RuleDeferral], crowdPrice: !off[RuleCrowdPrice], peerHints: !off[RulePeerHints],
 		shareHeadroom: !off[RuleShareHeadroom], hedges: !off[RuleHedges], transfers: !off[RuleTransfers], segregation: !off[RuleSegregation], prefillLimit: !off[RulePrefillLimit],
-		cacheStore: !off[RuleCacheStore],
+		cacheStore: !off[RuleCacheStore], announcements: !off[RuleAnnouncements], rateHomes: !off[RuleRateHomes], engineMemory: !off[RuleEngineMemory], sharedPrefill: !off[RuleSharedPrefill], engineSpeeds: !off[RuleEngineSpeeds],
 	}
 }
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -39,6 +39,9 @@
 	// StoppingSoon says that the engine stops serving soon for a while, and could not
 	// complete long prompts before that.
 	StoppingSoon bool
+	// MemoryTokens bounds the prompt and output tokens of the requests that the engine runs
+	// at once, 0 if unknown; it preempts requests beyond it.
+	MemoryTokens int
 	// TransferPerToken is the time to fetch one cached token from another
 	// engine of the same data centre; 0 if engines cannot fetch.
 	TransferPerToken time.Duration
--- a/internal/routing/segregation.go
+++ b/internal/routing/segregation.go
@@ -97,13 +97,16 @@
 // exceedsPrefillLimit reports whether a long prompt would wait too long for the
 // prefill of others at the engine, which also delays the decoding of responses there.
 // A prompt with little left to compute may wait longer, since elsewhere it would
-// be computed whole.
+// be computed whole; so may any prompt where announcements tell of the prompts before it.
 func (p *Policy) exceedsPrefillLimit(e *engine, r *Request, backlog, computeTokens float64) bool {
 	if !p.rules.prefillLimit || r.FirstTokenGoal == 0 || r.PromptTokens < longPromptTokens {
 		return false
 	}
 	wait := p.speed.TokensTime(backlog)
-	if computeTokens < longPromptTokens {
+	if p.announcing.on {
+		wait = p.engineTokensTime(p.now, e, backlog)
+	}
+	if p.announcing.on || computeTokens < longPromptTokens {
 		return wait > time.Duration(heldPrefillWaitFraction*float64(r.FirstTokenGoal))
 	}
 	return e.prefillUtilisation.fraction >= maxPrefillUtilisation && p.takenSlots(e) >= prefillLimitMinRunning || wait > time.Duration(prefillWaitFraction*float64(r.FirstTokenGoal))
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -54,6 +54,10 @@
 	NameRateLimitedRequests  = "verbenabend_rate_limited_requests_total"
 	NameMalformedRateLimits  = "verbenabend_malformed_rate_limits_total"
 
+	// Metrics of announcements of long prompts among daemons.
+	NameAnnouncements   = "verbenabend_announcements_total"
+	NameAnnouncementAge = "verbenabend_announcement_age_seconds"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -62,6 +66,7 @@
 
 	resultOK            = "ok"
 	labelledRateLimited = NameRateLimitedRequests + `{result=%q}`
+	labelledAnnounced   = NameAnnouncements + `{result=%q}`
 	labelledForwarded   = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
 	labelledByRoute     = `%s{route=%q}`
 	labelledByCall      = NameStoreCallSeconds + `{call=%q,result=%q}`
@@ -76,7 +81,7 @@
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
-	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
+	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameAnnouncements, NameAnnouncementAge,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -140,6 +145,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(labelledRateLimited, result)).Inc()
 }
 
+// CountAnnouncements counts n announcements of long prompts with the same result.
+func (m *Metrics) CountAnnouncements(result string, n int) {
+	if n > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(labelledAnnounced, result)).Add(n)
+	}
+}
+
+// RecordAnnouncementAge records the age of an announcement at its receipt.
+func (m *Metrics) RecordAnnouncementAge(age time.Duration) {
+	m.set.GetOrCreateHistogram(NameAnnouncementAge).Update(age.Seconds())
+}
+
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
