--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -64,6 +64,10 @@
 	NameSlowReaders     = "verbenabend_slow_readers_ended_total"
 	NameUploadsDiverted = "verbenabend_uploads_diverted_total"
 
+	// Metrics of announcements of long prompts among daemons.
+	NameAnnouncements   = "verbenabend_announcements_total"
+	NameAnnouncementAge = "verbenabend_announcement_age_seconds"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -72,6 +76,7 @@
 
 	resultOK            = "ok"
 	labelledRateLimited = NameRateLimitedRequests + `{result=%q}`
+	labelledAnnounced   = NameAnnouncements + `{result=%q}`
 	labelledForwarded   = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
 	labelledByRoute     = `%s{route=%q}`
 	labelledByCall      = NameStoreCallSeconds + `{call=%q,result=%q}`
@@ -88,7 +93,7 @@
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameStoreEra, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameQuotaUsed, NameQuotaRejected, NameQuotaAge,
-	NameSlowReaders, NameUploadsDiverted,
+	NameSlowReaders, NameUploadsDiverted, NameAnnouncements, NameAnnouncementAge,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -163,6 +168,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(labelledByOrg, NameQuotaRejected, organisation)).Inc()
 }
 
+// CountAnnouncements counts n announcements of long prompts with the same result.
+func (m *Metrics) CountAnnouncements(result string, n int) {
+	if n > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(labelledAnnounced, result)).Add(n)
+	}
+}
+
+// RecordAnnouncementAge records the age of an announcement at its receipt.
+func (m *Metrics) RecordAnnouncementAge(age time.Duration) {
+	m.set.GetOrCreateHistogram(NameAnnouncementAge).Update(age.Seconds())
+}
+
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
