--- a/internal/forward/slowreader_test.go
+++ b/internal/forward/slowreader_test.go
@@ -60,8 +60,8 @@
 }
 
 // readSlowly sends a request, waits, and returns how much of the response arrives.
-func readSlowly(ctx context.Context, daemon *httptest.Server, id string, pause time.Duration) (int64, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, daemon.URL+"/unsafe/1", nil)
+func readSlowly(daemon *httptest.Server, id string, wait func()) (int64, error) {
+	r, err := http.NewRequest(http.MethodGet, daemon.URL+"/unsafe/1", nil)
 	if err != nil {
 		return 0, err
 	}
@@ -72,7 +72,7 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	time.Sleep(pause)
+	wait()
 	return io.Copy(io.Discard, resp.Body)
 }
 
@@ -80,7 +80,7 @@
 // cut it off.
 func TestSlowCallerGetsWholeResponse(t *testing.T) {
 	f, daemon := newSlowReaderDaemon(t, 2*longResponse)
-	n, err := readSlowly(t.Context(), daemon, "slow", 2*cutAfter)
+	n, err := readSlowly(daemon, "slow", func() { time.Sleep(2 * cutAfter) })
 	assert.NilError(t, err)
 	assert.Equal(t, n, int64(longResponse))
 	_, held := f.HeldBytes()
@@ -93,14 +93,16 @@
 	f, daemon := newSlowReaderDaemon(t, 2<<20)
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	checked := make(chan struct{})
+	defer close(checked)
 	for i := range 3 {
 		wg.Go(func() {
-			n, err := readSlowly(t.Context(), daemon, fmt.Sprint("stalled-", i), 8*time.Second)
+			n, err := readSlowly(daemon, fmt.Sprint("stalled-", i), func() { <-checked })
 			assert.Check(t, err != nil, "%d bytes look complete", n)
 		})
 	}
 	time.Sleep(500 * time.Millisecond) // until they fill the memory
-	n, err := readSlowly(t.Context(), daemon, "reading", 0)
+	n, err := readSlowly(daemon, "reading", func() {})
 	assert.NilError(t, err)
 	assert.Equal(t, n, int64(longResponse))
 	for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -106,6 +106,8 @@
 	maxDescriptors int
 	// memoryMB is limits.memoryMb of daemons that are started later; 0 for no limit.
 	memoryMB int
+	// contracts is that of daemons that are started later.
+	contracts string
 	// firstDaemon is the index of the first daemon that startAll starts.
 	firstDaemon  int
 	revision     uint64
@@ -297,7 +299,7 @@
 		"listen.directory=" + p.address(directoryPort), "listen.control=" + p.address(peerPort),
 		fmt.Sprintf("portRange=%d,%d", gossipPort, gossipPort+9),
 		fmt.Sprintf("seeds=%s:%d,%s:%d", hostOf(d.firstDaemon), peerPort, hostOf(d.firstDaemon+1), peerPort),
-		fmt.Sprintf("limits.maxFds=%d", d.maxDescriptors), fmt.Sprintf("limits.memoryMb=%d", d.memoryMB), "platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
+		fmt.Sprintf("limits.maxFds=%d", d.maxDescriptors), fmt.Sprintf("limits.memoryMb=%d", d.memoryMB), "contracts=" + d.contracts, "platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
 	}, "\n")))
 	assert.NilError(d.t, err)
 	settings.Gateway.MetricsListen = p.address(metricsPort)
