--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -138,9 +138,13 @@
 // error of its last attempt.
 func (t *transfer) abortIfCallerLeft(err error) {
 	if ended := t.spool.ended(); ended != nil && t.callerRequest.Context().Err() == nil {
-		t.logEvent(eventlog.SlowReaderEnded, "", ended)
-		t.recordOutcome(ResultSlowReader, t.verdict())
-		t.forwarder.OnSlowReader()
+		event, result := eventlog.RequestFailed, ResultTruncated
+		if errors.Is(ended, errSlowReader) {
+			event, result = eventlog.SlowReaderEnded, ResultSlowReader
+			t.forwarder.OnSlowReader()
+		}
+		t.logEvent(event, "", ended)
+		t.recordOutcome(result, t.verdict())
 		panic(http.ErrAbortHandler) // a clean close would make the truncated response look complete
 	}
 	if t.callerRequest.Context().Err() == nil {
