--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -481,26 +481,35 @@
 	})
 }
 
-// Load: three times the rate while the owner is killed, or frozen for 4 s. Guards against a
+// Load: three or ten times the rate while the owner is killed, or frozen for 4 s. Guards against a
 // bucket that is counted twice, and against requests that wait for the lost owner.
 func TestLostOwner(t *testing.T) {
 	fleets(t, func(t *testing.T, daemons int) {
 		for _, frozen := range []bool{false, true} {
-			s := newSimulation(t, daemons)
-			s.setLimit(tightLimit)
-			s.load(daemons, 3*tightLimit.PerSecond, 30*time.Second)
-			s.run(10 * time.Second)
-			owner := s.owner()
-			s.setDown(owner, true)
-			s.run(4 * time.Second)
-			s.setDown(owner, !frozen)
-			s.run(16 * time.Second)
-			s.checkTight(tightLimit)
-			part := 1.0
-			if !frozen { // its share is kept for it
-				part -= 1 / float64(daemons)
+			for _, l := range []Limit{tightLimit, simLimit} {
+				s := newSimulation(t, daemons)
+				s.setLimit(l)
+				load := 3.0
+				if l == tightLimit { // large requests only, of which each daemon may overdraw one
+					s.cost, load = func(int) float64 { return 17_020 }, 10
+				}
+				s.load(daemons, load*l.PerSecond, 22*time.Second)
+				s.run(8 * time.Second)
+				owner := s.owner()
+				s.setDown(owner, true)
+				s.run(4 * time.Second)
+				s.setDown(owner, !frozen)
+				s.run(10 * time.Second)
+				s.checkBound(l, 0)
+				// The burst is refused, as it was used before.
+				most, intended := s.most(4*time.Second), l.PerSecond*simBounds.Window.Seconds()*(1+simBounds.Overage/2)+5*17_020
+				assert.Check(t, most <= intended, "%.0f tokens in a window, %.0f intended", most, intended)
+				part := 1.0
+				if !frozen { // its share is kept for it
+					part -= 1 / float64(daemons)
+				}
+				s.checkUsed(l, part, 15*time.Second, 22*time.Second)
 			}
-			s.checkUsed(tightLimit, part, 18*time.Second, 30*time.Second)
 		}
 	})
 }
