--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -56,14 +56,9 @@
 type stateInForce struct {
 	value []byte
 	at    platform.Position
-	// firstEra is the era of the first state that was in force.
-	firstEra uint64
 }
 
 func (s *stateInForce) set(row platform.Change, era uint64) {
-	if s.value == nil {
-		s.firstEra = era
-	}
 	s.value, s.at = row.Value, platform.Position{Era: era, Version: row.Version}
 }
 
@@ -71,7 +66,7 @@
 // the row's position if it has the same content.
 func (s *stateInForce) isReplacedBy(row platform.Change, era uint64) bool {
 	at := platform.Position{Era: era, Version: row.Version}
-	if !s.at.Before(at) || era <= s.firstEra {
+	if era == 0 || !s.at.Before(at) {
 		return false
 	}
 	if bytes.Equal(row.Value, s.value) {
@@ -173,8 +168,9 @@
 }
 
 // applyState puts a desired state in force if its revision is newer than the
-// current one, or if it has another content under the same revision and was written after the
-// store was restored: operators may have written it again without what the store lost.
+// current one, or if it has another content under the same revision and was written later, by
+// the store's era and version: after the store was restored, operators may have written it again
+// without what the store lost. A daemon that started since can't tell whether it was.
 func (d *Daemon) applyState(row platform.Change, state routetable.State, era uint64, err error) {
 	if err != nil {
 		d.logSkippedRow(row, err)
