Write quarantines again that a restored store lost

Cause: rows of quarantined prompt parts and requests written shortly before a restore were gone, and a part ran again.

Conditional writes know the era of their rows.

--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -235,3 +235,26 @@
 	_, err := (&Peers{Addresses: func() []string { return nil }}).ReadChanges(context.Background(), table, platform.Position{}, 0)
 	assert.Check(t, err != nil)
 }
+
+// Guards against copies that count as complete, and a source that is kept, because a daemon confirms
+// its copies of an older era.
+func TestSourceOfAnOlderEraConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFollower()
+		m := f.mirrors[0]
+		m.settings.MaxAge = newsLimit
+		frame := func(era, version uint64) *copyFrame {
+			return &copyFrame{Era: era, Tables: []copiedTable{{Table: table, Era: era, Version: version, Whole: true}}}
+		}
+		assert.NilError(t, f.applyFrame(Node{Name: "source"}, frame(2, 5), false))
+		confirmed, _ := m.lastConfirmed()
+		time.Sleep(time.Second)
+		assert.ErrorIs(t, f.applyFrame(Node{Name: "behind"}, frame(1, 9), false), errStaleSource)
+		at, ok := m.lastConfirmed()
+		assert.Check(t, ok && at == confirmed, "confirmed at %s", at)
+		assert.Equal(t, m.copyPosition(false), platform.Position{Era: 2, Version: 5})
+		assert.NilError(t, f.applyFrame(Node{Name: "ahead"}, frame(3, 1), false))
+		at, _ = m.lastConfirmed()
+		assert.Check(t, at > confirmed)
+	})
+}
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -152,7 +152,7 @@
 
 // CommitVersion implements platform.VersionedTable.
 func (c *Client) CommitVersion(ctx context.Context, txn platform.Txn) (platform.Position, error) {
-	if era, _ := c.eras.Current(); txn.Era != 0 && txn.Era != era {
+	if txn.Era != 0 && c.eras.Observe(txn.Era) != txn.Era {
 		return platform.Position{}, verdict.Wrap(platform.ErrEraChanged, verdict.NotRun, verdict.CodePlatformUnavailable, "commit")
 	}
 	var mu sync.Mutex // a late effect comes when the call has ended
--- a/internal/suspects/parts_test.go
+++ b/internal/suspects/parts_test.go
@@ -50,14 +50,16 @@
 
 // readRows lets all daemons read the table.
 func (f *partFleet) readRows(t *testing.T) map[string]platform.Change {
-	rows, err := f.platform.Client().List(t.Context(), "", "", maxQuarantinedParts+maxSuspicionRows)
+	client := f.platform.Client()
+	rows, err := client.List(t.Context(), "", "", maxQuarantinedParts+maxSuspicionRows)
 	assert.NilError(t, err)
+	era, _ := client.Eras().Current()
 	out := map[string]platform.Change{}
 	for _, r := range rows {
 		out[r.Key] = platform.Change{Key: r.Key, Value: r.Value, Version: r.Version}
 	}
 	for _, p := range f.daemons {
-		p.ApplyRows(out, 0)
+		p.ApplyRows(out, era)
 	}
 	return out
 }
--- a/internal/suspects/registry.go
+++ b/internal/suspects/registry.go
@@ -95,6 +95,7 @@
 func New(daemonName string, bus gossip.Bus, table platform.Table, log *eventlog.Log, minCrashInterval time.Duration) *Registry {
 	r := &Registry{daemonName: daemonName, bus: bus, table: table, log: log, minCrashInterval: minCrashInterval, crashes: map[string]map[string]time.Time{}}
 	bus.Subscribe(gossip.KindSuspect, r.receiveFact)
+	platform.ErasOf(table).OnRestore(func(uint64) { r.persistLost() })
 	return r
 }
 
--- a/internal/suspects/table.go
+++ b/internal/suspects/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -109,6 +110,39 @@
 	}
 }
 
+// persistLost writes the rows of quarantined requests again that a restored store lacks. Daemons
+// spread that, so that the rows of one serve all. It does not block.
+func (r *Registry) persistLost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for request, crashes := range r.crashes {
+		if r.countSpaced(request) < quarantineCrashes {
+			continue
+		}
+		var keys []string
+		for crash := range crashes {
+			keys = append(keys, rowPrefix+request+"/"+crash)
+		}
+		time.AfterFunc(rand.N(lostRowSpread), func() {
+			if !r.hasRows(keys) {
+				r.persist(request)
+			}
+		})
+	}
+}
+
+// hasRows reports whether the table has all rows.
+func (r *Registry) hasRows(keys []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	for _, key := range keys {
+		if _, err := r.table.Get(ctx, key); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func encodeExpiry(t time.Time) []byte {
 	return binary.BigEndian.AppendUint64(nil, uint64(t.UnixMilli()))
 }
