Run calls at most once across a restore of the table

Cause: a restored table lost the records of the last seconds, and a key was claimed again although its call ran.

Change: daemons keep the records that they wrote in the last minute and write missing ones again when the era grows.

--- a/internal/once/outcomes.go
+++ b/internal/once/outcomes.go
@@ -60,12 +60,12 @@
 // tryRecord replaces a claim's record by its outcome. It reports false if it must
 // be tried again.
 func (r *Records) tryRecord(ctx context.Context, o pendingOutcome) bool {
-	found, version, err := r.read(ctx, o.key)
+	found, at, err := r.read(ctx, o.key)
 	if err != nil {
 		return false
 	}
-	if found == nil && o.state != released {
-		return true // the record has expired
+	if found == nil && o.state != released && !(at.Era != 0 && r.recent.holds(o.key, time.Now())) {
+		return true // the record has expired; a recent one was lost with an older era
 	}
 	if found != nil && (found.Nonce != o.claim.Nonce || found.State != claimed) {
 		return true // already recorded, or another attempt has claimed the key
@@ -76,7 +76,7 @@
 	}
 	// If there is no row, the claim may still arrive; a released row makes its
 	// condition fail.
-	err = r.write(ctx, o.key, version, next)
+	err = r.write(ctx, o.key, at, next)
 	return err == nil || errors.Is(err, platform.ErrConflict) && found != nil
 }
 
@@ -153,6 +153,7 @@
 	var sweeper sync.WaitGroup
 	defer sweeper.Wait()
 	sweeper.Go(func() { r.sweep(ctx) })
+	sweeper.Go(func() { r.settleEras(ctx) })
 	try := 0
 	for {
 		o, ok := r.pending.take()
--- a/internal/once/records.go
+++ b/internal/once/records.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,11 +60,15 @@
 	objects platform.Objects
 	log     *eventlog.Log
 	pending *outcomeQueue
+	recent  recentRecords
+	eras    *platform.Eras
+	// settledEra is the newest era in which all records are known to be written again.
+	settledEra atomic.Uint64
 }
 
 // New returns Records over the platform's table and object store.
 func New(table platform.Table, objects platform.Objects, log *eventlog.Log) *Records {
-	return &Records{table: table, objects: objects, log: log, pending: newOutcomeQueue()}
+	return &Records{table: table, objects: objects, log: log, pending: newOutcomeQueue(), recent: recentRecords{byRow: map[string]recentRecord{}}, eras: platform.ErasOf(table)}
 }
 
 // Do runs a call at most once for its key and returns the reply, and whether
@@ -119,45 +124,57 @@
 // an earlier attempt that holds the key.
 func (r *Records) claim(ctx context.Context, key Key, claim record) (*record, error) {
 	waitUntil := time.Now().Add(maxOutcomeWait)
-	version := uint64(0)
+	at := platform.Position{}
 	for try := 0; ; try++ {
-		err := r.write(ctx, key, version, claim)
+		if err := r.unsettled(); err != nil {
+			return nil, err
+		}
+		err := r.write(ctx, key, at, claim)
 		if err == nil {
+			if err := r.unsettled(); err != nil { // the answer told of the era
+				r.pending.add(pendingOutcome{key: key, state: released, claim: claim})
+				return nil, err
+			}
 			return nil, nil
 		}
 		if !errors.Is(err, platform.ErrConflict) {
 			return nil, r.handleClaimFailure(ctx, key, claim, err)
 		}
-		found, foundVersion, err := r.awaitOutcome(ctx, key, claim, waitUntil)
+		found, foundAt, err := r.awaitOutcome(ctx, key, claim, waitUntil)
 		if err != nil {
 			return nil, err
 		}
 		if found != nil && found.State != released {
 			return found, nil
 		}
-		version = foundVersion
+		at = foundAt
 		if err := outcomePollBackoff.Wait(ctx, try); err != nil {
 			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeCanceled, "the caller disconnected before the call was sent")
 		}
 	}
 }
 
-// write commits a record of this attempt if its row still has the given version.
-func (r *Records) write(ctx context.Context, key Key, version uint64, rec record) error {
+// write commits a record of this attempt if its row is still at the given position.
+func (r *Records) write(ctx context.Context, key Key, at platform.Position, rec record) error {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	row := key.rowKey()
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: row, Version: version}},
+		Conditions: []platform.Condition{{Key: row, Version: at.Version}},
 		Writes:     []platform.Write{{Key: row, Value: encodeRecord(rec)}},
+		Era:        at.Era,
 	}
-	return platform.CommitResolved(ctx, r.table, txn, func(ctx context.Context) (bool, error) {
+	err := platform.CommitResolved(ctx, r.table, txn, func(ctx context.Context) (bool, error) {
 		found, _, err := r.read(ctx, key)
 		if err != nil {
 			return false, err
 		}
 		return found != nil && found.Nonce == rec.Nonce && found.State == rec.State, nil
 	})
+	if err == nil {
+		r.recent.add(key, rec, time.Now())
+	}
+	return err
 }
 
 // handleClaimFailure returns the error of a call that could not be claimed. The
@@ -182,44 +199,45 @@
 // awaitOutcome reads the record and, while another attempt is running, waits for
 // its outcome until the given time. It returns nil and version 0 if there is no
 // record.
-func (r *Records) awaitOutcome(ctx context.Context, key Key, claim record, until time.Time) (*record, uint64, error) {
+func (r *Records) awaitOutcome(ctx context.Context, key Key, claim record, until time.Time) (*record, platform.Position, error) {
 	for try := 0; ; try++ {
-		found, version, err := r.read(ctx, key)
+		found, at, err := r.read(ctx, key)
 		if err != nil {
 			// The conflict proves that another attempt has claimed the key.
-			return nil, 0, r.unavailableError(verdict.MayHaveRun, err)
+			return nil, at, r.unavailableError(verdict.MayHaveRun, err)
 		}
 		if found == nil {
-			return nil, 0, nil
+			return nil, at, nil
 		}
 		if found.Fingerprint != claim.Fingerprint {
-			return nil, 0, verdict.New(verdict.NotRun, verdict.CodeIdempotencyKeyReused, "the idempotency key was already used for a different call")
+			return nil, at, verdict.New(verdict.NotRun, verdict.CodeIdempotencyKeyReused, "the idempotency key was already used for a different call")
 		}
 		if found.State != claimed {
-			return found, version, nil
+			return found, at, nil
 		}
 		if time.Now().After(until) || outcomePollBackoff.Wait(ctx, try) != nil {
-			return found, version, nil
+			return found, at, nil
 		}
 	}
 }
 
-// read returns the record and the version of its row, or nil if there is none.
-func (r *Records) read(ctx context.Context, key Key) (*record, uint64, error) {
+// read returns the record and the position of its row, or nil if there is none.
+func (r *Records) read(ctx context.Context, key Key) (*record, platform.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
 	row, err := r.table.Get(ctx, key.rowKey())
+	at := platform.Position{Era: row.Era, Version: row.Version}
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil, 0, nil
+		return nil, at, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, at, err
 	}
 	rec, err := decodeRecord(row.Value)
 	if err != nil {
-		return nil, 0, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "the at-most-once record can't be decoded")
+		return nil, at, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "the at-most-once record can't be decoded")
 	}
-	return &rec, row.Version, nil
+	return &rec, at, nil
 }
 
 // replay returns the recorded outcome of an earlier attempt.
--- a/internal/once/sweep.go
+++ b/internal/once/sweep.go
@@ -55,6 +55,7 @@
 			continue
 		}
 		r.deleteObject(ctx, rec)
+		txn.Era = row.Era
 		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
 		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
 	}
