Choose what waits and what is refused by its cost to callers

The scheduler kept waiting requests in order of arrival and, when predicted work did not fit, refused the newcomer. Package triage orders them by the latest start for their goal and then their deadline, refuses the one that loses least per second of engine time, and bounds how much large requests, single organisations and urgent kinds lose by it.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -42,7 +42,7 @@
 
 // Queue holds waiting requests: classes in order of priority, within a class
 // organisations by start-time fair queueing over their work, within an
-// organisation in order of arrival. The first MaxTriesPerTurn items of an
+// organisation in order of arrival unless Reorder is used. The first MaxTriesPerTurn items of an
 // organisation are tried, so that one that cannot start does not block the others.
 type Queue[T any] struct {
 	maxItems int
@@ -50,6 +50,8 @@
 	byID     map[string]*Item[T]
 	classes  []*class[T]
 	expiry   expiryHeap[T]
+	// reordered is set once items may wait in another order than that of arrival.
+	reordered bool
 }
 
 // class holds the waiting items of one priority, deferrable or not, in a flow for
@@ -174,14 +176,31 @@
 			continue
 		}
 		for _, f := range c.active {
-			if at := f.items[0].QueuedAt; oldest.IsZero() || at.Before(oldest) {
-				oldest = at
+			candidates := f.items
+			if !q.reordered {
+				candidates = candidates[:1]
+			}
+			for _, it := range candidates {
+				if at := it.QueuedAt; oldest.IsZero() || at.Before(oldest) {
+					oldest = at
+				}
 			}
 		}
 	}
 	return oldest
 }
 
+// Reorder sorts the waiting items of each organisation within a class. Items that compare
+// as equal keep their order, and items pushed later come last until the next call.
+func (q *Queue[T]) Reorder(compare func(a, b *Item[T]) int) {
+	q.reordered = true
+	for _, c := range q.classes {
+		for _, f := range c.active {
+			slices.SortStableFunc(f.items, compare)
+		}
+	}
+}
+
 // HasNonDeferrable reports whether an item waits that is not deferrable.
 func (q *Queue[T]) HasNonDeferrable() bool {
 	for _, c := range q.classes {
--- /dev/null
+++ b/internal/admission/triage/triage.go
@@ -0,0 +1,240 @@
+// Package triage decides which requests of a service wait and which are refused when
+// the predicted work does not fit, so that the delay or the refusal costs callers least.
+// Its types are state machines without I/O and without a clock.
+package triage
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Request describes a request. Times that are zero are not known.
+type Request struct {
+	// Priority is the kind of request; a higher one is more urgent.
+	Priority     int
+	Organisation string
+	// Size compares requests of one kind, such as the number of their tokens.
+	Size      float64
+	ArrivedAt time.Time
+	// Goal and Deadline are when the first byte of the response should and must arrive.
+	Goal     time.Time
+	Deadline time.Time
+	// FirstByte is the predicted time from the start to the first byte, Run the
+	// predicted time to the end of the response.
+	FirstByte time.Duration
+	Run       time.Duration
+	// Work is the predicted engine time in seconds.
+	Work float64
+	// Restarted says that engines have worked on the request before.
+	Restarted bool
+}
+
+// Stage is the best outcome that a waiting request can still have.
+type Stage int8
+
+const (
+	// OnTime requests can meet their goal.
+	OnTime Stage = iota
+	// Late requests can meet their deadline only.
+	Late
+	// Lost requests can meet neither.
+	Lost
+)
+
+const (
+	// lateValue is the value of a late response in units of one on time. Callers state
+	// between a fifth and three quarters.
+	lateValue = 0.5
+	// refusalSafety divides a predicted time before it leads to a refusal: a late
+	// response has most of its value, a refusal none.
+	refusalSafety = 2
+)
+
+// Waiting is a request that waits to be started.
+type Waiting struct {
+	Request
+	// Stage is set by Plan. A request that was put behind others keeps its stage: it
+	// may have missed its goal because of that.
+	Stage Stage
+	// Refused is set once the Guard has counted the refusal of the request.
+	Refused bool
+	// planned is set once Plan had the figures to place the request.
+	planned bool
+}
+
+// LatestStart returns when the request must start for the best outcome of its stage; ok is
+// false if any time is as good.
+func (w *Waiting) LatestStart() (at time.Time, ok bool) {
+	by := w.Deadline
+	if w.Stage == OnTime && !w.Goal.IsZero() {
+		by = w.Goal
+	}
+	return by.Add(-w.FirstByte), !by.IsZero()
+}
+
+// missesGoal reports whether the request cannot meet its goal any longer.
+func (w *Waiting) missesGoal(now time.Time) bool {
+	return !w.Goal.IsZero() && now.Add(w.FirstByte).After(w.Goal)
+}
+
+// Unreachable reports whether the request cannot meet its deadline even if it starts at
+// once.
+func (r *Request) Unreachable(now time.Time) bool {
+	return !r.Deadline.IsZero() && now.Add(r.FirstByte/refusalSafety).After(r.Deadline)
+}
+
+// lossPerSecond returns the value that is lost per second of engine time that a refusal
+// or a delay of the request frees.
+func (w *Waiting) lossPerSecond() float64 {
+	value := 1.0
+	if w.Stage != OnTime {
+		value = lateValue
+	}
+	return value / max(w.Work, minWork)
+}
+
+// minWork, in seconds, bounds the loss per second of requests without predicted work.
+const minWork = 1e-3
+
+// Compare orders the requests of one kind: those that can meet their goal first, then by
+// their latest start, then by arrival. The latest start of a request that waits stays the
+// same while that of new ones moves on, so that none waits for ever.
+func Compare(a, b *Waiting) int {
+	if !a.planned || !b.planned {
+		return a.ArrivedAt.Compare(b.ArrivedAt)
+	}
+	startA, hasA := a.LatestStart()
+	startB, hasB := b.LatestStart()
+	byStart := 0
+	switch {
+	case hasA && hasB:
+		byStart = startA.Compare(startB)
+	case hasA:
+		byStart = -1
+	case hasB:
+		byStart = 1
+	}
+	return cmp.Or(cmp.Compare(a.Stage, b.Stage), byStart, a.ArrivedAt.Compare(b.ArrivedAt))
+}
+
+// Plan sets the stages of all waiting requests of a service and returns those to refuse.
+// rate is how much work starts per second; with a rate of 0 all wait in order of arrival.
+// mayRefuse allows refusals of requests that could meet their deadline if others did not
+// wait.
+//
+// Kinds are planned in order of priority. Within a kind requests start in order of their
+// latest start for the goal. Whenever one would miss its goal, the request that loses the
+// least value per second of work among those planned so far is put behind the others
+// (the algorithm of Moore and Hodgson, which leaves the fewest late). Those put behind are
+// planned in the same way for their deadlines, and refused instead, within the bounds of
+// guard.
+func Plan(now time.Time, rate float64, waiting []*Waiting, guard *Guard, mayRefuse bool) (refuse []*Waiting) {
+	byKind := map[int][]*Waiting{}
+	var kinds []int
+	for _, w := range waiting {
+		w.planned = rate > 0
+		if w.Unreachable(now) {
+			w.Stage = Lost
+			refuse = append(refuse, w)
+			continue
+		}
+		if byKind[w.Priority] == nil {
+			kinds = append(kinds, w.Priority)
+		}
+		byKind[w.Priority] = append(byKind[w.Priority], w)
+	}
+	if rate <= 0 {
+		return refuse
+	}
+	slices.SortFunc(kinds, func(a, b int) int { return cmp.Compare(b, a) })
+	ahead := 0.0
+	for _, kind := range kinds {
+		var onTime, late []*Waiting
+		for _, w := range byKind[kind] {
+			if w.missesGoal(now) {
+				w.Stage = Late
+			}
+			if w.Stage == OnTime {
+				onTime = append(onTime, w)
+			} else {
+				late = append(late, w)
+			}
+		}
+		s := schedule{now: now, rate: rate, ahead: ahead, safety: 1}
+		for _, w := range s.fill(onTime, func(*Waiting) bool { return true }) {
+			w.Stage = Late
+			late = append(late, w)
+		}
+		s = schedule{now: now, rate: rate, ahead: s.ahead, safety: refusalSafety}
+		refuse = append(refuse, s.fill(late, func(w *Waiting) bool {
+			w.Refused = mayRefuse && guard.Refuse(&w.Request)
+			return w.Refused
+		})...)
+		ahead = s.ahead
+	}
+	return refuse
+}
+
+// schedule is a sequence of requests that start one after the other.
+type schedule struct {
+	now time.Time
+	// rate is the work that starts per second, ahead the work before the next request,
+	// in seconds.
+	rate, ahead float64
+	// safety divides predicted waits.
+	safety  float64
+	planned lossHeap
+}
+
+// fill plans requests in order of their latest start and returns those that drop allowed
+// to be taken out, because a request would have missed its latest start. drop is called
+// at most once for each request.
+func (s *schedule) fill(list []*Waiting, drop func(*Waiting) bool) (dropped []*Waiting) {
+	slices.SortStableFunc(list, Compare)
+	for _, w := range list {
+		latest, bounded := w.LatestStart()
+		heap.Push(&s.planned, w)
+		s.ahead += w.Work
+		for bounded && s.wait(s.ahead-w.Work) > latest.Sub(s.now) && len(s.planned) > 0 {
+			least := heap.Pop(&s.planned).(*Waiting)
+			if !drop(least) {
+				continue // it stays in the sequence
+			}
+			s.ahead -= least.Work
+			dropped = append(dropped, least)
+			if least == w {
+				break
+			}
+		}
+	}
+	return dropped
+}
+
+func (s *schedule) wait(work float64) time.Duration {
+	seconds := work / s.rate / s.safety
+	return time.Duration(min(seconds, maxWaitSeconds) * float64(time.Second))
+}
+
+// maxWaitSeconds keeps predicted waits within the range of a time.Duration.
+const maxWaitSeconds = 1e6
+
+// lossHeap holds requests, the one with the least loss per second first.
+type lossHeap []*Waiting
+
+func (h lossHeap) Len() int           { return len(h) }
+func (h lossHeap) Less(i, j int) bool { return h[i].lossPerSecond() < h[j].lossPerSecond() }
+func (h lossHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *lossHeap) Push(x any) { *h = append(*h, x.(*Waiting)) }
+
+// Pop implements heap.Interface.
+func (h *lossHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/admission/triage"
+)
 
 // attempt is one attempt of a request, at one engine.
 type attempt struct {
@@ -39,6 +43,9 @@
 	attempts []*attempt
 	demand   demand
 	hedged   bool
+	// triage and extended are those of the queued request.
+	triage   *triage.Waiting
+	extended bool
 }
 
 func (f *inFlight) attemptAt(endpoint string) *attempt {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -33,6 +33,7 @@
 		p.recheckNow = false
 		p.checkedAt = now
 		p.recheckAt = now.Add(recheckInterval)
+		p.planQueue(now)
 		p.queue.Dispatch(func(it *admission.Item[*queuedRequest]) bool { return p.tryStart(now, it) })
 		p.refuseHeldOff(now)
 	}
@@ -56,11 +57,17 @@
 
 // patienceEnd returns when a queued request stops waiting for a better home.
 func patienceEnd(it *admission.Item[*queuedRequest]) time.Time {
+	if it.Value.extended {
+		return it.QueuedAt
+	}
 	return it.QueuedAt.Add(time.Duration(patienceFraction * float64(it.ExpiresAt.Sub(it.QueuedAt))))
 }
 
 // handleArrival starts, queues or refuses a newly submitted request.
 func (p *Policy) handleArrival(now time.Time, it *admission.Item[*queuedRequest]) {
+	if p.refuseUnreachable(now, it) {
+		return
+	}
 	if p.tryStart(now, it) {
 		p.queue.Charge(it)
 		return
@@ -68,7 +75,7 @@
 	if p.refuseIfHeldOff(now, it) {
 		return
 	}
-	if p.rules.earlyRefusal {
+	if p.rules.earlyRefusal && it.Value.triage == nil {
 		if wait, late := p.predictLate(now, it); late {
 			p.refuseItem(it, wait)
 			return
@@ -76,6 +83,10 @@
 	}
 	if !p.queue.Push(it) {
 		p.refuseItem(it, defaultRetryAfter)
+		return
+	}
+	if it.Value.triage != nil {
+		p.planQueue(now)
 	}
 }
 
@@ -108,12 +119,12 @@
 	c := p.choose(now, w.request, homes, &w.demand, nil)
 	if c.engine == nil || p.worthWaiting(now, it, c) {
 		w.homes = append(w.homes[:0], homes...)
-		w.engineGeneration = p.engineGeneration
+		w.engineGeneration, w.eligible = p.engineGeneration, c.anyEligible
 		return false
 	}
 	f := p.inFlight[w.request.ID]
 	if f == nil {
-		f = &inFlight{request: w.request, demand: w.demand}
+		f = &inFlight{request: w.request, demand: w.demand, triage: w.triage, extended: w.extended}
 		p.inFlight[w.request.ID] = f
 	}
 	p.dispatchRate.add(now, it.Work)
@@ -163,6 +174,7 @@
 	}}
 	action.Source = cmp.Or(c.source, c.presumedSource)
 	action.Save = p.startSave(now, f.request, e.version(f.request.Weights))
+	p.completeStart(now, f, a, &action)
 	p.actions = append(p.actions, action)
 	if kind == Start {
 		p.scheduleHedge(f, a)
@@ -197,6 +209,9 @@
 			p.queue.Charge(it)
 			continue
 		}
+		if p.extendWait(now, it) {
+			continue
+		}
 		p.refuseItem(it, defaultRetryAfter)
 	}
 }
@@ -210,6 +225,7 @@
 	p.actions = append(p.actions, Action{
 		Kind: Refuse, Request: r, Code: code, RetryAfter: max(after, minRetryAfter), Refusal: p.refusal(r, p.now.Sub(it.QueuedAt)),
 	})
+	p.completeRefusal(it, &p.actions[len(p.actions)-1])
 }
 
 // refusal returns the details of a refusal.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/admission"
+	"github.com/verbenabend/verbenabend/internal/admission/triage"
 	"github.com/verbenabend/verbenabend/internal/placement"
 	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -78,6 +79,9 @@
 	homePicker         placement.HomePicker
 	homeCounts         []int
 
+	// triage is nil while triage is off.
+	triage *triageState
+
 	organisations organisations
 	// totalSlots counts the slots of all engines, ownAttempts this daemon's
 	// attempts and peerRequests those of peers.
@@ -110,6 +114,12 @@
 	demand           demand
 	homes            []int
 	engineGeneration int
+	// triage is nil where triage does not apply; extended is set once the request waits
+	// longer than its class allows, eligible if some engine might have run it when it was
+	// last tried.
+	triage   *triage.Waiting
+	extended bool
+	eligible bool
 }
 
 // draw returns a number that is uniform over requests and fixed for a request and key
@@ -170,11 +180,12 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(expires) {
 		expires = r.Deadline
 	}
+	work := p.predictWork(r)
 	return &admission.Item[*queuedRequest]{
 		ID: r.ID, Organisation: r.Organisation, Share: max(1, r.Share),
 		Priority: r.Class.Priority, Deferrable: r.Class.Deferrable,
-		Work: p.predictWork(r), QueuedAt: now, ExpiresAt: expires,
-		Value: &queuedRequest{request: r, demand: p.demand(now, r), engineGeneration: -1},
+		Work: work, QueuedAt: now, ExpiresAt: expires,
+		Value: &queuedRequest{request: r, demand: p.demand(now, r), engineGeneration: -1, triage: p.triageRequest(now, r, work)},
 	}
 }
 
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -77,6 +77,10 @@
 	// Isolated keeps the request from engines that run another such request of this
 	// daemon.
 	Isolated bool
+	// ReceivedAt is when the caller's request arrived; zero means when it is submitted.
+	ReceivedAt time.Time
+	// Resumed says that an engine generated the beginning of the response before.
+	Resumed bool
 	// PreviousAttempts is the number of earlier attempts. A retry is a new Submit.
 	PreviousAttempts int
 	// ExcludedEndpoints lists the IDs of engines that must not get the request because they
@@ -120,6 +124,14 @@
 	// RateLimited is set for Refuse if that is because of stated rate limits, and for Start
 	// and Hedge if such a limit ruled an engine out.
 	RateLimited bool
+	// Triage says why triage delayed or refused the request; empty if it did not.
+	Triage TriageReason
+	// Rank orders the attempt among others of its priority at the engine, from 0 to
+	// triage.MaxRank; 0 goes first. It is set for Start and Hedge.
+	Rank int
+	// Paced is set for Refuse if RetryAfter is this request's place among the retries of
+	// refused requests.
+	Paced bool
 }
 
 // Refusal holds the details of a refusal, for the log.
--- /dev/null
+++ b/internal/routing/triage.go
@@ -0,0 +1,237 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/admission"
+	"github.com/verbenabend/verbenabend/internal/admission/triage"
+)
+
+const (
+	// triageMinLoad is the fraction of the slots of a request's engines that must be known
+	// to be taken before triage refuses a request that might be served.
+	triageMinLoad = 0.5
+	// replanInterval is the least time between two plans of a queue of more than
+	// replanAlways requests; planning 4,096 requests takes about a millisecond.
+	replanInterval = 25 * time.Millisecond
+	replanAlways   = 64
+	// extendedWaitFraction is the fraction of the time to its deadline that a request may
+	// wait in the daemon. With a third of the rest as the longest time to a retry, it can
+	// be sent once more.
+	extendedWaitFraction = 0.5
+)
+
+// TriageUser is implemented by a Scheduler that can delay and refuse the requests whose
+// delay or refusal costs callers least.
+type TriageUser interface {
+	// SetTriage turns triage on or off. It applies to requests with a first-token goal
+	// that are submitted from now on.
+	SetTriage(now time.Time, on bool)
+}
+
+// TriageReason says why triage delayed or refused a request; empty if it did not.
+type TriageReason string
+
+// Reasons of delays.
+const (
+	// TriageBehind is a request that was put behind others in the queue.
+	TriageBehind TriageReason = "behind"
+	// TriageExtended is a request that waited longer than its class allows instead of
+	// being refused.
+	TriageExtended TriageReason = "extended"
+	// TriageRanked is a request that the engine is told to serve after others of its kind.
+	TriageRanked TriageReason = "ranked"
+)
+
+// Reasons of refusals.
+const (
+	// TriageUnreachable is a request that cannot meet its deadline.
+	TriageUnreachable TriageReason = "unreachable"
+	// TriageLeastLoss is a request whose refusal costs least of those that do not fit.
+	TriageLeastLoss TriageReason = "least-loss"
+	// TriageWaited is a request that no engine took within its extended wait.
+	TriageWaited TriageReason = "waited"
+)
+
+// triageState is a Policy's state of triage.
+type triageState struct {
+	guard     *triage.Guard
+	returns   triage.Returns
+	plannedAt time.Time
+	waiting   []*triage.Waiting
+	refuse    map[*triage.Waiting]bool
+}
+
+// SetTriage implements TriageUser.
+func (p *Policy) SetTriage(now time.Time, on bool) {
+	p.setNow(now)
+	switch {
+	case on && p.triage == nil:
+		p.triage = &triageState{guard: triage.NewGuard(), refuse: map[*triage.Waiting]bool{}}
+	case !on:
+		p.triage = nil
+	}
+}
+
+// triageRequest describes a request for triage, nil where that is off.
+func (p *Policy) triageRequest(now time.Time, r *Request, work float64) *triage.Waiting {
+	if p.triage == nil || r.FirstTokenGoal <= 0 {
+		return nil
+	}
+	received := r.ReceivedAt
+	if r.ReceivedAt.IsZero() || r.ReceivedAt.After(now) {
+		received = now
+	}
+	w := &triage.Waiting{Request: triage.Request{
+		Priority: r.Class.Priority, Organisation: r.Organisation, Size: float64(r.PromptTokens + r.MaxOutputTokens),
+		ArrivedAt: received, Goal: received.Add(r.FirstTokenGoal), Deadline: r.Deadline,
+		FirstByte: p.leastFirstToken(r), Work: work, Restarted: r.PreviousAttempts > 0 || r.Resumed,
+	}}
+	if r.PreviousAttempts == 0 {
+		p.triage.guard.Offer(&w.Request)
+	}
+	return w
+}
+
+// leastFirstToken predicts the time to first token at an idle engine that holds all shared
+// parts of the prompt; 0 before responses were observed.
+func (p *Policy) leastFirstToken(r *Request) time.Duration {
+	if p.responseStats.serviceTime.weight == 0 {
+		return 0
+	}
+	return p.speed.FirstToken(max(0, float64(r.PromptTokens)-sharedTokens(r)))
+}
+
+// refuseUnreachable refuses a new request that cannot meet its deadline, and reports
+// whether it did.
+func (p *Policy) refuseUnreachable(now time.Time, it *admission.Item[*queuedRequest]) bool {
+	w := it.Value.triage
+	if p.triage == nil || w == nil || !w.Unreachable(now) {
+		return false
+	}
+	p.refuseTriaged(it, TriageUnreachable)
+	return true
+}
+
+// planQueue orders the queue and refuses the requests that do not fit. Without triage it
+// does nothing.
+func (p *Policy) planQueue(now time.Time) {
+	t := p.triage
+	if t == nil || p.queue.Len() == 0 || p.queue.Len() > replanAlways && now.Sub(t.plannedAt) < replanInterval {
+		return
+	}
+	t.plannedAt = now
+	items := p.queue.Items()
+	t.waiting = t.waiting[:0]
+	for _, it := range items {
+		if w := it.Value.triage; w != nil {
+			t.waiting = append(t.waiting, w)
+		}
+	}
+	clear(t.refuse)
+	for _, w := range triage.Plan(now, p.dispatchRate.perSecond(now), t.waiting, t.guard, p.isBusy()) {
+		t.refuse[w] = true
+	}
+	for _, it := range items {
+		w := it.Value.triage
+		if w == nil || !t.refuse[w] {
+			continue
+		}
+		p.queue.Remove(it.ID)
+		reason := TriageLeastLoss
+		if w.Stage == triage.Lost {
+			reason = TriageUnreachable
+		}
+		p.refuseTriaged(it, reason)
+	}
+	p.queue.Reorder(func(a, b *admission.Item[*queuedRequest]) int {
+		wa, wb := a.Value.triage, b.Value.triage
+		if wa == nil || wb == nil {
+			return a.QueuedAt.Compare(b.QueuedAt)
+		}
+		return triage.Compare(wa, wb)
+	})
+}
+
+// isBusy reports whether most of the slots are known to be taken. In large fleets the
+// figures are those that engines reported within the last second, so that it errs on
+// the side of no refusal.
+func (p *Policy) isBusy() bool {
+	taken := 0
+	for _, e := range p.engines {
+		taken += min(p.takenSlots(e), e.ep.Slots)
+	}
+	return p.totalSlots > 0 && float64(taken) >= triageMinLoad*float64(p.totalSlots)
+}
+
+// extendWait lets a request whose allowed wait is over wait on while it can meet its
+// deadline and some engine may take it, and reports whether it does.
+func (p *Policy) extendWait(now time.Time, it *admission.Item[*queuedRequest]) bool {
+	w := it.Value
+	if p.triage == nil || w.triage == nil || w.extended || !w.eligible || it.Deferrable || w.triage.Deadline.IsZero() {
+		return false
+	}
+	until := it.QueuedAt.Add(time.Duration(extendedWaitFraction * float64(w.triage.Deadline.Sub(it.QueuedAt))))
+	if !until.After(now) || w.triage.Unreachable(now) {
+		return false
+	}
+	it.ExpiresAt, w.extended = until, true
+	return p.queue.Push(it)
+}
+
+func (p *Policy) refuseTriaged(it *admission.Item[*queuedRequest], reason TriageReason) {
+	p.refuseItem(it, defaultRetryAfter)
+	p.actions[len(p.actions)-1].Triage = reason
+}
+
+// completeRefusal completes the refusal of a request that triage knows: it returns when
+// the work before it is predicted to have started.
+func (p *Policy) completeRefusal(it *admission.Item[*queuedRequest], a *Action) {
+	w := it.Value.triage
+	if p.triage == nil || w == nil {
+		return
+	}
+	if it.Value.extended {
+		a.Triage = TriageWaited
+	}
+	if !w.Refused {
+		w.Refused = true
+		p.triage.guard.Refused(&w.Request)
+	}
+	if a.RetryAfter != defaultRetryAfter {
+		return // the time at which an engine takes requests again is known
+	}
+	if after, ok := p.triage.returns.RetryAfter(p.now, &w.Request, p.queue.WorkAhead(it), p.dispatchRate.perSecond(p.now)); ok {
+		a.RetryAfter, a.Paced = max(after, minRetryAfter), true
+	}
+}
+
+// completeStart sets the rank of an attempt and says whether triage delayed it.
+func (p *Policy) completeStart(now time.Time, f *inFlight, at *attempt, a *Action) {
+	w := f.triage
+	if p.triage == nil || w == nil {
+		return
+	}
+	switch {
+	case f.extended:
+		a.Triage = TriageExtended
+	case w.Stage == triage.Late:
+		a.Triage = TriageBehind
+	}
+	if p.takenSlots(at.engine) <= at.engine.ep.Slots && !p.reportsWaiting(now, at.engine) {
+		return // nothing waits at the engine, and requests of a greater rank may be preempted
+	}
+	r := w.Request
+	r.FirstByte = at.expectedFirstToken
+	r.Run = at.expectedFirstToken + time.Duration(f.demand.slotSeconds*float64(time.Second))
+	r.Work = r.Run.Seconds()
+	if a.Rank = p.triage.guard.Rank(now, &r); a.Rank > 0 && a.Triage == "" {
+		a.Triage = TriageRanked
+	}
+}
+
+// reportsWaiting reports whether the engine's last report, if recent, names requests that
+// wait there.
+func (p *Policy) reportsWaiting(now time.Time, e *engine) bool {
+	return e.report.Queued > 0 && now.Sub(e.report.At) < reportedRequestsMaxAge
+}
