Triage requests of services with goals and different priorities

The gateway turns triage on by the setting overload.triage (auto, on, off) and by the desired state, tells engines the rank of a request within the priorities that no other kind of the service uses, paces the retries of refused requests and counts delays and refusals.

--- a/internal/forward/errorresponse.go
+++ b/internal/forward/errorresponse.go
@@ -38,9 +38,13 @@
 	if e, ok := verdict.As(err); ok && status == http.StatusServiceUnavailable {
 		after := max(e.RetryAfter, minRetryAfter)
 		var refused *refusedError
-		if errors.As(err, &refused) && refused.heldOff {
+		byScheduler := errors.As(err, &refused)
+		switch {
+		case byScheduler && refused.heldOff:
 			after = t.retryAfterAtLeast(after)
-		} else {
+		case byScheduler && refused.paced:
+			after = t.capRetryAfter(after)
+		default:
 			after = t.jitteredRetryAfter(after)
 		}
 		if after > 0 {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -83,6 +83,8 @@
 	// OnRateLimited is called for each attempt that goes elsewhere because of a rate limit,
 	// and for each request that is refused; may be nil.
 	OnRateLimited func(refused bool)
+	// OnTriage is called for each request that triage delays or refuses; may be nil.
+	OnTriage func(refused bool, reason routing.TriageReason)
 	// OnMalformedRateLimit is called for each stated rate limit without meaning; may be nil.
 	OnMalformedRateLimit func()
 	Log                  *eventlog.Log
@@ -100,6 +102,7 @@
 	// bodyMemory is held by requests' bodies from before they are read to their request's end,
 	// responseMemory by the parts of responses that are not relayed yet.
 	bodyMemory, responseMemory memoryBudget
+	priorityBands              priorityBandCache
 	// stopAt caps the deadlines of new requests; nil unless the daemon is
 	// stopping.
 	stopAt atomic.Pointer[time.Time]
@@ -127,6 +130,9 @@
 	if c.OnMalformedRateLimit == nil {
 		c.OnMalformedRateLimit = func() {}
 	}
+	if c.OnTriage == nil {
+		c.OnTriage = func(bool, routing.TriageReason) {}
+	}
 	if c.OnOutcome == nil {
 		c.OnOutcome = func(Outcome) {}
 	}
@@ -359,7 +365,7 @@
 func (t *transfer) schedulerRequest() *routing.Request {
 	q := &routing.Request{
 		ID: t.metadata.ID, Share: 1, Class: routing.Class{Name: t.route.Name, Priority: -t.priority(), MaxWait: t.maxQueueWait()},
-		Deadline: t.deadline, FirstTokenGoal: t.route.FirstByteGoal, Repeatable: t.route.Repeatable(), ExcludedEndpoints: t.failedUpstreams, PreviousAttempts: t.attemptsSent,
+		Deadline: t.deadline, FirstTokenGoal: t.route.FirstByteGoal, ReceivedAt: t.receivedAt, Resumed: t.lastEventID != "", Repeatable: t.route.Repeatable(), ExcludedEndpoints: t.failedUpstreams, PreviousAttempts: t.attemptsSent,
 	}
 	if t.organisation != nil {
 		q.Organisation = t.organisation.Name
@@ -382,12 +388,16 @@
 
 // priority returns the request's priority at the engine; 0 is served first. It
 // orders by the organisation's priority and then by the route's.
-func (t *transfer) priority() int {
-	first := t.route.Priority
-	if t.organisation != nil && t.organisation.Priority != nil {
-		first = *t.organisation.Priority
-	}
-	return priorityLevels*clampPriority(first) + clampPriority(t.route.Priority)
+func (t *transfer) priority() int { return kindPriority(t.route, t.organisation) }
+
+// kindPriority returns the priority of an organisation's requests of a route; the
+// organisation may be nil.
+func kindPriority(r *routetable.Route, o *routetable.Organisation) int {
+	first := r.Priority
+	if o != nil && o.Priority != nil {
+		first = *o.Priority
+	}
+	return priorityLevels*clampPriority(first) + clampPriority(r.Priority)
 }
 
 // priorityLevels is the number of priorities that are distinguished among
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -34,6 +34,7 @@
 	shareDue chan struct{}
 	// storeAvailable is set while the store of cached prompts responds.
 	storeAvailable atomic.Bool
+	triageMode     TriageMode
 
 	mu          sync.Mutex
 	byName      map[string]*service
@@ -69,6 +70,8 @@
 	// one without meaning was last logged, in Unix nanoseconds.
 	rateLimited       atomic.Bool
 	malformedLoggedAt atomic.Int64
+	// triaged is set while the scheduler triages requests.
+	triaged atomic.Bool
 
 	mu        sync.Mutex
 	retries   *admission.Budget
@@ -119,6 +122,7 @@
 			continue
 		}
 		svc := s.get(def.Name)
+		svc.setTriage(s.triageMode.applies(v.Table, def))
 		svc.setCacheStore(def.Engine, store, s.storeAvailable.Load())
 		endpoints := s.endpoints(def, v)
 		svc.mu.Lock()
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -150,6 +150,8 @@
 	// heldOff is set if no upstream takes the request before the cause's RetryAfter
 	// has passed.
 	heldOff bool
+	// paced is set if the cause's RetryAfter is this request's place among the retries.
+	paced bool
 }
 
 // Error implements error.
@@ -181,10 +183,13 @@
 		if action.RateLimited {
 			t.forwarder.OnRateLimited(action.Kind == routing.Refuse)
 		}
+		if action.Triage != "" {
+			t.forwarder.OnTriage(action.Kind == routing.Refuse, action.Triage)
+		}
 		if action.Kind == routing.Refuse {
 			e := verdict.New(verdict.NotRun, action.Code, "no upstream can accept the request in time")
 			e.RetryAfter = action.RetryAfter
-			return &refusedError{e, action.Refusal, action.HeldOff}
+			return &refusedError{e, action.Refusal, action.HeldOff, action.Paced}
 		}
 		t.unfinished = true
 		defer func() {
@@ -412,7 +417,7 @@
 	}
 	if p := t.metadata.Prompt; p != nil && t.serviceDef != nil && t.serviceDef.Engine != nil {
 		d.HasPrompt = true
-		d.Priority = t.priority()
+		d.Priority = t.forwarder.priorityBands.ranked(t.forwarder.Table(), t.serviceName, t.priority(), action.Rank)
 		d.WeightsVersion = u.Version(p.Model)
 		store := t.forwarder.Table().CacheStore()
 		if from := t.forwarder.Registry().ByID[action.Source]; from != nil && from.Version(p.Model) == d.WeightsVersion {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,6 +184,7 @@
 	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics, d.storeClock}
 	d.platform.Operators = timedTable{p.Operators, d.metrics, d.storeClock}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
+	d.services.SetTriageMode(s.Triage)
 	d.liveness = forward.NewLiveness(network.DialProbe, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
 	if err := d.provisionPeers(); err != nil {
@@ -193,7 +194,7 @@
 	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Quarantine, d.log, minCrashInterval)
 	d.forwarder = forward.New(forward.Config{
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnTriage: d.countTriage, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/forward"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/storeclock"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 )
@@ -17,6 +18,11 @@
 	d.metrics.RecordForwarded(o.Route, string(o.Class), o.Verdict.String(), o.Result, o.Duration, o.FirstByte, o.QueueTime)
 }
 
+// countTriage counts a request that triage delayed or refused.
+func (d *Daemon) countTriage(refused bool, reason routing.TriageReason) {
+	d.metrics.CountTriaged(refused, string(reason))
+}
+
 // registerGauges registers the metrics that are computed from the daemon's
 // state.
 func (d *Daemon) registerGauges() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/forward"
+)
 
 // Settings configures a gateway daemon. A platform adapter fills it in.
 type Settings struct {
@@ -45,6 +49,10 @@
 	RetryRatio float64
 	RetrySlack int
 
+	// Triage says at which services requests are delayed and refused by what that costs
+	// their callers; default is forward.TriageAuto.
+	Triage forward.TriageMode
+
 	// SinceBoot returns the time since the machine booted, including suspended time;
 	// default is the system's clock.
 	SinceBoot func() time.Duration
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -54,6 +54,9 @@
 	NameRateLimitedRequests  = "verbenabend_rate_limited_requests_total"
 	NameMalformedRateLimits  = "verbenabend_malformed_rate_limits_total"
 
+	// NameTriaged counts the requests that the gateway delays and refuses under overload.
+	NameTriaged = "verbenabend_triaged_requests_total"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -62,6 +65,7 @@
 
 	resultOK            = "ok"
 	labelledRateLimited = NameRateLimitedRequests + `{result=%q}`
+	labelledTriaged     = NameTriaged + `{result=%q,reason=%q}`
 	labelledForwarded   = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
 	labelledByRoute     = `%s{route=%q}`
 	labelledByCall      = NameStoreCallSeconds + `{call=%q,result=%q}`
@@ -76,7 +80,7 @@
 	NameUpstreams, NameDocumentRevision, NamePlatformUp, NamePeers, NameGossipSent, NameGossipReceived, NameGossipFacts, NameOncePendingOutcomes,
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
-	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits,
+	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameTriaged,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -140,6 +144,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(labelledRateLimited, result)).Inc()
 }
 
+// CountTriaged counts a request that triage delayed or refused.
+func (m *Metrics) CountTriaged(refused bool, reason string) {
+	result := "delayed"
+	if refused {
+		result = "refused"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(labelledTriaged, result, reason)).Inc()
+}
+
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
