--- a/internal/admission/triage/engine.go
+++ b/internal/admission/triage/engine.go
@@ -20,7 +20,7 @@
 
 func (g *Guard) rank(now time.Time, r *Request) int {
 	goal := r.Goal.Sub(r.ArrivedAt)
-	if r.Goal.IsZero() || r.Restarted || r.Run > goal {
+	if r.Goal.IsZero() || r.Restarted || r.Run > goal || g.Owed(r) {
 		return 0
 	}
 	w := Waiting{Request: *r}
@@ -29,7 +29,7 @@
 	}
 	latest, ok := w.LatestStart()
 	slack := latest.Sub(now)
-	k := g.kind(r.Priority)
+	k := g.kind(r)
 	k.observeWork(r.Work)
 	switch {
 	case ok && slack <= goal/2:
--- a/internal/admission/triage/triage.go
+++ b/internal/admission/triage/triage.go
@@ -12,12 +12,16 @@
 
 // Request describes a request. Times that are zero are not known.
 type Request struct {
-	// Priority is the kind of request; a higher one is more urgent.
+	// Kind names the kind of request, such as its route. Those of a higher Priority are
+	// more urgent.
+	Kind         string
 	Priority     int
 	Organisation string
 	// Size compares requests of one kind, such as the number of their tokens.
-	Size      float64
-	ArrivedAt time.Time
+	Size float64
+	// ArrivedAt is when the caller sent the request, SubmittedAt when it began to wait.
+	ArrivedAt   time.Time
+	SubmittedAt time.Time
 	// Goal and Deadline are when the first byte of the response should and must arrive.
 	Goal     time.Time
 	Deadline time.Time
@@ -60,6 +64,8 @@
 	Stage Stage
 	// Refused is set once the Guard has counted the refusal of the request.
 	Refused bool
+	// owed is set while the request's size or organisation is served too seldom.
+	owed bool
 	// planned is set once Plan had the figures to place the request.
 	planned bool
 }
@@ -98,13 +104,20 @@
 // minWork, in seconds, bounds the loss per second of requests without predicted work.
 const minWork = 1e-3
 
-// Compare orders the requests of one kind: those that can meet their goal first, then by
+// Compare orders the requests of one kind: those whose size or organisation is served too
+// seldom, then those that can meet their goal first, then by
 // their latest start, then by arrival. The latest start of a request that waits stays the
 // same while that of new ones moves on, so that none waits for ever.
 func Compare(a, b *Waiting) int {
 	if !a.planned || !b.planned {
 		return a.ArrivedAt.Compare(b.ArrivedAt)
 	}
+	if a.owed != b.owed {
+		if a.owed {
+			return -1
+		}
+		return 1
+	}
 	startA, hasA := a.LatestStart()
 	startB, hasB := b.LatestStart()
 	byStart := 0
@@ -119,10 +132,34 @@
 	return cmp.Or(cmp.Compare(a.Stage, b.Stage), byStart, a.ArrivedAt.Compare(b.ArrivedAt))
 }
 
+// Load describes what engines take of a service's requests.
+type Load struct {
+	// Rates is the work in seconds that starts per second, by priority. A kind without a
+	// rate waits in order of arrival.
+	Rates map[int]float64
+	// Congested is set once requests have waited for a good part of their goal: only then
+	// do the rates tell what engines can take, and requests are put behind others.
+	Congested bool
+	// MayRefuse allows the refusal of requests that could be served if others were not.
+	MayRefuse bool
+}
+
+// Capacity returns how much work of a kind could start per second: less urgent kinds give
+// way to it.
+func (l *Load) Capacity(priority int) float64 {
+	if l.Rates[priority] <= 0 {
+		return 0
+	}
+	total := 0.0
+	for other, rate := range l.Rates {
+		if other <= priority {
+			total += rate
+		}
+	}
+	return total
+}
+
 // Plan sets the stages of all waiting requests of a service and returns those to refuse.
-// rate is how much work starts per second; with a rate of 0 all wait in order of arrival.
-// mayRefuse allows refusals of requests that could meet their deadline if others did not
-// wait.
 //
 // Kinds are planned in order of priority. Within a kind requests start in order of their
 // latest start for the goal. Whenever one would miss its goal, the request that loses the
@@ -130,11 +167,10 @@
 // (the algorithm of Moore and Hodgson, which leaves the fewest late). Those put behind are
 // planned in the same way for their deadlines, and refused instead, within the bounds of
 // guard.
-func Plan(now time.Time, rate float64, waiting []*Waiting, guard *Guard, mayRefuse bool) (refuse []*Waiting) {
+func Plan(now time.Time, load *Load, waiting []*Waiting, guard *Guard) (refuse []*Waiting) {
 	byKind := map[int][]*Waiting{}
 	var kinds []int
 	for _, w := range waiting {
-		w.planned = rate > 0
 		if w.Unreachable(now) {
 			w.Stage = Lost
 			refuse = append(refuse, w)
@@ -145,14 +181,13 @@
 		}
 		byKind[w.Priority] = append(byKind[w.Priority], w)
 	}
-	if rate <= 0 {
-		return refuse
-	}
 	slices.SortFunc(kinds, func(a, b int) int { return cmp.Compare(b, a) })
-	ahead := 0.0
+	start := now
 	for _, kind := range kinds {
+		s := schedule{start: start, rate: load.Capacity(kind), safety: 1}
 		var onTime, late []*Waiting
 		for _, w := range byKind[kind] {
+			w.planned, w.owed = s.rate > 0, guard.Owed(&w.Request)
 			if w.missesGoal(now) {
 				w.Stage = Late
 			}
@@ -162,28 +197,30 @@
 				late = append(late, w)
 			}
 		}
-		s := schedule{now: now, rate: rate, ahead: ahead, safety: 1}
-		for _, w := range s.fill(onTime, func(*Waiting) bool { return true }) {
+		if s.rate <= 0 {
+			continue
+		}
+		for _, w := range s.fill(onTime, func(w *Waiting) bool { return load.Congested && !w.owed }) {
 			w.Stage = Late
 			late = append(late, w)
 		}
-		s = schedule{now: now, rate: rate, ahead: s.ahead, safety: refusalSafety}
+		s.safety, s.planned = refusalSafety, nil
 		refuse = append(refuse, s.fill(late, func(w *Waiting) bool {
-			w.Refused = mayRefuse && guard.Refuse(&w.Request)
+			w.Refused = load.Congested && load.MayRefuse && guard.Refuse(&w.Request)
 			return w.Refused
 		})...)
-		ahead = s.ahead
+		start = start.Add(seconds(s.ahead / s.rate))
 	}
 	return refuse
 }
 
 // schedule is a sequence of requests that start one after the other.
 type schedule struct {
-	now time.Time
+	start time.Time
 	// rate is the work that starts per second, ahead the work before the next request,
 	// in seconds.
 	rate, ahead float64
-	// safety divides predicted waits.
+	// safety divides predicted waits from start on.
 	safety  float64
 	planned lossHeap
 }
@@ -197,7 +234,7 @@
 		latest, bounded := w.LatestStart()
 		heap.Push(&s.planned, w)
 		s.ahead += w.Work
-		for bounded && s.wait(s.ahead-w.Work) > latest.Sub(s.now) && len(s.planned) > 0 {
+		for bounded && s.startAfter(s.ahead-w.Work).After(latest) && len(s.planned) > 0 {
 			least := heap.Pop(&s.planned).(*Waiting)
 			if !drop(least) {
 				continue // it stays in the sequence
@@ -212,9 +249,8 @@
 	return dropped
 }
 
-func (s *schedule) wait(work float64) time.Duration {
-	seconds := work / s.rate / s.safety
-	return time.Duration(min(seconds, maxWaitSeconds) * float64(time.Second))
+func (s *schedule) startAfter(work float64) time.Time {
+	return s.start.Add(seconds(work / s.rate / s.safety))
 }
 
 // maxWaitSeconds keeps predicted waits within the range of a time.Duration.
--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -19,6 +19,10 @@
 	// wait in the daemon. With a third of the rest as the longest time to a retry, it can
 	// be sent once more.
 	extendedWaitFraction = 0.5
+	// congestedGoalFraction is the fraction of its goal that a request must have waited
+	// before others are put behind or refused. It is twice what a request may wait without
+	// triage.
+	congestedGoalFraction = 0.25
 )
 
 // TriageUser is implemented by a Scheduler that can delay and refuse the requests whose
@@ -60,6 +64,22 @@
 	plannedAt time.Time
 	waiting   []*triage.Waiting
 	refuse    map[*triage.Waiting]bool
+	// started measures the work that starts, by priority.
+	started map[int]*dispatchRate
+	load    triage.Load
+}
+
+// measure updates the load.
+func (t *triageState) measure(now time.Time) {
+	for priority, rate := range t.started {
+		t.load.Rates[priority] = rate.perSecond(now)
+	}
+}
+
+// capacity returns the work of a kind that could start per second, 0 if that is not known.
+func (t *triageState) capacity(now time.Time, priority int) float64 {
+	t.measure(now)
+	return t.load.Capacity(priority)
 }
 
 // SetTriage implements TriageUser.
@@ -67,7 +87,7 @@
 	p.setNow(now)
 	switch {
 	case on && p.triage == nil:
-		p.triage = &triageState{guard: triage.NewGuard(), refuse: map[*triage.Waiting]bool{}}
+		p.triage = &triageState{guard: triage.NewGuard(), refuse: map[*triage.Waiting]bool{}, started: map[int]*dispatchRate{}, load: triage.Load{Rates: map[int]float64{}}}
 	case !on:
 		p.triage = nil
 	}
@@ -83,8 +103,8 @@
 		received = now
 	}
 	w := &triage.Waiting{Request: triage.Request{
-		Priority: r.Class.Priority, Organisation: r.Organisation, Size: float64(r.PromptTokens + r.MaxOutputTokens),
-		ArrivedAt: received, Goal: received.Add(r.FirstTokenGoal), Deadline: r.Deadline,
+		Kind: r.Class.Name, Priority: r.Class.Priority, Organisation: r.Organisation, Size: float64(r.PromptTokens + r.MaxOutputTokens),
+		SubmittedAt: now, ArrivedAt: received, Goal: received.Add(r.FirstTokenGoal), Deadline: r.Deadline,
 		FirstByte: p.leastFirstToken(r), Work: work, Restarted: r.PreviousAttempts > 0 || r.Resumed,
 	}}
 	if r.PreviousAttempts == 0 {
@@ -128,8 +148,10 @@
 			t.waiting = append(t.waiting, w)
 		}
 	}
+	t.load.Congested, t.load.MayRefuse = t.isCongested(now), p.isBusy()
+	t.measure(now)
 	clear(t.refuse)
-	for _, w := range triage.Plan(now, p.dispatchRate.perSecond(now), t.waiting, t.guard, p.isBusy()) {
+	for _, w := range triage.Plan(now, &t.load, t.waiting, t.guard) {
 		t.refuse[w] = true
 	}
 	for _, it := range items {
@@ -153,6 +175,16 @@
 	})
 }
 
+// isCongested reports whether some request has waited for a good part of its goal.
+func (t *triageState) isCongested(now time.Time) bool {
+	for _, w := range t.waiting {
+		if now.Sub(w.SubmittedAt) >= time.Duration(congestedGoalFraction*float64(w.Goal.Sub(w.ArrivedAt))) {
+			return true
+		}
+	}
+	return false
+}
+
 // isBusy reports whether most of the slots are known to be taken. In large fleets the
 // figures are those that engines reported within the last second, so that it errs on
 // the side of no refusal.
@@ -201,7 +233,7 @@
 	if a.RetryAfter != defaultRetryAfter {
 		return // the time at which an engine takes requests again is known
 	}
-	if after, ok := p.triage.returns.RetryAfter(p.now, &w.Request, p.queue.WorkAhead(it), p.dispatchRate.perSecond(p.now)); ok {
+	if after, ok := p.triage.returns.RetryAfter(p.now, &w.Request, p.queue.WorkAhead(it), p.triage.capacity(p.now, w.Priority)); ok {
 		a.RetryAfter, a.Paced = max(after, minRetryAfter), true
 	}
 }
@@ -212,6 +244,12 @@
 	if p.triage == nil || w == nil {
 		return
 	}
+	rate := p.triage.started[w.Priority]
+	if rate == nil {
+		rate = &dispatchRate{}
+		p.triage.started[w.Priority] = rate
+	}
+	rate.add(now, w.Work)
 	switch {
 	case f.extended:
 		a.Triage = TriageExtended
