--- a/internal/admission/triage/triage.go
+++ b/internal/admission/triage/triage.go
@@ -256,12 +256,20 @@
 // maxWaitSeconds keeps predicted waits within the range of a time.Duration.
 const maxWaitSeconds = 1e6
 
-// lossHeap holds requests, the one with the least loss per second first.
+// lossHeap holds requests, the one with the least loss per second first, of several the
+// newest.
 type lossHeap []*Waiting
 
-func (h lossHeap) Len() int           { return len(h) }
-func (h lossHeap) Less(i, j int) bool { return h[i].lossPerSecond() < h[j].lossPerSecond() }
-func (h lossHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h lossHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h lossHeap) Less(i, j int) bool {
+	a, b := h[i].lossPerSecond(), h[j].lossPerSecond()
+	return a < b || a == b && h[i].ArrivedAt.After(h[j].ArrivedAt)
+}
+
+// Swap implements heap.Interface.
+func (h lossHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
 func (h *lossHeap) Push(x any) { *h = append(*h, x.(*Waiting)) }
