--- a/lab/main.go
+++ b/lab/main.go
@@ -19,6 +19,7 @@
 	"github.com/verbenabend/verbenabend/lab/engine"
 	"github.com/verbenabend/verbenabend/lab/load"
 	"github.com/verbenabend/verbenabend/lab/measure"
+	"github.com/verbenabend/verbenabend/lab/overload"
 	"github.com/verbenabend/verbenabend/lab/platform"
 	"github.com/verbenabend/verbenabend/lab/service"
 )
@@ -32,6 +33,7 @@
 	Get      getCmd       `cmd:"" help:"Print the response body of a GET request."`
 	Capacity capacity.Cmd `cmd:"" help:"Measure what gossip and a daemon's state cost, for docs/CAPACITY.md."`
 	Measure  measure.Cmd  `cmd:"" help:"Measure the decisions against engine models in virtual time."`
+	Overload overload.Cmd `cmd:"" help:"Play loads beyond the capacity of engines with triage off and on, in virtual time."`
 }
 
 type platformCmd struct {
