--- a/internal/admission/triage/guard.go
+++ b/internal/admission/triage/guard.go
@@ -84,6 +84,9 @@
 	nextTime  int
 	// meanWork is the moving average of the work of requests that were ranked.
 	meanWork float64
+	// late and missed tell how many requests of rank 0 miss their goals and their deadlines
+	// at engines, missedBehind how many of a greater rank miss their deadlines.
+	late, missed, missedBehind average
 }
 
 // meanWorkWeight is the weight of a new request in the mean work of its kind.
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -25,6 +25,8 @@
 	// organisationHash is the hash of the organisation's name.
 	organisationHash uint64
 	gotFirstToken    bool
+	// rank is the attempt's rank at the engine.
+	rank int
 	// admitted is set once the attempt has used an allowance of the engine's rate limit.
 	admitted bool
 	// hintAge is the age of the cache hint that the choice relied on, negative
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -16,6 +16,7 @@
 	a.engine.markFirstToken(a)
 	a.engine.lastFirstTokenAt = now
 	a.firstTokenAt, a.lastProgressAt = now, now
+	p.observeFirstToken(now, p.inFlight[id], a)
 	a.engine.recordSuccess()
 	p.countEjected(now)
 	observed := now.Sub(a.sentAt) - a.roundTripDelay
@@ -64,6 +65,7 @@
 	}
 	e := a.engine
 	p.recordCanceledWait(now, a, outcome)
+	p.observeEnd(f, a, outcome)
 	e.remove(a)
 	p.ownAttempts--
 	p.countDemand(now, f.request, -1)
--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -256,18 +256,31 @@
 	case w.Stage == triage.Late:
 		a.Triage = TriageBehind
 	}
-	if p.takenSlots(at.engine) <= at.engine.ep.Slots && !p.reportsWaiting(now, at.engine) {
-		return // nothing waits at the engine, and requests of a greater rank may be preempted
-	}
+	contended := p.takenSlots(at.engine) > at.engine.ep.Slots || p.reportsWaiting(now, at.engine)
 	r := w.Request
 	r.FirstByte = at.expectedFirstToken
 	r.Run = at.expectedFirstToken + time.Duration(f.demand.slotSeconds*float64(time.Second))
 	r.Work = r.Run.Seconds()
-	if a.Rank = p.triage.guard.Rank(now, &r); a.Rank > 0 && a.Triage == "" {
+	at.rank = p.triage.guard.Rank(now, &r, contended)
+	if a.Rank = at.rank; a.Rank > 0 && a.Triage == "" {
 		a.Triage = TriageRanked
 	}
 }
 
+// observeFirstToken records the first token of an attempt.
+func (p *Policy) observeFirstToken(now time.Time, f *inFlight, at *attempt) {
+	if p.triage != nil && f != nil && f.triage != nil {
+		p.triage.guard.ObserveFirstByte(now, &f.triage.Request, at.rank)
+	}
+}
+
+// observeEnd records the end of an attempt that may have waited in vain.
+func (p *Policy) observeEnd(f *inFlight, at *attempt, outcome Outcome) {
+	if p.triage != nil && f.triage != nil && !at.gotFirstToken && outcome == Canceled {
+		p.triage.guard.ObserveMissed(&f.triage.Request, at.rank)
+	}
+}
+
 // reportsWaiting reports whether the engine's last report, if recent, names requests that
 // wait there.
 func (p *Policy) reportsWaiting(now time.Time, e *engine) bool {
