--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -166,6 +166,7 @@
 		}
 		p.refuseTriaged(it, reason)
 	}
+	clear(t.refuse)
 	p.queue.Reorder(func(a, b *admission.Item[*queuedRequest]) int {
 		wa, wb := a.Value.triage, b.Value.triage
 		if wa == nil || wb == nil {
