--- a/internal/admission/triage/triage_test.go
+++ b/internal/admission/triage/triage_test.go
@@ -272,3 +272,22 @@
 		assert.Assert(t, !ok)
 	})
 }
+
+// Guards against a daemon that sends long prompts faster than its part of what engines
+// prefill after a restart, and against one that never sends a prompt larger than that.
+func TestRampBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ramp Ramp
+		rate, now, taken, largest := rapid.Float64Range(1000, 100_000).Draw(t, "rate"), epoch, 0.0, 0.0
+		for range rapid.IntRange(1, 50).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * ms)
+			tokens := rapid.Float64Range(0, 20_000).Draw(t, "tokens")
+			largest = max(largest, tokens)
+			if ramp.Take(now, tokens, rate) {
+				taken += tokens
+			}
+			assert.Assert(t, taken <= rate*(now.Sub(epoch).Seconds()+rampBurst.Seconds())+largest)
+		}
+		assert.Assert(t, ramp.Take(now.Add(seconds(largest/rate+1)), largest, rate))
+	})
+}
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -117,7 +117,7 @@
 	}
 	homes := p.queuedHomes(now, w)
 	c := p.choose(now, w.request, homes, &w.demand, nil)
-	if c.engine == nil || p.worthWaiting(now, it, c) {
+	if c.engine == nil || p.worthWaiting(now, it, c) || p.heldByRamp(now, w, c.uncachedTokens) {
 		w.homes = append(w.homes[:0], homes...)
 		w.engineGeneration, w.eligible = p.engineGeneration, c.anyEligible
 		return false
--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -67,6 +67,7 @@
 	// started measures the work that starts, by priority.
 	started map[int]*dispatchRate
 	load    triage.Load
+	ramp    triage.Ramp
 }
 
 // measure updates the load.
@@ -197,6 +198,29 @@
 	return p.totalSlots > 0 && float64(taken) >= triageMinLoad*float64(p.totalSlots)
 }
 
+// daemonsUnknownTime is how long after its start a daemon that knows no others is assumed to
+// be one of as many as there are engines.
+const daemonsUnknownTime = time.Second
+
+// heldByRamp reports whether a long prompt waits for its turn after a start of the daemon.
+// Callers that lost their responses return within their deadlines; until then all daemons
+// together send no more long prompts than engines prefill.
+func (p *Policy) heldByRamp(now time.Time, w *queuedRequest, uncachedTokens float64) bool {
+	if p.triage == nil || w.triage == nil || w.triage.Deadline.IsZero() || w.request.PromptTokens < longPromptTokens {
+		return false
+	}
+	age := now.Sub(p.startedAt)
+	if age >= w.triage.Deadline.Sub(w.triage.SubmittedAt) {
+		return false
+	}
+	daemons := p.daemonCount
+	if daemons == 1 && age < daemonsUnknownTime {
+		daemons = len(p.engines)
+	}
+	perSecond := p.speed.TokensIn(time.Second) * float64(len(p.engines)) / float64(max(1, daemons))
+	return !p.triage.ramp.Take(now, uncachedTokens, perSecond)
+}
+
 // extendWait lets a request whose allowed wait is over wait on while it can meet its
 // deadline and some engine may take it, and reports whether it does.
 func (p *Policy) extendWait(now time.Time, it *admission.Item[*queuedRequest]) bool {
--- a/internal/routing/triage_test.go
+++ b/internal/routing/triage_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,3 +69,34 @@
 		})
 	}
 }
+
+// Guards against callers of long prompts that return together after a restart of all daemons
+// and fill the engines before short requests: these are not held back, and long ones start
+// one after the other. Without triage all start at once.
+func TestLongPromptsAreRampedAfterStart(t *testing.T) {
+	for _, triaged := range []bool{false, true} {
+		p, now := partsFleet(8)
+		p.SetTriage(now, triaged)
+		p.SetDaemonCount(now, 8)
+		submit := func(id string, own int) {
+			r := partsRequest(id, id, 0, own)
+			r.Deadline = now.Add(6 * time.Second)
+			p.Submit(now, r)
+		}
+		for i := range 6 {
+			submit(fmt.Sprint("long ", i), 17_000)
+			submit(fmt.Sprint("short ", i), 300)
+		}
+		started := map[string]int{}
+		for _, a := range p.Advance(now) {
+			assert.Equal(t, a.Kind, Start)
+			started[strings.Fields(a.Request.ID)[0]]++
+		}
+		assert.Equal(t, started["short"], 6)
+		if triaged {
+			assert.Equal(t, started["long"], 1)
+		} else {
+			assert.Assert(t, started["long"] > 1)
+		}
+	}
+}
--- a/lab/overload/overload.go
+++ b/lab/overload/overload.go
@@ -41,6 +41,8 @@
 	Slots, MemoryTokens int
 	Duration            time.Duration
 	Seed                uint64
+	// Backlog is for how long the load has been waiting when the daemons start.
+	Backlog time.Duration
 }
 
 // Outcome counts the requests of a kind by their end, and what happened to them.
@@ -141,7 +143,11 @@
 	for i := range p.Kinds {
 		s.outcomes[p.Kinds[i].Name] = &Outcome{}
 	}
-	for id := 0; s.now.Before(startTime.Add(p.Duration + drain)); s.now = s.now.Add(step) {
+	first := 0
+	for range p.Backlog / step {
+		first = s.arrive(first)
+	}
+	for id := first; s.now.Before(startTime.Add(p.Duration + drain)); s.now = s.now.Add(step) {
 		if s.now.Before(startTime.Add(p.Duration)) {
 			id = s.arrive(id)
 		}
--- a/lab/overload/patterns.go
+++ b/lab/overload/patterns.go
@@ -42,6 +42,11 @@
 			{Name: "short", Route: "ask", Priority: 0, Organisation: "a", SharedTokens: 92, OwnTokens: 291, SharedPrompts: 5, OutputTokens: 60, PerSecond: 664, Goal: 400 * ms, Deadline: 4000 * ms},
 			{Name: "long", Route: "review", Priority: 1, Organisation: "b", SharedTokens: 13_300, OwnTokens: 3_720, SharedPrompts: 550, OutputTokens: 300, PerSecond: 98, Goal: 600 * ms, Deadline: 8000 * ms},
 		}},
+		// Deployment M after a power loss of all daemons: callers of the last seconds return.
+		{Name: "restart-m", Daemons: 90, Engines: 60, Slots: 24, MemoryTokens: 165_732, Backlog: 4 * time.Second, Kinds: []Kind{
+			{Name: "short", Route: "ask", Priority: 0, Organisation: "a", SharedTokens: 92, OwnTokens: 291, SharedPrompts: 5, OutputTokens: 60, PerSecond: 664, Goal: 400 * ms, Deadline: 4000 * ms},
+			{Name: "long", Route: "review", Priority: 1, Organisation: "b", SharedTokens: 13_300, OwnTokens: 3_720, SharedPrompts: 550, OutputTokens: 300, PerSecond: 98, Goal: 600 * ms, Deadline: 8000 * ms},
+		}},
 	}
 }
 
