--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/allowance"
+	"github.com/verbenabend/verbenabend/internal/forward"
 )
 
 // Settings configures a gateway daemon. A platform adapter fills it in.
@@ -55,6 +56,9 @@
 
 	// Quota holds the tolerances of organisations' quotas.
 	Quota allowance.Bounds
+	// Triage says at which services requests are delayed and refused by what that costs
+	// their callers; default is forward.TriageAuto.
+	Triage forward.TriageMode
 
 	// SinceBoot returns the time since the machine booted, including suspended time;
 	// default is the system's clock.
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenabend/verbenabend/internal/admission/triage"
+)
 
 // attempt is one attempt of a request, at one engine.
 type attempt struct {
@@ -26,6 +30,8 @@
 	// organisationHash is the hash of the organisation's name.
 	organisationHash uint64
 	gotFirstToken    bool
+	// rank is the attempt's rank at the engine.
+	rank int
 	// admitted is set once the attempt has used an allowance of the engine's rate limit.
 	admitted bool
 	// hintAge is the age of the cache hint that the choice relied on, negative
@@ -44,6 +50,9 @@
 	attempts []*attempt
 	demand   demand
 	hedged   bool
+	// triage and extended are those of the queued request.
+	triage   *triage.Waiting
+	extended bool
 }
 
 func (f *inFlight) attemptAt(endpoint string) *attempt {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -68,6 +68,9 @@
 	NameAnnouncements   = "verbenabend_announcements_total"
 	NameAnnouncementAge = "verbenabend_announcement_age_seconds"
 
+	// NameTriaged counts the requests that the gateway delays and refuses under overload.
+	NameTriaged = "verbenabend_triaged_requests_total"
+
 	// Metrics of the gateway's file descriptors.
 	NameDescriptorsOpen     = "verbenabend_descriptors_open"
 	NameConnsReclaimed      = "verbenabend_connections_reclaimed_total"
@@ -77,6 +80,7 @@
 	resultOK            = "ok"
 	labelledRateLimited = NameRateLimitedRequests + `{result=%q}`
 	labelledAnnounced   = NameAnnouncements + `{result=%q}`
+	labelledTriaged     = NameTriaged + `{result=%q,reason=%q}`
 	labelledForwarded   = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
 	labelledByRoute     = `%s{route=%q}`
 	labelledByCall      = NameStoreCallSeconds + `{call=%q,result=%q}`
@@ -93,7 +97,7 @@
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameStoreEra, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameQuotaUsed, NameQuotaRejected, NameQuotaAge,
-	NameSlowReaders, NameUploadsDiverted, NameAnnouncements, NameAnnouncementAge,
+	NameSlowReaders, NameUploadsDiverted, NameAnnouncements, NameAnnouncementAge, NameTriaged,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -180,6 +184,15 @@
 	m.set.GetOrCreateHistogram(NameAnnouncementAge).Update(age.Seconds())
 }
 
+// CountTriaged counts a request that triage delayed or refused.
+func (m *Metrics) CountTriaged(refused bool, reason string) {
+	result := "delayed"
+	if refused {
+		result = "refused"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(labelledTriaged, result, reason)).Inc()
+}
+
 // CountMalformedRateLimit counts a stated rate limit without meaning.
 func (m *Metrics) CountMalformedRateLimit() { m.set.GetOrCreateCounter(NameMalformedRateLimits).Inc() }
 
