--- a/internal/allowance/node.go
+++ b/internal/allowance/node.go
@@ -38,9 +38,9 @@
 	return &Node{self: self, bounds: b, fleet: fleetView{self: self}, organisations: map[string]*organisation{}, byTicket: map[uint64]*organisation{}}
 }
 
-// SetLimits replaces the limits, by organisation, and returns the decisions on requests that
-// wait and are no longer limited.
-func (n *Node) SetLimits(now time.Time, limits map[string]Limit) (results []Result) {
+// SetLimits replaces the limits, by organisation. It returns the decisions on requests that wait
+// and are no longer limited, and the organisations whose buckets this daemon owns from now on.
+func (n *Node) SetLimits(now time.Time, limits map[string]Limit) (results []Result, owned []string) {
 	for name, o := range n.organisations {
 		if _, limited := limits[name]; limited {
 			continue
@@ -58,12 +58,16 @@
 		}
 		o.limit = l
 		o.lease.setLimit(l)
-		if n.assign(now, o) && n.limitsKnown && n.fleet.settled {
+		if !n.assign(now, o) {
+			continue
+		}
+		owned = append(owned, name)
+		if n.limitsKnown && n.fleet.settled {
 			o.bucket.fill() // the limit is new, so no daemon has granted the burst
 		}
 	}
 	n.limitsKnown = true
-	return results
+	return results, owned
 }
 
 // SetFleet takes what is known of the daemons. It has to be called several times per
--- a/internal/gateway/allowances.go
+++ b/internal/gateway/allowances.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,9 @@
 type allowances struct {
 	d *Daemon
 
+	// limited is set while an organisation has a limit.
+	limited atomic.Bool
+
 	mu   sync.Mutex
 	node *allowance.Node
 	// decisions receives those on requests that wait, by ticket.
@@ -71,7 +75,9 @@
 func (a *allowances) run(ctx context.Context) error {
 	defer a.close()
 	for {
-		a.refresh()
+		if a.limited.Load() {
+			a.refresh()
+		}
 		if err := backoff.Sleep(ctx, allowanceRefreshInterval); err != nil {
 			return err
 		}
@@ -94,9 +100,14 @@
 			limits[o.Name] = allowance.Limit{PerSecond: o.Allowance.PerSecond, Burst: o.Allowance.Burst}
 		}
 	}
+	if limited := len(limits) > 0; a.limited.Swap(limited) != limited && limited {
+		a.refresh() // none was needed before
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.deliver(a.node.SetLimits(time.Now(), limits))
+	results, owned := a.node.SetLimits(time.Now(), limits)
+	a.deliver(results)
+	a.logOwned(owned)
 	if faults := table.Faults; len(faults) > 0 && a.mayLog(eventlog.AllowanceMalformed, "") {
 		a.d.log.Emit(eventlog.AllowanceMalformed, eventlog.Fields{Revision: table.Revision, Detail: strings.Join(faults[:min(len(faults), maxLoggedFaults)], "; ")})
 	}
@@ -134,15 +145,18 @@
 	settled := time.Since(d.startedAt) >= allowance.SettleTime || len(d.gossipSeeds()) == 0
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	owned := a.node.SetFleet(time.Now(), f, settled)
-	for _, organisation := range owned {
-		d.log.Emit(eventlog.AllowanceOwned, eventlog.Fields{Organisation: organisation})
-	}
+	a.logOwned(a.node.SetFleet(time.Now(), f, settled))
 	for _, organisation := range a.node.Organisations() {
 		a.send(organisation)
 	}
 }
 
+func (a *allowances) logOwned(organisations []string) {
+	for _, organisation := range organisations {
+		a.d.log.Emit(eventlog.AllowanceOwned, eventlog.Fields{Organisation: organisation})
+	}
+}
+
 // Admit implements forward.Allowances.
 func (a *allowances) Admit(ctx context.Context, o *routetable.Organisation, cost float64) (retryAfter time.Duration, ok bool) {
 	a.mu.Lock()
