State the table's era in the product's own interface

Cause: the client of the product's own table knew no eras, so that at-most-once records could not be written again after a restore.

Change: httpplatform reads Table-Era, discards late answers of older eras and fails conditional writes across eras. lab/platform can restore an older copy.

--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -27,14 +27,15 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	eras    platform.Eras
 
 	cacheMu         sync.Mutex
 	cachedInstances cachedList
 }
 
 var (
-	_ platform.Table   = (*Client)(nil)
-	_ platform.Objects = objects{}
+	_ platform.EraTable = (*Client)(nil)
+	_ platform.Objects  = objects{}
 
 	_ platform.ObjectDeleter = objects{}
 	_ platform.Instances     = (*Client)(nil)
@@ -67,31 +68,39 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// Eras implements platform.EraTable.
+func (c *Client) Eras() *platform.Eras { return &c.eras }
+
 // Get implements platform.Table.
 func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
 	var row Row
-	if err := c.call(ctx, http.MethodGet, "/table/rows/"+url.PathEscape(key), nil, &row); err != nil {
-		return platform.Row{}, err
+	era, err := c.call(ctx, http.MethodGet, "/table/rows/"+url.PathEscape(key), nil, &row)
+	if err != nil {
+		return platform.Row{Era: era}, err
 	}
-	return platform.Row{Key: row.Key, Value: row.Value, Version: row.Version}, nil
+	return platform.Row{Key: row.Key, Value: row.Value, Version: row.Version, Era: era}, nil
 }
 
 // List implements platform.Table.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var rows Rows
-	if err := c.call(ctx, http.MethodGet, "/table/rows?"+q.Encode(), nil, &rows); err != nil {
+	era, err := c.call(ctx, http.MethodGet, "/table/rows?"+q.Encode(), nil, &rows)
+	if err != nil {
 		return nil, err
 	}
 	out := make([]platform.Row, len(rows.Rows))
 	for i, r := range rows.Rows {
-		out[i] = platform.Row{Key: r.Key, Value: r.Value, Version: r.Version}
+		out[i] = platform.Row{Key: r.Key, Value: r.Value, Version: r.Version, Era: era}
 	}
 	return out, nil
 }
 
 // Commit implements platform.Table.
 func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
+	if txn.Era != 0 && c.eras.Observe(txn.Era) != txn.Era {
+		return verdict.Wrap(platform.ErrEraChanged, verdict.NotRun, verdict.CodePlatformUnavailable, "write to the table")
+	}
 	body := Transaction{}
 	for _, x := range txn.Conditions {
 		body.Conditions = append(body.Conditions, Condition(x))
@@ -103,7 +112,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode transaction")
 	}
-	return c.call(ctx, http.MethodPost, "/table/transactions", raw, nil)
+	era, err := c.call(ctx, http.MethodPost, "/table/transactions", raw, nil)
+	if err == nil && txn.Era != 0 && txn.Era != era {
+		// The restored table had issued the conditions' versions again.
+		return verdict.Wrap(platform.ErrEraChanged, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "write to the table")
+	}
+	return err
 }
 
 // Objects returns the object store. It is a separate type because the table and
@@ -150,12 +164,19 @@
 	body   []byte
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+// call returns the era of the table that the response states.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) (era uint64, err error) {
 	resp, err := c.exchange(ctx, method, path, nil, body)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	era, parseErr := strconv.ParseUint(resp.header.Get(EraHeader), 10, 64)
+	if current := c.eras.Observe(era); parseErr != nil {
+		era = current
+	} else if era < current {
+		return 0, verdict.Wrap(platform.ErrOldEra, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "call of the platform")
 	}
-	return decodeResponse(resp.status, resp.body, into)
+	return era, decodeResponse(resp.status, resp.body, into)
 }
 
 func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (response, error) {
--- a/internal/platform/httpplatform/wire.go
+++ b/internal/platform/httpplatform/wire.go
@@ -2,6 +2,10 @@
 
 import "github.com/verbenabend/verbenabend/internal/platform"
 
+// EraHeader states the table's era in responses, errors included: a number that grows by one when
+// the table returns from an older copy of its rows. A table that never does omits it.
+const EraHeader = "Table-Era"
+
 // Row is a table row; its value is base64 in JSON.
 type Row struct {
 	Key     string `json:"key"`
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -58,7 +58,9 @@
 	version            uint64
 	reads              uint64
 	writes             uint64
-	mux                *http.ServeMux
+	// era is stated in all responses once it is not 0.
+	era uint64
+	mux *http.ServeMux
 }
 
 // New returns a platform that lists the given instances.
@@ -92,6 +94,9 @@
 		s.writes++
 	}
 	s.mu.Unlock()
+	s.mu.Lock()
+	s.stateEra(w) // of errors, and of calls that need no row
+	s.mu.Unlock()
 	if faults.DelayMS > 0 {
 		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
 	}
@@ -137,6 +142,41 @@
 	s.faults = f
 }
 
+// Snapshot is a copy of the table's rows.
+type Snapshot struct {
+	rows    map[string]httpplatform.Row
+	version uint64
+}
+
+// SetEra makes the platform state an era in all responses.
+func (s *Server) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Snapshot returns a copy of the table's rows.
+func (s *Server) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{maps.Clone(s.rows), s.version}
+}
+
+// Restore returns the table to an older copy in the next era. Versions are issued again.
+func (s *Server) Restore(c Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.era++
+}
+
+// stateEra sets the header of a response. s.mu must be held.
+func (s *Server) stateEra(w http.ResponseWriter) {
+	if s.era != 0 {
+		w.Header().Set(httpplatform.EraHeader, strconv.FormatUint(s.era, 10))
+	}
+}
+
 // SetInstance adds or replaces an entry of the instance list.
 func (s *Server) SetInstance(in port.Instance) {
 	s.mu.Lock()
@@ -178,6 +218,7 @@
 func (s *Server) getRow(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	row, ok := s.rows[r.PathValue("key")]
+	s.stateEra(w)
 	s.mu.Unlock()
 	if !ok {
 		http.NotFound(w, r)
@@ -195,6 +236,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	out := httpplatform.Rows{}
 	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
 		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") && len(out.Rows) < limit {
@@ -211,6 +253,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	for _, c := range txn.Conditions {
 		if s.rows[c.Key].Version != c.Version {
 			http.Error(w, "condition does not hold: "+c.Key, http.StatusConflict)
--- a/lab/platform/platform_test.go
+++ b/lab/platform/platform_test.go
@@ -49,6 +49,30 @@
 	assert.ErrorIs(t, err, port.ErrNotFound)
 }
 
+// Guards against a conditional write on a version that a restored table issued again.
+func TestRestoredTableThroughTheAdapter(t *testing.T) {
+	s, c := newClient(t)
+	s.SetEra(1)
+	ctx := t.Context()
+	older := s.Snapshot()
+	put := func(value string, version, era uint64) error {
+		return c.Commit(ctx, port.Txn{Conditions: []port.Condition{{Key: "k", Version: version}}, Writes: []port.Write{{Key: "k", Value: []byte(value)}}, Era: era})
+	}
+	assert.NilError(t, put("lost", 0, 1))
+	row, err := c.Get(ctx, "k")
+	assert.NilError(t, err)
+	assert.Equal(t, row.Era, uint64(1))
+	s.Restore(older)
+	_, err = c.Get(ctx, "k")
+	assert.ErrorIs(t, err, port.ErrNotFound)
+	assert.NilError(t, put("new", 0, 2))
+	assert.ErrorIs(t, put("of the older era", row.Version, row.Era), port.ErrEraChanged)
+	row, err = c.Get(ctx, "k")
+	assert.NilError(t, err)
+	assert.Equal(t, string(row.Value), "new")
+	assert.Equal(t, row.Era, uint64(2))
+}
+
 func TestObjectsAndInstancesThroughTheAdapter(t *testing.T) {
 	_, c := newClient(t)
 	ctx := t.Context()
