Take no invalid status for a reply of a plain service

Cause: the client of plain services returned a reply with status 000, which the daemon recorded under its idempotency key and passed on; net/http panics when such a status is written.

Change: a status below 200 or above 599 is no reply, and the call may have run.

Measured: TestStatus000IsNoReply failed before, passes 10 of 10 runs.

--- a/internal/upstream/httpservice/client.go
+++ b/internal/upstream/httpservice/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -129,7 +130,13 @@
 	return resp.Body.Close()
 }
 
+// maxStatus is the greatest status that HTTP has.
+const maxStatus = 599
+
 func readReply(resp *http.Response, requestID string) (*upstream.Reply, error) {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the response has the status "+strconv.Itoa(resp.StatusCode)+", which HTTP does not have or which ends no request")
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == requestID {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "upstream refused the call")
 	}
--- a/internal/upstream/httpservice/reset_test.go
+++ b/internal/upstream/httpservice/reset_test.go
@@ -37,3 +37,28 @@
 		listener.Close()
 	}
 }
+
+// Guards against a status that HTTP does not have and that is passed on as a reply: writing it
+// to the caller panics, and its record would do so again for each repeated call.
+func TestStatus000IsNoReply(t *testing.T) {
+	for _, status := range []string{"000", "020", "600", "999"} {
+		for _, rest := range []string{"\r\nok", "Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4<<10))
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Unknown\r\n"+rest)
+			}()
+			call := &upstream.Call{RequestID: "r", Method: http.MethodPost, Path: "/", Body: []byte("{}"), Timeout: 10 * time.Second}
+			reply, err := New(nil).Do(t.Context(), listener.Addr().String(), call)
+			assert.Assert(t, err != nil, "status %s: %+v is a reply", status, reply)
+			assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+			listener.Close()
+		}
+	}
+}
