Tell slow callers from those that disconnect

Cause: ending a write by its deadline makes net/http cancel the request, as if its caller had disconnected: some responses that were ended for lack of memory were logged as 209 and not counted. TestResponseReset..., Status000 and EarlyResponse failed on a busy machine: 16 MB did not arrive within the test codec's 2 s.

Change: the reason for which a response was ended comes first.

--- a/internal/forward/earlyresponse_test.go
+++ b/internal/forward/earlyresponse_test.go
@@ -33,6 +33,7 @@
 			}
 			go func() {
 				defer conn.Close()
+				_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 				id := ""
 				for head := bufio.NewReaderSize(conn, 16); ; {
 					line, err := head.ReadString('\n')
@@ -76,7 +77,7 @@
 	return resp.StatusCode, string(content), err
 }
 
-const uploadBytes = 16 << 20 // more than the sockets buffer
+const uploadBytes = 8 << 20 // more than the sockets buffer
 
 // forEachUpload runs a test for all kinds of routes, and for uploads of all kinds.
 func forEachUpload(t *testing.T, respond func(conn *net.TCPConn, id string), check func(t *testing.T, path string, status int, body string, err error, requests int64)) {
@@ -87,7 +88,7 @@
 					t.Parallel()
 					dial, requests := tcpUpstream(t, respond)
 					f, closeAll := newForwarderOver(t, eventlog.Discard(), dial)
-					f.bodyMemory.limit = 0
+					f.Headers, f.bodyMemory.limit = patientCodec{}, 0
 					defer closeAll()
 					daemon := httptest.NewServer(f)
 					defer daemon.Close()
--- a/internal/forward/slowreader_test.go
+++ b/internal/forward/slowreader_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -143,7 +144,7 @@
 		w.mu.Unlock()
 		switch now := time.Now(); {
 		case !now.Before(deadline):
-			return 0, context.DeadlineExceeded
+			return 0, os.ErrDeadlineExceeded
 		case !now.Before(done):
 			return w.ResponseRecorder.Write(p)
 		}
--- a/internal/forward/spool.go
+++ b/internal/forward/spool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -173,8 +174,11 @@
 		if err == nil && !more {
 			err = s.controller.Flush()
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errors.Wrapf(errSlowReader, "nothing was taken for %s", maxCallerStall)
+		}
 		if err != nil {
-			s.end(errors.Mark(errors.Wrap(errSlowReader, err.Error()), errCallerWrite))
+			s.end(err)
 			return
 		}
 	}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -137,9 +137,11 @@
 // abortIfCallerLeft ends a request whose caller has disconnected or reads too slowly. err is the
 // error of its last attempt.
 func (t *transfer) abortIfCallerLeft(err error) {
-	if ended := t.spool.ended(); ended != nil && t.callerRequest.Context().Err() == nil {
+	ended := t.spool.ended()
+	slow := errors.Is(ended, errSlowReader) // net/http takes the write that is ended for a disconnection
+	if slow || ended != nil && t.callerRequest.Context().Err() == nil {
 		event, result := eventlog.RequestFailed, ResultTruncated
-		if errors.Is(ended, errSlowReader) {
+		if slow {
 			event, result = eventlog.SlowReaderEnded, ResultSlowReader
 			t.forwarder.OnSlowReader()
 		}
