--- a/internal/admission/triage/triage_test.go
+++ b/internal/admission/triage/triage_test.go
@@ -194,11 +194,10 @@
 	})
 }
 
-// Guards against an engine's queue in which the request that loses most goes last. The load
-// pattern: an engine that is full, a third of the requests with ten times the work, callers
-// of many daemons that each see only their own request.
+// Guards against an engine that serves all late in order of arrival. The load patterns: an
+// engine that is full, a third of the requests with ten times the work or all with the same.
 func TestRankAtFullEngine(t *testing.T) {
-	play := func(ranked bool) (onTime, served int) {
+	play := func(ranked bool, little, much float64) (onTime, served int) {
 		random, g := rand.New(rand.NewPCG(7, 7)), NewGuard()
 		type sent struct {
 			*Waiting
@@ -208,9 +207,9 @@
 		free := epoch
 		for i := range 3000 {
 			now := epoch.Add(time.Duration(i) * 20 * ms)
-			work := 0.008
+			work := little
 			if random.IntN(3) == 0 {
-				work = 0.08
+				work = much
 			}
 			w := waiting("a", now.Sub(epoch), 500*ms, 4000*ms, work)
 			w.FirstByte, w.Run = seconds(work), seconds(work)
@@ -245,10 +244,12 @@
 		}
 		return onTime, served
 	}
-	onTimeBefore, servedBefore := play(false)
-	onTime, served := play(true)
-	t.Logf("on time %d before, %d after; served %d before, %d after", onTimeBefore, onTime, servedBefore, served)
-	assert.Assert(t, onTime > onTimeBefore && served >= servedBefore)
+	for _, work := range [][2]float64{{0.008, 0.08}, {0.03, 0.03}} {
+		onTimeBefore, servedBefore := play(false, work[0], work[1])
+		onTime, served := play(true, work[0], work[1])
+		t.Logf("on time %d before, %d after; served %d before, %d after", onTimeBefore, onTime, servedBefore, served)
+		assert.Assert(t, onTime > onTimeBefore && served >= servedBefore)
+	}
 }
 
 // Guards against refused callers that return together, before they can be served, or too
--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -204,7 +204,8 @@
 
 // heldByRamp reports whether a long prompt waits for its turn after a start of the daemon.
 // Callers that lost their responses return within their deadlines; until then all daemons
-// together send no more long prompts than engines prefill.
+// together send no more long prompts than engines prefill, unless engines have responded
+// and none reports that requests wait there.
 func (p *Policy) heldByRamp(now time.Time, w *queuedRequest, uncachedTokens float64) bool {
 	if p.triage == nil || w.triage == nil || w.triage.Deadline.IsZero() || w.request.PromptTokens < longPromptTokens {
 		return false
@@ -213,6 +214,14 @@
 	if age >= w.triage.Deadline.Sub(w.triage.SubmittedAt) {
 		return false
 	}
+	known, waiting := false, false
+	for _, e := range p.engines {
+		known = known || !e.report.At.IsZero()
+		waiting = waiting || p.reportsWaiting(now, e)
+	}
+	if known && !waiting {
+		return false // an ordinary start
+	}
 	daemons := p.daemonCount
 	if daemons == 1 && age < daemonsUnknownTime {
 		daemons = len(p.engines)
