Learn prefill speeds of engines by shared samples; test announcements

Samples are absolute (tokens, time to first token), since daemons of large fleets send few prompts and disagree on the speed of a normal engine; those of prompts whose cached part was predicted wrongly are left out. Engines' speeds that were learnt go before stale reports. The announcements' budget is what renewals leave at 65 B/s a daemon (measured 64 at 78 daemons, 62 at 90 and 55 at 200 without other traffic).

--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -18,20 +18,22 @@
 // maxLoadAge. Each daemon relays each update about once, so its cost per second
 // is daemons*bytes/interval.
 func LoadInterval(daemons, bytes, bytesPerSecond int, minInterval time.Duration) (time.Duration, bool) {
-	required := time.Duration(daemons) * time.Duration(bytes) * time.Second / time.Duration(loadBytes(daemons, bytesPerSecond))
+	loadBytesPerSecond := max(bytesPerSecond-daemons*renewalBytesPerSecondPerDaemon, bytesPerSecond/minLoadShareDivisor, 1)
+	required := time.Duration(daemons) * time.Duration(bytes) * time.Second / time.Duration(loadBytesPerSecond)
 	return max(required, minInterval), required <= maxLoadAge
 }
 
-// loadBytes returns how many bytes a second of the budget are left for load figures or
-// announcements.
-func loadBytes(daemons, bytesPerSecond int) int {
-	return max(bytesPerSecond-daemons*renewalBytesPerSecondPerDaemon, bytesPerSecond/minLoadShareDivisor, 1)
-}
+// announcementReserve is the part of the budget for the renewals of one daemon's facts where
+// announcements are sent, in bytes a second: without other traffic, fleets of 78 and of 90
+// daemons sent 64 and 62 a daemon (docs/CAPACITY.md).
+const announcementReserve = 65
 
 // AnnouncementBytes returns how many bytes a second each daemon may publish in place of load
-// figures, so that all daemons together use what the budget leaves for these.
+// figures, so that all daemons together use what the budget leaves for these. They keep to it
+// by sampling.
 func AnnouncementBytes(daemons, bytesPerSecond int) float64 {
-	return float64(loadBytes(daemons, bytesPerSecond)) / float64(max(1, daemons))
+	left := max(bytesPerSecond-daemons*announcementReserve, bytesPerSecond/minLoadShareDivisor, 1)
+	return float64(left) / float64(max(1, daemons))
 }
 
 const (
--- a/internal/peerload/announce.go
+++ b/internal/peerload/announce.go
@@ -27,9 +27,9 @@
 	announcementMaxAge = time.Second
 	// reportMaxAge is the age up to which an engine's load report is sent.
 	reportMaxAge = 300 * time.Millisecond
-	// factBytes is about the size of a fact without its announcements, names apart; promptBytes
-	// and reportBytes are about that of an announced prompt and of a report.
-	factBytes   = 34
+	// factBytes is about the size of a fact without its announcements and names, in a frame of
+	// its own; promptBytes and reportBytes are about that of an announced prompt and of a report.
+	factBytes   = 60
 	promptBytes = 24
 	reportBytes = 11
 	// sampledBudget is the fraction of the budget that announcements may use on average. The
@@ -37,10 +37,8 @@
 	sampledBudget = 0.75
 	// budgetBurst is how many seconds of the budget may be saved up.
 	budgetBurst = 4.0
-	// initialBytes is the budget that a daemon begins with, enough for some facts.
-	initialBytes = 400
 	// rateTimeConstant is the time constant of the measured rate of long prompts, in seconds.
-	rateTimeConstant = 5.0
+	rateTimeConstant = 10.0
 	// maxSampling is the greatest sampling factor.
 	maxSampling = 100
 	// maxReportsPerFact bounds the reports in a fact.
@@ -48,17 +46,17 @@
 	// maxSpeedsPerFact bounds the samples of engines' speeds in a fact; speedBytes is about the
 	// size of one.
 	maxSpeedsPerFact = 4
-	speedBytes       = 7
-	// unitTokens is the unit in which tokens are sent, unitAge that of ages, and unitWeight
-	// and unitSlowdown the fractions in which these are.
+	speedBytes       = 11
+	// unitTokens, unitAge and unitSpeed are the units in which tokens, ages and times to first
+	// token are sent; weights and slowdowns are sent in tenths.
 	unitTokens   = 128
 	unitAge      = 10 * time.Millisecond
+	unitSpeed    = time.Millisecond
 	unitWeight   = 10
 	unitSlowdown = 10
-	unitSpeed    = 50
 	promptFields = 7
 	reportFields = 5
-	speedFields  = 2
+	speedFields  = 3
 	// Limits of a message, checked before memory is allocated for it.
 	maxPrompts  = 512
 	maxReports  = 64
@@ -92,7 +90,7 @@
 func NewAnnouncer(now time.Time, daemon string, seed uint64) *Announcer {
 	// The serial numbers of a later process are greater than those of an earlier one, which
 	// announced fewer than 1,000 prompts a second.
-	return &Announcer{daemon: daemon, id: factID(daemon), random: rand.New(rand.NewPCG(seed, seed)), serial: uint32(now.UnixMilli()), lastAt: now, available: initialBytes}
+	return &Announcer{daemon: daemon, id: factID(daemon), random: rand.New(rand.NewPCG(seed, seed)), serial: uint32(now.UnixMilli()), lastAt: now.Add(-time.Second), available: math.Inf(1)}
 }
 
 // factID returns the ID of a daemon's facts: a hash, since names are long.
@@ -112,8 +110,8 @@
 func (a *Announcer) Add(now time.Time, add routing.Announcements, bytesPerSecond float64) {
 	a.advance(now, bytesPerSecond)
 	for _, prompt := range add.Prompts {
-		a.perSecond += 1 / rateTimeConstant
 		prompt.Weight = a.sampling(bytesPerSecond)
+		a.perSecond += 1 / rateTimeConstant
 		if prompt.Weight > 1 && a.random.Float64()*prompt.Weight >= 1 {
 			a.sampledOut++
 			continue
@@ -134,7 +132,7 @@
 // exactly.
 func (a *Announcer) sampling(bytesPerSecond float64) float64 {
 	facts := min(a.perSecond, float64(time.Second/announcementInterval))
-	need := facts*float64(a.overhead()) + a.perSecond*(promptBytes+speedBytes)
+	need := facts*float64(a.overhead()) + a.perSecond*promptBytes
 	weight := math.Ceil(need/max(1, sampledBudget*bytesPerSecond)*unitWeight) / unitWeight
 	return min(max(1, weight), maxSampling)
 }
@@ -164,18 +162,30 @@
 	if now.Before(a.nextAt) || a.unsent == 0 && (len(a.reports) == 0 || a.available < budgetBurst*bytesPerSecond/2) {
 		return gossip.Fact{}, 0, false
 	}
-	cost := float64(a.overhead() + a.unsent*promptBytes + len(a.reports)*reportBytes + len(a.speeds)*speedBytes)
+	cost := float64(a.overhead() + a.unsent*promptBytes)
 	if a.available < cost {
 		return gossip.Fact{}, 0, false
 	}
-	// Older announcements are repeated as far as half of the saved budget allows.
-	again := min(len(a.prompts)-a.unsent, int(max(0, a.available-cost-budgetBurst*bytesPerSecond/2)/promptBytes))
-	value := encodeAnnouncements(now, a.serial, a.prompts[len(a.prompts)-a.unsent-again:], a.reports, a.speeds)
+	// Speeds, reports and older announcements are sent as far as half of the saved budget allows.
+	spare := a.available - cost - budgetBurst*bytesPerSecond/2
+	fitting := func(n, size int) int {
+		n = min(n, int(max(0, spare))/size)
+		spare -= float64(n * size)
+		return n
+	}
+	reports := a.reports[:fitting(len(a.reports), reportBytes)]
+	speeds := a.speeds[:fitting(len(a.speeds), speedBytes)]
+	again := fitting(len(a.prompts)-a.unsent, promptBytes)
+	value := encodeAnnouncements(now, a.serial, a.prompts[len(a.prompts)-a.unsent-again:], reports, speeds)
 	a.available -= float64(a.overhead() + len(value))
 	a.nextAt = now.Add(announcementInterval)
 	announced = a.unsent
 	a.unsent, a.reports, a.speeds = 0, a.reports[:0], a.speeds[:0]
-	return gossip.Fact{Kind: gossip.KindAnnouncement, ID: a.id, TTL: AnnouncementTTL, Value: value}, announced, true
+	return a.fact(value), announced, true
+}
+
+func (a *Announcer) fact(value []byte) gossip.Fact {
+	return gossip.Fact{Kind: gossip.KindAnnouncement, ID: a.id, TTL: AnnouncementTTL, Value: value}
 }
 
 // incarnationHash returns an 8-bit hash, which is enough to notice that an engine's
@@ -212,7 +222,8 @@
 	_ = e.EncodeArrayLen(speedFields * len(speeds))
 	for _, s := range speeds {
 		_ = e.EncodeUint(uint64(Hash(s.Endpoint)))
-		count(int(math.Round(min(s.Ratio, maxSlowdown) * unitSpeed)))
+		count((s.Tokens + unitTokens/2) / unitTokens)
+		count(int(s.FirstToken / unitSpeed))
 	}
 	return b.Bytes()
 }
--- a/internal/peerload/announcereceive.go
+++ b/internal/peerload/announcereceive.go
@@ -91,8 +91,8 @@
 	speeds := d.arrayLen(speedFields * maxSpeeds)
 	for range speeds / speedFields {
 		engine, known := x.engines[uint32(d.uint(1<<32-1))]
-		s := routing.EngineSpeed{Endpoint: engine.Endpoint, Ratio: float64(d.uint(maxCount)) / unitSpeed}
-		if d.failed || !known || s.Ratio == 0 {
+		s := routing.EngineSpeed{Endpoint: engine.Endpoint, Tokens: unitTokens * int(d.uint(maxCount)), FirstToken: time.Duration(d.uint(maxCount)) * unitSpeed}
+		if d.failed || !known {
 			continue
 		}
 		list := out[engine.Service]
--- a/internal/routing/announce.go
+++ b/internal/routing/announce.go
@@ -74,6 +74,8 @@
 	prompts []Announcement
 	reports []LoadReport
 	speeds  []EngineSpeed
+	// speedFittedAt is when the speed of normal engines was last fitted to a sample.
+	speedFittedAt time.Time
 	// rates holds the rates of shared prompts over all daemons.
 	rates *placement.Rates
 	// service averages the time that long prompts run, in seconds, shortMemory the tokens of
@@ -133,8 +135,8 @@
 		}
 	}
 	for _, s := range a.Speeds {
-		if e := p.byID[s.Endpoint]; e != nil && p.rules.engineSpeeds {
-			e.relativeTime.observe(s.Ratio)
+		if e := p.byID[s.Endpoint]; e != nil && p.rules.engineSpeeds && s.FirstToken > 0 {
+			p.applySpeed(now, e, s)
 		}
 	}
 	p.recheckNow = true
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -276,12 +276,12 @@
 	if !p.rules.slowdown {
 		return 1
 	}
+	if slowdown, ok := p.learntSlowdown(now, e); ok {
+		return slowdown
+	}
 	if slowdown, ok := e.reportedSlowdown(now); ok {
 		return max(slowdown, e.overdueSlowdown(now))
 	}
-	if p.announcing.on && e.relativeTime.samples > 0 {
-		return max(e.relativeTime.value(), e.overdueSlowdown(now))
-	}
 	slowdown, measured := p.ownSlowdown(now, e)
 	if p.rules.peerSlowdown {
 		slowdown = averageWithPeers(slowdown, measured, &e.peerLoad)
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -24,8 +24,7 @@
 		computedTokens = a.tokensAhead + max(0, float64(a.request.PromptTokens-cachedTokens))
 	}
 	a.engine.observedSlowdown.Observe(now, placement.Ratio(observed, p.speed.FirstToken(computedTokens)))
-	p.observeSpeed(a, observed, computedTokens)
-	if p.slowdown(now, a.engine) < slowdownThreshold {
+	if !p.observeSpeed(now, a, observed, computedTokens) && p.slowdown(now, a.engine) < slowdownThreshold {
 		p.speed.Observe(computedTokens, observed)
 	}
 	p.updateRetention(a, cachedTokens)
