--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -20,7 +20,10 @@
 	for _, ep := range endpoints {
 		e := old[ep.ID]
 		if e == nil || e.ep.Incarnation != ep.Incarnation {
-			e = newEngine(ep)
+			before := e
+			if e = newEngine(ep); before != nil {
+				e.relativeTime = before.relativeTime // new weights do not change it
+			}
 		}
 		e.ep = ep
 		e.present = true
