Do not lock the stand-in's store twice

Cause: without an era, WriteHeader took the lock that the handler of a read holds; all sitepath tests without an era hung.

Change: the era is atomic.

Result: lab/sitepath without an era runs again.

--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -56,7 +57,7 @@
 	startedAt time.Time
 	skipped   time.Duration
 	// era is stated in the header Store-Era of all responses; 0 is not stated.
-	era uint64
+	era atomic.Uint64
 }
 
 // Snapshot is a copy of a Store's rows.
@@ -68,11 +69,7 @@
 }
 
 // SetEra makes the store state an era in all responses. 0 states none.
-func (s *Store) SetEra(era uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.era = era
-}
+func (s *Store) SetEra(era uint64) { s.era.Store(era) }
 
 // Snapshot returns a copy of the rows.
 func (s *Store) Snapshot() Snapshot {
@@ -87,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rows, s.history, s.version, s.compactedVersion = maps.Clone(c.rows), slices.Clone(c.history), c.version, c.compactedVersion
-	s.era++
+	s.era.Add(1)
 	s.notifyWatchers()
 }
 
@@ -98,12 +95,11 @@
 	began bool
 }
 
-// WriteHeader implements http.ResponseWriter. A caller that holds the lock has set the header.
+// WriteHeader implements http.ResponseWriter. Its callers may hold the lock; they have stated the era
+// in which they read the rows.
 func (w *eraWriter) WriteHeader(status int) {
 	if !w.began && w.Header().Get(eraHeader) == "" {
-		w.store.mu.Lock()
 		w.store.stateEra(w.Header())
-		w.store.mu.Unlock()
 	}
 	w.began = true
 	w.ResponseWriter.WriteHeader(status)
@@ -119,10 +115,10 @@
 
 const eraHeader = "Store-Era"
 
-// stateEra sets the header. s.mu must be held.
+// stateEra sets the header. Under s.mu it is the era of the rows.
 func (s *Store) stateEra(h http.Header) {
-	if s.era != 0 {
-		h.Set(eraHeader, strconv.FormatUint(s.era, 10))
+	if era := s.era.Load(); era != 0 {
+		h.Set(eraHeader, strconv.FormatUint(era, 10))
 	}
 }
 
