Refuse requests after their allowed wait, with triage too

Cause: triage let requests wait in the daemon for up to half of their time in place of an eighth of their goal. Callers that are refused early are served more often, since they try again at another daemon in time.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -50,9 +50,8 @@
 	attempts []*attempt
 	demand   demand
 	hedged   bool
-	// triage and extended are those of the queued request.
-	triage   *triage.Waiting
-	extended bool
+	// triage is that of the queued request.
+	triage *triage.Waiting
 }
 
 func (f *inFlight) attemptAt(endpoint string) *attempt {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -57,9 +57,6 @@
 
 // patienceEnd returns when a queued request stops waiting for a better home.
 func patienceEnd(it *admission.Item[*queuedRequest]) time.Time {
-	if it.Value.extended {
-		return it.QueuedAt
-	}
 	return it.QueuedAt.Add(time.Duration(patienceFraction * float64(it.ExpiresAt.Sub(it.QueuedAt))))
 }
 
@@ -119,12 +116,12 @@
 	c := p.choose(now, w.request, homes, &w.demand, nil)
 	if c.engine == nil || p.worthWaiting(now, it, c) || p.heldByRamp(now, w, c.uncachedTokens) {
 		w.homes = append(w.homes[:0], homes...)
-		w.engineGeneration, w.eligible = p.engineGeneration, c.anyEligible
+		w.engineGeneration = p.engineGeneration
 		return false
 	}
 	f := p.inFlight[w.request.ID]
 	if f == nil {
-		f = &inFlight{request: w.request, demand: w.demand, triage: w.triage, extended: w.extended}
+		f = &inFlight{request: w.request, demand: w.demand, triage: w.triage}
 		p.inFlight[w.request.ID] = f
 	}
 	p.dispatchRate.add(now, it.Work)
@@ -210,9 +207,6 @@
 			p.queue.Charge(it)
 			continue
 		}
-		if p.extendWait(now, it) {
-			continue
-		}
 		p.refuseItem(it, defaultRetryAfter)
 	}
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -116,12 +116,8 @@
 	demand           demand
 	homes            []int
 	engineGeneration int
-	// triage is nil where triage does not apply; extended is set once the request waits
-	// longer than its class allows, eligible if some engine might have run it when it was
-	// last tried.
-	triage   *triage.Waiting
-	extended bool
-	eligible bool
+	// triage is nil where triage does not apply.
+	triage *triage.Waiting
 }
 
 // draw returns a number that is uniform over requests and fixed for a request and key
--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -15,14 +15,9 @@
 	// replanAlways requests; planning 4,096 requests takes about a millisecond.
 	replanInterval = 25 * time.Millisecond
 	replanAlways   = 64
-	// extendedWaitFraction is the fraction of the time to its deadline that a request may
-	// wait in the daemon. With a third of the rest as the longest time to a retry, it can
-	// be sent once more.
-	extendedWaitFraction = 0.5
 	// congestedGoalFraction is the fraction of its goal that a request must have waited
-	// before others are put behind or refused. It is twice what a request may wait without
-	// triage.
-	congestedGoalFraction = 0.25
+	// before others are put behind or refused. It is a quarter of what a request may wait.
+	congestedGoalFraction = 1.0 / 32
 )
 
 // TriageUser is implemented by a Scheduler that can delay and refuse the requests whose
@@ -40,9 +35,6 @@
 const (
 	// TriageBehind is a request that was put behind others in the queue.
 	TriageBehind TriageReason = "behind"
-	// TriageExtended is a request that waited longer than its class allows instead of
-	// being refused.
-	TriageExtended TriageReason = "extended"
 	// TriageRanked is a request that the engine is told to serve after others of its kind.
 	TriageRanked TriageReason = "ranked"
 )
@@ -53,7 +45,7 @@
 	TriageUnreachable TriageReason = "unreachable"
 	// TriageLeastLoss is a request whose refusal costs least of those that do not fit.
 	TriageLeastLoss TriageReason = "least-loss"
-	// TriageWaited is a request that no engine took within its extended wait.
+	// TriageWaited is a request that no engine took within its allowed wait.
 	TriageWaited TriageReason = "waited"
 )
 
@@ -230,21 +222,6 @@
 	return !p.triage.ramp.Take(now, uncachedTokens, perSecond)
 }
 
-// extendWait lets a request whose allowed wait is over wait on while it can meet its
-// deadline and some engine may take it, and reports whether it does.
-func (p *Policy) extendWait(now time.Time, it *admission.Item[*queuedRequest]) bool {
-	w := it.Value
-	if p.triage == nil || w.triage == nil || w.extended || !w.eligible || it.Deferrable || w.triage.Deadline.IsZero() {
-		return false
-	}
-	until := it.QueuedAt.Add(time.Duration(extendedWaitFraction * float64(w.triage.Deadline.Sub(it.QueuedAt))))
-	if !until.After(now) || w.triage.Unreachable(now) {
-		return false
-	}
-	it.ExpiresAt, w.extended = until, true
-	return p.queue.Push(it)
-}
-
 func (p *Policy) refuseTriaged(it *admission.Item[*queuedRequest], reason TriageReason) {
 	p.refuseItem(it, defaultRetryAfter)
 	p.actions[len(p.actions)-1].Triage = reason
@@ -257,7 +234,7 @@
 	if p.triage == nil || w == nil {
 		return
 	}
-	if it.Value.extended {
+	if !p.now.Before(it.ExpiresAt) {
 		a.Triage = TriageWaited
 	}
 	if !w.Refused {
@@ -284,10 +261,7 @@
 		p.triage.started[w.Priority] = rate
 	}
 	rate.add(now, w.Work)
-	switch {
-	case f.extended:
-		a.Triage = TriageExtended
-	case w.Stage == triage.Late:
+	if w.Stage == triage.Late {
 		a.Triage = TriageBehind
 	}
 	contended := p.takenSlots(at.engine) > at.engine.ep.Slots || p.reportsWaiting(now, at.engine)
