Refuse by triage only what could not be started in its allowed wait

Cause: a request waits for an eighth of its goal at most, which the plan did not know, so that nothing was refused before its wait had passed. The plan now ends at that time, refuses when a newly arrived request is predicted to be late, and counts congestion by kind.

--- a/internal/admission/triage/triage.go
+++ b/internal/admission/triage/triage.go
@@ -25,6 +25,8 @@
 	// Goal and Deadline are when the first byte of the response should and must arrive.
 	Goal     time.Time
 	Deadline time.Time
+	// WaitsUntil is when the request is refused if it has not started.
+	WaitsUntil time.Time
 	// FirstByte is the predicted time from the start to the first byte, Run the
 	// predicted time to the end of the response.
 	FirstByte time.Duration
@@ -77,7 +79,11 @@
 	if w.Stage == OnTime && !w.Goal.IsZero() {
 		by = w.Goal
 	}
-	return by.Add(-w.FirstByte), !by.IsZero()
+	at, ok = by.Add(-w.FirstByte), !by.IsZero()
+	if end := w.WaitsUntil; !end.IsZero() && (!ok || end.Before(at)) {
+		return end, true
+	}
+	return at, ok
 }
 
 // missesGoal reports whether the request cannot meet its goal any longer.
@@ -137,9 +143,10 @@
 	// Rates is the work in seconds that starts per second, by priority. A kind without a
 	// rate waits in order of arrival.
 	Rates map[int]float64
-	// Congested is set once requests have waited for a good part of their goal: only then
-	// do the rates tell what engines can take, and requests are put behind others.
-	Congested bool
+	// Congested holds the priorities of which requests have waited for a good part of their
+	// goal: only then do the rates tell what engines can take, and requests of that kind are
+	// put behind others.
+	Congested map[int]bool
 	// MayRefuse allows the refusal of requests that could be served if others were not.
 	MayRefuse bool
 }
@@ -200,13 +207,13 @@
 		if s.rate <= 0 {
 			continue
 		}
-		for _, w := range s.fill(onTime, func(w *Waiting) bool { return load.Congested && !w.owed }) {
+		for _, w := range s.fill(onTime, func(w *Waiting) bool { return load.Congested[w.Priority] && !w.owed }) {
 			w.Stage = Late
 			late = append(late, w)
 		}
 		s.safety, s.planned = refusalSafety, nil
 		refuse = append(refuse, s.fill(late, func(w *Waiting) bool {
-			w.Refused = load.Congested && load.MayRefuse && guard.Refuse(&w.Request)
+			w.Refused = load.Congested[w.Priority] && load.MayRefuse && guard.Refuse(&w.Request)
 			return w.Refused
 		})...)
 		start = start.Add(seconds(s.ahead / s.rate))
--- a/internal/admission/triage/triage_test.go
+++ b/internal/admission/triage/triage_test.go
@@ -45,7 +45,7 @@
 
 // Guards against a wrong choice of what is delayed or refused in each of three mixes.
 func TestPlanChoosesLeastLoss(t *testing.T) {
-	load := &Load{Rates: map[int]float64{0: 1, 1: 1}, Congested: true, MayRefuse: true}
+	load := &Load{Rates: map[int]float64{0: 1, 1: 1}, Congested: map[int]bool{0: true, 1: true}, MayRefuse: true}
 	for name, c := range map[string]struct {
 		list           []*Waiting
 		load           *Load
@@ -69,12 +69,12 @@
 		},
 		"engines not busy: none is refused": {
 			list:  []*Waiting{waiting("long", 0, 100*ms, 1000*ms, 5), waiting("a", ms, 100*ms, 1000*ms, 0.4)},
-			load:  &Load{Rates: load.Rates, Congested: true},
+			load:  &Load{Rates: load.Rates, Congested: map[int]bool{0: true, 1: true}},
 			order: []string{"a", "long"},
 		},
 		"no rate: order of arrival": {
 			list:  []*Waiting{waiting("first", 0, 4000*ms, 9000*ms, 9), waiting("second", ms, 500*ms, 900*ms, 0.3)},
-			load:  &Load{Congested: true, MayRefuse: true},
+			load:  &Load{Congested: map[int]bool{0: true, 1: true}, MayRefuse: true},
 			order: []string{"first", "second"},
 		},
 	} {
@@ -95,7 +95,7 @@
 		goal, deadline := 500*ms, 3000*ms
 		old := waiting("old", 0, goal, deadline, rapid.Float64Range(0.05, 2).Draw(t, "work"))
 		guard, list := NewGuard(), []*Waiting{old}
-		load := &Load{Rates: map[int]float64{0: 1}, Congested: true}
+		load := &Load{Rates: map[int]float64{0: 1}, Congested: map[int]bool{0: true, 1: true}}
 		step := 50 * ms
 		for now := step; ; now += step {
 			assert.Assert(t, now <= deadline+goal, "the request has not started")
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -33,7 +33,7 @@
 		p.recheckNow = false
 		p.checkedAt = now
 		p.recheckAt = now.Add(recheckInterval)
-		p.planQueue(now)
+		p.planQueue(now, false)
 		p.queue.Dispatch(func(it *admission.Item[*queuedRequest]) bool { return p.tryStart(now, it) })
 		p.refuseHeldOff(now)
 	}
@@ -72,18 +72,20 @@
 	if p.refuseIfHeldOff(now, it) {
 		return
 	}
-	if p.rules.earlyRefusal && it.Value.triage == nil {
-		if wait, late := p.predictLate(now, it); late {
-			p.refuseItem(it, wait)
-			return
-		}
+	wait, late := time.Duration(0), false
+	if p.rules.earlyRefusal {
+		wait, late = p.predictLate(now, it)
+	}
+	if late && it.Value.triage == nil {
+		p.refuseItem(it, wait)
+		return
 	}
 	if !p.queue.Push(it) {
 		p.refuseItem(it, defaultRetryAfter)
 		return
 	}
 	if it.Value.triage != nil {
-		p.planQueue(now)
+		p.planQueue(now, late)
 	}
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -183,7 +183,7 @@
 		ID: r.ID, Organisation: r.Organisation, Share: max(1, r.Share),
 		Priority: r.Class.Priority, Deferrable: r.Class.Deferrable,
 		Work: work, QueuedAt: now, ExpiresAt: expires,
-		Value: &queuedRequest{request: r, demand: p.demand(now, r), engineGeneration: -1, triage: p.triageRequest(now, r, work)},
+		Value: &queuedRequest{request: r, demand: p.demand(now, r), engineGeneration: -1, triage: p.triageRequest(now, r, work, expires)},
 	}
 }
 
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -60,7 +60,7 @@
 
 // Every request gets exactly one start, refusal or withdrawal; no engine runs
 // more requests of this daemon than it has slots; no request waits longer than
-// its class allows or, with triage, than half of its time; budgets hold; only repeatable requests are hedged.
+// its class allows; budgets hold; only repeatable requests are hedged.
 func TestPolicyInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const hedgePercent, retryPercent = 20, 30
@@ -105,11 +105,7 @@
 				assert.Assert(t, m.load(a.Endpoint) <= slots)
 			}
 			for id, r := range m.waiting {
-				limit := r.Class.MaxWait
-				if triaged {
-					limit = max(limit, timeLimit/2)
-				}
-				assert.Assert(t, now.Sub(m.waitingSince[id]) < limit)
+				assert.Assert(t, now.Sub(m.waitingSince[id]) < r.Class.MaxWait)
 			}
 			assert.Assert(t, m.hedges*100 <= m.firstAttempts*hedgePercent)
 			assert.Assert(t, m.retries*100 <= initialRetryBudget*100+m.firstAttempts*retryPercent)
--- a/internal/routing/triage.go
+++ b/internal/routing/triage.go
@@ -80,14 +80,14 @@
 	p.setNow(now)
 	switch {
 	case on && p.triage == nil:
-		p.triage = &triageState{guard: triage.NewGuard(), refuse: map[*triage.Waiting]bool{}, started: map[int]*dispatchRate{}, load: triage.Load{Rates: map[int]float64{}}}
+		p.triage = &triageState{guard: triage.NewGuard(), refuse: map[*triage.Waiting]bool{}, started: map[int]*dispatchRate{}, load: triage.Load{Rates: map[int]float64{}, Congested: map[int]bool{}}}
 	case !on:
 		p.triage = nil
 	}
 }
 
 // triageRequest describes a request for triage, nil where that is off.
-func (p *Policy) triageRequest(now time.Time, r *Request, work float64) *triage.Waiting {
+func (p *Policy) triageRequest(now time.Time, r *Request, work float64, expires time.Time) *triage.Waiting {
 	if p.triage == nil || r.FirstTokenGoal <= 0 {
 		return nil
 	}
@@ -97,7 +97,7 @@
 	}
 	w := &triage.Waiting{Request: triage.Request{
 		Kind: r.Class.Name, Priority: r.Class.Priority, Organisation: r.Organisation, Size: float64(r.PromptTokens + r.MaxOutputTokens),
-		SubmittedAt: now, ArrivedAt: received, Goal: received.Add(r.FirstTokenGoal), Deadline: r.Deadline,
+		SubmittedAt: now, ArrivedAt: received, Goal: received.Add(r.FirstTokenGoal), Deadline: r.Deadline, WaitsUntil: expires,
 		FirstByte: p.leastFirstToken(r), Work: work, Restarted: r.PreviousAttempts > 0 || r.Resumed,
 	}}
 	if r.PreviousAttempts == 0 {
@@ -126,9 +126,9 @@
 	return true
 }
 
-// planQueue orders the queue and refuses the requests that do not fit. Without triage it
-// does nothing.
-func (p *Policy) planQueue(now time.Time) {
+// planQueue orders the queue and, when a request has arrived, refuses those that do not fit: a
+// prediction that is made again and again refuses ever more. Without triage it does nothing.
+func (p *Policy) planQueue(now time.Time, arrived bool) {
 	t := p.triage
 	if t == nil || p.queue.Len() == 0 || p.queue.Len() > replanAlways && now.Sub(t.plannedAt) < replanInterval {
 		return
@@ -141,7 +141,8 @@
 			t.waiting = append(t.waiting, w)
 		}
 	}
-	t.load.Congested, t.load.MayRefuse = t.isCongested(now), p.isBusy()
+	t.findCongested(now)
+	t.load.MayRefuse = arrived && p.isBusy()
 	t.measure(now)
 	clear(t.refuse)
 	for _, w := range triage.Plan(now, &t.load, t.waiting, t.guard) {
@@ -169,14 +170,15 @@
 	})
 }
 
-// isCongested reports whether some request has waited for a good part of its goal.
-func (t *triageState) isCongested(now time.Time) bool {
+// findCongested notes the priorities of which some request has waited for a good part of
+// its goal.
+func (t *triageState) findCongested(now time.Time) {
+	clear(t.load.Congested)
 	for _, w := range t.waiting {
 		if now.Sub(w.SubmittedAt) >= time.Duration(congestedGoalFraction*float64(w.Goal.Sub(w.ArrivedAt))) {
-			return true
+			t.load.Congested[w.Priority] = true
 		}
 	}
-	return false
 }
 
 // isBusy reports whether most of the slots are known to be taken. In large fleets the
