--- a/internal/once/outcomes.go
+++ b/internal/once/outcomes.go
@@ -68,7 +68,9 @@
 		return true // the record has expired; a recent one was lost with an older era
 	}
 	if found != nil && (found.Nonce != o.claim.Nonce || found.State != claimed) {
-		return true // already recorded, or another attempt has claimed the key
+		// Already recorded, or another attempt has claimed the key. While the era settles that one
+		// is released.
+		return found.Nonce == o.claim.Nonce || o.state == released || !r.isSettling()
 	}
 	next, err := r.outcomeRecord(ctx, o)
 	if err != nil {
--- a/internal/once/restore.go
+++ b/internal/once/restore.go
@@ -145,6 +145,12 @@
 	}
 }
 
+// isSettling reports whether no daemon may run calls yet because of the store's era.
+func (r *Records) isSettling() bool {
+	_, since := r.eras.Current()
+	return r.unsettled() != nil && time.Since(since) < settleTime
+}
+
 // rewriteRecent writes the recent records that the table lacks. It reports false if it has to be
 // tried again.
 func (r *Records) rewriteRecent(ctx context.Context, era uint64) bool {
@@ -170,14 +176,16 @@
 	if err != nil {
 		return false
 	}
+	if found != nil && found.State == claimed && found.Nonce != x.rec.Nonce && r.isSettling() {
+		return false // by a daemon that learns of the era from the answer, and releases the key
+	}
 	if found != nil && found.State != released && (found.Nonce != x.rec.Nonce || found.State != claimed || x.rec.State == claimed) {
 		return true
 	}
 	if found != nil && found.Nonce == x.rec.Nonce && found.State == x.rec.State {
 		return true
 	}
-	err = r.write(ctx, x.key, at, x.rec)
-	return err == nil || errors.Is(err, platform.ErrConflict)
+	return r.write(ctx, x.key, at, x.rec) == nil // after a conflict it is read again
 }
 
 // readSettledEra returns the newest settled era that the table tells, and the row's position.
