--- a/internal/gossip/loaddue_test.go
+++ b/internal/gossip/loaddue_test.go
@@ -41,3 +41,33 @@
 		assert.Assert(t, allReceived("urgent"))
 	})
 }
+
+// Guards against load figures that use the budget of announcements: those that do not fit are
+// not sent, nor are others for loadPause after them.
+func TestLoadsThatDoNotFitAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := testFleet(t, newNetwork(), 4, func(_ int, c *Config) { c.MaxLoadInterval = 2 * time.Second })
+		defer closeAll(nodes)
+		time.Sleep(10 * time.Second)
+		publish := func(size int) {
+			nodes[0].PublishLoads([]Fact{{Kind: KindLoad, ID: "a/lamp-bench", TTL: 3 * time.Second, Value: make([]byte, size)}}, false)
+			time.Sleep(2 * time.Second)
+		}
+		check := func(fit bool, received int) {
+			t.Helper()
+			assert.Equal(t, nodes[0].LoadsFit(time.Now()), fit)
+			assert.Equal(t, len(nodes[1].Facts(KindLoad)), received)
+		}
+		publish(100)
+		check(true, 1)
+		time.Sleep(maxLoadAge)
+		publish(10_000)
+		check(false, 0)
+		time.Sleep(maxLoadAge)
+		publish(100)
+		check(false, 0)
+		time.Sleep(loadPause)
+		publish(101)
+		check(true, 1)
+	})
+}
