--- a/internal/routing/fleetload_test.go
+++ b/internal/routing/fleetload_test.go
@@ -405,17 +405,22 @@
 		if testing.Short() && daemons > 30 {
 			continue
 		}
-		before := newFleetModel(daemons, 1, routing.RuleAnnouncements)
-		before.run()
-		m := newFleetModel(daemons, 1)
-		m.run()
-		t.Logf("%d daemons, without announcements: %s", daemons, before)
-		t.Logf("%d daemons: %s", daemons, m)
-		// One engine in four is kept for short prompts and has little to compute, which raises
-		// the ratio to the mean of all.
-		assert.Check(t, m.busiest() < 2.5 && (daemons <= 30 || m.busiest() < before.busiest()), "busiest engine: %.2f times the mean", m.busiest())
-		assert.Check(t, m.longInTime > before.longInTime, "%d in time, %d without announcements", m.longInTime, before.longInTime)
-		assert.Check(t, 3*m.longInTime >= 2*m.long, "%d of %d in time", m.longInTime, m.long)
-		assert.Check(t, 20*m.longLost < m.long, "%d of %d past their deadline", m.longLost, m.long)
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			before := newFleetModel(daemons, 1, routing.RuleAnnouncements)
+			before.run()
+			m := newFleetModel(daemons, 1)
+			m.run()
+			t.Logf("without announcements: %s", before)
+			t.Logf("with them: %s", m)
+			assert.Check(t, daemons <= 30 || m.busiest() < before.busiest(), "busiest engine: %.2f times the mean, %.2f without announcements", m.busiest(), before.busiest())
+			assert.Check(t, m.longInTime > before.longInTime, "%d in time, %d without announcements", m.longInTime, before.longInTime)
+			assert.Check(t, 3*m.longInTime >= 2*m.long, "%d of %d in time", m.longInTime, m.long)
+			assert.Check(t, 20*m.longLost < m.long, "%d of %d past their deadline", m.longLost, m.long)
+			// One engine in four is kept for short prompts and has little to compute, which
+			// raises the ratio to the mean of all.
+			t.Run("busiest", func(t *testing.T) {
+				assert.Check(t, m.busiest() < 2, "busiest engine: %.2f times the mean", m.busiest())
+			})
+		})
 	}
 }
