Explain where a request would go now, without sending it

Operators could see why a request went somewhere only after it had. The gateway answers POST /explain on its metrics listener with the scheduler's candidates, their estimates and the decision; verbenabend explain prints it in words or as JSON. choose records its candidates only while a decision is explained.

--- a/internal/allowance/node.go
+++ b/internal/allowance/node.go
@@ -262,6 +262,22 @@
 // Organisations returns the names of the limited organisations.
 func (n *Node) Organisations() []string { return slices.Sorted(maps.Keys(n.organisations)) }
 
+// Held returns what this daemon may spend of an organisation's quota without asking, and the
+// owner of its bucket.
+func (n *Node) Held(now time.Time, name string) (amount float64, owner string) {
+	o := n.organisations[name]
+	if o == nil {
+		return 0, ""
+	}
+	o.lease.expire(now)
+	amount = o.lease.balance
+	if o.bucket != nil {
+		level, _ := o.bucket.Level(now)
+		amount += max(0, level)
+	}
+	return amount, o.owner
+}
+
 // Silent reports whether the owner of an organisation's bucket does not answer.
 func (n *Node) Silent(name string) bool {
 	o := n.organisations[name]
--- a/internal/cli/operatorcli/main.go
+++ b/internal/cli/operatorcli/main.go
@@ -30,6 +30,7 @@
 	Status   statusCmd   `cmd:"" help:"Show a daemon's view of the system.\n\nExample: verbenabend status --json"`
 	Entries  entriesCmd  `cmd:"" help:"Show which addresses callers are told to use.\n\nExample: verbenabend entries lamp-bench --data-centre kennebec"`
 	Ask      askCmd      `cmd:"" help:"Ask a model service a question and stream the answer.\n\nExample: verbenabend ask lamp-bench 'Which blue?' --context case.txt"`
+	Explain  explainCmd  `cmd:"" help:"Say where a request would go now, and why, without sending it.\n\nExample: verbenabend explain api.example /review/1 -H NAME=VALUE --json"`
 	Timeline timelineCmd `cmd:"" help:"Show the events of all daemons in causal order.\n\nExample: verbenabend timeline --service lamp-bench --since 10m"`
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -243,37 +243,47 @@
 	panic(http.ErrAbortHandler) // closes the connection
 }
 
-// accept authenticates the request, selects its route and service and reads its body.
+// accept identifies the request and reads its body.
 func (t *transfer) accept() error {
+	table, err := t.identify()
+	if err != nil {
+		return err
+	}
+	return t.readBody(table.Limits.BodyBytes)
+}
+
+// identify authenticates the request and selects its route and service. It returns the desired
+// state in force.
+func (t *transfer) identify() (*routetable.Table, error) {
 	f, w, r := t.forwarder, t.writer, t.callerRequest
 	if f.refusing.Load() {
 		w.Header().Set("Connection", "close")
 		e := verdict.New(verdict.NotRun, verdict.CodeDraining, "this daemon is draining; retry at another daemon")
 		e.RetryAfter = drainRetryAfter
-		return e
+		return nil, e
 	}
 	table := f.Table()
 	if table == nil {
 		e := verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "this daemon has not loaded the desired state yet")
 		e.RetryAfter = startupRetryAfter
-		return e
+		return nil, e
 	}
 	t.revision = table.Revision
 	var err error
 	if t.metadata, err = f.Headers.ReadRequest(r.Header); err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "invalid request headers")
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeBadRequest, "invalid request headers")
 	}
 	if t.metadata.ID == "" {
-		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request ID header is missing")
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request ID header is missing")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if t.route = table.Match(r.Host, path); t.route == nil {
-		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for "+r.Host+path)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for "+r.Host+path)
 	}
 	if table.RequiresKeys() {
 		t.organisation = table.OrganisationByKey(t.metadata.Key)
 		if t.organisation == nil && !t.route.Public {
-			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown API key")
+			return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown API key")
 		}
 	}
 	t.serviceName = t.route.ChooseService(t.metadata.ID)
@@ -282,7 +292,7 @@
 	if stop := f.stopAt.Load(); stop != nil && stop.Before(t.deadline) {
 		t.deadline = *stop
 	}
-	return t.readBody(table.Limits.BodyBytes)
+	return table, nil
 }
 
 // timeout returns the time limit of the request: the caller's or the default,
--- a/internal/gateway/allowances.go
+++ b/internal/gateway/allowances.go
@@ -224,6 +224,13 @@
 	a.node.Refund(time.Now(), o.Name, cost)
 }
 
+// Held implements forward.AllowanceHolder.
+func (a *allowances) Held(o *routetable.Organisation) (amount float64, owner string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.node.Held(time.Now(), o.Name)
+}
+
 func (a *allowances) estimateAge() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -316,7 +316,13 @@
 
 func (d *Daemon) entryMaxAge() time.Duration { return min(defaultEntryMaxAge, d.settings.EntryMaxAge) }
 
-func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) { d.metrics.Write(w) }
+func (d *Daemon) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost && r.URL.Path == ExplainPath {
+		d.serveExplain(w, r)
+		return
+	}
+	d.metrics.Write(w)
+}
 
 // Ready reports whether the daemon accepts callers.
 func (d *Daemon) Ready() bool {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -89,6 +89,7 @@
 		}
 		e := p.engines[i]
 		if e == exclude || p.excluded(now, e, r) {
+			p.explanation.addExcluded(e, p.exclusion(now, e, r))
 			out.rateLimited = out.rateLimited || e.limiter != nil
 			continue
 		}
@@ -108,6 +109,7 @@
 		c.SlotWait = p.slotWait(e)
 		c.SlotPrice = p.slotPrice(e, d.slotSeconds)
 		cost := c.Cost(price) + (p.preferencePenalty(e, r, prefers) + p.stoppingSoonPenalty(e, r) + p.spillPenaltyOf(r, isPresumed, presumedHomes)).Seconds()
+		p.explanation.add(e, room, p.reasons(e, rank, len(homes), cost, &c, &estimate))
 		switch {
 		case !room:
 			out.minBusyCost = min(out.minBusyCost, cost)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -105,6 +105,8 @@
 	announcing announcing
 	// shareDue is true if loads should be shared with peers at once.
 	shareDue bool
+	// explanation is set while Explain runs.
+	explanation *Explanation
 
 	submitRefusals []Action
 	actions        []Action
