Announce long prompts where load figures would be older than a prefill

Cause: announcements replaced load figures only where these would be more than 2 s apart. In the deployment with 90 daemons they are about 0.7 s apart, so that nothing was announced, and an engine's backlog of a quarter of a second was not seen by others.

Change: announce from 250 ms on, which is about 40 daemons.

--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -11,9 +11,9 @@
 
 const (
 	// maxLoadInterval is the longest interval between a daemon's load figures at which they
-	// are sent at all: peers use them for 3 s. In larger fleets long prompts are announced
-	// instead.
-	maxLoadInterval = 2 * time.Second
+	// are sent at all. In larger fleets long prompts are announced instead: an engine takes
+	// about as long for the prefill of one, and older figures do not show it.
+	maxLoadInterval = 250 * time.Millisecond
 	// announcementCheckInterval is the interval between checks for announcements that wait
 	// for the budget, and for reports of engines where requests wait.
 	announcementCheckInterval = 100 * time.Millisecond
