--- a/internal/forward/earlyresponse_test.go
+++ b/internal/forward/earlyresponse_test.go
@@ -100,15 +100,11 @@
 	}
 }
 
-// checkNoAnswer checks that the caller got no response that looks like the upstream's: nothing, or
-// a failure of the daemon's own. On a busy machine the deadline may pass first (504), or the
-// request may not be sent at all (503).
+// checkNoAnswer checks that the caller got no response that looks like the upstream's.
 func checkNoAnswer(t *testing.T, path string, status int, body string, err error, requests int64) {
-	ownFailure := status == http.StatusBadGateway || status == http.StatusGatewayTimeout || status == http.StatusServiceUnavailable && requests == 0
-	assert.Check(t, err != nil || ownFailure, "status %d with a body of %d bytes looks complete", status, len(body))
+	assert.Check(t, err != nil || status == http.StatusBadGateway, "status %d with a body of %d bytes looks complete", status, len(body))
 	most := map[string]int64{"/safe/1": 2}[path]
-	assert.Check(t, requests <= max(1, most), "%d requests", requests)
-	assert.Check(t, requests >= 1 || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout, "no request, status %d", status)
+	assert.Check(t, requests >= 1 && requests <= max(1, most), "%d requests", requests)
 }
 
 // An upstream that answered a long upload at once, without a length, and reset the connection
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
 // A store that returns from an older copy of its rows loses the writes since then and issues
@@ -76,6 +78,46 @@
 	e.listeners = append(e.listeners[:len(e.listeners):len(e.listeners)], f)
 }
 
+// Accept decides on a response in which the store states an era, or none. It returns the era that
+// the response is of, or ErrOldEra if the response must be discarded.
+func (e *Eras) Accept(stated uint64, states bool) (era uint64, err error) {
+	if !states {
+		era, _ = e.Current()
+		return era, nil
+	}
+	if stated < e.Observe(stated) {
+		return 0, verdict.Wrap(ErrOldEra, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "call of the store")
+	}
+	return stated, nil
+}
+
+// CheckConditions returns ErrEraChanged, not run, if a transaction whose conditions were read in an
+// era must not be sent. 0 is not checked.
+func (e *Eras) CheckConditions(era uint64) error {
+	if era == 0 || e.Observe(era) == era {
+		return nil
+	}
+	return verdict.Wrap(ErrEraChanged, verdict.NotRun, verdict.CodePlatformUnavailable, "write to the store")
+}
+
+// CheckCommitted returns ErrEraChanged if a transaction whose conditions were read in one era was
+// applied in another one, where the store had issued their versions again. 0 is not checked.
+func CheckCommitted(conditions, committed uint64) error {
+	if conditions == 0 || conditions == committed {
+		return nil
+	}
+	return verdict.Wrap(ErrEraChanged, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "write to the store")
+}
+
+// CheckPosition returns ErrRestored if the store is not in the era of a position after which
+// changes are read.
+func (e *Eras) CheckPosition(after Position) error {
+	if e.Observe(after.Era) == after.Era {
+		return nil
+	}
+	return verdict.Wrap(ErrRestored, verdict.NotRun, verdict.CodePlatformUnavailable, "read changes from the store")
+}
+
 // EraTable is a Table of a store that may state eras.
 type EraTable interface {
 	Table
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -99,8 +99,8 @@
 
 // Commit implements platform.Table.
 func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
-	if txn.Era != 0 && c.eras.Observe(txn.Era) != txn.Era {
-		return verdict.Wrap(platform.ErrEraChanged, verdict.NotRun, verdict.CodePlatformUnavailable, "write to the table")
+	if err := c.eras.CheckConditions(txn.Era); err != nil {
+		return err
 	}
 	body := Transaction{}
 	for _, x := range txn.Conditions {
@@ -114,11 +114,10 @@
 		return errors.Wrap(err, "encode transaction")
 	}
 	era, err := c.call(ctx, http.MethodPost, "/table/transactions", raw, nil)
-	if err == nil && txn.Era != 0 && txn.Era != era {
-		// The restored table had issued the conditions' versions again.
-		return verdict.Wrap(platform.ErrEraChanged, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "write to the table")
+	if err != nil {
+		return err
 	}
-	return err
+	return platform.CheckCommitted(txn.Era, era)
 }
 
 // Objects returns the object store. It is a separate type because the table and
@@ -171,11 +170,9 @@
 	if err != nil {
 		return 0, err
 	}
-	era, parseErr := strconv.ParseUint(resp.header.Get(EraHeader), 10, 64)
-	if current := c.eras.Observe(era); parseErr != nil {
-		era = current
-	} else if era < current {
-		return 0, verdict.Wrap(platform.ErrOldEra, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "call of the platform")
+	stated, parseErr := strconv.ParseUint(resp.header.Get(EraHeader), 10, 64)
+	if era, err = c.eras.Accept(stated, parseErr == nil); err != nil {
+		return 0, err
 	}
 	return era, decodeResponse(resp.status, resp.body, into)
 }
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -128,8 +128,11 @@
 
 // observe notes the era of a response, and discards one of an older era.
 func (c *Client) observe(era uint64, err error) error {
-	if era < c.eras.Observe(era) && (err == nil || errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict)) {
-		return verdict.Wrap(platform.ErrOldEra, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "call of the platform")
+	if err != nil && !errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
+		return err // no response
+	}
+	if _, old := c.eras.Accept(era, true); old != nil {
+		return old
 	}
 	return err
 }
@@ -152,8 +155,8 @@
 
 // CommitVersion implements platform.VersionedTable.
 func (c *Client) CommitVersion(ctx context.Context, txn platform.Txn) (platform.Position, error) {
-	if txn.Era != 0 && c.eras.Observe(txn.Era) != txn.Era {
-		return platform.Position{}, verdict.Wrap(platform.ErrEraChanged, verdict.NotRun, verdict.CodePlatformUnavailable, "commit")
+	if err := c.eras.CheckConditions(txn.Era); err != nil {
+		return platform.Position{}, err
 	}
 	var mu sync.Mutex // a late effect comes when the call has ended
 	var written platform.Position
@@ -173,8 +176,8 @@
 	if err := c.observe(at.Era, err); err != nil {
 		return platform.Position{}, err
 	}
-	if txn.Era != 0 && txn.Era != at.Era {
-		return platform.Position{}, verdict.Wrap(platform.ErrEraChanged, verdict.MayHaveRun, verdict.CodePlatformUnavailable, "commit")
+	if err := platform.CheckCommitted(txn.Era, at.Era); err != nil {
+		return platform.Position{}, err
 	}
 	if at.Era == 0 {
 		return platform.Position{}, nil // a platform without eras does not tell versions either
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -143,6 +143,29 @@
 	UnstatedTokens float64
 }
 
+// MaxAllowance replaces greater rates, bursts and costs. Sums of a million of them are exact enough
+// as float64.
+const MaxAllowance = 1e12
+
+// Bound replaces values without meaning: negative ones by 0, ones above MaxAllowance by that. It
+// describes each.
+func (a *Allowance) Bound() (faults []string) {
+	for _, v := range []struct {
+		name  string
+		value *float64
+	}{{"the rate", &a.PerSecond}, {"the burst", &a.Burst}, {"the cost of a request without tokens", &a.UnstatedTokens}} {
+		switch was := *v.value; {
+		case was < 0:
+			*v.value = 0
+			faults = append(faults, fmt.Sprintf("%s %g is negative: counts as 0", v.name, was))
+		case was > MaxAllowance:
+			*v.value = MaxAllowance
+			faults = append(faults, fmt.Sprintf("%s %g is above %g, which is used", v.name, was, float64(MaxAllowance)))
+		}
+	}
+	return faults
+}
+
 // Limited reports whether there is a limit.
 func (a Allowance) Limited() bool { return a.PerSecond > 0 }
 
