Bound the age of copies in small fleets by two daemons' reads

What callers saw: 404 for a route that was confirmed more than 2 s before, and answers from routes that were removed, at all daemons of a fleet below ten, until a poll of 20 s ended. Cause: only daemons that follow others, or are followed, limited the age of their copies. Below ten all read the store and relied on each other to tell of an answer that was lost; when the answers to all were lost in silence, nobody noticed. Evidence: TestConfirmedStateIsInForceInTime, all answers lost, failed at 3 and 7 daemons and held at 11. Ruled out by the same test: restores, odd rows, single lost answers.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,8 +54,8 @@
 	SoleMinInterval time.Duration
 	// MaxWait is the maximum duration of one long poll.
 	MaxWait time.Duration
-	// MaxAge is how old the copy may become in a fleet where few daemons read the store:
-	// the time in which a change has to be known everywhere. 0 means no limit.
+	// MaxAge is the time in which a change has to be known everywhere: how old the copy may
+	// become where few daemons read the store, and at two daemons where all do. 0 means no limit.
 	MaxAge time.Duration
 	// RowsExpire is set if rows are removed when their writers stop renewing
 	// them. After an outage, missing rows are kept for the reappearanceWindow.
--- a/internal/mirror/staleness.go
+++ b/internal/mirror/staleness.go
@@ -46,7 +46,17 @@
 // isAgeLimited reports whether the copy has a maximum age and others depend on this daemon's
 // reads, or it on theirs.
 func (m *Mirror) isAgeLimited() bool {
-	return m.settings.MaxAge > 0 && m.follower != nil && (m.follower.isSole() || m.follower.hasSources())
+	return m.settings.MaxAge > 0 && m.follower != nil && (m.follower.isSole() || m.follower.hasSources() || m.follower.readsForNews())
+}
+
+// newsReaders is the number of daemons that limit the age of their copies in a fleet in which all
+// read the store. The others learn from their news of changes whose answer they lost; the second
+// stands in for the first.
+const newsReaders = 2
+
+// readsForNews reports whether this daemon is one of the newsReaders.
+func (f *Follower) readsForNews() bool {
+	return len(f.settings.StartPolicy.Sources(f.settings.Self, f.settings.Others())) < newsReaders
 }
 
 // pollWait returns how long a poll may wait for the copy to be confirmed in time although
