Continue a stream only at engines of the software version that began it

Cause: nothing knew the software's version; a stream went on at any engine with the right weights. Why it works: the version of the engine that sent the first event is a filter of placement, checked again when the attempt is sent. Without an engine of that version the request is refused at once, so that an answer that has begun ends as broken.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -35,6 +35,9 @@
 	AllowanceOwnerLost         ID = 214
 	AllowanceOwnerFound        ID = 215
 	AllowanceExceeded          ID = 216
+	StreamOriginUnknown        ID = 217
+	StreamOriginsUnwritten     ID = 218
+	SoftwareRecorded           ID = 219
 	StoreRestored              ID = 240
 	UpstreamServing            ID = 301
 	UpstreamLeaving            ID = 302
@@ -120,6 +123,9 @@
 	{AllowanceOwnerLost, hclog.Warn, "quota's owner does not answer"},
 	{AllowanceOwnerFound, hclog.Info, "quota's owner answers again"},
 	{AllowanceExceeded, hclog.Info, "organisation over its quota"},
+	{StreamOriginUnknown, hclog.Info, "stream not resumed, its software version is unknown"},
+	{StreamOriginsUnwritten, hclog.Warn, "rows of stream origins not written"},
+	{SoftwareRecorded, hclog.Info, "software versions recorded"},
 	{StoreRestored, hclog.Warn, "store restored from an older copy"},
 	{UpstreamServing, hclog.Info, "upstream serving"},
 	{UpstreamLeaving, hclog.Info, "upstream leaving"},
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -29,6 +29,8 @@
 	// StartedAt is when the process started, in Unix milliseconds. It
 	// distinguishes incarnations that share an ID.
 	StartedAt int64
+	// Software is the version of the upstream's software, which has no order; empty if not stated.
+	Software string
 	// Models is empty for plain services.
 	Models []LoadedModel
 	// Hash is the hash of ID for rendezvous hashing; Registry sets it.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -65,6 +65,8 @@
 	// UsableUntil returns the time by which requests at an upstream must have
 	// ended, whatever their deadline; ok is false if there is none. May be nil.
 	UsableUntil func(id string) (until time.Time, ok bool)
+	// Origins tells which software version began a stream; may be nil.
+	Origins Origins
 	// Suspects tracks requests that may crash upstreams; may be nil.
 	Suspects SuspectTracker
 	// PromptParts tracks prompt parts that may crash upstreams; may be nil.
@@ -158,6 +160,9 @@
 	if c.UsableUntil == nil {
 		c.UsableUntil = noLimit
 	}
+	if c.Origins == nil {
+		c.Origins = noOrigins{}
+	}
 	if c.Suspects == nil {
 		c.Suspects = noSuspects{}
 	}
@@ -286,7 +291,7 @@
 			return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown API key")
 		}
 	}
-	t.serviceName = t.route.ChooseService(t.metadata.ID)
+	t.serviceName = t.route.ChooseService(t.streamID())
 	t.serviceDef = table.Service(t.serviceName)
 	t.deadline = t.receivedAt.Add(t.timeout())
 	if stop := f.stopAt.Load(); stop != nil && stop.Before(t.deadline) {
@@ -424,7 +429,7 @@
 func (t *transfer) schedulerRequest() *routing.Request {
 	q := &routing.Request{
 		ID: t.metadata.ID, Share: 1, Class: routing.Class{Name: t.route.Name, Priority: -t.priority(), MaxWait: t.maxQueueWait()},
-		Deadline: t.deadline, FirstTokenGoal: t.route.FirstByteGoal, ReceivedAt: t.receivedAt, Resumed: t.lastEventID != "", Repeatable: t.route.Repeatable(), ExcludedEndpoints: t.failedUpstreams, PreviousAttempts: t.attemptsSent,
+		Deadline: t.deadline, FirstTokenGoal: t.route.FirstByteGoal, ReceivedAt: t.receivedAt, Resumed: t.lastEventID != "", Software: t.software, OnlySoftware: t.onlySoftware, Repeatable: t.route.Repeatable(), ExcludedEndpoints: t.failedUpstreams, PreviousAttempts: t.attemptsSent,
 	}
 	if t.organisation != nil {
 		q.Organisation = t.organisation.Name
--- a/internal/forward/metadata.go
+++ b/internal/forward/metadata.go
@@ -20,6 +20,9 @@
 	// LastEventID is the ID of the event after which to resume a stream; empty to
 	// start at the beginning.
 	LastEventID string
+	// ResumedID is the ID of the request that brought the first event of the stream that this
+	// one resumes; empty if not stated.
+	ResumedID string
 	// Prompt is nil if the request describes none.
 	Prompt *Prompt
 	// Tokens is the sum of the prompt's length and the maximum length of the output, if
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -56,6 +56,9 @@
 		return
 	}
 	t.outcomeRecorded = true
+	if t.originRecorded && t.route.Resumable && result != ResultOK {
+		t.forwarder.Origins.MarkBroken(t.stream())
+	}
 	o := Outcome{Class: ClassNone, Result: result, Verdict: v, Duration: time.Since(t.receivedAt), QueueTime: t.queueTime}
 	if t.route != nil {
 		o.Route = t.route.Name
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -169,6 +169,9 @@
 		if t.alreadyRelayed(e.id) {
 			continue
 		}
+		if e.hasFields {
+			t.recordOrigin()
+		}
 		if _, err := t.writer.Write(e.raw); err != nil {
 			return relayed, errors.Mark(err, errCallerWrite)
 		}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -141,7 +141,7 @@
 		if u.Leaving || v.Unavailable != nil && v.Unavailable(u) {
 			continue
 		}
-		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), StartedAt: u.StartedAt, Slots: u.Slots, DataCentre: u.DataCentre, Delay: s.delay(u.DataCentre), Hash: u.Hash}
+		ep := routing.Endpoint{ID: u.ID, Incarnation: u.Incarnation(), StartedAt: u.StartedAt, Software: u.Software, Slots: u.Slots, DataCentre: u.DataCentre, Delay: s.delay(u.DataCentre), Hash: u.Hash}
 		if def.Engine != nil {
 			ep.TransferPerToken, ep.MemoryTokens = transferTimePerToken(def.Engine), def.Engine.CacheTokens
 		}
@@ -198,7 +198,7 @@
 }
 
 func sameEndpoint(a, b routing.Endpoint) bool {
-	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Slots == b.Slots && a.MemoryTokens == b.MemoryTokens && a.Delay == b.Delay && a.CostPenalty == b.CostPenalty && a.StoppingSoon == b.StoppingSoon && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Software == b.Software && a.Slots == b.Slots && a.MemoryTokens == b.MemoryTokens && a.Delay == b.Delay && a.CostPenalty == b.CostPenalty && a.StoppingSoon == b.StoppingSoon && slices.Equal(a.Weights, b.Weights) && slices.Equal(a.Versions, b.Versions)
 }
 
 // SetDaemonCount sets the number of daemons that share the upstreams, including
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -61,6 +61,13 @@
 	responseStarted bool
 	resumable       bool
 	lastEventID     string
+	// software, if onlySoftware is set, is the software version of the upstream that began the
+	// stream: only such upstreams can continue it. attemptSoftware is that of the current
+	// attempt's upstream.
+	software, attemptSoftware string
+	onlySoftware              bool
+	// originRecorded is set once Origins knows which version began the stream.
+	originRecorded bool
 
 	// begun is set once the upstream of the current attempt has sent a complete event
 	// or body. onTrial is set if the request runs in spite of a quarantined part;
@@ -98,6 +105,10 @@
 	s.creditRetries()
 	defer t.keepFailure(nil)
 	t.lastEventID = t.metadata.LastEventID
+	if err := t.findOrigin(ctx); err != nil {
+		t.writeError(err)
+		return
+	}
 	defer t.endTrial()
 	defer t.settleAllowance()
 	for {
@@ -263,7 +274,7 @@
 // send sends the request to the upstream that the scheduler chose.
 func (t *transfer) send(ctx context.Context, s *service, action routing.Action) error {
 	u := t.forwarder.Registry().ByID[action.Endpoint]
-	if u == nil || u.Incarnation() != action.Incarnation {
+	if u == nil || u.Incarnation() != action.Incarnation || t.onlySoftware && u.Software != t.software {
 		t.finishAttempt(s, action, routing.Canceled, 0)
 		return &attemptError{error: verdict.New(verdict.NotRun, verdict.CodeNoUpstream, action.Endpoint+" was replaced or removed; the request was not sent")}
 	}
@@ -283,7 +294,7 @@
 	defer untrack()
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
-	t.begun, t.sentAt, t.process = false, time.Now(), u.Process()
+	t.begun, t.sentAt, t.process, t.attemptSoftware = false, time.Now(), u.Process(), u.Software
 	request := t.upstreamRequest(s, u, action)
 	defer t.boundUploads(u.ID, request)()
 	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, request)
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -379,12 +379,18 @@
 	if now.Before(e.heldOffUntil) {
 		return true
 	}
-	if slices.Contains(r.ExcludedEndpoints, e.ep.ID) || r.Isolated && e.ownIsolated > 0 {
+	if slices.Contains(r.ExcludedEndpoints, e.ep.ID) || r.Isolated && e.ownIsolated > 0 || runsOtherSoftware(e, r) {
 		return true
 	}
 	return p.rules.ejection && p.isEjected(now, e) || p.lacksAllowance(now, e)
 }
 
+// runsOtherSoftware reports whether the engine cannot continue the request's response because it
+// runs another software version than the engine that began it.
+func runsOtherSoftware(e *engine, r *Request) bool {
+	return r.OnlySoftware && e.ep.Software != r.Software
+}
+
 // isEjected reports whether the engine gets no work after failures. When its
 // ejection time is over, one attempt probes it.
 func (p *Policy) isEjected(now time.Time, e *engine) bool {
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -62,7 +62,7 @@
 
 // handleArrival starts, queues or refuses a newly submitted request.
 func (p *Policy) handleArrival(now time.Time, it *admission.Item[*queuedRequest]) {
-	if p.refuseUnreachable(now, it) {
+	if p.refuseUnreachable(now, it) || p.refuseWithoutSoftware(it) {
 		return
 	}
 	if p.tryStart(now, it) {
@@ -89,6 +89,25 @@
 	}
 }
 
+// refuseWithoutSoftware refuses a request whose response no engine can continue, and reports
+// whether it did.
+func (p *Policy) refuseWithoutSoftware(it *admission.Item[*queuedRequest]) bool {
+	r := it.Value.request
+	if !r.OnlySoftware {
+		return false
+	}
+	if pool := p.pool(r); pool != nil {
+		for _, i := range pool.Members {
+			if e := p.engines[i]; !runsOtherSoftware(e, r) && !slices.Contains(r.ExcludedEndpoints, e.ep.ID) {
+				return false
+			}
+		}
+	}
+	p.refuseItem(it, defaultRetryAfter)
+	p.actions[len(p.actions)-1].Code = verdict.CodeNoUpstream
+	return true
+}
+
 // predictLate reports whether the request is predicted to wait too long in the
 // queue, and the predicted wait.
 func (p *Policy) predictLate(now time.Time, it *admission.Item[*queuedRequest]) (time.Duration, bool) {
@@ -251,6 +270,10 @@
 	if pool == nil {
 		return nil
 	}
+	if r.OnlySoftware && len(r.Chain.Levels) > 0 {
+		// Few engines may run that version, and they need not be among the homes.
+		return p.homePicker.PickByHomeKey(&r.Chain, pool, len(pool.Members))
+	}
 	return p.replaceHeldOff(now, r, pool, p.pickHomes(now, r, pool))
 }
 
@@ -259,6 +282,9 @@
 	if len(r.Chain.Levels) == 0 {
 		// Without a prompt there is no cache to return to.
 		p.homesBuffer = appendPermuted(p.homesBuffer[:0], pool.Members, p.draw(r, orderKey))
+		if r.OnlySoftware {
+			return p.homesBuffer
+		}
 		return p.homesBuffer[:min(len(p.homesBuffer), maxHomesWithoutPrompt)]
 	}
 	if split := p.split(r); split != nil {
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -103,6 +103,8 @@
 		return ""
 	case now.Before(e.heldOffUntil):
 		return "it asks for no requests"
+	case runsOtherSoftware(e, r):
+		return "it runs another software version than the engine that began the stream"
 	case p.rules.ejection && p.isEjected(now, e):
 		return "it is ejected after failures"
 	case p.lacksAllowance(now, e):
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -25,6 +25,8 @@
 	// each; a cached prompt is valid only for the version that computed it.
 	Weights  []string
 	Versions []int
+	// Software is the version of the engine's software.
+	Software string
 	// Slots is how many requests the engine runs at once.
 	Slots int
 	// DataCentre is the engine's data centre.
@@ -84,6 +86,10 @@
 	ReceivedAt time.Time
 	// Resumed says that an engine generated the beginning of the response before.
 	Resumed bool
+	// Software, if OnlySoftware is set, is the software version that the engine must run:
+	// that of the engine whose response is continued.
+	Software     string
+	OnlySoftware bool
 	// PreviousAttempts is the number of earlier attempts. A retry is a new Submit.
 	PreviousAttempts int
 	// ExcludedEndpoints lists the IDs of engines that must not get the request because they
--- a/lab/site/upstream.go
+++ b/lab/site/upstream.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -149,6 +150,9 @@
 	Service string
 	Zone    string
 	Model   string // empty for plain services
+	// Software is the version of its software; defaultSoftware if it is empty. The events of
+	// streams show any other, since versions do not continue each other's streams.
+	Software string
 	// StreamEvents is the number of events in a stream, EventInterval the delay
 	// before each event.
 	StreamEvents  int
@@ -214,7 +218,7 @@
 	if u.draining {
 		state = "draining"
 	}
-	row := map[string]any{"service": u.Service, "addr": u.Address, "zone": u.Zone, "version": "v1", "slots": u.slots(), "state": state, "coldLeftMs": 0, "seq": 17, "born": firstIncarnationStartMS + u.restarts}
+	row := map[string]any{"service": u.Service, "addr": u.Address, "zone": u.Zone, "version": cmp.Or(u.Software, defaultSoftware), "slots": u.slots(), "state": state, "coldLeftMs": 0, "seq": 17, "born": firstIncarnationStartMS + u.restarts}
 	if u.Model != "" {
 		row["models"] = []map[string]any{{"name": u.Model, "version": u.version, "adapters": []string{}}}
 	}
@@ -482,11 +486,23 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+		_, _ = io.WriteString(w, u.event(i))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// defaultSoftware is the software version of most upstreams.
+const defaultSoftware = "v1"
+
+// event returns an event of a stream.
+func (u *Upstream) event(i int) string {
+	text := fmt.Sprint("token ", i)
+	if u.Software != "" && u.Software != defaultSoftware {
+		text += " of " + u.Software
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, text)
+}
+
 // stallInFirstEvent sends the beginning of a stream and waits until the connection
 // closes.
 func (u *Upstream) stallInFirstEvent(w http.ResponseWriter, r *http.Request) {
