Resume streams only at the software version that began them

Cause: which version began a stream was known, if at all, to the one daemon that served its first request; a daemon that knows nothing of a stream took the version that it sees for the only one. Why it works: the versions that a service has had of late are recorded in the store before the first stream begins by a new one, and outlive the daemons. While there may be several, each daemon writes the streams that it began, at once if one breaks, at most 100 writes a second for all. A resumed stream whose version is not known is refused at once, not run. With one version nothing is written or read.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -4,46 +4,35 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/routetable"
+	"github.com/verbenabend/verbenabend/internal/streamorigin"
 	"github.com/verbenabend/verbenabend/internal/verdict"
 )
 
-// Stream identifies a stream, whichever of its caller's requests is served.
-type Stream struct {
-	Service      string
-	Organisation string
-	// RequestID is that of the request that brought the stream's first event.
-	RequestID string
-}
-
 // Origins tells by which software version a stream began. Another version cannot continue it, and
 // upstreams do not check this. It is safe for concurrent use.
 type Origins interface {
 	// Record notes which version began a stream, before its caller gets an event. The stream
 	// may be resumed until a time.
-	Record(s Stream, software string, until time.Time)
+	Record(s streamorigin.Stream, software string, until time.Time)
 	// Find returns the version that began a stream. known is unset if no version of the
-	// service is known at all. The error is ErrOriginUnknown, with the reason.
-	Find(ctx context.Context, s Stream) (software string, known bool, err error)
+	// service is known at all. The error is streamorigin.ErrUnknown, with the reason.
+	Find(ctx context.Context, s streamorigin.Stream) (software string, known bool, err error)
 	// MarkBroken notes that the caller of a stream did not get its end.
-	MarkBroken(s Stream)
+	MarkBroken(s streamorigin.Stream)
 }
 
-// ErrOriginUnknown is the error of a stream of which it is not known by which of a service's
-// software versions it began.
-var ErrOriginUnknown = errors.New("the software version that began the stream is not known")
-
 // noOrigins lets all upstreams continue all streams.
 type noOrigins struct{}
 
-func (noOrigins) Record(Stream, string, time.Time) {}
+func (noOrigins) Record(streamorigin.Stream, string, time.Time) {}
 
-func (noOrigins) Find(context.Context, Stream) (string, bool, error) { return "", false, nil }
+func (noOrigins) Find(context.Context, streamorigin.Stream) (string, bool, error) {
+	return "", false, nil
+}
 
-func (noOrigins) MarkBroken(Stream) {}
+func (noOrigins) MarkBroken(streamorigin.Stream) {}
 
 // streamID returns the ID of the request that brought the first event of the stream that this
 // request asks for: its own, unless it resumes one.
@@ -54,8 +43,8 @@
 	return t.metadata.ID
 }
 
-func (t *transfer) stream() Stream {
-	s := Stream{Service: t.serviceName, RequestID: t.streamID()}
+func (t *transfer) stream() streamorigin.Stream {
+	s := streamorigin.Stream{Service: t.serviceName, RequestID: t.streamID()}
 	if t.organisation != nil {
 		s.Organisation = t.organisation.Name
 	}
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -228,6 +228,14 @@
 	}
 }
 
+// MaxDaemonCount returns the greatest number of daemons, including this one, that were known within
+// the last minute.
+func (s *Services) MaxDaemonCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maxDaemonCount
+}
+
 func (s *Services) retryBurst() float64 {
 	return retrySafetyFactor * float64(s.retries.Slack) / float64(s.maxDaemonCount)
 }
--- a/internal/gateway/eras.go
+++ b/internal/gateway/eras.go
@@ -20,6 +20,7 @@
 func (d *Daemon) storeRestored(era uint64) {
 	d.log.Emit(eventlog.StoreRestored, eventlog.Fields{Detail: fmt.Sprintf("era %d", era)})
 	d.goalRecorder.forgetRecorded()
+	d.origins.Restored()
 	time.AfterFunc(rand.N(restoredRecheckSpread), func() {
 		if reading, _ := d.copies.Reading(); reading {
 			for _, m := range []*mirror.Mirror{d.operatorMirror, d.quarantineMirror, d.recordMirror} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/verbenabend/verbenabend/internal/rollout"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/storeclock"
+	"github.com/verbenabend/verbenabend/internal/streamorigin"
 	"github.com/verbenabend/verbenabend/internal/suspects"
 	"github.com/verbenabend/verbenabend/internal/telemetry"
 	"github.com/verbenabend/verbenabend/internal/upstream"
@@ -170,6 +171,7 @@
 	goalRecorder         *goalRecorder
 	storeClock           *storeclock.Clock
 	eras                 *platform.Eras
+	origins              *streamorigin.Keeper
 	descriptors          descriptorWatch
 	startedAt            time.Time
 }
@@ -213,10 +215,11 @@
 		responseMemory = slowReaderMemoryFraction
 		d.pool.SetSlowUpstreams(slowUpstreamTimeout, socketBufferBytes)
 	}
+	d.provisionStreamOrigins()
 	d.forwarder = forward.New(forward.Config{
 		SlowReaders: s.SlowReaders, OnSlowReader: d.metrics.CountSlowReader, OnUploadDiverted: d.metrics.CountUploadDiverted,
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
-		Allowances: d.allowances, Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnTriage: d.countTriage, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemory * float64(s.MemoryBytes)),
+		Allowances: d.allowances, Origins: d.origins, Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnTriage: d.countTriage, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemory * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
 	d.suspects.ReadInTurn(d.copies.WaitReading)
@@ -342,7 +345,7 @@
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
 		d.copies.Run, d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.recordMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
-		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers), periodic(memberRefreshInterval, d.refreshRateLimits), d.allowances.run, periodic(descriptorCheckInterval, d.checkDescriptors),
+		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers), periodic(memberRefreshInterval, d.refreshRateLimits), d.allowances.run, d.origins.Run, periodic(descriptorCheckInterval, d.checkDescriptors),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, d.copies)
 		},
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -42,6 +42,14 @@
 			era, _ := d.eras.Current()
 			return float64(era)
 		},
+		telemetry.NameStreamOrigins: func() float64 {
+			streams, _ := d.origins.Counts()
+			return float64(streams)
+		},
+		telemetry.NameMixedServices: func() float64 {
+			_, services := d.origins.Counts()
+			return float64(services)
+		},
 		telemetry.NameCopiesAge: func() float64 { return d.copies.Age().Seconds() },
 		telemetry.NameStoreReader: func() float64 {
 			reading, _ := d.copies.Reading()
--- a/internal/gateway/weightswitch.go
+++ b/internal/gateway/weightswitch.go
@@ -221,6 +221,10 @@
 		}
 	}
 	d.view.usableUntil.Store(&usableUntil)
+	unavailable := func(u *fleet.Registration) bool {
+		return d.isSwitching(u, now) || d.liveness.Down(u.ID) || expired[u.ID]
+	}
+	beginsNoStreams := d.beginsNoStreams(snapshot, func(u *fleet.Registration) bool { return !u.Leaving && !unavailable(u) })
 	return forward.View{
 		Table: d.view.table.Load(), Registry: snapshot,
 		StoppingSoon: func(u *fleet.Registration) bool {
@@ -234,9 +238,7 @@
 			}
 			return 0
 		},
-		Unavailable: func(u *fleet.Registration) bool {
-			return d.isSwitching(u, now) || d.liveness.Down(u.ID) || expired[u.ID]
-		},
+		Unavailable: func(u *fleet.Registration) bool { return unavailable(u) || beginsNoStreams(u) },
 	}
 }
 
--- a/internal/mirror/staleness.go
+++ b/internal/mirror/staleness.go
@@ -43,6 +43,12 @@
 	return m.confirmedAt, m.synced && m.confirmed
 }
 
+// Age returns how long ago the copy was last known to be complete; ok is false before the first read.
+func (m *Mirror) Age() (age time.Duration, ok bool) {
+	at, ok := m.lastConfirmed()
+	return max(0, m.local()-at), ok
+}
+
 // isAgeLimited reports whether the copy has a maximum age and others depend on this daemon's
 // reads, or it on theirs.
 func (m *Mirror) isAgeLimited() bool {
--- /dev/null
+++ b/internal/streamorigin/keeper_test.go
@@ -0,0 +1,266 @@
+package streamorigin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/platform/platformtest"
+	"github.com/verbenabend/verbenabend/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+const (
+	service    = "bench"
+	resumeTime = 30 * time.Second
+	// listLag is how late daemons may read a change of the list of upstreams.
+	listLag = 400 * time.Millisecond
+)
+
+// fleetOf is a fleet of Keepers in front of a service whose upstreams' versions change.
+type fleetOf struct {
+	store    *platformtest.Platform
+	startAt  time.Time
+	first    bool
+	versions []string
+	daemons  []*daemon
+	runs     int
+}
+
+type daemon struct {
+	keeper *Keeper
+	client *platformtest.Client
+	cancel context.CancelFunc
+	done   chan struct{}
+	// seen are the versions that the daemon knows to serve; cut is set while it reads nothing.
+	seen []string
+	cut  bool
+}
+
+func newFleet(daemons int, versions ...string) *fleetOf {
+	f := &fleetOf{first: true, store: platformtest.New(), startAt: time.Now().Add(-time.Second), versions: versions}
+	f.store.SetEra(1)
+	for range daemons {
+		f.daemons = append(f.daemons, f.start())
+	}
+	f.first = false
+	return f
+}
+
+func (f *fleetOf) start() *daemon {
+	f.runs++
+	d := &daemon{client: f.store.Client(), done: make(chan struct{})}
+	d.client.SetDelay(4 * time.Millisecond)
+	rank := f.runs
+	d.keeper = NewKeeper(Settings{
+		Process: fmt.Sprint("daemon/", f.runs), Table: d.client, FirstStart: f.first,
+		Now: func() (platform.StoreTime, bool) {
+			return platform.StoreTime(time.Since(f.startAt).Milliseconds()), true
+		},
+		ListIsCurrent: func() bool { return !d.cut },
+		Rank:          func() (int, int) { return rank % max(1, len(f.daemons)), len(f.daemons) },
+		OnFind:        func(bool) {},
+		OnChange:      func() {},
+	}, eventlog.Discard())
+	d.client.Eras().OnRestore(func(uint64) { d.keeper.Restored() })
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() {
+		defer close(d.done)
+		_ = d.keeper.Run(ctx)
+	}()
+	f.observe(d)
+	return d
+}
+
+func (f *fleetOf) observe(d *daemon) {
+	d.seen = slices.Clone(f.versions)
+	d.keeper.Observe(map[string][]string{service: slices.Clone(f.versions)}, resumeTime)
+}
+
+// setVersions changes the versions that serve; daemons that are not cut off see it within listLag.
+func (f *fleetOf) setVersions(versions ...string) {
+	f.versions = versions
+	for i, d := range f.daemons {
+		time.Sleep(listLag / time.Duration(len(f.daemons)) * time.Duration(min(i, 1)))
+		if !d.cut {
+			f.observe(d)
+		}
+	}
+}
+
+func (f *fleetOf) stop(d *daemon) {
+	d.client.Kill()
+	d.cancel()
+	<-d.done
+}
+
+func (f *fleetOf) close() {
+	for _, d := range f.daemons {
+		f.stop(d)
+	}
+	synctest.Wait()
+}
+
+// begins returns the recorded versions by which a daemon lets streams begin. Without any the
+// gateway takes the others too: the loss of all daemons is not survived then.
+func (d *daemon) begins() []string {
+	return slices.DeleteFunc(slices.Clone(d.seen), func(v string) bool { return !d.keeper.MayBegin(service, v) })
+}
+
+// begin begins a stream at a daemon and returns its version, empty if there is none.
+func (d *daemon) begin(id string, pick int) string {
+	versions := d.begins()
+	if len(versions) == 0 {
+		return ""
+	}
+	version := versions[pick%len(versions)]
+	d.keeper.Record(Stream{service, "trust", id}, version, time.Now().Add(resumeTime/2))
+	return version
+}
+
+// Guards against a stream that is said to have begun by another software version than it has, in
+// any order of releases, losses of daemons, faults and restores of the store.
+func TestOriginIsNeverWrong(t *testing.T) {
+	found, unknown := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		rapid.SyncTest(t, func(t *rapid.T) {
+			f := newFleet(rapid.IntRange(1, 4).Draw(t, "daemons"), "v1")
+			defer f.close()
+			time.Sleep(time.Duration(rapid.IntRange(0, 2000).Draw(t, "start")) * time.Millisecond)
+			begun := map[string]string{}
+			beganAt := map[string]time.Time{}
+			older := f.store.Snapshot()
+			for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
+				d := f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(t, "daemon")]
+				switch rapid.SampledFrom([]string{"begin", "begin", "begin", "find", "find", "release", "pause", "restart", "restart all", "fault", "cut", "heal", "snapshot", "restore"}).Draw(t, "what") {
+				case "begin":
+					id := fmt.Sprint("stream-", step)
+					if version := d.begin(id, rapid.IntRange(0, 3).Draw(t, "version")); version != "" {
+						begun[id], beganAt[id] = version, time.Now()
+						if rapid.Bool().Draw(t, "broken") {
+							d.keeper.MarkBroken(Stream{service, "trust", id})
+						}
+					}
+				case "find":
+					for id, version := range begun {
+						if time.Since(beganAt[id]) > resumeTime/2 {
+							continue // its caller does not resume it any more
+						}
+						got, known, err := d.keeper.Find(context.Background(), Stream{service, "trust", id})
+						switch {
+						case err != nil:
+							if !errors.Is(err, ErrUnknown) {
+								t.Fatalf("error %v", err)
+							}
+							unknown++
+						case known && got != version:
+							t.Fatalf("%s began by %s, found %s", id, version, got)
+						default:
+							found++
+						}
+					}
+				case "release":
+					f.setVersions(rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 1, 3, rapid.ID).Draw(t, "versions")...)
+				case "pause":
+					time.Sleep(time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond)
+				case "restart":
+					i := slices.Index(f.daemons, d)
+					f.stop(d)
+					f.daemons[i] = f.start()
+				case "restart all":
+					for i, d := range f.daemons {
+						f.stop(d)
+						f.daemons[i] = f.start()
+					}
+				case "fault":
+					d.client.QueueFaults(platformtest.Fault(rapid.IntRange(0, int(platformtest.FaultCount)-1).Draw(t, "fault")))
+				case "cut":
+					d.cut = true
+					d.client.SetDown(true, true)
+				case "heal":
+					d.cut = false
+					d.client.SetDown(false, false)
+					f.observe(d)
+				case "snapshot":
+					older = f.store.Snapshot()
+				case "restore":
+					f.store.Restore(older)
+				}
+			}
+		})
+	})
+	t.Logf("%d found, %d unknown", found, unknown)
+	assert.Assert(t, found > 0)
+}
+
+// While a service has one software version, nothing is written or read but the versions at the start.
+func TestOneVersionCostsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7, "v1")
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		reads, writes := f.store.CountCalls()
+		for i := range 200 {
+			d := f.daemons[i%7]
+			id := fmt.Sprint(i)
+			d.begin(id, 0)
+			d.keeper.MarkBroken(Stream{service, "trust", id})
+			software, known, err := f.daemons[(i+1)%7].keeper.Find(t.Context(), Stream{service, "trust", id})
+			assert.NilError(t, err)
+			assert.Assert(t, known && software == "v1")
+			time.Sleep(50 * time.Millisecond)
+		}
+		readsAfter, writesAfter := f.store.CountCalls()
+		assert.Equal(t, readsAfter-reads, 0)
+		assert.Equal(t, writesAfter-writes, 0)
+	})
+}
+
+// All daemons together write at most about 100 rows a second while a service has two versions.
+func TestCallsWithTwoVersions(t *testing.T) {
+	for _, size := range []int{7, 60, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(size, "v1", "v2")
+				defer f.close()
+				time.Sleep(8 * time.Second)
+				_, writes := f.store.CountCalls()
+				const length = 10 * time.Second
+				for start, i := time.Now(), 0; time.Since(start) < length; i++ {
+					f.daemons[i%size].begin(fmt.Sprint(i), i)
+					time.Sleep(length / 2000)
+				}
+				_, after := f.store.CountCalls()
+				t.Logf("%d writes a second", (after-writes)/int(length.Seconds()))
+				assert.Assert(t, after-writes <= 110*int(length.Seconds()))
+			})
+		})
+	}
+}
+
+func TestStreamsAreBounded(t *testing.T) {
+	now := time.Now()
+	s := streams{}
+	for i := range maxStreams + 100 {
+		s.add(uint64(i), stream{service, "v1", now.Add(time.Duration(i+1) * time.Second)}, now)
+	}
+	assert.Equal(t, len(s), maxStreams)
+	_, first := s[0]
+	_, last := s[maxStreams+99]
+	assert.Assert(t, !first && last, "the streams that end first are forgotten first")
+	encoded := s.row(func(string) bool { return true }, now, 0)
+	value, err := encoded.encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) < 64<<10, "%d bytes", len(value))
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -68,6 +68,11 @@
 	NameAnnouncements   = "verbenabend_announcements_total"
 	NameAnnouncementAge = "verbenabend_announcement_age_seconds"
 
+	// Metrics of the software versions by which streams began.
+	NameResumedStreams = "verbenabend_resumed_streams_total"
+	NameStreamOrigins  = "verbenabend_stream_origins"
+	NameMixedServices  = "verbenabend_services_with_several_versions"
+
 	// NameTriaged counts the requests that the gateway delays and refuses under overload.
 	NameTriaged = "verbenabend_triaged_requests_total"
 
@@ -80,6 +85,7 @@
 	resultOK            = "ok"
 	labelledRateLimited = NameRateLimitedRequests + `{result=%q}`
 	labelledAnnounced   = NameAnnouncements + `{result=%q}`
+	labelledResumed     = NameResumedStreams + `{result=%q}`
 	labelledTriaged     = NameTriaged + `{result=%q,reason=%q}`
 	labelledForwarded   = NameForwarded + `{route=%q,class=%q,verdict=%q,result=%q}`
 	labelledByRoute     = `%s{route=%q}`
@@ -97,7 +103,7 @@
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameStoreEra, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameQuotaUsed, NameQuotaRejected, NameQuotaAge,
-	NameSlowReaders, NameUploadsDiverted, NameAnnouncements, NameAnnouncementAge, NameTriaged,
+	NameSlowReaders, NameUploadsDiverted, NameAnnouncements, NameAnnouncementAge, NameTriaged, NameResumedStreams, NameStreamOrigins, NameMixedServices,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -184,6 +190,16 @@
 	m.set.GetOrCreateHistogram(NameAnnouncementAge).Update(age.Seconds())
 }
 
+// CountResumedStream counts a request that resumes a stream, by whether it is known by which software
+// version the stream began.
+func (m *Metrics) CountResumedStream(originKnown bool) {
+	result := "unknown"
+	if originKnown {
+		result = "known"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(labelledResumed, result)).Inc()
+}
+
 // CountTriaged counts a request that triage delayed or refused.
 func (m *Metrics) CountTriaged(refused bool, reason string) {
 	result := "delayed"
--- a/lab/site/store.go
+++ b/lab/site/store.go
@@ -22,6 +22,8 @@
 	Status int
 	// Unresponsive leaves every call without a response or effect.
 	Unresponsive bool
+	// RefuseReadsOf, if not empty, refuses reads of this table with status 503.
+	RefuseReadsOf string
 	// RefuseWrites refuses every write with status 503.
 	RefuseWrites bool
 	// RefuseWritesTo, if not empty, refuses writes of rows whose keys start with it.
@@ -217,6 +219,8 @@
 			<-r.Context().Done()
 		case f.Status != 0:
 			w.WriteHeader(f.Status)
+		case f.RefuseReadsOf != "" && r.Method == http.MethodGet && r.URL.Query().Get("table") == f.RefuseReadsOf:
+			w.WriteHeader(http.StatusServiceUnavailable)
 		case f.RefuseWrites && r.Method == http.MethodPost:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
