Explain and describe how streams go on while several software versions serve

The explanation of a resumed request names its version and the engines that it rules out; a refusal because none is left is shown as one.

--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -27,6 +27,9 @@
 	AllowanceOwner      string
 	// Service is the one that the request's ID selects of the route's services.
 	Service string
+	// Software is the software version that began the stream which the request resumes; empty if
+	// it resumes none.
+	Software string
 	// TimeLimit is the caller's or the route's time limit.
 	TimeLimit time.Duration
 	// Priority is the request's priority at engines; 0 is served first.
@@ -69,6 +72,11 @@
 	if svc == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "the service "+t.serviceName+" has no upstreams")
 	}
+	t.lastEventID = t.metadata.LastEventID
+	if err := t.findOrigin(r.Context()); err != nil {
+		return nil, err
+	}
+	x.Software = t.software
 	q := t.schedulerRequest()
 	err = errNotExplained
 	svc.runner.Do(func(sched routing.Scheduler, now time.Time) {
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -24,14 +24,16 @@
 
 // ExplainResponse says where the request would go now.
 type ExplainResponse struct {
-	Daemon       string  `json:"daemon"`
-	Revision     uint64  `json:"revision,omitempty"`
-	Route        string  `json:"route,omitempty"`
-	Organisation string  `json:"organisation,omitempty"`
-	Quota        *Quota  `json:"quota,omitempty"`
-	Service      string  `json:"service,omitempty"`
-	TimeLimitMs  float64 `json:"time_limit_ms,omitempty"`
-	Priority     int     `json:"priority"`
+	Daemon       string `json:"daemon"`
+	Revision     uint64 `json:"revision,omitempty"`
+	Route        string `json:"route,omitempty"`
+	Organisation string `json:"organisation,omitempty"`
+	Quota        *Quota `json:"quota,omitempty"`
+	Service      string `json:"service,omitempty"`
+	// Software is the software version at which a resumed stream has to go on.
+	Software    string  `json:"software,omitempty"`
+	TimeLimitMs float64 `json:"time_limit_ms,omitempty"`
+	Priority    int     `json:"priority"`
 	// Upstream is empty if the request would wait or be refused.
 	Upstream   string             `json:"upstream,omitempty"`
 	FetchFrom  string             `json:"fetch_from,omitempty"`
@@ -97,6 +99,7 @@
 
 func (out *ExplainResponse) describe(x *forward.Explanation) {
 	out.Revision, out.Route, out.Organisation, out.Service = x.Revision, x.Route, x.Organisation, x.Service
+	out.Software = x.Software
 	out.TimeLimitMs, out.Priority = milliseconds(x.TimeLimit), x.Priority
 	if x.Allowance.Limited() {
 		out.Quota = &Quota{PerSecond: x.Allowance.PerSecond, Burst: x.Allowance.Burst, Unit: "requests", Cost: x.Cost, HeldHere: x.AllowanceHeld, CountedBy: x.AllowanceOwner}
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -77,6 +77,10 @@
 		}
 		return x
 	}
+	if r.OnlySoftware && !c.anyEligible {
+		x.Refusal, x.RetryAfter = verdict.CodeNoUpstream, defaultRetryAfter
+		return x
+	}
 	if after, late := p.predictLate(now, it); late && p.rules.earlyRefusal {
 		x.Refusal, x.RetryAfter = verdict.CodeOverloaded, after
 	}
