--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,7 @@
 type fleetOf struct {
 	store    *platformtest.Platform
 	startAt  time.Time
+	size     int
 	first    bool
 	versions []string
 	daemons  []*daemon
@@ -45,11 +47,11 @@
 	done   chan struct{}
 	// seen are the versions that the daemon knows to serve; cut is set while it reads nothing.
 	seen []string
-	cut  bool
+	cut  atomic.Bool
 }
 
 func newFleet(daemons int, versions ...string) *fleetOf {
-	f := &fleetOf{first: true, store: platformtest.New(), startAt: time.Now().Add(-time.Second), versions: versions}
+	f := &fleetOf{size: daemons, first: true, store: platformtest.New(), startAt: time.Now().Add(-time.Second), versions: versions}
 	f.store.SetEra(1)
 	for range daemons {
 		f.daemons = append(f.daemons, f.start())
@@ -62,14 +64,14 @@
 	f.runs++
 	d := &daemon{client: f.store.Client(), done: make(chan struct{})}
 	d.client.SetDelay(4 * time.Millisecond)
-	rank := f.runs
+	rank := f.runs % f.size
 	d.keeper = NewKeeper(Settings{
 		Process: fmt.Sprint("daemon/", f.runs), Table: d.client, FirstStart: f.first,
 		Now: func() (platform.StoreTime, bool) {
 			return platform.StoreTime(time.Since(f.startAt).Milliseconds()), true
 		},
-		ListIsCurrent: func() bool { return !d.cut },
-		Rank:          func() (int, int) { return rank % max(1, len(f.daemons)), len(f.daemons) },
+		ListIsCurrent: func() bool { return !d.cut.Load() },
+		Rank:          func() (int, int) { return rank, f.size },
 		OnFind:        func(bool) {},
 		OnChange:      func() {},
 	}, eventlog.Discard())
@@ -94,7 +96,7 @@
 	f.versions = versions
 	for i, d := range f.daemons {
 		time.Sleep(listLag / time.Duration(len(f.daemons)) * time.Duration(min(i, 1)))
-		if !d.cut {
+		if !d.cut.Load() {
 			f.observe(d)
 		}
 	}
@@ -189,10 +191,10 @@
 				case "fault":
 					d.client.QueueFaults(platformtest.Fault(rapid.IntRange(0, int(platformtest.FaultCount)-1).Draw(t, "fault")))
 				case "cut":
-					d.cut = true
+					d.cut.Store(true)
 					d.client.SetDown(true, true)
 				case "heal":
-					d.cut = false
+					d.cut.Store(false)
 					d.client.SetDown(false, false)
 					f.observe(d)
 				case "snapshot":
--- a/lab/sitepath/software_test.go
+++ b/lab/sitepath/software_test.go
@@ -59,18 +59,6 @@
 	}
 }
 
-// runsOn returns the engine that runs a request, nil if none does.
-func (d *deployment) runsOn(id string) *site.Upstream {
-	for _, e := range d.engines {
-		for _, r := range e.Runs() {
-			if r.ID == id && r.EndedAt.IsZero() {
-				return e
-			}
-		}
-	}
-	return nil
-}
-
 // Guards against an answer whose first events are of one software version and whose others are
 // of another, because the engine crashed and only that one was free.
 func TestStreamGoesOnOnlyAtItsSoftwareVersion(t *testing.T) {
