Delete, retry and read the rows of stream origins safely

Deletions depend on the row's version now. - while the store refused writes, each daemon tried again and logged at the interval of writes, 14 times a second at 7 daemons; there is a backoff of up to 1 s, and one line for each outage. - a read that was overtaken by a newer one put the older rows back; reads are made one after the other. - a malformed row of the versions ended all updates; it counts as one that may have lacked versions, and is replaced (TestMalformedRowsAreReplaced). The package is split: keeper.go for requests, versions.go for what is known of versions, rows.go for the store.

--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -40,8 +37,6 @@
 	settleTime = 600 * time.Millisecond
 	// flushWait is how long a daemon whose caller left may take to write that stream.
 	flushWait = 100 * time.Millisecond
-	// retryInterval is the pause after a failed write of the versions.
-	retryInterval = 100 * time.Millisecond
 	// maxUnrecordedTime is how long a version begins no streams while this daemon cannot tell
 	// that it is recorded: its upstreams may be most of a service.
 	maxUnrecordedTime = 2 * time.Second
@@ -54,6 +49,9 @@
 	resumeMargin = 2 * time.Second
 )
 
+// failureBackoff is the backoff of calls of the store that fail.
+var failureBackoff = backoff.Policy{Min: 100 * time.Millisecond, Max: time.Second}
+
 // ErrUnknown is the error of a stream of which it is not known by which of its service's software
 // versions it began.
 var ErrUnknown = errors.New("the software version that began the stream is not known")
@@ -92,6 +90,9 @@
 	// reads shares the reads for requests, of which the last began at readAt.
 	reads  singleflight.Group
 	readAt time.Time
+	// reading is held while rows are read and adopted, so that an older read cannot replace
+	// what a newer one told.
+	reading chan struct{}
 
 	mu sync.Mutex
 	// present holds the versions of the registered upstreams by service, memory how long a
@@ -117,8 +118,9 @@
 	rows map[string]readRow
 
 	// The fields below are used by Run only.
-	writtenAt time.Time
-	hasRow    bool
+	writtenAt                      time.Time
+	hasRow                         bool
+	writeFailures, historyFailures int
 }
 
 // readRow is a row and its position.
@@ -129,7 +131,7 @@
 
 // NewKeeper returns a Keeper that knows nothing yet.
 func NewKeeper(s Settings, log *eventlog.Log) *Keeper {
-	return &Keeper{settings: s, log: log, startedAt: time.Now(), wake: make(chan struct{}, 1), recorded: history{}, beginsAt: map[[2]string]time.Time{}, left: map[[2]string]time.Time{}, seenAt: map[[2]string]time.Time{}, own: streams{}, rows: map[string]readRow{}}
+	return &Keeper{settings: s, log: log, startedAt: time.Now(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1), recorded: history{}, beginsAt: map[[2]string]time.Time{}, left: map[[2]string]time.Time{}, seenAt: map[[2]string]time.Time{}, own: streams{}, rows: map[string]readRow{}}
 }
 
 // Observe sets the software versions of the registered upstreams, by service, and how long a stream
@@ -147,38 +149,6 @@
 	}
 }
 
-// noteLeft notes which versions are not present any more. k.mu must be held.
-func (k *Keeper) noteLeft(present map[string][]string, memory time.Duration) {
-	now := time.Now()
-	for service, versions := range k.present {
-		for _, version := range versions {
-			if !slices.Contains(present[service], version) {
-				k.left[[2]string{service, version}] = now
-			}
-		}
-	}
-	for id, at := range k.left {
-		if now.Sub(at) > memory {
-			delete(k.left, id)
-		}
-	}
-}
-
-// noteSeen notes since when the present versions have been seen. k.mu must be held.
-func (k *Keeper) noteSeen(present map[string][]string) {
-	seenAt := map[[2]string]time.Time{}
-	for service, versions := range present {
-		for _, version := range versions {
-			id := [2]string{service, version}
-			seenAt[id] = time.Now()
-			if at, known := k.seenAt[id]; known {
-				seenAt[id] = at
-			}
-		}
-	}
-	k.seenAt = seenAt
-}
-
 func (k *Keeper) notify() {
 	select {
 	case k.wake <- struct{}{}:
@@ -280,63 +250,6 @@
 	return "", false
 }
 
-// onlyVersion returns the version of a service's streams if they cannot have begun by several.
-// known is unset if it has had none.
-func (k *Keeper) onlyVersion(service string) (software string, known, only bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.historyKnown || !k.observed || k.isUncertain() {
-		return "", false, false
-	}
-	switch possible := k.possible(service); len(possible) {
-	case 0:
-		return "", false, true
-	case 1:
-		return possible[0], true, true
-	}
-	return "", false, false
-}
-
-// isUncertain reports whether the history may lack versions. k.mu must be held.
-func (k *Keeper) isUncertain() bool {
-	now, ok := k.settings.Now()
-	return k.uncertainUntil != 0 && (!ok || now < k.uncertainUntil)
-}
-
-// possible returns the versions by which streams of a service may have begun. k.mu must be held.
-func (k *Keeper) possible(service string) []string {
-	now, ok := k.settings.Now()
-	if !ok {
-		now = serving // none has left long ago
-	}
-	seen := slices.Clone(k.present[service])
-	for id, at := range k.left {
-		if id[0] == service && time.Since(at) <= k.memory {
-			seen = append(seen, id[1])
-		}
-	}
-	return k.recorded.possible(service, seen, now, k.memory)
-}
-
-// isMixed reports whether streams of a service may have begun by several versions. k.mu must be
-// held.
-func (k *Keeper) isMixed(service string) bool { return k.isUncertain() || len(k.possible(service)) > 1 }
-
-// anyMixed reports whether some service is mixed. k.mu must be held.
-func (k *Keeper) anyMixed() bool {
-	for service := range k.present {
-		if k.isMixed(service) {
-			return true
-		}
-	}
-	return false
-}
-
-func (k *Keeper) writeInterval() time.Duration {
-	_, daemons := k.settings.Rank()
-	return max(minWriteInterval, time.Duration(daemons)*writeIntervalPerDaemon)
-}
-
 // Restored notes that the store returned from an older copy: it may lack the last writes.
 func (k *Keeper) Restored() {
 	k.mu.Lock()
@@ -349,307 +262,5 @@
 func (k *Keeper) Counts() (ownStreams, mixedServices int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for service := range k.present {
-		if k.isMixed(service) {
-			mixedServices++
-		}
-	}
-	return len(k.own), mixedServices
-}
-
-// Run keeps the rows in the store up to date until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
-	for checkedAt := time.Now(); ; {
-		timer := time.NewTimer(k.nextCheck())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-k.wake:
-			timer.Stop()
-		case <-timer.C:
-		}
-		retire := time.Since(checkedAt) >= checkInterval
-		if retire {
-			checkedAt = time.Now()
-		}
-		k.updateHistory(ctx, retire)
-		k.writeStreams(ctx)
-	}
-}
-
-// nextCheck returns the time until the next check without a wake-up.
-func (k *Keeper) nextCheck() time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.unwritten && k.anyMixed() {
-		return max(time.Nanosecond, time.Until(k.writtenAt.Add(k.writeInterval())))
-	}
-	return checkInterval
-}
-
-// updateHistory reads the history if it is not known, and writes it if the versions differ. Versions
-// that are not present any more are noted if retire is set.
-func (k *Keeper) updateHistory(ctx context.Context, retire bool) {
-	now, clockKnown := k.settings.Now()
-	k.mu.Lock()
-	next := k.nextHistory(k.recorded, retire && clockKnown, now)
-	due := k.observed && (!k.historyKnown || !next.equal(k.recorded))
-	k.mu.Unlock()
-	if !due {
-		return
-	}
-	rank, _ := k.settings.Rank()
-	if backoff.Sleep(ctx, max(time.Nanosecond, time.Duration(rank)*startDelayPerDaemon)) != nil {
-		return
-	}
-	err := k.syncHistory(ctx, retire)
-	if err == nil || ctx.Err() != nil {
-		return
-	}
-	if !errors.Is(err, platform.ErrConflict) { // otherwise another daemon was first
-		k.log.Emit(eventlog.StreamOriginsUnwritten, eventlog.Fields{Detail: err.Error()})
-	}
-	_ = backoff.Sleep(ctx, retryInterval)
-	k.notify()
-}
-
-// nextHistory returns a history with the present versions. k.mu must be held.
-func (k *Keeper) nextHistory(h history, retire bool, now platform.StoreTime) history {
-	next := h.clone()
-	next.add(k.present)
-	for id := range k.left {
-		next.addMissing(history{id[0]: {id[1]: now}})
-	}
-	if retire {
-		next.retire(k.present, now, k.memory)
-	}
-	return next
-}
-
-// syncHistory reads all rows, and writes the history if the present versions differ from it.
-func (k *Keeper) syncHistory(ctx context.Context, retire bool) error {
-	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-	defer cancel()
-	row, stored, err := k.read(ctx)
-	if err != nil {
-		return err
-	}
-	now, clockKnown := k.settings.Now()
-	era := k.era()
-	k.mu.Lock()
-	next := historyRow{era, k.uncertainUntil, k.nextHistory(k.recorded, retire && clockKnown, now)}
-	k.mu.Unlock()
-	if row.Version != 0 && stored.Era == era && next.Services.equal(stored.Services) {
-		return nil
-	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return errors.Wrap(err, "encode the software versions")
-	}
-	txn := platform.Txn{Era: era, Conditions: []platform.Condition{{Key: historyKey, Version: row.Version}}, Writes: []platform.Write{{Key: historyKey, Value: value}}}
-	if err := k.settings.Table.Commit(ctx, txn); err != nil {
-		return err
-	}
-	k.log.Emit(eventlog.SoftwareRecorded, eventlog.Fields{Detail: string(value)})
-	k.adoptHistory(next, true)
-	return nil
-}
-
-// readOnce reads all rows for a request; requests at the same time share a read, which comes some
-// time after the one before.
-func (k *Keeper) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	result := k.reads.DoChan("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
-		defer cancel()
-		if err := backoff.Sleep(ctx, time.Until(k.readAt.Add(min(k.writeInterval(), maxReadInterval)))); err != nil {
-			return nil, err
-		}
-		k.readAt = time.Now()
-		_, _, err := k.read(ctx)
-		return nil, err
-	})
-	select {
-	case r := <-result:
-		return r.Err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// read reads all rows and returns that of the history, with the version 0 if there is none, and
-// its content.
-func (k *Keeper) read(ctx context.Context) (row platform.Row, stored historyRow, err error) {
-	var all []platform.Row
-	for after := ""; ; {
-		page, err := k.settings.Table.List(ctx, keyPrefix, after, pageRows)
-		if err != nil {
-			return platform.Row{}, stored, err
-		}
-		all = append(all, page...)
-		if len(page) < pageRows {
-			break
-		}
-		after = page[len(page)-1].Key
-	}
-	rows := map[string]platform.Row{}
-	for _, r := range all {
-		if r.Key == historyKey {
-			if err := json.Unmarshal(r.Value, &stored); err != nil {
-				return platform.Row{}, stored, errors.Wrap(err, "decode the software versions")
-			}
-			row = r
-		} else if strings.HasPrefix(r.Key, streamsPrefix) {
-			rows[r.Key] = r
-		}
-	}
-	k.adoptRows(rows)
-	adopted := stored
-	adopted.Services = stored.Services.clone()
-	k.adoptHistory(adopted, row.Version != 0)
-	return row, stored, nil
-}
-
-// era returns the newest known era of the store, 0 if it states none.
-func (k *Keeper) era() uint64 {
-	era, _ := platform.ErasOf(k.settings.Table).Current()
-	return era
-}
-
-// adoptRows replaces the daemons' streams as they were last read.
-func (k *Keeper) adoptRows(read map[string]platform.Row) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	next := map[string]readRow{}
-	for key, r := range read {
-		at := platform.Position{Era: r.Era, Version: r.Version}
-		if old, known := k.rows[key]; known && old.at == at {
-			next[key] = old
-			continue
-		}
-		decoded, err := decodeRow(r.Value)
-		if err != nil {
-			k.log.Emit(eventlog.RowUnreadable, eventlog.Fields{Detail: key + ": " + err.Error()})
-			continue
-		}
-		next[key] = readRow{decoded, at}
-	}
-	k.rows = next
-}
-
-// adoptHistory takes over the history as the store has it; found is unset if it has none. If the
-// store may have lost a part, what this daemon knows of it stays, but it may lack versions.
-func (k *Keeper) adoptHistory(stored historyRow, found bool) {
-	era := k.era()
-	now, _ := k.settings.Now()
-	k.mu.Lock()
-	switch {
-	case era == 0 || found && stored.Era == era:
-		k.uncertainUntil = stored.UncertainUntil
-	case k.settings.FirstStart && !k.historyKnown && time.Since(k.startedAt) < firstStartTime:
-		k.uncertainUntil = 0
-	case !k.historyKnown:
-		k.uncertainUntil = max(1, now.Add(k.memory))
-	}
-	if !k.historyKnown {
-		stored.Services.addMissing(k.recorded)
-	}
-	k.recorded, k.historyKnown = stored.Services, true
-	changed := k.updateBegins()
-	k.mu.Unlock()
-	if changed {
-		k.settings.OnChange()
-		time.AfterFunc(settleTime, k.settings.OnChange)
-	}
-}
-
-// updateBegins notes from when on streams may begin at the recorded versions, and reports whether
-// that has changed. k.mu must be held.
-func (k *Keeper) updateBegins() (changed bool) {
-	now := time.Now()
-	for service, versions := range k.recorded {
-		first := !k.anyBegins(service)
-		for version := range versions {
-			id := [2]string{service, version}
-			if _, known := k.beginsAt[id]; known {
-				continue
-			}
-			k.beginsAt[id], changed = now, true
-			if !first {
-				k.beginsAt[id] = now.Add(settleTime)
-			}
-		}
-	}
-	for id := range k.beginsAt {
-		if _, known := k.recorded[id[0]][id[1]]; !known {
-			delete(k.beginsAt, id)
-		}
-	}
-	return changed
-}
-
-// anyBegins reports whether streams of a service may begin at some version. k.mu must be held.
-func (k *Keeper) anyBegins(service string) bool {
-	for id := range k.beginsAt {
-		if id[0] == service {
-			return true
-		}
-	}
-	return false
-}
-
-// writeStreams writes this daemon's streams if that is due, removes its row once no service has
-// several versions, and the rows of daemons that are gone.
-func (k *Keeper) writeStreams(ctx context.Context) {
-	storeNow, clockKnown := k.settings.Now()
-	now := time.Now()
-	key := streamsPrefix + k.settings.Process
-	k.mu.Lock()
-	k.own.expire(now)
-	mixed := k.anyMixed()
-	due := mixed && k.unwritten && (k.urgent || now.Sub(k.writtenAt) >= k.writeInterval())
-	txn := platform.Txn{}
-	switch {
-	case !clockKnown || !k.observed:
-		due = false
-	case due:
-		own := k.own.row(k.isMixed, now, storeNow)
-		if value, err := own.encode(); err == nil { // texts and bytes only
-			txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: value})
-		}
-		k.unwritten, k.urgent = false, false
-	case !mixed && k.hasRow:
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
-	}
-	if rank, _ := k.settings.Rank(); rank == 0 && clockKnown {
-		for other, r := range k.rows {
-			if other != key && storeNow.Sub(r.Until) > k.memory {
-				txn.Writes = append(txn.Writes, platform.Write{Key: other, Delete: true})
-				delete(k.rows, other)
-			}
-		}
-	}
-	k.mu.Unlock()
-	if len(txn.Writes) == 0 {
-		return
-	}
-	k.writtenAt = now
-	callCtx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-	defer cancel()
-	if err := k.settings.Table.Commit(callCtx, txn); err != nil {
-		if ctx.Err() == nil {
-			k.log.Emit(eventlog.StreamOriginsUnwritten, eventlog.Fields{Detail: err.Error()})
-		}
-		k.mu.Lock()
-		k.unwritten = true
-		k.mu.Unlock()
-		return
-	}
-	for _, w := range txn.Writes {
-		if w.Key == key {
-			k.hasRow = !w.Delete
-		}
-	}
+	return len(k.own), len(k.mixedServices())
 }
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -266,7 +266,7 @@
 	_, first := s[0]
 	_, last := s[maxStreams+99]
 	assert.Assert(t, !first && last, "the streams that end first are forgotten first")
-	encoded := s.row(func(string) bool { return true }, now, 0)
+	encoded := s.row(map[string]bool{service: true}, now, 0)
 	value, err := encoded.encode()
 	assert.NilError(t, err)
 	assert.Assert(t, len(value) < 64<<10, "%d bytes", len(value))
@@ -338,3 +338,35 @@
 		assert.Assert(t, after-reads <= 110*int(length.Seconds()), "%d reads in %s", after-reads, length)
 	})
 }
+
+// Guards against malformed rows that keep streams from being found for good, or that count as proof
+// that a service had no other version.
+func TestMalformedRowsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, "v1")
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		writer := f.store.Client()
+		assert.NilError(t, writer.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: historyKey, Value: []byte("{")}, {Key: streamsPrefix + "odd", Value: []byte{0xc1}}}}))
+		f.setVersions("v2")
+		time.Sleep(2 * time.Second)
+		f.daemons[0].begin("stream", 0)
+		time.Sleep(time.Second)
+		for _, d := range f.daemons {
+			f.stop(d)
+		}
+		f.daemons = []*daemon{f.start(), f.start()}
+		time.Sleep(time.Second)
+		software, known, err := f.daemons[1].keeper.Find(t.Context(), Stream{service, "trust", "stream"})
+		assert.NilError(t, err)
+		assert.Assert(t, known && software == "v2")
+		_, _, err = f.daemons[0].keeper.Find(t.Context(), Stream{service, "trust", "of the version before"})
+		assert.Check(t, errors.Is(err, ErrUnknown))
+		time.Sleep(3 * resumeTime)
+		_, _, _ = f.daemons[0].keeper.Find(t.Context(), Stream{service, "trust", "nobody's"})
+		f.setVersions("v2", "v3") // a read
+		time.Sleep(3 * resumeTime)
+		_, err = writer.Get(t.Context(), streamsPrefix+"odd")
+		assert.Check(t, errors.Is(err, platform.ErrNotFound), "%v", err)
+	})
+}
--- a/internal/streamorigin/streams.go
+++ b/internal/streamorigin/streams.go
@@ -81,11 +81,11 @@
 const keyBytes = 8
 
 // row returns the row of the streams of some services.
-func (s streams) row(includes func(service string) bool, now time.Time, storeNow platform.StoreTime) row {
+func (s streams) row(services map[string]bool, now time.Time, storeNow platform.StoreTime) row {
 	keys := map[string][]byte{}
 	out := row{Until: storeNow}
 	for key, x := range s {
-		if includes(x.service) {
+		if services[x.service] {
 			keys[x.software] = binary.BigEndian.AppendUint64(keys[x.software], key)
 			out.Until = max(out.Until, storeNow.Add(x.until.Sub(now)))
 		}
