--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -29,8 +29,8 @@
 	listLag = 400 * time.Millisecond
 )
 
-// fleetOf is a fleet of Keepers in front of a service whose upstreams' versions change.
-type fleetOf struct {
+// fleet is a fleet of Keepers in front of a service whose upstreams' versions change.
+type fleet struct {
 	store    *platformtest.Platform
 	startAt  time.Time
 	size     int
@@ -50,8 +50,8 @@
 	cut  atomic.Bool
 }
 
-func newFleet(daemons int, versions ...string) *fleetOf {
-	f := &fleetOf{size: daemons, first: true, store: platformtest.New(), startAt: time.Now().Add(-time.Second), versions: versions}
+func newFleet(daemons int, versions ...string) *fleet {
+	f := &fleet{size: daemons, first: true, store: platformtest.New(), startAt: time.Now().Add(-time.Second), versions: versions}
 	f.store.SetEra(1)
 	for range daemons {
 		f.daemons = append(f.daemons, f.start())
@@ -60,7 +60,7 @@
 	return f
 }
 
-func (f *fleetOf) start() *daemon {
+func (f *fleet) start() *daemon {
 	f.runs++
 	d := &daemon{client: f.store.Client(), done: make(chan struct{})}
 	d.client.SetDelay(4 * time.Millisecond)
@@ -86,13 +86,13 @@
 	return d
 }
 
-func (f *fleetOf) observe(d *daemon) {
+func (f *fleet) observe(d *daemon) {
 	d.seen = slices.Clone(f.versions)
 	d.keeper.Observe(map[string][]string{service: slices.Clone(f.versions)}, resumeTime)
 }
 
 // setVersions changes the versions that serve; daemons that are not cut off see it within listLag.
-func (f *fleetOf) setVersions(versions ...string) {
+func (f *fleet) setVersions(versions ...string) {
 	f.versions = versions
 	for i, d := range f.daemons {
 		time.Sleep(listLag / time.Duration(len(f.daemons)) * time.Duration(min(i, 1)))
@@ -102,13 +102,13 @@
 	}
 }
 
-func (f *fleetOf) stop(d *daemon) {
+func (f *fleet) stop(d *daemon) {
 	d.client.Kill()
 	d.cancel()
 	<-d.done
 }
 
-func (f *fleetOf) close() {
+func (f *fleet) close() {
 	for _, d := range f.daemons {
 		f.stop(d)
 	}
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -373,11 +373,19 @@
 
 // ask sends a request to a daemon, after modify, if not nil, has adjusted it.
 func (d *deployment) ask(p *process, method, host, path string, modify func(*http.Request)) answer {
-	n := d.requestCount.Add(1)
+	req := d.request(p, method, host, path, fmt.Sprintf("request-%d", d.requestCount.Add(1)))
+	if modify != nil {
+		modify(req)
+	}
+	return d.send(req)
+}
+
+// request returns a caller's request to a daemon.
+func (d *deployment) request(p *process, method, host, path, id string) *http.Request {
 	req, err := http.NewRequest(method, "http://"+p.address(callerPort)+path, nil)
 	assert.NilError(d.t, err)
 	req.Host = host
-	req.Header.Set("X-Request-Id", fmt.Sprintf("request-%d", n))
+	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Key", callerKey)
 	req.Header.Set("X-Deadline-Ms", "3000")
 	if host == modelHost {
@@ -385,9 +393,11 @@
 		req.Header.Set("X-Token-Usage", "300,40")
 		req.Header.Set("X-Prompt-Prefix", "aa:200,bb:100")
 	}
-	if modify != nil {
-		modify(req)
-	}
+	return req
+}
+
+// send sends a request and reads the whole response.
+func (d *deployment) send(req *http.Request) answer {
 	resp, err := d.client().Do(req)
 	if err != nil {
 		return answer{err: err}
--- a/lab/sitepath/software_test.go
+++ b/lab/sitepath/software_test.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -119,15 +118,8 @@
 
 // streamRequest returns a request for a stream whose prompt has a home at any of the engines.
 func (d *deployment) streamRequest(p *process, id string) *http.Request {
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.address(callerPort)+"/chat/1", nil)
-	assert.NilError(d.t, err)
-	req.Host = modelHost
-	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Key": callerKey, "X-Deadline-Ms": "3500", "X-Model": model, "X-Token-Usage": "300,40",
-		"X-Prompt-Prefix": fmt.Sprintf("%x:200,bb:100", prefix.NodeHash(id)),
-	} {
-		req.Header.Set(name, value)
-	}
+	req := d.request(p, http.MethodPost, modelHost, "/chat/1", id)
+	req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%x:200,bb:100", prefix.NodeHash(id)))
 	return req
 }
 
@@ -156,13 +148,7 @@
 	if modify != nil {
 		modify(req)
 	}
-	resp, err := d.client().Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(body), err}
+	return d.send(req)
 }
 
 // resumeAll takes streams up at daemons in turn. No stream may be joined from two versions, and an
