--- a/lab/sitepath/software_test.go
+++ b/lab/sitepath/software_test.go
@@ -329,3 +329,43 @@
 		})
 	}
 }
+
+// Guards against a daemon that the store leaves without answers, or refuses, and that lets the only
+// version it knows continue streams which others began at a newer one.
+func TestResumedStreamAtDaemonWithoutStore(t *testing.T) {
+	for name, fault := range map[string]site.Fault{"silent": {Unresponsive: true}, "busy": {Status: http.StatusServiceUnavailable}} {
+		t.Run(name, func(t *testing.T) {
+			runDeployment(t, 4, func(d *deployment) {
+				d.daemonCount = daemons
+				d.setSoftware("v2", "v1", "v1", "v2") // short prompts go to the first if they can
+				d.store.Delete("servers", d.engines[0].ID)
+				d.store.Delete("servers", d.engines[3].ID)
+			}, func(d *deployment) {
+				time.Sleep(2 * time.Second)
+				with, without := d.processes[:2], d.processes[2:]
+				ofNewVersion, wentOn := 0, 0
+				for round := range 12 { // at other moments between two reads of the store
+					d.store.SetFault(without[0].name, fault)
+					time.Sleep(time.Duration(round) * 350 * time.Millisecond)
+					d.engines[0].Register(d.store)
+					d.engines[3].Register(d.store)
+					for range 15 {
+						streams := d.beginStreams(6, with)
+						for _, s := range streams {
+							if softwareOf(s.body)["v2"] {
+								ofNewVersion++
+							}
+						}
+						wentOn += d.resumeAll(streams, without)
+					}
+					d.store.SetFault(without[0].name, site.Fault{})
+					d.store.Delete("servers", d.engines[0].ID)
+					d.store.Delete("servers", d.engines[3].ID)
+					time.Sleep(45 * time.Second) // until the version is forgotten
+				}
+				t.Logf("%d streams of the new version, %d of all went on", ofNewVersion, wentOn)
+				assert.Assert(t, ofNewVersion > 100 && wentOn > 0)
+			})
+		})
+	}
+}
