Let a daemon without the store know of new versions, and ask for origins

What callers saw: at a daemon that the store left without answers, streams of a software version that had just appeared were joined with the older one (18 in a run of TestResumedStreamAtDaemonWithoutStore, silent store). Cause: contact with most daemons counted as proof that its list of upstreams, 2 to 4 s old, was complete; nobody told it of versions. Why it works: the first daemon that sees a version tells the others by gossip, and versions begin streams 1.2 s after they are recorded: within the time in which a daemon hears of them, reads them, or notices that it is not in contact (1 s).

--- a/internal/allowance/frame.go
+++ b/internal/allowance/frame.go
@@ -59,7 +59,7 @@
 	maxFrameBytes = 4 << 10
 )
 
-// WriteFrame writes a Request or Response.
+// WriteFrame writes a message, such as a Request or Response.
 func WriteFrame(w io.Writer, v any) error {
 	frame := bytes.NewBuffer(make([]byte, 4, 128))
 	e := msgpack.NewEncoder(frame)
@@ -73,7 +73,7 @@
 	return err
 }
 
-// ReadFrame reads a Request or Response.
+// ReadFrame reads a message, such as a Request or Response.
 func ReadFrame(r io.Reader, v any) error {
 	var header [4]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,7 +258,7 @@
 	d.copies = mirror.NewFollower(mirror.FollowerSettings{
 		Self: mirror.Node{Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.PeerListen}, Others: d.copySources, StartHold: d.startHold(),
 		Policy:      mirror.RankedSources{MinFleet: minFollowingFleet, Local: localSources, Global: globalSources},
-		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock, Eras: d.eras, Protocols: map[string]func(net.Conn, string){allowanceProtocol: d.allowances.serve},
+		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock, Eras: d.eras, Protocols: map[string]func(net.Conn, string){allowanceProtocol: d.allowances.serve, originProtocol: d.answerOrigin},
 	}, d.log, d.operatorMirror, d.upstreamMirror, d.quarantineMirror, d.recordMirror)
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -94,6 +94,7 @@
 	node.Subscribe(gossip.KindStateRevision, d.receiveRevision)
 	node.Subscribe(gossip.KindGoalRecord, d.receiveGoalRecord)
 	node.Subscribe(gossip.KindRateLimit, d.receiveRateLimit)
+	node.Subscribe(gossip.KindSoftware, d.receiveSoftware)
 	return nil
 }
 
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -2,11 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/gossip"
 	"github.com/verbenabend/verbenabend/internal/mirror"
+	"github.com/verbenabend/verbenabend/internal/prefix"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/streamorigin"
 )
@@ -21,20 +26,61 @@
 func (d *Daemon) provisionStreamOrigins() {
 	d.origins = streamorigin.NewKeeper(streamorigin.Settings{
 		Process: d.settings.Name + "/" + strconv.FormatUint(rand.Uint64(), 36), Table: d.platform.Table, Now: d.storeClock.Now, FirstStart: d.settings.FirstStart, ListIsCurrent: d.upstreamListIsCurrent,
-		Rank:     func() (rank, daemons int) { return d.rank(mirror.ReaderDuty, ""), d.daemonCount() },
-		OnFind:   d.metrics.CountResumedStream,
-		OnChange: d.updateServices,
+		Rank:      func() (rank, daemons int) { return d.rank(mirror.ReaderDuty, ""), d.daemonCount() },
+		AskPeers:  d.askPeers,
+		OnFind:    d.metrics.CountResumedStream,
+		OnVersion: d.announceSoftware,
+		OnChange:  d.updateServices,
 	}, d.log)
 }
 
-// upstreamListIsCurrent reports whether this daemon knows all upstreams that others use: its list is
-// new enough or, while nobody can read the store and no upstream can register, it is in contact with
-// most daemons.
+// maxCurrentListAge is the age up to which the list of upstreams has all versions that begin streams.
+const maxCurrentListAge = streamorigin.SettleTime - 200*time.Millisecond
+
+// upstreamListIsCurrent reports whether this daemon knows all versions that begin streams: it is in
+// contact with most daemons, which tell of new ones, or its list is newer than they are when they
+// begin streams.
 func (d *Daemon) upstreamListIsCurrent() bool {
-	if age, ok := d.upstreamMirror.Age(); ok && age <= d.settings.ChangeTimeLimit {
+	if !d.upstreamMirror.Synced() {
+		return false
+	}
+	if 2*d.daemonCount() > d.services.MaxDaemonCount() {
 		return true
 	}
-	return d.upstreamMirror.Synced() && 2*d.daemonCount() > d.services.MaxDaemonCount()
+	age, ok := d.upstreamMirror.Age()
+	return ok && age <= maxCurrentListAge
+}
+
+// softwareTTL is how long peers can learn of a software version. It is shorter than they remember one
+// that they have heard of: a version that comes back is announced again before they forget it.
+const softwareTTL = minResumeTime / 2
+
+// softwareFact is the value of a gossip.KindSoftware fact.
+type softwareFact struct {
+	Service  string `msgpack:"service"`
+	Software string `msgpack:"software"`
+}
+
+// announceSoftware tells peers of a version that this daemon sees for the first time, unless one has
+// told it.
+func (d *Daemon) announceSoftware(service, software string) {
+	id := strconv.FormatUint(prefix.NodeHash(strconv.Itoa(len(service))+":"+service+software), 36)
+	if slices.ContainsFunc(d.gossipNode.Facts(gossip.KindSoftware), func(f gossip.Fact) bool { return f.ID == id }) {
+		return
+	}
+	value, err := msgpack.Marshal(softwareFact{service, software})
+	if err != nil {
+		return // unreachable: two texts
+	}
+	d.gossipNode.Publish(gossip.Fact{Kind: gossip.KindSoftware, ID: id, TTL: softwareTTL, Value: value})
+}
+
+// receiveSoftware notes a version that serves at a peer's word.
+func (d *Daemon) receiveSoftware(f gossip.Fact) {
+	var heard softwareFact
+	if msgpack.Unmarshal(f.Value, &heard) == nil {
+		d.origins.Hear(heard.Service, heard.Software)
+	}
 }
 
 // observeSoftware passes on which software versions serve resumable streams. d.view.mu must be held.
--- a/internal/gossip/budget.go
+++ b/internal/gossip/budget.go
@@ -29,7 +29,7 @@
 
 func priorityOf(k Kind, valueBytes int) priority {
 	switch k {
-	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun, KindStateRevision, KindGoalRecord, KindWitness, KindRateLimit:
+	case KindDocument, KindSuspect, KindWeightSwitch, KindUnresponsive, KindGoalVersion, KindPartCrash, KindPartBegun, KindStateRevision, KindGoalRecord, KindWitness, KindRateLimit, KindSoftware:
 		if valueBytes > maxUrgentValueBytes {
 			return priorityLargeValue
 		}
--- a/internal/gossip/fact.go
+++ b/internal/gossip/fact.go
@@ -59,6 +59,9 @@
 	// KindAnnouncement announces the long prompts that a daemon has sent in about the last
 	// second. ID is a hash of the daemon's name.
 	KindAnnouncement Kind = 15
+	// KindSoftware announces a software version that serves in a service. ID is a hash of both:
+	// one fact serves all daemons.
+	KindSoftware Kind = 16
 )
 
 // Fact is a versioned entry. For one Kind and ID the greatest Version wins;
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,9 +34,10 @@
 	startDelayPerDaemon = 2 * time.Millisecond
 	// readTimeout limits the read for a request that resumes a stream.
 	readTimeout = 500 * time.Millisecond
-	// settleTime is how long the first upstreams of a new version begin no streams: the time
-	// in which all daemons that follow the list of upstreams learn of them.
-	settleTime = 600 * time.Millisecond
+	// SettleTime is how long the first upstreams of a new version begin no streams: the time
+	// in which all daemons learn of them from the list of upstreams or from each other, or
+	// notice that they are not in contact.
+	SettleTime = 1200 * time.Millisecond
 	// flushWait is how long a daemon whose caller left may take to write that stream.
 	flushWait = 100 * time.Millisecond
 	// maxUnrecordedTime is how long a version begins no streams while this daemon cannot tell
@@ -74,6 +77,10 @@
 	ListIsCurrent func() bool
 	// Rank returns the place of this daemon among all that live, from 0 on, and their number.
 	Rank func() (rank, daemons int)
+	// AskPeers asks other daemons for the origin of a stream, for want of the store.
+	AskPeers func(ctx context.Context, s Stream) (software string, known bool)
+	// OnVersion is called with each version that this daemon sees for the first time.
+	OnVersion func(service, software string)
 	// OnFind is called with whether the origin of a stream that is resumed is known.
 	OnFind func(known bool)
 	// OnChange is called when other versions may begin streams than before.
@@ -90,6 +97,8 @@
 	// reads shares the reads for requests, of which the last began at readAt.
 	reads  singleflight.Group
 	readAt time.Time
+	// readFailing is set while reads for requests fail.
+	readFailing atomic.Bool
 	// reading is held while rows are read and adopted, so that an older read cannot replace
 	// what a newer one told.
 	reading chan struct{}
@@ -102,8 +111,9 @@
 	observed bool
 	// seenAt is when this daemon first saw the present versions, by service and version.
 	seenAt map[[2]string]time.Time
-	// left holds when the versions left that this daemon has seen, by service and version.
-	left map[[2]string]time.Time
+	// served holds when versions served last that are not present, by service and version:
+	// this daemon saw them leave, or another one told of them.
+	served map[[2]string]time.Time
 	// recorded is the history as the store has it; historyKnown is set once it was read, in
 	// the store's present era. uncertainUntil is that of the row.
 	recorded       history
@@ -131,7 +141,7 @@
 
 // NewKeeper returns a Keeper that knows nothing yet.
 func NewKeeper(s Settings, log *eventlog.Log) *Keeper {
-	return &Keeper{settings: s, log: log, startedAt: time.Now(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1), recorded: history{}, beginsAt: map[[2]string]time.Time{}, left: map[[2]string]time.Time{}, seenAt: map[[2]string]time.Time{}, own: streams{}, rows: map[string]readRow{}}
+	return &Keeper{settings: s, log: log, startedAt: time.Now(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1), recorded: history{}, beginsAt: map[[2]string]time.Time{}, served: map[[2]string]time.Time{}, seenAt: map[[2]string]time.Time{}, own: streams{}, rows: map[string]readRow{}}
 }
 
 // Observe sets the software versions of the registered upstreams, by service, and how long a stream
@@ -139,7 +149,7 @@
 func (k *Keeper) Observe(present map[string][]string, memory time.Duration) {
 	k.mu.Lock()
 	k.noteLeft(present, memory)
-	k.noteSeen(present)
+	found := k.noteSeen(present)
 	k.present, k.memory, k.observed = present, memory, true
 	isNews := !k.historyKnown || k.recorded.clone().add(present)
 	k.mu.Unlock()
@@ -147,6 +157,18 @@
 		k.notify()
 		time.AfterFunc(maxUnrecordedTime, k.settings.OnChange)
 	}
+	for _, id := range found {
+		k.settings.OnVersion(id[0], id[1])
+	}
+}
+
+// Hear notes a version that serves at another daemon's word: the list of upstreams may be late here.
+func (k *Keeper) Hear(service, software string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !slices.Contains(k.present[service], software) {
+		k.served[[2]string{service, software}] = time.Now()
+	}
 }
 
 func (k *Keeper) notify() {
@@ -206,20 +228,62 @@
 }
 
 func (k *Keeper) find(ctx context.Context, s Stream) (software string, known bool, err error) {
-	if software, ok := k.lookUp(s.key()); ok {
-		return software, true, nil
+	software, known, ok := k.findLocally(s)
+	if ok {
+		return software, known, nil
 	}
-	if k.settings.ListIsCurrent() {
-		if software, known, only := k.onlyVersion(s.Service); only {
-			return software, known, nil
+	// While the store does not answer, peers may know, or read it.
+	asked := k.readFailing.Load()
+	if asked {
+		if software, ok := k.settings.AskPeers(ctx, s); ok {
+			return software, true, nil
+		}
+	}
+	software, known, err = k.findInStore(ctx, s)
+	if err != nil && k.readFailing.Load() && !asked {
+		if software, ok := k.settings.AskPeers(ctx, s); ok {
+			return software, true, nil
 		}
 	}
+	if err != nil {
+		return "", false, errors.Mark(errors.Wrap(err, ErrUnknown.Error()), ErrUnknown)
+	}
+	return software, known, nil
+}
+
+// FindForPeer returns the version that began a stream, for a daemon that asks for want of the store.
+func (k *Keeper) FindForPeer(ctx context.Context, s Stream) (software string, known bool) {
+	software, known, ok := k.findLocally(s)
+	if ok {
+		return software, known
+	}
+	software, known, err := k.findInStore(ctx, s)
+	return software, known && err == nil
+}
+
+// findLocally returns the version that began a stream, known as in Find, if this daemon needs
+// nobody else to tell it.
+func (k *Keeper) findLocally(s Stream) (software string, known, ok bool) {
+	if software, ok := k.lookUp(s.key()); ok {
+		return software, true, true
+	}
+	if !k.settings.ListIsCurrent() {
+		return "", false, false
+	}
+	return k.onlyVersion(s.Service)
+}
+
+// findInStore reads the rows, and does so once more after a daemon that began the stream a moment
+// ago had time to write it.
+func (k *Keeper) findInStore(ctx context.Context, s Stream) (software string, known bool, err error) {
 	for _, wait := range []time.Duration{0, flushWait} {
-		if wait > 0 && backoff.Sleep(ctx, wait) != nil {
-			break
+		if err := backoff.Sleep(ctx, wait); err != nil {
+			return "", false, err
 		}
-		if err = k.readOnce(ctx); err != nil {
-			break
+		err := k.readOnce(ctx)
+		k.readFailing.Store(err != nil)
+		if err != nil {
+			return "", false, err
 		}
 		if software, ok := k.lookUp(s.key()); ok {
 			return software, true, nil
@@ -227,12 +291,8 @@
 		if software, known, only := k.onlyVersion(s.Service); only {
 			return software, known, nil
 		}
-		err = errNotRecorded
-	}
-	if ctx.Err() != nil {
-		err = ctx.Err()
 	}
-	return "", false, errors.Mark(errors.Wrap(err, ErrUnknown.Error()), ErrUnknown)
+	return "", false, errNotRecorded
 }
 
 // lookUp returns what this daemon knows of a stream.
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -72,6 +72,8 @@
 		},
 		ListIsCurrent: func() bool { return !d.cut.Load() },
 		Rank:          func() (int, int) { return rank, f.size },
+		AskPeers:      f.askPeers(d),
+		OnVersion:     func(string, string) {},
 		OnFind:        func(bool) {},
 		OnChange:      func() {},
 	}, eventlog.Discard())
@@ -86,6 +88,20 @@
 	return d
 }
 
+// askPeers returns the function by which a daemon asks the others, if it is not cut off.
+func (f *fleet) askPeers(d *daemon) func(context.Context, Stream) (string, bool) {
+	return func(ctx context.Context, s Stream) (string, bool) {
+		for _, other := range f.daemons {
+			if other != d && !d.cut.Load() && !other.cut.Load() && !other.client.Killed() {
+				if software, known := other.keeper.FindForPeer(ctx, s); known {
+					return software, true
+				}
+			}
+		}
+		return "", false
+	}
+}
+
 func (f *fleet) observe(d *daemon) {
 	d.seen = slices.Clone(f.versions)
 	d.keeper.Observe(map[string][]string{service: slices.Clone(f.versions)}, resumeTime)
--- a/internal/streamorigin/rows.go
+++ b/internal/streamorigin/rows.go
@@ -82,7 +82,7 @@
 func (k *Keeper) nextHistory(h history, retire bool, now platform.StoreTime) history {
 	next := h.clone()
 	next.add(k.present)
-	for id := range k.left {
+	for id := range k.served {
 		next.addMissing(history{id[0]: {id[1]: now}})
 	}
 	if retire {
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -13,30 +13,33 @@
 	for service, versions := range k.present {
 		for _, version := range versions {
 			if !slices.Contains(present[service], version) {
-				k.left[[2]string{service, version}] = now
+				k.served[[2]string{service, version}] = now
 			}
 		}
 	}
-	for id, at := range k.left {
+	for id, at := range k.served {
 		if now.Sub(at) > memory {
-			delete(k.left, id)
+			delete(k.served, id)
 		}
 	}
 }
 
-// noteSeen notes since when the present versions have been seen. k.mu must be held.
-func (k *Keeper) noteSeen(present map[string][]string) {
+// noteSeen notes since when the present versions have been seen, and returns those that were not
+// before. k.mu must be held.
+func (k *Keeper) noteSeen(present map[string][]string) (found [][2]string) {
 	seenAt := map[[2]string]time.Time{}
 	for service, versions := range present {
 		for _, version := range versions {
 			id := [2]string{service, version}
-			seenAt[id] = time.Now()
-			if at, known := k.seenAt[id]; known {
-				seenAt[id] = at
+			at, known := k.seenAt[id]
+			if !known {
+				at, found = time.Now(), append(found, id)
 			}
+			seenAt[id] = at
 		}
 	}
 	k.seenAt = seenAt
+	return found
 }
 
 // onlyVersion returns the version of a service's streams if they cannot have begun by several.
@@ -69,7 +72,7 @@
 		now = serving // none has left long ago
 	}
 	seen := slices.Clone(k.present[service])
-	for id, at := range k.left {
+	for id, at := range k.served {
 		if id[0] == service && time.Since(at) <= k.memory {
 			seen = append(seen, id[1])
 		}
@@ -119,7 +122,7 @@
 	k.mu.Unlock()
 	if changed {
 		k.settings.OnChange()
-		time.AfterFunc(settleTime, k.settings.OnChange)
+		time.AfterFunc(SettleTime, k.settings.OnChange)
 	}
 }
 
@@ -136,7 +139,7 @@
 			}
 			k.beginsAt[id], changed = now, true
 			if !first {
-				k.beginsAt[id] = now.Add(settleTime)
+				k.beginsAt[id] = now.Add(SettleTime)
 			}
 		}
 	}
