Do not pass on a status that promises "not run" without the upstream's word

Cause: whether an attempt ran is decided by the upstream's statement (X-Not-Executed, or 421), but its status was relayed whatever it is. 408, 429 and 503 promise callers that nothing ran.

Ruled out: the daemon's own refusals (the 503s bore the upstream's stamp), and attempts of the daemon's own (one run for each request ID).

Such a response now fails the attempt of a request that may not be repeated: its caller gets 502 with "may-have-run" and none of the upstream's headers, which is the only answer that neither promises nor contradicts the upstream.

--- a/internal/entry/servicecall.go
+++ b/internal/entry/servicecall.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/verbenabend/verbenabend/internal/dispatch"
+	"github.com/verbenabend/verbenabend/internal/httpverdict"
 	"github.com/verbenabend/verbenabend/internal/servicedoc"
 	"github.com/verbenabend/verbenabend/internal/upstream"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -33,9 +35,6 @@
 		return
 	}
 	copyForwardedHeaders(w.Header(), reply.Header)
-	if reply.Replayed {
-		w.Header().Set(HeaderReplayed, "true")
-	}
 	setWriteDeadline(w, len(reply.Body))
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
@@ -68,7 +67,17 @@
 	if address != "" {
 		responseHeader.Set(HeaderUpstream, address)
 	}
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	if reply.Replayed {
+		responseHeader.Set(HeaderReplayed, "true")
+	}
+	if !rule.Repeatable && httpverdict.PromisesNotRun(reply.Status) {
+		// Callers would make the call again.
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the service answered with status "+strconv.Itoa(reply.Status)+" and may have run the call")
+	}
+	return reply, nil
 }
 
 // copyForwardedHeaders copies the end-to-end headers: those that are neither in
--- a/internal/entry/servicecall_test.go
+++ b/internal/entry/servicecall_test.go
@@ -34,9 +34,11 @@
 	panic("not used")
 }
 
-// fakeDispatcher records calls and resumptions; generate serves Generate.
+// fakeDispatcher records calls and resumptions; generate serves Generate, and reply, if not nil,
+// answers calls.
 type fakeDispatcher struct {
 	calls    []*dispatch.CallRequest
+	reply    *upstream.Reply
 	resumed  []resume.Position
 	generate func(*dispatch.ModelRequest, dispatch.Sink) error
 }
@@ -52,6 +54,9 @@
 
 func (f *fakeDispatcher) Call(_ context.Context, req *dispatch.CallRequest) (*upstream.Reply, string, error) {
 	f.calls = append(f.calls, req)
+	if f.reply != nil {
+		return f.reply, "u", nil
+	}
 	return &upstream.Reply{Status: http.StatusCreated, Header: http.Header{"Connection": {"X-Secret"}, "X-Secret": {"1"}, "X-Kept": {"1"}}}, "u", nil
 }
 
@@ -135,3 +140,22 @@
 	assert.Equal(t, w.Header().Get("X-Secret"), "")
 	assert.Equal(t, w.Header().Get("X-Kept"), "1")
 }
+
+// Guards against calls that run twice: a service ran the call and answered with a status that
+// callers take for "not run".
+func TestReplyToCallThatRanPromisesNothing(t *testing.T) {
+	h, f := newTestHandler(t)
+	for _, replayed := range []bool{false, true} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest} {
+			f.reply = &upstream.Reply{Status: status, Header: http.Header{"Retry-After": {"1"}}, Replayed: replayed}
+			w := send(h, http.MethodPost, "/services/front-ledger/http/orders", http.Header{"Idempotency-Key": {"k"}}, "{}")
+			assert.Equal(t, w.Code, http.StatusBadGateway, "status %d", status)
+			assert.Equal(t, w.Header().Get(HeaderVerdict), "may-have-run")
+			assert.Equal(t, w.Header().Get("Retry-After"), "")
+			assert.Equal(t, w.Header().Get(HeaderReplayed) == "true", replayed)
+			w = send(h, http.MethodPost, "/services/front-ledger/http/search", http.Header{}, "{}")
+			assert.Equal(t, w.Code, status, "a call that may be repeated")
+			assert.Equal(t, w.Header().Get("Retry-After"), "1")
+		}
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/verbenabend/verbenabend/internal/eventlog"
+	"github.com/verbenabend/verbenabend/internal/httpverdict"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
 	"github.com/verbenabend/verbenabend/internal/verdict"
@@ -43,8 +44,14 @@
 	return 1, t.relayBody(resp)
 }
 
-// relayBody forwards a response that is not an event stream.
+// relayBody forwards a response that is not an event stream. A status that promises callers that
+// the request did not run fails the attempt, because callers send a request again after it, even
+// one that must not be repeated.
 func (t *transfer) relayBody(resp *httpconn.Response) error {
+	if !t.route.Repeatable() && httpverdict.PromisesNotRun(resp.StatusCode) {
+		resp.Discard()
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "status "+strconv.Itoa(resp.StatusCode)+" without the upstream's statement that it did not run the request")
+	}
 	memory := t.forwarder.responseMemory.lease()
 	defer func() { memory.release() }()
 	buffered, whole, err := readBody(resp.Body, memory)
