Let daemons find each other through the store, and follow their settings file

Cause: seeds were read once, at the start, and SIGHUP was ignored; and seeds and gossip were the only ways by which daemons learn of each other. Ruled out: the new seeds being wrong or unreachable; no daemon dialled them.

Now a group of daemons in contact keeps one row with an address in the table that all daemons follow anyway, and its first daemon by rendezvous hashing dials the rows that belong to nobody in contact. The settings file is read again each second and at SIGHUP; a content that is half written or has faults changes nothing and is logged, and changes that need a restart are named.

--- a/internal/cli/daemoncli/gateway.go
+++ b/internal/cli/daemoncli/gateway.go
@@ -32,11 +32,15 @@
 
 // Run serves until a signal, then drains.
 func (c *gatewayCommand) Run() error {
+	// Without a handler the signal, which only tells of changed settings, ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	file := c.Settings
 	if file == "" {
 		file = os.Getenv(platform.SettingsEnvVar)
 	}
-	s, err := platform.LoadSettings(file)
+	s, content, err := platform.LoadSettings(file)
 	if err != nil {
 		return err
 	}
@@ -61,10 +65,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The platform sends SIGHUP when settings change; none of the settings used
-	// here can change without a restart.
-	signal.Ignore(syscall.SIGHUP)
-	return d.Run(ctx)
+	return runWithReloads(ctx, d, newReloader(file, content, s, d), hangups)
 }
 
 // flushLog writes the queued log lines and gives up after logFlushTimeout.
--- a/internal/cli/daemoncli/main.go
+++ b/internal/cli/daemoncli/main.go
@@ -64,7 +64,7 @@
 // Run checks a settings file.
 func (c *checkCommand) Run() error {
 	if c.Gateway {
-		s, err := platform.LoadSettings(c.Settings)
+		s, _, err := platform.LoadSettings(c.Settings)
 		if err != nil {
 			return err
 		}
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -19,6 +19,9 @@
 	DaemonStopped              ID = 105
 	DaemonIsolated             ID = 106
 	DescriptorsShort           ID = 107
+	SettingsChanged            ID = 108
+	SettingsPending            ID = 109
+	SettingsRejected           ID = 110
 	RequestReceived            ID = 201
 	AttemptStarted             ID = 202
 	FirstToken                 ID = 203
@@ -71,6 +74,8 @@
 	PeerLost                   ID = 602
 	PeerRejected               ID = 603
 	PeersExpired               ID = 604
+	DaemonRegistered           ID = 605
+	DaemonUnregistered         ID = 606
 	OnceClaimed                ID = 701
 	OnceReplayed               ID = 702
 	OnceOutcomeUnknown         ID = 703
@@ -107,6 +112,9 @@
 	{DaemonStopped, hclog.Info, "daemon stopped"},
 	{DaemonIsolated, hclog.Warn, "daemon isolated from platform and peers"},
 	{DescriptorsShort, hclog.Warn, "file descriptors short"},
+	{SettingsChanged, hclog.Info, "settings changed"},
+	{SettingsPending, hclog.Warn, "settings changed that need a restart"},
+	{SettingsRejected, hclog.Warn, "changed settings not used"},
 	{RequestReceived, hclog.Debug, "request received"},
 	{AttemptStarted, hclog.Debug, "attempt started"},
 	{FirstToken, hclog.Debug, "first token"},
@@ -159,6 +167,8 @@
 	{PeerLost, hclog.Info, "peer lost"},
 	{PeerRejected, hclog.Warn, "peer rejected"},
 	{PeersExpired, hclog.Info, "peers expired"},
+	{DaemonRegistered, hclog.Info, "address registered for other daemons"},
+	{DaemonUnregistered, hclog.Info, "address of a lost daemon removed"},
 	{OnceClaimed, hclog.Debug, "at-most-once record claimed"},
 	{OnceReplayed, hclog.Info, "recorded outcome replayed"},
 	{OnceOutcomeUnknown, hclog.Warn, "at-most-once outcome unknown"},
--- a/internal/gateway/eras.go
+++ b/internal/gateway/eras.go
@@ -23,7 +23,7 @@
 	d.origins.Restored()
 	time.AfterFunc(rand.N(restoredRecheckSpread), func() {
 		if reading, _ := d.copies.Reading(); reading {
-			for _, m := range []*mirror.Mirror{d.operatorMirror, d.quarantineMirror, d.recordMirror} {
+			for _, m := range []*mirror.Mirror{d.operatorMirror, d.sharedMirror, d.recordMirror} {
 				m.Recheck()
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/verbenabend/verbenabend/internal/boottime"
 	"github.com/verbenabend/verbenabend/internal/descriptor"
+	"github.com/verbenabend/verbenabend/internal/discovery"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
 	"github.com/verbenabend/verbenabend/internal/forward"
@@ -51,18 +52,19 @@
 type Platform struct {
 	Table platform.Table
 	Feed  platform.Feed
-	// Quarantine is a table for the rows of quarantined and suspected prompt parts only.
-	Quarantine platform.Table
+	// Shared is a table that all daemons follow. It holds the rows of quarantined and suspected
+	// prompt parts and the addresses of some daemons.
+	Shared platform.Table
 	// Operators is the operators' table, which may only be read, and VersionGoalPrefix
 	// what the keys of its goal versions begin with.
 	Operators         platform.Table
 	VersionGoalPrefix string
-	// OperatorTable, UpstreamTable and QuarantineTable are table names in Feed.
-	OperatorTable   string
-	UpstreamTable   string
-	QuarantineTable string
-	Rows            RowDecoder
-	Wire            forward.HeaderCodec
+	// OperatorTable, UpstreamTable and SharedTable are table names in Feed.
+	OperatorTable string
+	UpstreamTable string
+	SharedTable   string
+	Rows          RowDecoder
+	Wire          forward.HeaderCodec
 	// Switches sends weight switch orders to engines, over the daemon's
 	// connections.
 	Switches upstream.Switches
@@ -97,9 +99,9 @@
 	// upstreamReadInterval is the minimum interval between reads of the
 	// upstream table, which every heartbeat of every upstream changes.
 	upstreamReadInterval = 400 * time.Millisecond
-	// quarantineReadInterval is the minimum interval between reads of the quarantined
-	// parts, which change fast while gossip fails and engines crash.
-	quarantineReadInterval = 400 * time.Millisecond
+	// sharedReadInterval is the minimum interval between reads of the shared rows,
+	// which change fast while gossip fails and engines crash.
+	sharedReadInterval = 400 * time.Millisecond
 	// upstreamMaxWait and operatorMaxWait limit a long poll at the store.
 	upstreamMaxWait = time.Second
 	operatorMaxWait = 20 * time.Second
@@ -121,6 +123,8 @@
 // Daemon is one daemon serving callers on an instance.
 type Daemon struct {
 	settings Settings
+	// dynamic replaces the DynamicSettings of settings.
+	dynamic  atomic.Pointer[DynamicSettings]
 	platform Platform
 	network  Network
 	log      *eventlog.Log
@@ -134,10 +138,11 @@
 	promptParts    *suspects.Parts
 	members        *membership.Members
 	gossipNode     *gossip.Node
+	discovery      *discovery.Registry
 	operatorMirror *mirror.Mirror
 	upstreamMirror *mirror.Mirror
-	// quarantineMirror is the copy of the table of quarantined prompt parts.
-	quarantineMirror *mirror.Mirror
+	// sharedMirror is the copy of the shared table.
+	sharedMirror *mirror.Mirror
 	// recordMirror is a copy of the row under goalRecordKey, as it was last read or written.
 	recordMirror *mirror.Mirror
 	// copies keeps the mirrors up to date from those of another daemon.
@@ -199,17 +204,19 @@
 	d.eras = platform.ErasOf(p.Table)
 	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
 	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
-	d.platform.Quarantine = timedTable{p.Quarantine, d.metrics, d.storeClock}
+	d.platform.Shared = timedTable{p.Shared, d.metrics, d.storeClock}
 	d.platform.Operators = timedTable{p.Operators, d.metrics, d.storeClock}
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.services.SetTriageMode(s.Triage)
 	d.liveness = forward.NewLiveness(network.DialProbe, d.livenessChanged, d.log)
 	d.members = membership.New(membership.Member{Name: s.Name, DataCentre: s.DataCentre, CallerAddress: s.CallerListen, PeerAddress: s.GossipListen, Draining: true})
+	d.dynamic.Store(&s.DynamicSettings)
+	d.provisionDiscovery()
 	if err := d.provisionPeers(); err != nil {
 		return nil, err
 	}
 	d.suspects = suspects.New(s.Name, d.gossipNode, d.platform.Table, d.log, minCrashInterval)
-	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Quarantine, d.log, minCrashInterval)
+	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Shared, d.log, minCrashInterval)
 	responseMemory := responseMemoryFraction
 	if s.SlowReaders {
 		responseMemory = slowReaderMemoryFraction
@@ -240,7 +247,7 @@
 	recheck := func(err error) {
 		if err != nil && !errors.Is(err, context.Canceled) {
 			d.operatorMirror.Recheck()
-			d.quarantineMirror.Recheck()
+			d.sharedMirror.Recheck()
 		}
 	}
 	d.operatorMirror = mirror.New(mirror.Settings{
@@ -249,8 +256,8 @@
 	d.upstreamMirror = mirror.New(mirror.Settings{
 		Table: d.platform.UpstreamTable, MaxWait: upstreamMaxWait, MaxAge: d.settings.ChangeTimeLimit, MinInterval: upstreamReadInterval, SoleMinInterval: 2 * upstreamReadInterval, RowsExpire: true, OnChange: d.applyUpstreamRows, OnStoreRead: recheck,
 	}, d.platform.Feed, peers, d.log)
-	d.quarantineMirror = mirror.New(mirror.Settings{
-		Table: d.platform.QuarantineTable, MaxWait: operatorMaxWait, MinInterval: quarantineReadInterval, OnChange: func(rows map[string]platform.Change, read mirror.Read) { d.promptParts.ApplyRows(rows, read.Era) },
+	d.sharedMirror = mirror.New(mirror.Settings{
+		Table: d.platform.SharedTable, MaxWait: operatorMaxWait, MinInterval: sharedReadInterval, OnChange: d.applySharedRows,
 	}, d.platform.Feed, peers, d.log)
 	d.recordMirror = mirror.New(mirror.Settings{
 		Table: goalRecordKey, MaxWait: recordMaxWait, OnChange: func(rows map[string]platform.Change, _ mirror.Read) { d.applyRecordRows(rows) },
@@ -259,7 +266,7 @@
 		Self: mirror.Node{Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.PeerListen}, Others: d.copySources, StartHold: d.startHold(),
 		Policy:      mirror.RankedSources{MinFleet: minFollowingFleet, Local: localSources, Global: globalSources},
 		StartPolicy: mirror.RankedSources{Local: localSources, Global: globalSources}, Dial: d.network.Dial, Clock: d.storeClock, Eras: d.eras, Protocols: map[string]func(net.Conn, string){allowanceProtocol: d.allowances.serve, originProtocol: d.answerOrigin},
-	}, d.log, d.operatorMirror, d.upstreamMirror, d.quarantineMirror, d.recordMirror)
+	}, d.log, d.operatorMirror, d.upstreamMirror, d.sharedMirror, d.recordMirror)
 }
 
 // startHold returns how long a started daemon waits for peers before it reads the store.
@@ -344,7 +351,7 @@
 	group, work := errgroup.WithContext(work)
 	d.gossipNode.Start()
 	for _, loop := range []func(context.Context) error{
-		d.copies.Run, d.operatorMirror.Run, d.upstreamMirror.Run, d.quarantineMirror.Run, d.recordMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run,
+		d.copies.Run, d.operatorMirror.Run, d.upstreamMirror.Run, d.sharedMirror.Run, d.recordMirror.Run, d.promptParts.Run, d.watchReadiness, d.switchWeights, d.followCaches, d.liveness.Run, d.suspects.Run, d.discovery.Run,
 		d.publishLoads, d.publishGoals, d.checkGoalReports, d.publishRevisions, d.checkNews, d.keepGoalRecord, periodic(memberRefreshInterval, d.refreshMembers), periodic(memberRefreshInterval, d.refreshRateLimits), d.allowances.run, d.origins.Run, periodic(descriptorCheckInterval, d.checkDescriptors),
 		func(ctx context.Context) error {
 			return mirror.Serve(ctx, d.peerListener, d.copies)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -44,7 +44,7 @@
 	peerHeartbeatInterval = 300 * time.Millisecond
 	peerIdleTimeout       = time.Second
 	// maxRedialBackoff limits the pause before a peer is dialled again.
-	maxRedialBackoff = 4 * time.Second
+	maxRedialBackoff = 1500 * time.Millisecond
 	// readinessPollInterval is the interval between readiness checks.
 	readinessPollInterval = 100 * time.Millisecond
 	// sameRegionDelay and otherRegionDelay are the assumed one-way delays
@@ -58,13 +58,17 @@
 	switch {
 	case from == to:
 		return 0
-	case d.settings.RegionByDataCentre[from] == d.settings.RegionByDataCentre[to]:
+	case d.regionOf(from) == d.regionOf(to):
 		return sameRegionDelay
 	default:
 		return otherRegionDelay
 	}
 }
 
+func (d *Daemon) regionOf(dataCentre string) string {
+	return d.dynamic.Load().RegionByDataCentre[dataCentre]
+}
+
 func (d *Daemon) provisionPeers() error {
 	socket, err := d.network.Listen(d.settings.GossipListen)
 	if err != nil {
@@ -73,7 +77,7 @@
 	listener := d.network.Descriptors.Listen(socket, gossipConns)
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
-		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, MaxLoadInterval: maxLoadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
+		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Discover: d.discoverPeers, Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, MaxLoadInterval: maxLoadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
 		Heartbeat: peerHeartbeatInterval, IdleTimeout: peerIdleTimeout, MaxBackoff: maxRedialBackoff,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
@@ -101,7 +105,7 @@
 // gossipSeeds returns the seeds' gossip addresses: all instances use the same
 // ports.
 func (d *Daemon) gossipSeeds() []string {
-	return withPort(d.settings.Seeds, d.settings.GossipListen, d.settings.GossipListen)
+	return withPort(d.dynamic.Load().Seeds, d.settings.GossipListen, d.settings.GossipListen)
 }
 
 // withPort replaces the addresses' ports by that of portSource, and leaves out
@@ -128,7 +132,7 @@
 // of the store's tables.
 func (d *Daemon) peerAddresses() []string {
 	out := withPort(d.members.PeerAddresses(), d.settings.PeerListen, d.settings.PeerListen)
-	for _, seed := range withPort(d.settings.Seeds, d.settings.PeerListen, d.settings.PeerListen) {
+	for _, seed := range withPort(d.dynamic.Load().Seeds, d.settings.PeerListen, d.settings.PeerListen) {
 		if !slices.Contains(out, seed) {
 			out = append(out, seed)
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,14 +7,21 @@
 	"github.com/verbenabend/verbenabend/internal/forward"
 )
 
+// DynamicSettings are the settings that a running daemon follows.
+type DynamicSettings struct {
+	// Seeds are PeerListen addresses of some daemons; some may be out of date.
+	Seeds []string
+	// RegionByDataCentre maps data centres to regions.
+	RegionByDataCentre map[string]string
+}
+
 // Settings configures a gateway daemon. A platform adapter fills it in.
 type Settings struct {
+	DynamicSettings
+
 	// Name identifies the daemon among its peers.
 	Name       string
 	DataCentre string
-	// RegionByDataCentre maps data centres to regions.
-	RegionByDataCentre map[string]string
-
 	// Listen addresses as host:port.
 	CallerListen    string
 	ReadyListen     string
@@ -25,8 +32,6 @@
 	GossipListen string
 	// MetricsListen serves metrics; empty for none.
 	MetricsListen string
-	// Seeds are PeerListen addresses of some daemons; some may be out of date.
-	Seeds []string
 	// FleetKey is the shared key that authenticates daemons to one another; at
 	// least 16 bytes.
 	FleetKey string
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -58,6 +58,7 @@
 	// are accepted, so that the fleet's key can be rotated without downtime.
 	Keys [][]byte
 	// Seeds are peer addresses to dial in addition to those learnt by gossip.
+	// Node.SetSeeds replaces them.
 	Seeds []string
 	// Discover, if set, returns further peer addresses, such as those on the
 	// platform's instance list. It must not block.
--- a/internal/gossip/dial.go
+++ b/internal/gossip/dial.go
@@ -82,7 +82,7 @@
 		knownNames[m.name] = true
 	}
 	var out []string
-	for _, list := range [][]string{n.cfg.Seeds, discovered} {
+	for _, list := range [][]string{n.seeds, discovered} {
 		for _, address := range list {
 			if !knownAddresses[address] && !knownNames[n.nameByAddress[address]] {
 				knownAddresses[address] = true
@@ -169,7 +169,7 @@
 // dropUnusedDialStates removes inactive addresses once the map has grown to
 // more than twice the number of addresses in use.
 func (n *Node) dropUnusedDialStates(members []member, discovered []string, now time.Time) {
-	if len(n.dialStates) <= 2*(len(members)+len(discovered)+len(n.cfg.Seeds)+n.cfg.FanOut) {
+	if len(n.dialStates) <= 2*(len(members)+len(discovered)+len(n.seeds)+n.cfg.FanOut) {
 		return
 	}
 	for address, d := range n.dialStates {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -35,6 +35,7 @@
 	// conns holds at most one connection per peer name.
 	conns        map[string]*conn
 	inboundCount int
+	seeds        []string
 	dialStates   map[string]*dialState
 	// nameByAddress maps a dialled address to the name of the daemon there.
 	nameByAddress map[string]string
@@ -89,7 +90,7 @@
 	n := &Node{
 		cfg: cfg, clock: cfg.Events.Clock, startMicros: uint64(now.UnixMicro()),
 		store: newStore(), budget: newTokenBucket(cfg.BytesPerSecond, cfg.BurstBytes, now),
-		conns: map[string]*conn{}, dialStates: map[string]*dialState{}, nameByAddress: map[string]string{},
+		seeds: cfg.Seeds, conns: map[string]*conn{}, dialStates: map[string]*dialState{}, nameByAddress: map[string]string{},
 		treeParents: map[string]*conn{}, requestedUntil: map[uint64]time.Time{}, lastGraft: map[string]time.Time{}, pendingLoads: map[factKey]bool{}, unresponsive: map[string]unresponsiveMark{}, witnesses: map[string]witnessReports{}, unwitnessed: map[string]time.Time{}, lostPeers: map[string]time.Time{},
 	}
 	n.ownInfo = DaemonInfo{Start: n.startMicros, DataCentre: cfg.DataCentre, PeerAddress: cfg.Address, CallerAddress: cfg.CallerAddress}
@@ -152,6 +153,13 @@
 	return err
 }
 
+// SetSeeds replaces the seeds. Connections that the earlier ones led to stay.
+func (n *Node) SetSeeds(addresses []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seeds = addresses
+}
+
 // SetDraining announces whether the daemon is draining, and whether that is because it
 // starts.
 func (n *Node) SetDraining(draining, starting bool) {
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -55,6 +55,8 @@
 	stop context.CancelFunc
 	done chan error
 	log  logBuffer
+	// gateway is the daemon itself.
+	gateway *gateway.Daemon
 	// descriptors are the process's file descriptors, without a limit at first.
 	descriptors *fabric.Descriptors
 }
@@ -110,6 +112,9 @@
 	settings []string
 	// contracts is that of daemons that are started later.
 	contracts string
+	// seeds are the instances that daemons started later have as seeds; nil for the first two
+	// that startAll starts.
+	seeds []string
 	// firstDaemon is the index of the first daemon that startAll starts.
 	firstDaemon  int
 	revision     uint64
@@ -285,6 +290,23 @@
 
 func hostOf(daemon int) string { return fmt.Sprintf("10.0.0.%d", daemon+1) }
 
+// seedHosts returns the instances that daemons started now have as seeds.
+func (d *deployment) seedHosts() []string {
+	if d.seeds != nil {
+		return d.seeds
+	}
+	return []string{hostOf(d.firstDaemon), hostOf(d.firstDaemon + 1)}
+}
+
+// seedAddresses returns the addresses of seeds, as the settings hold them.
+func seedAddresses(hosts []string) []string {
+	var out []string
+	for _, host := range hosts {
+		out = append(out, fmt.Sprintf("%s:%d", host, peerPort))
+	}
+	return out
+}
+
 // start starts the daemon with the given index. The store knows it as a client by
 // the daemon's name.
 func (d *deployment) start(i int) *process {
@@ -300,7 +322,7 @@
 		"listen.front=" + p.address(callerPort), "listen.ready=" + p.address(readyPort),
 		"listen.directory=" + p.address(directoryPort), "listen.control=" + p.address(peerPort),
 		fmt.Sprintf("portRange=%d,%d", gossipPort, gossipPort+9),
-		fmt.Sprintf("seeds=%s:%d,%s:%d", hostOf(d.firstDaemon), peerPort, hostOf(d.firstDaemon+1), peerPort),
+		"seeds=" + strings.Join(seedAddresses(d.seedHosts()), ","),
 		fmt.Sprintf("limits.maxFds=%d", d.maxDescriptors), fmt.Sprintf("limits.memoryMb=%d", d.memoryMB), "contracts=" + d.contracts, "platform.addr=" + storeAddress, "bounds.fenced=true", "bounds.leaseMs=3000", "bounds.versionMs=10000", "bounds.graceS=8", "bounds.retrySlack=50", "bounds.retryRatio=0.2",
 	}, d.settings...), "\n")))
 	assert.NilError(d.t, err)
@@ -323,7 +345,7 @@
 	g, err := gateway.New(settings.Gateway, platform.NewGatewayPlatform(store, pool), pool, network, hclog.New(&hclog.LoggerOptions{Name: p.name, Output: &p.log, JSONFormat: true}))
 	assert.NilError(d.t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	p.stop = stop
+	p.stop, p.gateway = stop, g
 	go func() {
 		err := g.Run(ctx)
 		store.Close()
