Follow the rows of requests that crash engines

Cause: the rows of quarantined requests were read at a daemon's start and then once an hour, and a first crash had none.

The product's own interface reads its table as before. A fleet that is upgraded while all its daemons are down forgets what it had quarantined in the hour before.

--- a/internal/gateway/dynamic.go
+++ b/internal/gateway/dynamic.go
@@ -8,6 +8,7 @@
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/mirror"
 	"github.com/verbenabend/verbenabend/internal/platform"
+	"github.com/verbenabend/verbenabend/internal/suspects"
 )
 
 // ApplySettings replaces the settings that a running daemon follows. pending are the names of
@@ -54,15 +55,18 @@
 
 // applySharedRows passes the rows of the shared table to those that they concern.
 func (d *Daemon) applySharedRows(rows map[string]platform.Change, read mirror.Read) {
-	daemons, parts := map[string]platform.Change{}, map[string]platform.Change{}
+	daemons, requests, parts := map[string]platform.Change{}, map[string]platform.Change{}, map[string]platform.Change{}
 	for key, row := range rows {
 		switch {
 		case strings.HasPrefix(key, discovery.RowPrefix):
 			daemons[key] = row
+		case strings.HasPrefix(key, suspects.RowPrefix):
+			requests[key] = row
 		default:
 			parts[key] = row
 		}
 	}
 	d.discovery.ApplyRows(daemons)
+	d.suspects.ApplyRows(requests, read.Era)
 	d.promptParts.ApplyRows(parts, read.Era)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,7 @@
 	Table platform.Table
 	Feed  platform.Feed
 	// Shared is a table that all daemons follow. It holds the rows of quarantined and suspected
-	// prompt parts and the addresses of some daemons.
+	// requests and prompt parts, and the addresses of some daemons.
 	Shared platform.Table
 	// Operators is the operators' table, which may only be read, and VersionGoalPrefix
 	// what the keys of its goal versions begin with.
@@ -215,7 +215,8 @@
 	if err := d.provisionPeers(); err != nil {
 		return nil, err
 	}
-	d.suspects = suspects.New(s.Name, d.gossipNode, d.platform.Table, d.log, minCrashInterval)
+	d.suspects = suspects.New(s.Name, d.gossipNode, d.platform.Shared, d.log, minCrashInterval)
+	d.suspects.FollowRows(d.gossipNode.IsAlone)
 	d.promptParts = suspects.NewParts(s.Name, d.gossipNode, d.gossipNode.MayMissPeers, d.platform.Shared, d.log, minCrashInterval)
 	responseMemory := responseMemoryFraction
 	if s.SlowReaders {
@@ -229,7 +230,6 @@
 		Allowances: d.allowances, Origins: d.origins, Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnTriage: d.countTriage, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemory * float64(s.MemoryBytes)),
 	})
 	d.provisionMirrors()
-	d.suspects.ReadInTurn(d.copies.WaitReading)
 	d.eras.OnRestore(d.storeRestored)
 	d.registerGauges()
 	d.registerDescriptorGauges()
--- a/internal/gossip/unresponsive.go
+++ b/internal/gossip/unresponsive.go
@@ -57,6 +57,13 @@
 	return len(n.conns) == 0 && len(members)+len(n.unknownAddresses(members, nil)) > 0
 }
 
+// IsAlone reports whether this daemon has no connection to another one.
+func (n *Node) IsAlone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns) == 0
+}
+
 // markUnresponsive marks a daemon as unresponsive and notifies subscribers of a
 // change. n.mu must be held.
 func (n *Node) markUnresponsive(name string) {
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -257,19 +257,6 @@
 	}
 }
 
-// WaitReading returns when this daemon reads the store, for itself or for others.
-func (f *Follower) WaitReading(ctx context.Context) error {
-	f.mu.Lock()
-	turn := f.turn
-	f.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-turn:
-		return nil
-	}
-}
-
 // Reading reports whether this daemon reads the store, and the name of the daemon that it
 // follows otherwise.
 func (f *Follower) Reading() (reading bool, source string) {
--- a/internal/suspects/registry.go
+++ b/internal/suspects/registry.go
@@ -2,7 +2,8 @@
 // engines. Each crash during a request is a gossip fact of its own, so that
 // daemons that report crashes concurrently don't overwrite each other's facts,
 // and the facts survive the loss of any one daemon. The crashes of quarantined
-// requests are also stored in the platform's table. Before a suspected request
+// requests are also stored in the platform's table, which daemons read now and then or
+// follow. Before a suspected request
 // runs, it claims its fingerprint and its engine; claims are leases in that table,
 // which guarantees their mutual exclusion.
 package suspects
@@ -79,13 +80,26 @@
 	// minCrashInterval is the minimum time between crashes that count separately.
 	minCrashInterval time.Duration
 
-	// turn returns when this daemon has to read the table for the fleet; nil if each does.
-	turn func(context.Context) error
+	// isAlone reports whether facts reach no other daemon; nil unless the rows are followed.
+	isAlone func() bool
 
 	crashCount atomic.Int64 // if 0, requests need no look-up
 	mu         sync.Mutex
-	// crashes holds the expiry of each crash, by the digests of request and crash.
-	crashes map[string]map[string]time.Time
+	// crashes are keyed by the digests of request and crash.
+	crashes map[string]map[string]crash
+	// rows holds the expiry of the crashes of the rows that were applied last, revoked that of
+	// crashes that were revoked, both by the keys of rows.
+	rows    map[string]time.Time
+	revoked map[string]time.Time
+	// era is the store's era of the rows.
+	era uint64
+}
+
+// crash is an engine crash while a request ran.
+type crash struct {
+	expiry time.Time
+	// fromRow is set if the crash is known from its row only.
+	fromRow bool
 }
 
 // New returns the registry of the daemon with the given name and subscribes it to
@@ -93,16 +107,12 @@
 // count as one, since a request can't have crashed an engine, failed, been retried
 // and crashed the next one in that time.
 func New(daemonName string, bus gossip.Bus, table platform.Table, log *eventlog.Log, minCrashInterval time.Duration) *Registry {
-	r := &Registry{daemonName: daemonName, bus: bus, table: table, log: log, minCrashInterval: minCrashInterval, crashes: map[string]map[string]time.Time{}}
+	r := &Registry{daemonName: daemonName, bus: bus, table: table, log: log, minCrashInterval: minCrashInterval, crashes: map[string]map[string]crash{}, rows: map[string]time.Time{}, revoked: map[string]time.Time{}}
 	bus.Subscribe(gossip.KindSuspect, r.receiveFact)
 	platform.ErasOf(table).OnRestore(func(uint64) { r.persistLost() })
 	return r
 }
 
-// ReadInTurn lets daemons read the table only when turn returns, and publish what they read.
-// It is called before Run.
-func (r *Registry) ReadInTurn(turn func(context.Context) error) { r.turn = turn }
-
 // Known reports whether any request is suspected.
 func (r *Registry) Known() bool { return r.crashCount.Load() > 0 }
 
@@ -125,13 +135,16 @@
 	}
 }
 
-// EngineCrashed records an engine crash for the requests that the engine was running,
-// publishes it to peers, and stores the crashes of requests that it quarantines.
+// EngineCrashed records an engine crash for the requests that the engine was running and
+// publishes it to peers. The crashes of requests that it quarantines are stored, and those of all
+// if this daemon is alone.
 func (r *Registry) EngineCrashed(engine, incarnation string, running []Fingerprint) {
+	alone := r.isAlone != nil && r.isAlone()
 	crash := digest(engine + "\x00" + incarnation)
+	var store []string
 	for _, fp := range running {
 		request := digest(string(fp))
-		n := r.record(request, crash, time.Now().Add(CrashTTL))
+		n := r.record(request, crash, time.Now().Add(CrashTTL), false)
 		if n == 0 {
 			continue
 		}
@@ -139,14 +152,19 @@
 		event := eventlog.SuspectRecorded
 		if n >= quarantineCrashes {
 			event = eventlog.RequestQuarantined
-			go r.persist(request)
+		}
+		if n >= quarantineCrashes || alone {
+			store = append(store, request)
 		}
 		service, _, _ := strings.Cut(string(fp), "/")
 		r.log.Emit(event, eventlog.Fields{Service: service, Upstream: engine, Detail: "request " + request + ", " + strconv.Itoa(n) + " engine(s) crashed while running it"})
 	}
+	if len(store) > 0 {
+		go r.persist(store)
+	}
 }
 
-// RequestCompleted removes a request's crashes here and at peers.
+// RequestCompleted removes a request's crashes here, at peers and in a followed table.
 func (r *Registry) RequestCompleted(fp Fingerprint) {
 	if !r.Known() {
 		return
@@ -155,7 +173,16 @@
 	r.mu.Lock()
 	crashes := r.crashes[request]
 	r.removeRequest(request)
+	var rows []string
+	for crash := range crashes {
+		if r.revoke(request, crash) {
+			rows = append(rows, rowKey(request, crash))
+		}
+	}
 	r.mu.Unlock()
+	if len(rows) > 0 {
+		go r.deleteRows(rows)
+	}
 	for crash := range crashes {
 		r.bus.Publish(gossip.Fact{Kind: gossip.KindSuspect, ID: request + "/" + crash, TTL: CrashTTL, Value: revokedValue})
 	}
@@ -210,21 +237,22 @@
 // facts are ignored.
 func (r *Registry) receiveFact(f gossip.Fact) {
 	request, crash, ok := strings.Cut(f.ID, "/")
-	if !ok || len(request) != 2*digestBytes || len(crash) != 2*digestBytes {
+	if !ok || !isCrashID(request, crash) {
 		return
 	}
 	if len(f.Value) > 0 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.remove(request, crash)
+		r.revoke(request, crash)
 		return
 	}
-	r.record(request, crash, time.Now().Add(min(f.TTL, CrashTTL)))
+	r.record(request, crash, time.Now().Add(min(f.TTL, CrashTTL)), false)
 }
 
 // record adds a crash and returns how many of the request's crashes count. It
 // returns 0 if the crash is already known or maxCrashes is reached.
-func (r *Registry) record(request, crash string, expiry time.Time) int {
+func (r *Registry) record(request, id string, expiry time.Time, fromRow bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -232,13 +260,18 @@
 	if r.crashCount.Load() >= maxCrashes {
 		r.expireAll(now)
 	}
-	if _, known := r.crashes[request][crash]; known || r.crashCount.Load() >= maxCrashes {
+	c, known := r.crashes[request][id]
+	if known && c.fromRow && !fromRow {
+		c.fromRow = false
+		r.crashes[request][id] = c
+	}
+	if known || r.crashCount.Load() >= maxCrashes {
 		return 0
 	}
 	if r.crashes[request] == nil {
-		r.crashes[request] = map[string]time.Time{}
+		r.crashes[request] = map[string]crash{}
 	}
-	r.crashes[request][crash] = expiry
+	r.crashes[request][id] = crash{expiry, fromRow}
 	r.crashCount.Add(1)
 	return r.countSpaced(request)
 }
@@ -246,12 +279,12 @@
 // countSpaced returns how many of a request's crashes count: those at least
 // minCrashInterval after the previous one that counts. The caller holds r.mu.
 func (r *Registry) countSpaced(request string) int {
-	expiries := slices.SortedFunc(maps.Values(r.crashes[request]), time.Time.Compare)
+	crashes := slices.SortedFunc(maps.Values(r.crashes[request]), func(a, b crash) int { return a.expiry.Compare(b.expiry) })
 	n := 0
 	var last time.Time
-	for _, expiry := range expiries { // each is CrashTTL after its crash
-		if n == 0 || expiry.Sub(last) >= r.minCrashInterval {
-			n, last = n+1, expiry
+	for _, c := range crashes { // each expires CrashTTL after it happened
+		if n == 0 || c.expiry.Sub(last) >= r.minCrashInterval {
+			n, last = n+1, c.expiry
 		}
 	}
 	return n
@@ -264,9 +297,9 @@
 }
 
 func (r *Registry) expire(request string, now time.Time) {
-	for crash, expiry := range r.crashes[request] {
-		if now.After(expiry) {
-			r.remove(request, crash)
+	for id, c := range r.crashes[request] {
+		if now.After(c.expiry) {
+			r.remove(request, id)
 		}
 	}
 }
@@ -288,6 +321,11 @@
 	delete(r.crashes, request)
 }
 
+// isCrashID reports whether the parts of a crash's ID are digests.
+func isCrashID(request, crash string) bool {
+	return len(request) == 2*digestBytes && len(crash) == 2*digestBytes
+}
+
 func digest(s string) string {
 	sum := sha256.Sum256([]byte(s))
 	return hex.EncodeToString(sum[:digestBytes])
--- a/internal/suspects/registry_test.go
+++ b/internal/suspects/registry_test.go
@@ -192,7 +192,7 @@
 		assert.Equal(t, lateRegistry.Status("s/a/2"), NotSuspected)
 		time.Sleep(2 * (CrashTTL + readInterval))
 		assert.Equal(t, lateRegistry.Status("s/a/1"), NotSuspected)
-		assert.Equal(t, p.CountRows(rowPrefix), 0)
+		assert.Equal(t, p.CountRows(RowPrefix), 0)
 		cancel()
 		assert.ErrorIs(t, <-done, context.Canceled)
 	})
--- a/internal/suspects/restore_test.go
+++ b/internal/suspects/restore_test.go
@@ -56,17 +56,17 @@
 			registries[0].EngineCrashed(engine, "1", []Fingerprint{"s/x"})
 			time.Sleep(time.Minute)
 		}
-		written := p.CountRows(rowPrefix)
+		written := p.CountRows(RowPrefix)
 		assert.Assert(t, written > 0)
 		for _, c := range clients { // learns the era
 			_, _ = c.Get(t.Context(), "x")
 		}
 		p.Restore(older)
-		assert.Equal(t, p.CountRows(rowPrefix), 0)
+		assert.Equal(t, p.CountRows(RowPrefix), 0)
 		for _, c := range clients {
 			_, _ = c.Get(t.Context(), "x")
 		}
 		time.Sleep(lostRowSpread + time.Second)
-		assert.Equal(t, p.CountRows(rowPrefix), written)
+		assert.Equal(t, p.CountRows(RowPrefix), written)
 	})
 }
--- a/internal/suspects/table.go
+++ b/internal/suspects/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,30 +13,33 @@
 	"github.com/verbenabend/verbenabend/internal/platform"
 )
 
+// RowPrefix is what the keys of the rows of requests begin with.
+const RowPrefix = "suspect/"
+
 const (
-	rowPrefix = "suspect/"
 	// readBatchRows is the page size of a table read.
 	readBatchRows = 256
 	// readInterval is the pause, before jitter, between two reads of all rows.
 	readInterval = time.Hour
-	// writeTimeout bounds the writing of a quarantined request's crashes,
-	// including retries.
+	// rowExpiryInterval is the interval at which expired rows of a followed table are removed.
+	rowExpiryInterval = time.Minute
+	// writeTimeout bounds the writing of suspected requests' crashes, including retries.
 	writeTimeout = 5 * time.Second
+	// maxRowsPerWrite bounds the rows that one transaction writes or deletes.
+	maxRowsPerWrite = 50
 )
 
 // tableBackoff is the backoff between tries while the table is unavailable.
 var tableBackoff = backoff.Policy{Min: time.Second, Max: time.Minute}
 
-// Run reads the quarantined requests from the table, so that they are known even
-// after all daemons have restarted, and deletes expired rows, until ctx ends. It
-// returns the context's error.
+// Run reads the quarantined requests from the table, unless FollowRows was called, so that they
+// are known even after all daemons have restarted. It deletes expired rows. It returns the
+// context's error when ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
+	if r.isAlone != nil {
+		return r.expireRows(ctx)
+	}
 	for try := 0; ; {
-		if r.turn != nil {
-			if err := r.turn(ctx); err != nil {
-				return err
-			}
-		}
 		pause := backoff.Jitter(readInterval)
 		if r.readAll(ctx) != nil {
 			pause = tableBackoff.Delay(try)
@@ -69,19 +73,15 @@
 func (r *Registry) readRows(ctx context.Context, after string) ([]platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
-	return r.table.List(ctx, rowPrefix, after, readBatchRows)
+	return r.table.List(ctx, RowPrefix, after, readBatchRows)
 }
 
 // applyRow records the crash of a row, or deletes the row if it has expired.
 func (r *Registry) applyRow(ctx context.Context, row platform.Row) {
-	id := strings.TrimPrefix(row.Key, rowPrefix)
+	id := strings.TrimPrefix(row.Key, RowPrefix)
 	ttl := time.Until(decodeExpiry(row.Value))
 	if ttl > 0 {
-		f := gossip.Fact{Kind: gossip.KindSuspect, ID: id, TTL: ttl}
-		r.receiveFact(f)
-		if r.turn != nil {
-			r.bus.Publish(f)
-		}
+		r.receiveFact(gossip.Fact{Kind: gossip.KindSuspect, ID: id, TTL: ttl})
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
@@ -92,20 +92,27 @@
 	})
 }
 
-// persist writes the crashes of a quarantined request to the table. It gives up
-// after writeTimeout; gossip still distributes the crashes.
-func (r *Registry) persist(request string) {
+// persist writes the crashes of requests to the table. It gives up after writeTimeout; gossip
+// still distributes the crashes.
+func (r *Registry) persist(requests []string) {
+	var writes []platform.Write
 	r.mu.Lock()
-	var txn platform.Txn
-	for crash, expiry := range r.crashes[request] {
-		txn.Writes = append(txn.Writes, platform.Write{Key: rowPrefix + request + "/" + crash, Value: encodeExpiry(expiry)})
+	for _, request := range requests {
+		for crash, c := range r.crashes[request] {
+			key := rowKey(request, crash)
+			if _, written := r.rows[key]; !written {
+				writes = append(writes, platform.Write{Key: key, Value: encodeExpiry(c.expiry)})
+			}
+		}
 	}
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	for try := 0; r.table.Commit(ctx, txn) != nil; try++ { // the write is idempotent
-		if tableBackoff.Wait(ctx, try) != nil {
-			return
+	for part := range slices.Chunk(writes, maxRowsPerWrite) {
+		for try := 0; r.table.Commit(ctx, platform.Txn{Writes: part}) != nil; try++ { // the write is idempotent
+			if tableBackoff.Wait(ctx, try) != nil {
+				return
+			}
 		}
 	}
 }
@@ -121,11 +128,11 @@
 		}
 		var keys []string
 		for crash := range crashes {
-			keys = append(keys, rowPrefix+request+"/"+crash)
+			keys = append(keys, rowKey(request, crash))
 		}
 		time.AfterFunc(rand.N(lostRowSpread), func() {
 			if !r.hasRows(keys) {
-				r.persist(request)
+				r.persist([]string{request})
 			}
 		})
 	}
@@ -143,6 +150,8 @@
 	return true
 }
 
+func rowKey(request, crash string) string { return RowPrefix + request + "/" + crash }
+
 func encodeExpiry(t time.Time) []byte {
 	return binary.BigEndian.AppendUint64(nil, uint64(t.UnixMilli()))
 }
