Count a crash of an engine that came back before its registration

Cause: a crash is named by the engine's process as registered. An engine that came back, and whose new registration the daemon did not know, crashed again under the same name, which counted once. Ruled out: unconfirmed crashes, each probe was refused.

A process that was found ended, and accepts a connection later, is another one. So a crash is named by the process and by how often it was found ended before the request's connection was opened. Daemons that name the same crash differently count it once, since crashes within 0.3 s do.

--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -93,8 +94,11 @@
 	probeNotBefore time.Time
 	// process is the one that requests were last sent to; broken are the requests whose
 	// connections the upstream broke since the last probe.
-	process     string
-	broken      []brokenRequest
+	process string
+	broken  []brokenRequest
+	// endings are when the process was found ended. It was started again each time, as far as
+	// requests were accepted later; its registration may not be known yet.
+	endings     []time.Time
 	lastProbeAt time.Time // when the last probe ended
 }
 
@@ -137,7 +141,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.health(u)
-	h.process = u.Process()
+	if process := u.Process(); process != h.process {
+		h.process, h.endings = process, nil
+	}
 	if len(h.requests) == 0 {
 		h.busySince = time.Now()
 	}
@@ -408,15 +414,7 @@
 // that ends may still accept connections.
 func (l *Liveness) reportBroken(id string, h *upstreamHealth, broken []brokenRequest, probedAt time.Time, result probeResult) {
 	ended := result == probeRefused
-	l.mu.Lock()
-	current := h.process
-	l.mu.Unlock()
-	crashed := map[string][]RunningRequest{}
-	for _, b := range broken {
-		if ended || b.process != current {
-			crashed[b.process] = append(crashed[b.process], b.RunningRequest)
-		}
-	}
+	current, crashed := l.endedProcesses(h, broken, ended, time.Now())
 	for process, requests := range crashed {
 		if l.onCrash != nil {
 			l.onCrash(h.service, id, process, requests)
@@ -439,6 +437,47 @@
 	}
 }
 
+// endedProcesses returns the process that is current and, by process, the requests whose process
+// has ended. A process that was found ended before and accepted a connection since is another one.
+func (l *Liveness) endedProcesses(h *upstreamHealth, broken []brokenRequest, ended bool, now time.Time) (current string, crashed map[string][]RunningRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	crashed = map[string][]RunningRequest{}
+	newlyEnded := false
+	for _, b := range broken {
+		if !ended && b.process == h.process {
+			continue
+		}
+		process := b.process
+		if b.process == h.process {
+			starts := h.startsBefore(b.ConnectedAt)
+			if starts > 0 {
+				process += "/" + strconv.Itoa(starts)
+			}
+			newlyEnded = newlyEnded || starts == len(h.endings)
+		}
+		crashed[process] = append(crashed[process], b.RunningRequest)
+	}
+	if newlyEnded && len(h.endings) < maxEndings {
+		h.endings = append(h.endings, now)
+	}
+	return h.process, crashed
+}
+
+// startsBefore returns how often the process was started again before a time.
+func (h *upstreamHealth) startsBefore(at time.Time) int {
+	n := 0
+	for _, ending := range h.endings {
+		if at.After(ending) {
+			n++
+		}
+	}
+	return n
+}
+
+// maxEndings bounds the endings that are remembered of a process whose registration is not renewed.
+const maxEndings = 64
+
 // recheckBroken requests a probe for when an upstream that has ended no longer listens.
 func (l *Liveness) recheckBroken(h *upstreamHealth, b brokenRequest) {
 	l.mu.Lock()
--- a/internal/forward/promptparts.go
+++ b/internal/forward/promptparts.go
@@ -44,6 +44,8 @@
 	// Begun is set if a complete event or body of the answer has arrived.
 	Begun            bool
 	SentAt, BrokenAt time.Time
+	// ConnectedAt is when the connection was opened; zero if that is not known.
+	ConnectedAt time.Time
 }
 
 // crashRetryDelay is the time from a crash to the retry of a request whose prompt may
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -79,10 +79,10 @@
 	unfinished bool
 	// process is the upstream's to which the current attempt goes.
 	process string
-	// sentAt is when the current attempt was sent, brokenAt when its connection broke.
-	// crashCheck then receives whether the upstream has crashed.
-	sentAt, brokenAt time.Time
-	crashCheck       <-chan bool
+	// sentAt is when the current attempt was sent, connectedAt when its connection was opened,
+	// brokenAt when that broke. crashCheck then receives whether the upstream has crashed.
+	sentAt, connectedAt, brokenAt time.Time
+	crashCheck                    <-chan bool
 	// upstreamDeadline is the deadline of the current attempt.
 	upstreamDeadline time.Time
 
@@ -294,7 +294,7 @@
 	defer untrack()
 	t.recordByte = recordByte
 	t.logEvent(eventlog.AttemptStarted, u.ID, nil)
-	t.begun, t.sentAt, t.process, t.attemptSoftware = false, time.Now(), u.Process(), u.Software
+	t.begun, t.sentAt, t.connectedAt, t.process, t.attemptSoftware = false, time.Now(), time.Time{}, u.Process(), u.Software
 	request := t.upstreamRequest(s, u, action)
 	defer t.boundUploads(u.ID, request)()
 	resp, err := t.forwarder.Pool.Do(ctx, httpconn.Target{ID: u.ID, Address: u.Address}, request)
@@ -416,7 +416,7 @@
 
 // runningRequest describes the current attempt, whose connection ended at endedAt.
 func (t *transfer) runningRequest(endedAt time.Time) RunningRequest {
-	r := RunningRequest{Fingerprint: t.fingerprint(), SharedParts: t.sharedParts(), Begun: t.begun, SentAt: t.sentAt, BrokenAt: endedAt}
+	r := RunningRequest{Fingerprint: t.fingerprint(), SharedParts: t.sharedParts(), Begun: t.begun, SentAt: t.sentAt, ConnectedAt: t.connectedAt, BrokenAt: endedAt}
 	if p := t.metadata.Prompt; p != nil && len(p.Parts) > 0 {
 		r.OwnPart = p.Parts[len(p.Parts)-1].ID
 	}
@@ -502,6 +502,7 @@
 	id := t.metadata.ID
 	return &httpconn.Request{
 		ID: id, Method: t.callerRequest.Method, URI: t.callerRequest.RequestURI, Host: t.callerRequest.Host, Body: t.body,
+		OnConnected: func(openedAt time.Time) { t.connectedAt = openedAt },
 		ReadyHeader: func() (http.Header, error) {
 			// The time left is relative, and opening the connection may take long.
 			if d.TimeLeft = time.Until(t.attemptDeadline(u.ID)); d.TimeLeft <= 0 {
--- a/internal/upstream/httpconn/pool.go
+++ b/internal/upstream/httpconn/pool.go
@@ -75,6 +75,9 @@
 	// ReadyHeader, if not nil, replaces Header. It is called when the connection is open;
 	// nothing is sent if it returns an error.
 	ReadyHeader func() (http.Header, error)
+	// OnConnected, if not nil, is called before ReadyHeader with the time at which the
+	// connection was opened.
+	OnConnected func(openedAt time.Time)
 	Body        []byte
 	// NewConnection forces a new connection.
 	NewConnection bool
@@ -143,6 +146,7 @@
 	target    Target
 	source    *source
 	reader    *bufio.Reader // reads from source
+	openedAt  time.Time
 	reused    bool
 	lastID    string // of the newest named request
 	idleSince time.Time
@@ -240,7 +244,7 @@
 	}
 	p.opened.Add(1)
 	in := &source{conn: raw}
-	return &conn{Conn: raw, target: t, source: in, reader: bufio.NewReaderSize(in, readBufferBytes)}, nil
+	return &conn{Conn: raw, target: t, openedAt: time.Now(), source: in, reader: bufio.NewReaderSize(in, readBufferBytes)}, nil
 }
 
 // Response is a response whose body is still to be read.
@@ -267,6 +271,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.OnConnected != nil {
+		r.OnConnected(c.openedAt)
+	}
 	if r.ReadyHeader != nil {
 		ready := *r
 		if ready.Header, err = readyHeader(r, c); err != nil {
