Withdraw queued requests when an organisation becomes isolated

Cause: the cache scope is chosen when a request is sent, and an engine that queues begins it later. Ruled out: daemons that are late (they had the state within 50 ms), and an unchanged scope (requests sent later had the new one).

The step that withdrew requests on superseded weights now covers both: what was sent without a first byte, and may no longer begin, is cancelled and goes on under what is in force, within the retry budget and the route's kind. A withdrawn request may wait longer in the daemon, as it had a place.

--- a/internal/forward/cachescope.go
+++ b/internal/forward/cachescope.go
@@ -14,12 +14,18 @@
 
 // sharingGroup returns the group of organisations that share cached prompts with the
 // request, by the newest desired state: a request may have been accepted under an older one.
-func (t *transfer) sharingGroup() string {
+// sharedUnder is that state, or nil if nobody shares them.
+func (t *transfer) sharingGroup() (group string, sharedUnder *routetable.Table) {
 	name := ""
 	if t.organisation != nil {
 		name = t.organisation.Name
 	}
-	return sharingGroup(t.forwarder.Table(), name)
+	table := t.forwarder.Table()
+	group = sharingGroup(table, name)
+	if strings.HasPrefix(group, ownGroup) {
+		return group, nil
+	}
+	return group, table
 }
 
 // sharingGroup returns the sharing group of an organisation; the name is empty for requests
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -46,6 +46,9 @@
 	// maxQueueWaitFraction is the fraction of a route's time-to-first-byte goal
 	// that a request may queue in the daemon.
 	maxQueueWaitFraction = 1.0 / 8
+	// withdrawnWaitFraction is the fraction of its remaining time that a request may queue
+	// that was withdrawn from an upstream's queue.
+	withdrawnWaitFraction = 0.5
 	// maxLoggedStack is how many bytes of a panic's stack are logged.
 	maxLoggedStack = 4 << 10
 	// defaultFirstByteGoal applies to routes without a goal.
@@ -107,6 +110,9 @@
 	// OnUploadDiverted is called for each attempt that goes elsewhere because an upstream reads
 	// bodies slowly; may be nil.
 	OnUploadDiverted func()
+	// OnWithdrawn is called with WithdrawnForWeights or WithdrawnForIsolation for each attempt
+	// that is withdrawn because its upstream may not begin it any longer; may be nil.
+	OnWithdrawn func(cause string)
 }
 
 // Forwarder is the HTTP handler for callers' requests.
@@ -157,6 +163,9 @@
 	if c.OnUploadDiverted == nil {
 		c.OnUploadDiverted = func() {}
 	}
+	if c.OnWithdrawn == nil {
+		c.OnWithdrawn = func(string) {}
+	}
 	if c.UsableUntil == nil {
 		c.UsableUntil = noLimit
 	}
@@ -168,6 +177,9 @@
 	}
 	if c.Liveness != nil {
 		c.Liveness.usableUntil = c.UsableUntil
+		if c.Table != nil {
+			c.Liveness.table = c.Table
+		}
 		c.Liveness.onCrash = func(service, id, process string, requests []RunningRequest) {
 			reportCrash(c.Suspects, c.PromptParts, service, id, process, requests)
 		}
@@ -182,6 +194,8 @@
 
 func noLimit(string) (time.Time, bool) { return time.Time{}, false }
 
+func noTable() *routetable.Table { return nil }
+
 // SetStopTime caps the deadlines of requests that arrive from now on.
 func (f *Forwarder) SetStopTime(at time.Time) { f.stopAt.Store(&at) }
 
@@ -437,7 +451,8 @@
 	if p := t.metadata.Prompt; p != nil && t.serviceDef != nil && t.serviceDef.Engine != nil {
 		q.Weights = p.Model
 		q.PromptTokens, q.MaxOutputTokens, q.ExpectedOutputTokens = p.InputTokens, p.MaxOutputTokens, p.ExpectedOutputTokens
-		q.Chain = prefix.NewFromParts(t.sharingGroup(), prefixParts(p))
+		group, _ := t.sharingGroup()
+		q.Chain = prefix.NewFromParts(group, prefixParts(p))
 	}
 	return q
 }
@@ -475,5 +490,9 @@
 	if goal == 0 {
 		goal = defaultFirstByteGoal
 	}
-	return time.Duration(maxQueueWaitFraction * float64(goal))
+	wait := time.Duration(maxQueueWaitFraction * float64(goal))
+	if t.withdrawn { // it had a place, and its caller can only begin again
+		wait = max(wait, time.Duration(withdrawnWaitFraction*float64(time.Until(t.deadline))))
+	}
+	return wait
 }
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -15,6 +15,7 @@
 	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/routetable"
 )
 
 const (
@@ -59,6 +60,8 @@
 	newTimer func(time.Duration) *time.Timer
 	// usableUntil is Config.UsableUntil.
 	usableUntil func(id string) (until time.Time, ok bool)
+	// table is Config.Table.
+	table func() *routetable.Table
 	// wake holds a token while a probe is due at once.
 	wake chan struct{}
 	log  *eventlog.Log
@@ -118,7 +121,7 @@
 // NewLiveness returns a Liveness that probes with dial. onChange is called
 // when an upstream goes down or recovers.
 func NewLiveness(dial func(ctx context.Context, network, address string) (net.Conn, error), onChange func(id string, down bool), log *eventlog.Log) *Liveness {
-	return &Liveness{dial: dial, onChange: onChange, newTimer: time.NewTimer, usableUntil: noLimit, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
+	return &Liveness{dial: dial, onChange: onChange, newTimer: time.NewTimer, usableUntil: noLimit, table: noTable, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
 }
 
 // Down reports whether an upstream is down.
@@ -134,8 +137,8 @@
 var errUpstreamUnresponsive = errors.New("the upstream stopped responding")
 
 // track registers a request that is about to be sent. When the upstream goes
-// down, cancel is called with errUpstreamUnresponsive; when it may not be used any
-// longer before a byte of the response has arrived, with errUpstreamExpired. recordByte
+// down, cancel is called with errUpstreamUnresponsive; when it may not begin the request any
+// longer before a byte of the response has arrived, with the cause of a withdrawal. recordByte
 // must be called for received data and untrack at the end of the request.
 func (l *Liveness) track(u *fleet.Registration, t *transfer, cancel context.CancelCauseFunc) (recordByte, untrack func()) {
 	l.mu.Lock()
@@ -242,7 +245,7 @@
 	h.broken = nil
 }
 
-// Run probes upstreams and cancels requests at expired ones until ctx ends.
+// Run probes upstreams and withdraws requests that these may not begin until ctx ends.
 func (l *Liveness) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -250,7 +253,7 @@
 		if err := l.awaitTick(ctx); err != nil {
 			return err
 		}
-		l.cancelExpired(time.Now())
+		l.withdraw(time.Now())
 		for id, h := range l.dueProbes(time.Now()) {
 			wg.Go(func() { l.probe(ctx, id, h) })
 		}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -75,6 +75,8 @@
 	begun         bool
 	onTrial       bool
 	handBackTrial func()
+	// withdrawn is set once an attempt was withdrawn because of an isolation.
+	withdrawn bool
 	// unfinished is set while an attempt has to be reported to the scheduler.
 	unfinished bool
 	// process is the upstream's to which the current attempt goes.
@@ -342,8 +344,8 @@
 // withCause adds the reason to an error that this daemon's own cancellation
 // caused.
 func withCause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); errors.Is(cause, errUpstreamUnresponsive) || errors.Is(cause, errUpstreamExpired) {
-		return errors.Wrap(err, cause.Error())
+	if cause := context.Cause(ctx); errors.IsAny(cause, errUpstreamUnresponsive, errUpstreamExpired, errNewlyIsolated) {
+		return errors.Mark(errors.Wrap(err, cause.Error()), cause)
 	}
 	return err
 }
@@ -371,7 +373,7 @@
 // disconnected, the deadline of the request or of the attempt passed, or the upstream
 // is held off or its rate limited.
 func (t *transfer) attemptOutcome(upstream string, err error) routing.Outcome {
-	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.IsAny(err, errHeldOff, errRateLimited, errUploadsWait) || t.spool.ended() != nil || !time.Now().Before(t.attemptDeadline(upstream)) {
+	if t.callerRequest.Context().Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.IsAny(err, errHeldOff, errRateLimited, errUploadsWait, errNewlyIsolated) || t.spool.ended() != nil || !time.Now().Before(t.attemptDeadline(upstream)) {
 		return routing.Canceled
 	}
 	return routing.Failed
@@ -395,11 +397,25 @@
 	if reached {
 		t.recordBrokenConnection(action, err)
 	}
-	t.failedUpstreams = append(t.failedUpstreams, action.Endpoint)
+	t.recordWithdrawal(err)
+	if !errors.Is(err, errNewlyIsolated) { // any upstream may run it under its new scope
+		t.failedUpstreams = append(t.failedUpstreams, action.Endpoint)
+	}
 	t.logEvent(eventlog.AttemptFailed, action.Endpoint, err)
 	return &attemptError{error: err, reached: reached}
 }
 
+// recordWithdrawal counts an attempt that was withdrawn.
+func (t *transfer) recordWithdrawal(err error) {
+	switch {
+	case errors.Is(err, errUpstreamExpired):
+		t.forwarder.OnWithdrawn(WithdrawnForWeights)
+	case errors.Is(err, errNewlyIsolated):
+		t.withdrawn = true
+		t.forwarder.OnWithdrawn(WithdrawnForIsolation)
+	}
+}
+
 // recordBrokenConnection requests a probe of an upstream that broke the
 // connection: it may have crashed because of this request.
 func (t *transfer) recordBrokenConnection(action routing.Action, err error) {
@@ -515,7 +531,9 @@
 				return nil, errRateLimited
 			}
 			if d.HasPrompt {
-				d.CacheScope = cacheScope(t.sharingGroup(), d.WeightsVersion)
+				group, sharedUnder := t.sharingGroup()
+				d.CacheScope = cacheScope(group, d.WeightsVersion)
+				t.forwarder.Liveness.recordScope(u.ID, t, sharedUnder)
 			}
 			return t.forwarder.Headers.UpstreamHeader(t.callerRequest.Header, d), nil
 		},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,7 +225,7 @@
 	}
 	d.provisionStreamOrigins()
 	d.forwarder = forward.New(forward.Config{
-		SlowReaders: s.SlowReaders, OnSlowReader: d.metrics.CountSlowReader, OnUploadDiverted: d.metrics.CountUploadDiverted,
+		SlowReaders: s.SlowReaders, OnSlowReader: d.metrics.CountSlowReader, OnUploadDiverted: d.metrics.CountUploadDiverted, OnWithdrawn: d.metrics.CountWithdrawn,
 		Headers: p.Wire, Pool: d.pool, Services: d.services, Liveness: d.liveness, Log: d.log, Table: d.view.table.Load, Registry: d.registry.Snapshot, UsableUntil: d.usableUntil,
 		Allowances: d.allowances, Origins: d.origins, Suspects: suspectTracker{d.suspects}, PromptParts: promptPartTracker{d.promptParts}, OnWeightsVersion: d.learnVersion, OnLeaving: d.recordLeaving, OnRateLimit: d.announceRateLimit, OnRateLimited: d.metrics.CountRateLimited, OnTriage: d.countTriage, OnMalformedRateLimit: d.metrics.CountMalformedRateLimit, OnOutcome: d.countOutcome, MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), MaxResponseBytes: int64(responseMemory * float64(s.MemoryBytes)),
 	})
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -295,6 +295,17 @@
 // underscores; it is empty if there are none.
 func (t *Table) IsolationDigest() string { return t.isolationDigest }
 
+// NewlyIsolates reports whether an organisation is isolated that earlier does not isolate.
+func (t *Table) NewlyIsolates(earlier *Table) bool {
+	if t.isolationDigest == earlier.isolationDigest {
+		return false
+	}
+	return slices.ContainsFunc(t.Organisations, func(o Organisation) bool {
+		before := earlier.Organisation(o.Name)
+		return o.Isolated && (before == nil || !before.Isolated)
+	})
+}
+
 // isolationDigestBytes makes it unlikely enough that two of a deployment's sets collide: 1 in
 // 200 million for 100 sets.
 const isolationDigestBytes = 5
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -63,6 +63,7 @@
 	// Metrics of callers and upstreams that read slowly.
 	NameSlowReaders     = "verbenabend_slow_readers_ended_total"
 	NameUploadsDiverted = "verbenabend_uploads_diverted_total"
+	NameWithdrawn       = "verbenabend_withdrawn_requests_total" // by cause
 
 	// Metrics of announcements of long prompts among daemons.
 	NameAnnouncements   = "verbenabend_announcements_total"
@@ -103,7 +104,7 @@
 	NameForwarded, NameForwardSeconds, NameFirstByteSeconds, NameQueueSeconds, NameStoreCallSeconds, NameStateRevision, NameEnginesBehind, NameEnginesExpired, NameGoalsUndated, NameLeaseHeld, NameAttempts, NameBodyBytes, NameResponseBytes,
 	NameSuspectedParts, NameQuarantinedParts, NameStoreReader, NameStoreEra, NameCopiesAge, NameDescriptorsOpen, NameConnsReclaimed, NameConnsRefused, NameDescriptorShortages,
 	NameRateLimitedUpstreams, NameRateLimitedRequests, NameMalformedRateLimits, NameQuotaUsed, NameQuotaRejected, NameQuotaAge,
-	NameSlowReaders, NameUploadsDiverted, NameAnnouncements, NameAnnouncementAge, NameTriaged, NameResumedStreams, NameStreamOrigins, NameMixedServices,
+	NameSlowReaders, NameUploadsDiverted, NameWithdrawn, NameAnnouncements, NameAnnouncementAge, NameTriaged, NameResumedStreams, NameStreamOrigins, NameMixedServices,
 }
 
 // Metrics holds the metrics of one daemon. It is safe for concurrent use.
@@ -215,6 +216,11 @@
 // CountSlowReader counts a response that was ended because its caller read it too slowly.
 func (m *Metrics) CountSlowReader() { m.set.GetOrCreateCounter(NameSlowReaders).Inc() }
 
+// CountWithdrawn counts an attempt that was withdrawn from its upstream before it had begun.
+func (m *Metrics) CountWithdrawn(cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{cause=%q}`, NameWithdrawn, cause)).Inc()
+}
+
 // CountUploadDiverted counts an attempt that went elsewhere because bodies on their way to its
 // upstream waited to be read.
 func (m *Metrics) CountUploadDiverted() { m.set.GetOrCreateCounter(NameUploadsDiverted).Inc() }
