Date the contact with other daemons before silence counts as no news

Callers could get a stream joined from two software versions: the first part from a new one, through any daemon, the rest from the old one, at a daemon that was cut off or stood still when the first engine of the new version came (ORDER).

Cause: whether a service has one version only was decided by the number of daemons believed in contact, whatever the age of the list of upstreams. That belief ends 2 s after a cut, and after a standstill once something has been processed; others begin streams at a new version 1.2 s after they saw it.

What a daemon knows of versions now counts for 1 s: its list by its age, its contact with most daemons by echoes. Each gossip frame (protocol version 3) tells when the frame was sent that its sender received last, so that contact is dated on one clock, which goes on during a suspension, and frames that waited in a buffer prove nothing. It works since the belief now ends 0.2 s before others act. In contact an echo is 0.6 s old at most, so that nothing is refused that was not before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -78,7 +78,7 @@
 	node, err := gossip.New(gossip.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Address: d.settings.GossipListen, CallerAddress: d.settings.CallerListen,
 		Keys: [][]byte{[]byte(d.settings.FleetKey)}, Seeds: d.gossipSeeds(), Discover: d.discoverPeers, Listener: listener, Events: d.log, BytesPerSecond: gossipBytesPerSecond, MinLoadInterval: loadInterval, MaxLoadInterval: maxLoadInterval, FlushInterval: loadFlushDelay, FanOut: gossipFanOut,
-		Heartbeat: peerHeartbeatInterval, IdleTimeout: peerIdleTimeout, MaxBackoff: maxRedialBackoff,
+		SinceBoot: d.settings.SinceBoot, Heartbeat: peerHeartbeatInterval, IdleTimeout: peerIdleTimeout, MaxBackoff: maxRedialBackoff,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.network.Dial(ctx, "tcp", address)
 		},
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -34,21 +34,29 @@
 	}, d.log)
 }
 
-// maxCurrentListAge is the age up to which the list of upstreams has all versions that begin streams.
-const maxCurrentListAge = streamorigin.SettleTime - 200*time.Millisecond
+// maxNewsAge is how old what this daemon knows may be, from the list of upstreams or from other
+// daemons, so that it has all versions that begin streams. What is left of the time in which they
+// begin none is for the news of them to spread.
+const maxNewsAge = streamorigin.SettleTime - 200*time.Millisecond
 
-// upstreamListIsCurrent reports whether this daemon knows all versions that begin streams: it is in
-// contact with most daemons, which tell of new ones, or its list is newer than they are when they
-// begin streams.
+// upstreamListIsCurrent reports whether this daemon knows all versions that begin streams: its list
+// is newer than they are when they begin streams, or most daemons, which tell of new ones, have been
+// in contact since.
 func (d *Daemon) upstreamListIsCurrent() bool {
 	if !d.upstreamMirror.Synced() {
 		return false
 	}
-	if 2*d.daemonCount() > d.services.MaxDaemonCount() {
+	if age, ok := d.upstreamMirror.Age(); ok && age <= maxNewsAge {
 		return true
 	}
-	age, ok := d.upstreamMirror.Age()
-	return ok && age <= maxCurrentListAge
+	return d.hadContactWithMost(maxNewsAge)
+}
+
+// hadContactWithMost reports whether most daemons, this one included, have been in contact with it at
+// some time within an age; in a large fleet, most of its neighbours.
+func (d *Daemon) hadContactWithMost(age time.Duration) bool {
+	fresh, recent := d.gossipNode.Contacts(age)
+	return 2*(fresh+1) > recent+1 && 2*d.daemonCount() > d.services.MaxDaemonCount()
 }
 
 // softwareTTL is how long peers can learn of a software version. It is shorter than they remember one
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -72,13 +72,13 @@
 	send, receive := frameAuth{key: testKey}, frameAuth{key: testKey}
 	b.ReportAllocs()
 	for b.Loop() {
-		frame := send.sign(m.encode())
+		frame := send.sign(m.encode(maxProtocolVersion))
 		b.SetBytes(int64(len(frame)))
 		payload, err := receive.verify(frame[lengthPrefixBytes:])
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := decodeMessage(payload); err != nil {
+		if _, err := decodeMessage(payload, maxProtocolVersion); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -17,9 +17,11 @@
 	VersionFull uint8 = 1
 	// VersionTouch renews a fact with an unchanged value without sending the value.
 	VersionTouch uint8 = 2
+	// VersionEcho returns to a peer when it sent what was last received from it.
+	VersionEcho uint8 = 3
 
 	minProtocolVersion = VersionFull
-	maxProtocolVersion = VersionTouch
+	maxProtocolVersion = VersionEcho
 )
 
 // Defaults of Config.
@@ -101,6 +103,9 @@
 	// MinBackoff and MaxBackoff bound the delay before an address is redialled.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// SinceBoot returns the time since the machine booted, including suspended time; default
+	// is the steady clock, which leaves that out.
+	SinceBoot func() time.Duration
 	// MaxVersion limits the protocol version; 0 means the newest supported.
 	MaxVersion uint8
 }
@@ -120,6 +125,10 @@
 	setDefault(&c.MinBackoff, DefaultMinBackoff)
 	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
 	setDefault(&c.MaxVersion, maxProtocolVersion)
+	if c.SinceBoot == nil {
+		start := time.Now()
+		c.SinceBoot = func() time.Duration { return time.Since(start) }
+	}
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -44,6 +44,8 @@
 	summaryAt    time.Time
 	lastSent     time.Time
 	lastReceived time.Time
+	// peerStamp is the greatest Sent received from the peer.
+	peerStamp stamp
 	// expectedClose is set when this end closes the connection by choice; the
 	// close is then not logged as a lost peer.
 	expectedClose bool
@@ -196,7 +198,7 @@
 		return nil, err
 	}
 	c.node.receivedBytes.Add(int64(lengthPrefixBytes + len(body)))
-	m, err := decodeMessage(payload)
+	m, err := decodeMessage(payload, c.session.version)
 	if err == nil && len(m.Touches) > 0 && c.session.version < VersionTouch {
 		return nil, errors.Wrapf(errMalformed, "touch message in protocol version %d", c.session.version)
 	}
@@ -215,8 +217,8 @@
 		}
 		return nil, n.writerWait(c, now), false
 	}
-	m.At = n.clock.Now()
-	payload = m.encode()
+	m.At, m.Sent, m.Echo = n.clock.Now(), n.stamp(), c.peerStamp
+	payload = m.encode(c.session.version)
 	size := len(payload) + frameOverhead
 	n.budget.spend(size)
 	n.sentBytes.Add(int64(size))
--- a/internal/gossip/decode.go
+++ b/internal/gossip/decode.go
@@ -8,17 +8,20 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// decodeMessage decodes a frame's payload; it returns errMalformed if the
-// payload is invalid.
-func decodeMessage(payload []byte) (*message, error) {
+// decodeMessage decodes the payload of a frame on a connection with a protocol version; it
+// returns errMalformed if the payload is invalid.
+func decodeMessage(payload []byte, version uint8) (*message, error) {
 	d := newDecoder(payload)
-	fieldCount := d.arrayLen(5)
+	fieldCount := d.arrayLen(maxFields)
 	m := &message{Type: messageType(d.uint(uint64(messageGraft)))}
 	m.At.Micros = d.int64()
 	m.At.Counter = uint32(d.uint(1<<32 - 1))
-	if d.err == nil && fieldCount != m.fieldCount() {
+	if d.err == nil && fieldCount != m.fieldCount(version) {
 		d.fail()
 	}
+	if version >= VersionEcho {
+		m.Sent, m.Echo = stamp(d.uint(maxStamp)), stamp(d.uint(maxStamp))
+	}
 	switch m.Type {
 	case messageHeartbeat:
 	case messageFacts:
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -13,6 +13,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	c.lastReceived = now
+	n.observeStamps(c, m)
 	switch m.Type {
 	case messageFacts:
 		n.handleFacts(c, m, now)
--- a/internal/gossip/fuzz_test.go
+++ b/internal/gossip/fuzz_test.go
@@ -12,27 +12,36 @@
 // FuzzMessage checks that every accepted message is within the limits and
 // survives an encoding round trip.
 func FuzzMessage(f *testing.F) {
-	f.Add((&message{Type: messageHeartbeat}).encode())
-	f.Add((&message{Type: messageFacts, Facts: []Fact{{Kind: KindEngine, ID: "e", Version: 1, Origin: "d", TTL: 1000000, Value: []byte{1}}}, Touches: []touch{{KeyHash: 1}}}).encode())
-	f.Add((&message{Type: messageSummary, Summary: []kindSummary{{Kind: KindDaemon}}}).encode())
-	f.Add((&message{Type: messageDigest, Buckets: []uint16{17}, Digest: []digestEntry{{KeyHash: 5, Digest: 6}}}).encode())
-	f.Add((&message{Type: messageWant, Want: []uint64{7}}).encode())
-	f.Add((&message{Type: messagePrune, Origins: []string{"d"}}).encode())
-	f.Fuzz(func(t *testing.T, payload []byte) {
-		m, err := decodeMessage(payload)
-		if err != nil {
-			return
+	for version := minProtocolVersion; version <= maxProtocolVersion; version++ {
+		for _, m := range []*message{
+			{Type: messageHeartbeat, Sent: 7, Echo: 5},
+			{Type: messageFacts, Facts: []Fact{{Kind: KindEngine, ID: "e", Version: 1, Origin: "d", TTL: 1000000, Value: []byte{1}}}, Touches: []touch{{KeyHash: 1}}},
+			{Type: messageSummary, Summary: []kindSummary{{Kind: KindDaemon}}},
+			{Type: messageDigest, Buckets: []uint16{17}, Digest: []digestEntry{{KeyHash: 5, Digest: 6}}},
+			{Type: messageWant, Want: []uint64{7}},
+			{Type: messagePrune, Origins: []string{"d"}},
+		} {
+			f.Add(m.encode(version))
 		}
-		size := 0
-		for _, fact := range m.Facts {
-			assert.Assert(t, len(fact.ID) <= maxIDBytes && len(fact.Origin) <= maxNameBytes && len(fact.Value) <= MaxValueBytes)
-			assert.Assert(t, fact.TTL >= 0 && fact.TTL <= maxTTL && fact.Kind > 0 && fact.Kind <= maxKinds)
-			size += len(fact.ID) + len(fact.Origin) + len(fact.Value)
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		for version := minProtocolVersion; version <= maxProtocolVersion; version++ {
+			m, err := decodeMessage(payload, version)
+			if err != nil {
+				continue
+			}
+			size := 0
+			for _, fact := range m.Facts {
+				assert.Assert(t, len(fact.ID) <= maxIDBytes && len(fact.Origin) <= maxNameBytes && len(fact.Value) <= MaxValueBytes)
+				assert.Assert(t, fact.TTL >= 0 && fact.TTL <= maxTTL && fact.Kind > 0 && fact.Kind <= maxKinds)
+				size += len(fact.ID) + len(fact.Origin) + len(fact.Value)
+			}
+			assert.Assert(t, size <= len(payload))
+			assert.Assert(t, m.Sent <= maxStamp && m.Echo <= maxStamp)
+			again, err := decodeMessage(m.encode(version), version)
+			assert.NilError(t, err)
+			assert.Assert(t, reflect.DeepEqual(m, again), "%+v became %+v", m, again)
 		}
-		assert.Assert(t, size <= len(payload))
-		again, err := decodeMessage(m.encode())
-		assert.NilError(t, err)
-		assert.Assert(t, reflect.DeepEqual(m, again), "%+v became %+v", m, again)
 	})
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -48,15 +48,18 @@
 
 // message is the payload of a frame. Only the fields of its Type are used.
 type message struct {
-	Type    messageType
-	At      eventlog.Timestamp
-	Facts   []Fact
-	Touches []touch
-	Summary []kindSummary
-	Buckets []uint16
-	Digest  []digestEntry
-	Want    []uint64
-	Origins []string
+	Type messageType
+	At   eventlog.Timestamp
+	// Sent is when the frame was sent, Echo the Sent of the frame last received from the peer,
+	// each on its sender's own clock; 0 if there is none. They are sent from VersionEcho on.
+	Sent, Echo stamp
+	Facts      []Fact
+	Touches    []touch
+	Summary    []kindSummary
+	Buckets    []uint16
+	Digest     []digestEntry
+	Want       []uint64
+	Origins    []string
 }
 
 // touch renews a fact without sending its value.
@@ -80,15 +83,20 @@
 	Digest  uint32
 }
 
-func (m *message) encode() []byte {
+// encode encodes a message for a connection with a protocol version.
+func (m *message) encode(version uint8) []byte {
 	var buf bytes.Buffer
 	e := msgpack.NewEncoder(&buf)
 	e.UseCompactInts(true)
 	// Writes to a bytes.Buffer do not fail.
-	_ = e.EncodeArrayLen(m.fieldCount())
+	_ = e.EncodeArrayLen(m.fieldCount(version))
 	_ = e.EncodeUint(uint64(m.Type))
 	_ = e.EncodeInt(m.At.Micros)
 	_ = e.EncodeUint(uint64(m.At.Counter))
+	if version >= VersionEcho {
+		_ = e.EncodeUint(uint64(m.Sent))
+		_ = e.EncodeUint(uint64(m.Echo))
+	}
 	switch m.Type {
 	case messageFacts:
 		encodeFacts(e, m.Facts)
@@ -106,15 +114,24 @@
 	return buf.Bytes()
 }
 
-func (m *message) fieldCount() int {
+// echoFields and maxFields are the fields from VersionEcho on, and the most of any message.
+const (
+	echoFields = 2
+	maxFields  = 5 + echoFields
+)
+
+func (m *message) fieldCount(version uint8) int {
+	n := 4
 	switch m.Type {
 	case messageFacts, messageDigest:
-		return 5
+		n = 5
 	case messageHeartbeat:
-		return 3
-	default:
-		return 4
+		n = 3
+	}
+	if version >= VersionEcho {
+		n += echoFields
 	}
+	return n
 }
 
 func encodeFacts(e *msgpack.Encoder, facts []Fact) {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -26,6 +26,8 @@
 	cfg         Config
 	clock       *eventlog.Clock
 	startMicros uint64
+	// bootedAt is the Config.SinceBoot at which the Node was created.
+	bootedAt time.Duration
 
 	sentBytes, receivedBytes, rejected, droppedLoads atomic.Int64
 
@@ -36,7 +38,10 @@
 	conns        map[string]*conn
 	inboundCount int
 	seeds        []string
-	dialStates   map[string]*dialState
+	// confirmed holds, by peer, the latest time at which this daemon sent what the peer is known
+	// to have received since. Older ones than contactMemory are forgotten.
+	confirmed  map[string]stamp
+	dialStates map[string]*dialState
 	// nameByAddress maps a dialled address to the name of the daemon there.
 	nameByAddress map[string]string
 	// treeParents maps an origin to the connection that first delivered its
@@ -88,9 +93,9 @@
 	}
 	now := time.Now()
 	n := &Node{
-		cfg: cfg, clock: cfg.Events.Clock, startMicros: uint64(now.UnixMicro()),
+		cfg: cfg, clock: cfg.Events.Clock, startMicros: uint64(now.UnixMicro()), bootedAt: cfg.SinceBoot(),
 		store: newStore(), budget: newTokenBucket(cfg.BytesPerSecond, cfg.BurstBytes, now),
-		seeds: cfg.Seeds, conns: map[string]*conn{}, dialStates: map[string]*dialState{}, nameByAddress: map[string]string{},
+		seeds: cfg.Seeds, confirmed: map[string]stamp{}, conns: map[string]*conn{}, dialStates: map[string]*dialState{}, nameByAddress: map[string]string{},
 		treeParents: map[string]*conn{}, requestedUntil: map[uint64]time.Time{}, lastGraft: map[string]time.Time{}, pendingLoads: map[factKey]bool{}, unresponsive: map[string]unresponsiveMark{}, witnesses: map[string]witnessReports{}, unwitnessed: map[string]time.Time{}, lostPeers: map[string]time.Time{},
 	}
 	n.ownInfo = DaemonInfo{Start: n.startMicros, DataCentre: cfg.DataCentre, PeerAddress: cfg.Address, CallerAddress: cfg.CallerAddress}
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -161,7 +161,7 @@
 	}
 	n.mu.Unlock()
 	if e != nil {
-		_ = c.writeFrame(m.encode())
+		_ = c.writeFrame(m.encode(c.session.version))
 	}
 }
 
--- a/internal/gossip/protocol_test.go
+++ b/internal/gossip/protocol_test.go
@@ -57,7 +57,11 @@
 func TestMessageRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawMessage(t)
-		got, err := decodeMessage(m.encode())
+		version := rapid.Uint8Range(minProtocolVersion, maxProtocolVersion).Draw(t, "version")
+		if version >= VersionEcho {
+			m.Sent, m.Echo = stamp(rapid.Uint64Max(maxStamp).Draw(t, "sent")), stamp(rapid.Uint64Max(maxStamp).Draw(t, "echo"))
+		}
+		got, err := decodeMessage(m.encode(version), version)
 		assert.NilError(t, err)
 		assert.Assert(t, reflect.DeepEqual(m, got), "%+v became %+v", m, got)
 	})
@@ -108,7 +112,7 @@
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
 		for range runs {
-			_, err := decodeMessage(payload)
+			_, err := decodeMessage(payload, VersionTouch)
 			assert.ErrorIs(t, err, errMalformed, name)
 		}
 		runtime.ReadMemStats(&after)
--- a/internal/gossip/ttl_test.go
+++ b/internal/gossip/ttl_test.go
@@ -22,7 +22,7 @@
 		e.valueUnchanged = !forceValue
 		m := &message{Type: messageFacts}
 		assert.Assert(t, m.appendEntry(c, e, forceValue, writerTime, maxBatchBytes) > 0)
-		_, err := decodeMessage(m.encode())
+		_, err := decodeMessage(m.encode(VersionTouch), VersionTouch)
 		assert.NilError(t, err)
 	}
 }
