--- a/lab/sitepath/waitingisolation_test.go
+++ b/lab/sitepath/waitingisolation_test.go
@@ -32,8 +32,8 @@
 // queues are requests that run at engines or wait in their queues.
 type queues struct {
 	*deployment
-	shared string // the scope under which all began
-	mu     sync.Mutex
+	shared   string // the scope under which all began
+	mu       sync.Mutex
 	arrivals []engineArrival
 	answers  map[string]answer
 	answered sync.WaitGroup
