Clear a request by any whole answer that shows that it ran to its end

Cause: a request under which two upstreams crash is quarantined unless it ran to its end between, and only 2xx counted as an end. Evidence: TestWholeAnswerClearsSuspicion failed for 404, 400, 409 and 303, safe and unsafe, before (8 of 10 cases); 200 passed. Ruled out: crashes that did not happen, and revocations that are lost.

An answer below 500 with the upstream's proof now clears its request, unless it says, or promises, that nothing ran. A failing upstream may not have begun the request, so 5xx clears nothing (TestFailedAnswerClearsNoSuspicion).

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -12,6 +12,7 @@
 	"github.com/verbenabend/verbenabend/internal/descriptor"
 	"github.com/verbenabend/verbenabend/internal/eventlog"
 	"github.com/verbenabend/verbenabend/internal/fleet"
+	"github.com/verbenabend/verbenabend/internal/httpverdict"
 	"github.com/verbenabend/verbenabend/internal/routetable"
 	"github.com/verbenabend/verbenabend/internal/routing"
 	"github.com/verbenabend/verbenabend/internal/upstream/httpconn"
@@ -336,7 +337,7 @@
 		return &attemptError{error: err, reached: true}
 	}
 	t.finishAttempt(s, action, routing.Completed, events)
-	t.clearAfterResponse(action, resp)
+	t.clearAfterResponse(action, resp, metadata)
 	t.recordCompletion(action, resp.StatusCode, events)
 	return nil
 }
@@ -442,23 +443,31 @@
 	return r
 }
 
-// clearAfterResponse ends the suspicion of a request with a complete response. A body
-// that only the end of its connection delimits may have been cut off by a crash, so the
-// upstream is probed first, unless it leaves: then it may exit after its last response.
-func (t *transfer) clearAfterResponse(action routing.Action, resp *httpconn.Response) {
-	if resp.StatusCode/100 != 2 {
+// clearAfterResponse ends the suspicion of a request with a complete response that shows that it
+// ran to its end. A body that only the end of its connection delimits may have been cut off by a
+// crash, so the upstream is probed first, unless it leaves: then it may exit after its last response.
+func (t *transfer) clearAfterResponse(action routing.Action, resp *httpconn.Response, metadata ResponseMetadata) {
+	if !ranToEnd(resp.StatusCode, metadata) {
 		return
 	}
+	clearAll := func() {
+		t.clearSuspicion()
+		if resp.StatusCode/100 == 2 {
+			t.recordBegin()
+		}
+	}
 	u := t.forwarder.Registry().ByID[action.Endpoint]
 	if leaves := u == nil || u.Leaving; t.begun || leaves || !resp.EndsWithConnection() {
-		t.clearSuspicion()
-		t.recordBegin()
+		clearAll()
 		return
 	}
-	t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, t.process, t.runningRequest(time.Now()), func() {
-		t.clearSuspicion()
-		t.recordBegin()
-	})
+	t.forwarder.Liveness.recordBrokenConnection(action.Endpoint, t.process, t.runningRequest(time.Now()), clearAll)
+}
+
+// ranToEnd reports whether a complete response shows that its upstream ran the request to its end.
+// An upstream that fails, or refuses, may not have begun it.
+func ranToEnd(status int, metadata ResponseMetadata) bool {
+	return metadata.HasOriginProof && !metadata.NotRun && status < http.StatusInternalServerError && !httpverdict.PromisesNotRun(status)
 }
 
 // recordRejection records that an upstream reported not to have run the
