Count a crash when a silent engine's next process registers

Cause: only a closed connection with a port that refuses counted as a crash. A silent engine may be cut off, and nobody looked at what its next registration tells. Ruled out: crashes found and not shared.

Prompt parts are left out.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -181,7 +181,10 @@
 			c.Liveness.table = c.Table
 		}
 		c.Liveness.onCrash = func(service, id, process string, requests []RunningRequest) {
-			reportCrash(c.Suspects, c.PromptParts, service, id, process, requests)
+			reportCrash(c.Suspects, c.PromptParts, service, id, process, time.Now(), requests)
+		}
+		c.Liveness.onLostCrash = func(id, process string, at time.Time, requests []RunningRequest) {
+			c.Suspects.UpstreamCrashed(id, process, at, fingerprintsOf(requests))
 		}
 	}
 	f := &Forwarder{Config: c}
--- a/internal/forward/liveness.go
+++ b/internal/forward/liveness.go
@@ -56,6 +56,9 @@
 	// onCrash is called when a process of an upstream has ended, with the requests whose
 	// connections it broke; may be nil.
 	onCrash func(service, id, process string, requests []RunningRequest)
+	// onLostCrash is called when an upstream that stopped responding has another process, with
+	// the requests that it ran and about when it stopped; may be nil.
+	onLostCrash func(id, process string, at time.Time, requests []RunningRequest)
 	// newTimer is time.NewTimer.
 	newTimer func(time.Duration) *time.Timer
 	// usableUntil is Config.UsableUntil.
@@ -68,6 +71,8 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstreamHealth
+	// lost holds the requests of processes that stopped responding, by process.
+	lost map[lostProcess]*lostRequests
 	// pollDueAt is when the next poll is due; latePolls are those of the last
 	// latePollsKept that were too late for a timeout to count.
 	pollDueAt time.Time
@@ -121,7 +126,7 @@
 // NewLiveness returns a Liveness that probes with dial. onChange is called
 // when an upstream goes down or recovers.
 func NewLiveness(dial func(ctx context.Context, network, address string) (net.Conn, error), onChange func(id string, down bool), log *eventlog.Log) *Liveness {
-	return &Liveness{dial: dial, onChange: onChange, newTimer: time.NewTimer, usableUntil: noLimit, table: noTable, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}}
+	return &Liveness{dial: dial, onChange: onChange, newTimer: time.NewTimer, usableUntil: noLimit, table: noTable, log: log, wake: make(chan struct{}, 1), upstreams: map[string]*upstreamHealth{}, lost: map[lostProcess]*lostRequests{}}
 }
 
 // Down reports whether an upstream is down.
--- a/internal/forward/promptpartcrash_test.go
+++ b/internal/forward/promptpartcrash_test.go
@@ -34,7 +34,7 @@
 // the crash.
 func TestOnlyUnbegunRequestsAreReported(t *testing.T) {
 	p := &crashedParts{}
-	reportCrash(noSuspects{}, p, "s", "u", "1", []RunningRequest{{Fingerprint: "begun", Begun: true}, {Fingerprint: "waiting"}})
+	reportCrash(noSuspects{}, p, "s", "u", "1", time.Now(), []RunningRequest{{Fingerprint: "begun", Begun: true}, {Fingerprint: "waiting"}})
 	assert.Equal(t, len(p.reported), 1)
 	assert.Equal(t, p.reported[0].Fingerprint, "waiting")
 }
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -22,9 +22,9 @@
 	// Quarantined reports whether too many upstreams crashed while running a
 	// request.
 	Quarantined(request string) bool
-	// UpstreamCrashed records that a process of an upstream ended while it
+	// UpstreamCrashed records that a process of an upstream ended, about at a time, while it
 	// ran requests.
-	UpstreamCrashed(upstream, process string, requests []string)
+	UpstreamCrashed(upstream, process string, at time.Time, requests []string)
 	// RequestCompleted records that a request ran to completion.
 	RequestCompleted(request string)
 }
@@ -36,7 +36,7 @@
 
 func (noSuspects) Quarantined(string) bool { return false }
 
-func (noSuspects) UpstreamCrashed(string, string, []string) {}
+func (noSuspects) UpstreamCrashed(string, string, time.Time, []string) {}
 
 func (noSuspects) RequestCompleted(string) {}
 
@@ -85,29 +85,37 @@
 
 // clearSuspicion records that the request ran to completion without a crash.
 func (t *transfer) clearSuspicion() {
+	t.forwarder.Liveness.clearLost(t.fingerprint)
 	if t.forwarder.Suspects.Known() {
 		t.forwarder.Suspects.RequestCompleted(t.fingerprint())
 	}
 }
 
-// reportCrash reports the end of an upstream's process to the trackers.
-func reportCrash(suspects SuspectTracker, parts PromptPartTracker, service, upstream, process string, requests []RunningRequest) {
-	var fingerprints []string
+// reportCrash reports the end of an upstream's process, about at a time, to the trackers.
+func reportCrash(suspects SuspectTracker, parts PromptPartTracker, service, upstream, process string, at time.Time, requests []RunningRequest) {
 	var unbegun []RunningRequest
 	for _, r := range requests {
-		if !slices.Contains(fingerprints, r.Fingerprint) {
-			fingerprints = append(fingerprints, r.Fingerprint)
-		}
 		if !r.Begun {
 			unbegun = append(unbegun, r)
 		}
 	}
-	suspects.UpstreamCrashed(upstream, process, fingerprints)
+	suspects.UpstreamCrashed(upstream, process, at, fingerprintsOf(requests))
 	if parts != nil && len(unbegun) > 0 {
 		parts.UpstreamCrashed(service, upstream, process, unbegun)
 	}
 }
 
+// fingerprintsOf returns the different fingerprints of requests.
+func fingerprintsOf(requests []RunningRequest) []string {
+	var out []string
+	for _, r := range requests {
+		if !slices.Contains(out, r.Fingerprint) {
+			out = append(out, r.Fingerprint)
+		}
+	}
+	return out
+}
+
 // isConnectionLoss reports whether the upstream broke the connection, as a
 // crash does.
 func isConnectionLoss(err error) bool {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -420,6 +420,10 @@
 // recordBrokenConnection requests a probe of an upstream that broke the
 // connection: it may have crashed because of this request.
 func (t *transfer) recordBrokenConnection(action routing.Action, err error) {
+	if errors.Is(err, errUpstreamUnresponsive) {
+		t.forwarder.Liveness.recordLost(action.Endpoint, t.process, t.runningRequest(time.Now()))
+		return
+	}
 	if !isConnectionLoss(err) || t.attemptOutcome(action.Endpoint, err) != routing.Failed {
 		return
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -25,12 +25,12 @@
 }
 
 // UpstreamCrashed records a crash for each request that was running.
-func (t suspectTracker) UpstreamCrashed(upstream, incarnation string, requests []string) {
+func (t suspectTracker) UpstreamCrashed(upstream, incarnation string, at time.Time, requests []string) {
 	running := make([]suspects.Fingerprint, len(requests))
 	for i, r := range requests {
 		running[i] = suspects.Fingerprint(r)
 	}
-	t.Registry.EngineCrashed(upstream, incarnation, running)
+	t.Registry.EngineCrashedAt(upstream, incarnation, at, running)
 }
 
 // RequestCompleted records that a request ran to completion.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -287,6 +287,7 @@
 	registered := func(id string) bool { return snapshot.ByID[id] != nil || d.isCacheStore(id) }
 	d.pool.CloseIdleExcept(registered)
 	d.liveness.Retain(registered)
+	d.liveness.Observe(snapshot)
 	d.observeSoftware(snapshot)
 	d.services.Update(d.servicesView(snapshot))
 }
--- a/internal/suspects/registry.go
+++ b/internal/suspects/registry.go
@@ -135,20 +135,25 @@
 	}
 }
 
-// EngineCrashed records an engine crash for the requests that the engine was running and
+// EngineCrashed is EngineCrashedAt for a crash that was found at once.
+func (r *Registry) EngineCrashed(engine, incarnation string, running []Fingerprint) {
+	r.EngineCrashedAt(engine, incarnation, time.Now(), running)
+}
+
+// EngineCrashedAt records an engine crash for the requests that the engine was running and
 // publishes it to peers. The crashes of requests that it quarantines are stored, and those of all
 // if this daemon is alone.
-func (r *Registry) EngineCrashed(engine, incarnation string, running []Fingerprint) {
+func (r *Registry) EngineCrashedAt(engine, incarnation string, at time.Time, running []Fingerprint) {
 	alone := r.isAlone != nil && r.isAlone()
 	crash := digest(engine + "\x00" + incarnation)
 	var store []string
 	for _, fp := range running {
 		request := digest(string(fp))
-		n := r.record(request, crash, time.Now().Add(CrashTTL), false)
+		n := r.record(request, crash, at.Add(CrashTTL), false)
 		if n == 0 {
 			continue
 		}
-		r.bus.Publish(gossip.Fact{Kind: gossip.KindSuspect, ID: request + "/" + crash, TTL: CrashTTL})
+		r.bus.Publish(gossip.Fact{Kind: gossip.KindSuspect, ID: request + "/" + crash, TTL: CrashTTL - time.Since(at)})
 		event := eventlog.SuspectRecorded
 		if n >= quarantineCrashes {
 			event = eventlog.RequestQuarantined
