--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// decide sets the addresses to dial and returns the transaction that is due; ok is false if none is. others are the other daemons
-// in contact.
+// decide sets the addresses to dial and returns the transaction that is due; ok is false if none
+// is. others are the other daemons in contact.
 func (r *Registry) decide(others []Daemon, now time.Time) (txn platform.Txn, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
