--- a/lab/sitepath/attemptends_test.go
+++ b/lab/sitepath/attemptends_test.go
@@ -43,6 +43,7 @@
 // Guards against attempts that stay counted at their engines for good: responses with a status
 // that HTTP does not have ended the request by a panic, until no engine had room.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	t.Parallel()
 	for _, status := range []int{0, 20, 99, 600, 999} {
 		for _, c := range []caller{unsafeCaller, safeCaller, onceCaller} {
 			t.Run(fmt.Sprintf("%03d/%s", status, c.name), func(t *testing.T) {
--- a/lab/sitepath/cache_test.go
+++ b/lab/sitepath/cache_test.go
@@ -32,6 +32,7 @@
 // A long shared prompt is saved to the cache store once. When its engine drains,
 // another engine fetches the prompt, but not under newer weights.
 func TestPromptsAreSavedAndFetched(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(cacheSyncDelay)
 		first := d.askLongPrompt("aa")
@@ -60,6 +61,7 @@
 // No prompt is fetched from a cache store that is down or came back empty. Once
 // it is back, prompts are saved to it again.
 func TestUnavailableCacheStoreIsNotUsed(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(cacheSyncDelay)
 		first := d.askLongPrompt("aa").Header.Get("X-Target-Instance")
@@ -86,6 +88,7 @@
 // A failure to read an engine's cache events is logged at most once per outage
 // and daemon.
 func TestUnreadableCacheIsLoggedOnce(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(cacheSyncDelay)
 		d.crash(d.engines[0], restartDelay)
--- a/lab/sitepath/confirmedstate_test.go
+++ b/lab/sitepath/confirmedstate_test.go
@@ -198,6 +198,7 @@
 // adds a route that is not served, while the store is restored from an older copy, loses single
 // answers or turns daemons away, and daemons are cut off or start meanwhile.
 func TestConfirmedStateIsInForceInTime(t *testing.T) {
+	t.Parallel()
 	cutOff := func(d *deployment, cut ...*process) {
 		d.net.SetBlackhole(func(from, address string) bool {
 			for _, p := range cut {
--- a/lab/sitepath/cutanswers_test.go
+++ b/lab/sitepath/cutanswers_test.go
@@ -14,6 +14,7 @@
 // A response of which a part was relayed and that no other can continue is cut at its
 // caller: nothing of a second response follows, and none is requested in vain.
 func TestCutResponseIsNotContinuedByAnother(t *testing.T) {
+	t.Parallel()
 	const plain = "Content-Type: text/plain\r\n"
 	long := strings.Repeat("part of a long body\n", 30<<10) // more than is buffered
 	for name, c := range map[string]struct {
@@ -46,6 +47,7 @@
 // A head or body that an upstream breaks off is no answer, whatever the head says of its
 // length.
 func TestCutAnswerIsNotFramedAsWhole(t *testing.T) {
+	t.Parallel()
 	for _, f := range framings {
 		text := f.response(http.StatusOK, "Keep-Alive: timeout=12\r\nContent-Type: text/plain\r\n"+site.Identity, "answer from ledger-9")
 		marks := []string{"HTT", "HTTP/1.1 2", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 OK\r\n", "Keep-Ali", "Keep-Alive:", "timeout=1", "text/plain\r\n", site.Identity}
--- a/lab/sitepath/darkcrash_test.go
+++ b/lab/sitepath/darkcrash_test.go
@@ -102,6 +102,7 @@
 // Guards against a request that is never refused although it takes each engine that runs it away:
 // their machines fall silent in place of closing connections.
 func TestRequestThatDarkensEnginesIsRefused(t *testing.T) {
+	t.Parallel()
 	for _, comesBack := range []next{otherProcess, otherID} {
 		t.Run(string(comesBack), func(t *testing.T) {
 			runDeployment(t, 4, func(d *deployment) {
@@ -124,6 +125,7 @@
 
 // An engine that was cut off, and is back as it was, has not crashed.
 func TestCutOffEngineIsNoCrash(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, daemons, 4, func(d *deployment) {
 		d.darkenOnCrashingPath(sameProcess)
 		const requests = 5
@@ -138,6 +140,7 @@
 // Engines that fall silent together are one failure, and requests that ran beside it are served once
 // they ran to their ends elsewhere.
 func TestEnginesThatDarkenTogetherQuarantineNothing(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, daemons, 4, func(d *deployment) {
 		x := &darkness{d: d, dark: map[string]bool{}}
 		for _, e := range d.engines {
--- a/lab/sitepath/descriptors_test.go
+++ b/lab/sitepath/descriptors_test.go
@@ -33,6 +33,7 @@
 // each with a connection to the directory and one for its requests, and cut the requests that
 // engines were running for it.
 func TestLastDaemonKeepsItsDescriptors(t *testing.T) {
+	t.Parallel()
 	const (
 		maxDescriptors = 400
 		sockets        = maxDescriptors - 200
@@ -147,6 +148,7 @@
 // While a daemon could open no connection, it took its own shortage for failures of engines
 // and peers: engines got no requests after it had passed, and peers were reported lost.
 func TestOwnShortageIsNoEvidence(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		p := d.processes[0]
 		client := &http.Client{Transport: &http.Transport{DialContext: d.net.Dialer("caller")}, Timeout: streamTimeout}
--- a/lab/sitepath/discovery_test.go
+++ b/lab/sitepath/discovery_test.go
@@ -66,6 +66,7 @@
 // Guards against a fleet whose daemons never find each other because all seeds are gone: each let
 // a request crash two engines of its own.
 func TestDaemonsWithoutSeedsFindEachOther(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentWith(t, func(d *deployment) { d.daemonCount, d.seeds = 0, deadSeeds }, func(d *deployment) {
 		for i := range 4 {
 			d.start(i)
@@ -83,6 +84,7 @@
 // Guards against two groups of daemons that never meet again: they were cut off from each other
 // for longer than either remembers the other, and no seed of one is in the other.
 func TestSeparatedGroupsMeetAgain(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, 4, engines, func(d *deployment) {
 		d.cutPeers(func(a, b int) bool { return a/2 == b/2 })
 		time.Sleep(time.Minute)
@@ -107,6 +109,7 @@
 
 // Guards against seeds that a process keeps although its settings name others.
 func TestDaemonsFollowChangedSeeds(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentWith(t, func(d *deployment) { d.daemonCount, d.seeds = 0, deadSeeds }, func(d *deployment) {
 		for i := range 4 {
 			d.store.SetFault(fmt.Sprintf("daemon-%d", i), site.Fault{RefuseWrites: true}) // the seeds are the only way
@@ -127,6 +130,7 @@
 // A daemon that meets the others late takes over what they share: which requests crashed engines,
 // and the rates that upstreams state.
 func TestLateDaemonTakesOverWhatIsShared(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		late := len(d.processes)
 		d.cutPeers(func(a, b int) bool { return a != late && b != late })
--- a/lab/sitepath/endless_test.go
+++ b/lab/sitepath/endless_test.go
@@ -72,6 +72,7 @@
 // An upstream that sends bytes without end, which are no answer, must not hold a request
 // until its deadline, nor get a request that it may have run reported as not run.
 func TestEndlessJunkIsNoAnswer(t *testing.T) {
+	t.Parallel()
 	for name, e := range map[string]site.Endless{
 		"no answer":                {Unit: "\x00\x01"},
 		"status line":              {Start: "HTTP/1.1 200 ", Unit: "x"},
@@ -113,6 +114,7 @@
 
 // A few bytes at a time without end hold a request to its deadline at most.
 func TestEndlessTrickleEndsAtDeadline(t *testing.T) {
+	t.Parallel()
 	for name, e := range map[string]site.Endless{
 		"status line":             {Start: "HTTP/1.1 200 ", Unit: "x"},
 		"header lines":            {Start: endlessOK, Unit: "X-A: b\r\n"},
@@ -146,6 +148,7 @@
 // A body without end is cut at the deadline, so that it does not look complete; bytes
 // after a complete body are not part of the answer.
 func TestEndlessBodyIsCutAtDeadline(t *testing.T) {
+	t.Parallel()
 	for name, e := range map[string]site.Endless{
 		"chunks":    {Start: endlessChunked, Unit: "5\r\nwhole\r\n"},
 		"chunk":     {Start: endlessChunked + "fffffffffffffff\r\n", Unit: "x"},
@@ -184,6 +187,7 @@
 // A failure or refusal with a body without end must not keep a request that may run again
 // from another upstream.
 func TestEndlessFailureIsRetriedElsewhere(t *testing.T) {
+	t.Parallel()
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + site.Identity + "X-Not-Executed: 1\r\n"
 	for name, c := range map[string]struct {
 		endless site.Endless
@@ -213,6 +217,7 @@
 // A stream without end of an event goes on at another engine if it may be resumed, and is
 // cut if not. Events without end are cut at the deadline.
 func TestEndlessStreamIsNeverComplete(t *testing.T) {
+	t.Parallel()
 	const (
 		head  = endlessOK + "Content-Type: text/event-stream\r\n\r\n"
 		first = "id: 1\ndata: token 1\n\n"
@@ -260,6 +265,7 @@
 // A caller that does not read an endless body makes the daemon hold no more than the part
 // that it buffers, and the upstream's connection is closed at the deadline all the same.
 func TestUnreadEndlessBodyIsBounded(t *testing.T) {
+	t.Parallel()
 	// maxUnreadBytes is the largest buffered body and the buffers on both sides.
 	const maxUnreadBytes = 256<<10 + 64<<10
 	for _, slow := range []bool{false, true} {
--- a/lab/sitepath/explain_test.go
+++ b/lab/sitepath/explain_test.go
@@ -27,6 +27,7 @@
 // Guards against an explanation that sends the request, or takes a part of the organisation's
 // quota, and against one that names no upstream and no reason.
 func TestExplainSendsNothing(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setQuota(quotaRate)
 		p := d.processes[0]
--- a/lab/sitepath/failedreads_test.go
+++ b/lab/sitepath/failedreads_test.go
@@ -31,6 +31,7 @@
 // A read that failed at an upstream, and for which the retry budget leaves no other attempt,
 // ended as 502 of the daemon's own, although the upstream had answered it.
 func TestFailedReadWithoutRetryKeepsItsResponse(t *testing.T) {
+	t.Parallel()
 	for _, f := range framings {
 		t.Run(string(f), func(t *testing.T) {
 			runOnDeployment(t, func(d *deployment) {
@@ -54,6 +55,7 @@
 // A failed read whose second attempt brings nothing ends with the failure that it got, not with
 // a 502 of the daemon's own.
 func TestFailedReadKeepsItsResponseWhenRetryFails(t *testing.T) {
+	t.Parallel()
 	ok := byLength.response(http.StatusOK, site.Identity, "answer")
 	for name, second := range map[string]site.Step{
 		"rejected":    {NotRun: true, Writes: []string{byLength.response(http.StatusServiceUnavailable, site.Identity+notRunPromise, refusalBody)}},
@@ -78,6 +80,7 @@
 // A read that failed at each upstream of its service ended there, although its route allows
 // another attempt.
 func TestFailedReadGoesAgainToTheOnlyUpstream(t *testing.T) {
+	t.Parallel()
 	for name, first := range map[string]site.Step{
 		"failed":      byLength.failure(),
 		"no response": {Writes: []string{""}, End: site.Reset},
--- a/lab/sitepath/failedresumption_test.go
+++ b/lab/sitepath/failedresumption_test.go
@@ -38,6 +38,7 @@
 // An engine that was to go on with a stream but answered otherwise adds nothing to it, and
 // the stream must not look complete.
 func TestFailedResumptionAddsNothingToStream(t *testing.T) {
+	t.Parallel()
 	const plain = "Content-Type: text/plain\r\n"
 	failures := map[string]struct {
 		status       int
@@ -86,6 +87,7 @@
 
 // A stream that may not be resumed and breaks off is cut at its caller and runs once.
 func TestCutStreamIsNotFramedAsWhole(t *testing.T) {
+	t.Parallel()
 	for name, first := range cutStreams() {
 		t.Run(name, func(t *testing.T) {
 			runOnDeployment(t, func(d *deployment) {
@@ -99,6 +101,7 @@
 // A resumed stream of which only a head arrives before the connection ends has not been
 // resumed, and must not look complete.
 func TestResumptionWithOnlyHeadIsNotComplete(t *testing.T) {
+	t.Parallel()
 	head := byConnection.response(http.StatusOK, site.Identity+eventStream, "")
 	for name, first := range cutStreams() {
 		t.Run(name, func(t *testing.T) {
@@ -122,6 +125,7 @@
 // Guards against a resumed stream that looks complete although it brought no new event
 // before its connection ended: comments and repeated events don't show that it went on.
 func TestResumptionWithoutNewEventIsNotComplete(t *testing.T) {
+	t.Parallel()
 	for name, body := range map[string]string{"comment": ": wait\n\n", "empty line": "\n", "old events": wholeStream(4), "old events and a comment": wholeStream(4) + ": wait\n\n"} {
 		second := site.Step{Writes: []string{byConnection.response(http.StatusOK, site.Identity+eventStream, body)}, End: site.Close}
 		for cut, first := range cutStreams() {
--- a/lab/sitepath/faultyanswers_test.go
+++ b/lab/sitepath/faultyanswers_test.go
@@ -209,6 +209,7 @@
 // A refusal that an upstream sends once more on a kept connection answers no other
 // request: one that runs must not be reported as not run, nor run a second time.
 func TestRepeatedRefusalAnswersNoOtherRequest(t *testing.T) {
+	t.Parallel()
 	for name, header := range map[string]string{"named": site.FirstIdentity + notRunPromise, "unnamed": notRunPromise} {
 		var repetitions []repetition
 		for _, f := range framings {
@@ -255,6 +256,7 @@
 // A caller that uses an ID again must not get the repeated refusal of its earlier request,
 // which bears the same ID.
 func TestRepeatedRefusalAnswersNoRequestWithSameID(t *testing.T) {
+	t.Parallel()
 	for _, f := range framings {
 		for _, when := range []moment{whileIdle, inTwoParts, beforeAnswer} {
 			t.Run(string(f)+"/"+string(when), func(t *testing.T) {
--- a/lab/sitepath/forward_test.go
+++ b/lab/sitepath/forward_test.go
@@ -25,6 +25,7 @@
 }
 
 func TestRequestsReachTheirService(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		p := d.processes[0]
 		resp := d.ask(p, http.MethodPost, plainHost, "/order/7?x=1", func(r *http.Request) {
@@ -60,6 +61,7 @@
 }
 
 func TestUnsafeRequestRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	for _, behaviour := range []site.Behaviour{site.DropResponse, site.TruncateResponse, site.Hang} {
 		runOnDeployment(t, func(d *deployment) {
 			d.setFirstRequestBehaviour(behaviour)
@@ -74,6 +76,7 @@
 // A successful response without the upstream's X-Response-Stamp is not forwarded:
 // a safe request is retried, an unsafe one fails with an unknown outcome.
 func TestSuccessWithoutStampIsNotForwarded(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setFirstRequestBehaviour(site.OmitStamp)
 		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
@@ -92,6 +95,7 @@
 }
 
 func TestShedRequestIsRetriedElsewhere(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setFirstRequestBehaviour(site.Shed)
 		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
@@ -101,6 +105,7 @@
 }
 
 func TestNotRunVerdictIsCorrect(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		for _, u := range d.ledgers {
 			u.ChooseBehaviour = func(*http.Request) site.Behaviour { return site.Shed }
@@ -115,6 +120,7 @@
 }
 
 func TestSafeRequestIsRetried(t *testing.T) {
+	t.Parallel()
 	for _, behaviour := range []site.Behaviour{site.DropResponse, site.TruncateResponse, site.ServerError} {
 		runOnDeployment(t, func(d *deployment) {
 			d.setFirstRequestBehaviour(behaviour)
@@ -127,6 +133,7 @@
 }
 
 func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setFirstRequestBehaviour(site.ForeignResponseFirst)
 		a := d.ask(d.processes[0], http.MethodPost, plainHost, "/order/1", nil)
@@ -136,6 +143,7 @@
 }
 
 func TestResumableStreamContinuesElsewhere(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setFirstRequestBehaviour(site.TruncateResponse)
 		a := d.ask(d.processes[0], http.MethodPost, modelHost, "/chat/1", nil)
@@ -147,6 +155,7 @@
 }
 
 func TestBrokenStreamIsNotReportedComplete(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setFirstRequestBehaviour(site.TruncateResponse)
 		a := d.ask(d.processes[0], http.MethodPost, modelHost, "/once/1", nil)
@@ -157,6 +166,7 @@
 }
 
 func TestCallerDisconnectCancelsWork(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setFirstRequestBehaviour(site.Hang)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -172,6 +182,7 @@
 }
 
 func TestIsolatedOrganisationsShareNoCache(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		p := d.processes[0]
 		d.ask(p, http.MethodPost, modelHost, "/chat/1", func(r *http.Request) { r.Header.Set("X-Cache-Salt", "forged") })
@@ -185,6 +196,7 @@
 // A request whose body stalls is refused at its deadline and not run. One whose
 // body is slow but arrives before the deadline is served.
 func TestBodyReadDeadline(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		pause time.Duration
 		want  int
--- a/lab/sitepath/goalrecord_test.go
+++ b/lab/sitepath/goalrecord_test.go
@@ -21,6 +21,7 @@
 // The age of a version that a starting daemon bounds by the record's old time does not
 // become that of daemons that saw it named: old weights serve until their limit.
 func TestBoundOfStartedDaemonDoesNotReplaceSight(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		for i := range daemons {
 			d.store.SetFault(fmt.Sprintf("daemon-%d", i), site.Fault{RefuseWrites: true})
@@ -52,6 +53,7 @@
 // The record is renewed by another daemon while the store refuses the writes of the one
 // that does so. When it was not, a version named then counted as older by all that time.
 func TestAnotherDaemonRenewsRecord(t *testing.T) {
+	t.Parallel()
 	const maxRenewalInterval = 4 * time.Second
 	for _, count := range []int{3, 12} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
@@ -74,6 +76,7 @@
 // A version that nobody saw named is recorded as such, and does not keep the record from
 // being renewed.
 func TestBoundStaysBoundInRecord(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		d.losePower()
 		time.Sleep(2 * time.Second)
@@ -91,6 +94,7 @@
 // The start of all daemons writes the record of versions a few times, whatever their
 // number.
 func TestStartOfAllDaemonsWritesRecordFewTimes(t *testing.T) {
+	t.Parallel()
 	for _, count := range []int{3, 12, 40} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			runWithoutRollout(t, count, func(d *deployment, g *versionGoals) {
@@ -126,6 +130,7 @@
 // The time of the record is not later than the operators' rows that its writer knows: a
 // version that no daemon has seen, since the answers were lost, has a bounded age.
 func TestRecordIsNoNewerThanKnownVersions(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		var lose []func()
 		for i := range daemons {
@@ -166,6 +171,7 @@
 // Weights that are superseded since an unknown time are not used. Otherwise daemons that
 // cannot read the record after a loss of power take expired weights for new.
 func TestWeightsOfUnknownAgeAreNotUsed(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		g.name(2)
 		time.Sleep(versionTimeLimit)
@@ -184,6 +190,7 @@
 
 // A daemon whose peers know the record is ready although the store does not tell it.
 func TestDaemonLearnsRecordFromPeers(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, _ *versionGoals) {
 		d.delayRecord(daemons, time.Minute)
 		p := d.start(daemons)
@@ -195,6 +202,7 @@
 // A daemon is not ready before it has read the record, unless that takes too long.
 // Otherwise it refuses requests for engines whose weights it could know to be in time.
 func TestDaemonIsReadyOnceRecordIsRead(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ delay, readyAfter, readyBefore time.Duration }{
 		{0, 0, 500 * time.Millisecond},
 		{700 * time.Millisecond, 650 * time.Millisecond, 900 * time.Millisecond},
--- a/lab/sitepath/gossip_test.go
+++ b/lab/sitepath/gossip_test.go
@@ -88,6 +88,7 @@
 // When every daemon published a fact for each goal version, a new version
 // exhausted the gossip budget of 65 daemons, and load figures were not sent.
 func TestGoalFactsDoNotGrowWithDaemons(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{8, 24} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -127,6 +128,7 @@
 // A daemon that learns of a goal late, from the store and while it has no
 // connection to its peers, does not reset the goal's age once it is connected.
 func TestLateGoalFactDoesNotResetAge(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		first := d.observe(0, gossip.KindGoalVersion)
 		defer first.Close()
@@ -155,6 +157,7 @@
 // When each daemon's report of an unresponsive upstream had a value of its own,
 // every report was sent to all daemons although they already knew of it.
 func TestUnresponsiveUpstreamIsReportedOnce(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		o := d.observe(0, gossip.KindUnresponsive)
 		defer o.Close()
--- a/lab/sitepath/holdoff_test.go
+++ b/lab/sitepath/holdoff_test.go
@@ -121,6 +121,7 @@
 // whether or not the refusal states that nothing ran. Other upstreams serve meanwhile, and
 // requests return when the time is over.
 func TestNoRequestsDuringRetryAfter(t *testing.T) {
+	t.Parallel()
 	const (
 		retryAfter      = 3 * time.Second
 		requestInterval = 60 * time.Millisecond
@@ -197,6 +198,7 @@
 // Guards against requests that reach an engine long after it asked for none, since they
 // had been given to it before and waited for their connections.
 func TestRetryAfterStopsRequestsThatWaitForConnections(t *testing.T) {
+	t.Parallel()
 	const (
 		retryAfter  = 3 * time.Second
 		connectTime = time.Second
@@ -227,6 +229,7 @@
 
 // Guards against a broken stream that is resumed at an engine that asked for no requests.
 func TestStreamIsNotResumedDuringRetryAfter(t *testing.T) {
+	t.Parallel()
 	const retryAfter = 3 * time.Second
 	runOnDeploymentOf(t, daemons, 2, func(d *deployment) {
 		s := startShedding(d.engines[0], site.Shed, retryAfter)
@@ -252,6 +255,7 @@
 // Guards against requests that wait, or that are told to come back too early, while all
 // upstreams of their service have asked for none.
 func TestRequestIsRefusedAtOnceDuringRetryAfter(t *testing.T) {
+	t.Parallel()
 	const (
 		retryAfter = 900 * time.Millisecond
 		rounding   = time.Millisecond
--- a/lab/sitepath/isolation_test.go
+++ b/lab/sitepath/isolation_test.go
@@ -53,6 +53,7 @@
 // Prompts of an organisation that became isolated stayed in use by others, in engines and in
 // the store of cached prompts, as long as these kept them.
 func TestPromptsOfANewlyIsolatedOrganisationAreNotFound(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setOrganisations(map[string]bool{"other": true})
 		scopes := map[string]map[string]bool{} // that an organisation's requests ran under
@@ -96,6 +97,7 @@
 // A request that was accepted before an organisation became isolated and is sent, or resumed at
 // another engine, after it, is held to the newer desired state.
 func TestRequestsUnderWayKeepToTheNewestIsolation(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setOrganisations(nil)
 		for _, e := range d.engines {
@@ -161,6 +163,7 @@
 // A desired state costs nothing unless it changes who is isolated; then each group reads its shared
 // parts once more.
 func TestPromptsReadAgainAfterADesiredState(t *testing.T) {
+	t.Parallel()
 	const requests = 60
 	for name, c := range map[string]struct {
 		before, after map[string]bool
--- a/lab/sitepath/leaving_test.go
+++ b/lab/sitepath/leaving_test.go
@@ -139,6 +139,7 @@
 // Guards against work for an upstream that said in a response of any kind that it leaves,
 // while its row stays ready.
 func TestUpstreamThatSaysItLeavesGetsNoWork(t *testing.T) {
+	t.Parallel()
 	for name, kind := range map[string]leavingKind{
 		"success":       {http.MethodGet, plainHost, "/read/1", ledgersOf, site.Serve},
 		"stream":        streamKind,
@@ -165,6 +166,7 @@
 // Guards against forgetting that an upstream leaves while the store is away or returns,
 // with rows that expire meanwhile.
 func TestLeavingIsRememberedWithoutStore(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]site.Fault{"busy": {Status: http.StatusServiceUnavailable}, "silent": {Unresponsive: true}} {
 		t.Run(name, func(t *testing.T) {
 			runOnDeployment(t, func(d *deployment) {
@@ -188,6 +190,7 @@
 
 // Guards against work for an upstream that leaves and whose row expires and comes back.
 func TestLeavingOutlivesRow(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		u := d.engines[1]
 		a := streamKind.sayLeaving(d, u)
@@ -203,6 +206,7 @@
 // Guards against an engine that gets no work for good because its process before said
 // that it leaves.
 func TestRestartedUpstreamServesAgain(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		u := d.engines[1]
 		a := streamKind.sayLeaving(d, u)
@@ -217,6 +221,7 @@
 // Guards against taking the word of another upstream, which has an address now and
 // leaves, for that of the one that had it before.
 func TestMisdirectedResponseMarksNobodyLeaving(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		u := d.engines[1]
 		other := &site.Upstream{ID: "other", Address: u.Address, Service: "ledger", Zone: "a"}
@@ -243,6 +248,7 @@
 // Guards against orders to load weights at an engine that leaves, which would end
 // the prompts that it still computes: the others switch without it.
 func TestLeavingEngineGetsNoOrder(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, 1, engines, func(d *deployment) {
 		leaving, others := d.engines[0], d.engines[1:]
 		streamKind.sayLeaving(d, leaving)
@@ -258,6 +264,7 @@
 // Guards against requests that hang, or run, once all upstreams of a service leave: they
 // are refused at once, and work goes on when one has restarted.
 func TestRequestsAreRefusedWhileAllUpstreamsLeave(t *testing.T) {
+	t.Parallel()
 	const refusalBound = 200 * time.Millisecond
 	runOnDeployment(t, func(d *deployment) {
 		for _, e := range d.engines {
@@ -294,6 +301,7 @@
 // Guards against work for upstreams that leave from requests that wait in the daemon, are
 // sent again or resume a stream: one upstream stays, and breaks off or refuses all.
 func TestRepeatedRequestsAvoidLeavingUpstreams(t *testing.T) {
+	t.Parallel()
 	const requests = 40
 	for name, behaviour := range map[string]site.Behaviour{"resumed": site.TruncateResponse, "repeated": site.DropResponse, "refused": site.Shed} {
 		t.Run(name, func(t *testing.T) {
--- a/lab/sitepath/lostanswer_test.go
+++ b/lab/sitepath/lostanswer_test.go
@@ -53,6 +53,7 @@
 // A daemon to which the store's answer about a version was lost learns of it in time,
 // also when none of its other reads fails.
 func TestLostAnswerAboutVersionIsNoticed(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		p := d.processes[0]
 		d.loseNextOperatorAnswer(0)()
@@ -67,6 +68,7 @@
 // The same holds for a desired state, within configDeadlineMs (2 s) after the connection
 // has been silent for contactMs (3 s).
 func TestLostAnswerAboutDesiredStateIsNoticed(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		lose := d.loseNextOperatorAnswer(0)
 		routes := d.desiredState["routes"].([]map[string]any)
@@ -87,6 +89,7 @@
 // reads the rows once more, not several times. Two poll the store often enough to learn of the
 // change by themselves. Of a larger fleet only few read them, and the others need not.
 func TestManyLostAnswersAreNoticed(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ count, minLateReads, maxLateReads int }{{9, 6, 8}, {12, 0, 0}} {
 		t.Run(fmt.Sprint(c.count), func(t *testing.T) { checkLostAnswers(t, c.count, c.minLateReads, c.maxLateReads) })
 	}
@@ -136,6 +139,7 @@
 // Facts about a revision are as few in a large fleet as in a small one, and cause no
 // reads where daemons have read the revision themselves.
 func TestRevisionFactsDoNotGrowWithDaemons(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{8, 24} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			runOnDeploymentOf(t, size, engines, func(d *deployment) {
--- a/lab/sitepath/outcomes_test.go
+++ b/lab/sitepath/outcomes_test.go
@@ -17,6 +17,7 @@
 // Each outcome of a request appears in the log lines with its request ID and in
 // the metrics.
 func TestOutcomesAreLoggedAndCounted(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		p := d.processes[0]
 		assertMetrics := func(want ...string) {
--- a/lab/sitepath/outofstep_test.go
+++ b/lab/sitepath/outofstep_test.go
@@ -44,6 +44,7 @@
 // came, and that takes silence for the absence of news: it let the version that it knew continue
 // streams which others had begun at the new one.
 func TestResumedStreamAtDaemonOutOfStep(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]outOfStep{
 		"cut off":                  {},
 		"cut off without a word":   {silent: true},
--- a/lab/sitepath/plannedexit_test.go
+++ b/lab/sitepath/plannedexit_test.go
@@ -15,6 +15,7 @@
 // Guards against refusing a request as one that crashes upstreams because they left in
 // order and exited after their last responses, which ended with their connections.
 func TestExitAfterLastResponseIsNoCrash(t *testing.T) {
+	t.Parallel()
 	const (
 		leaving    = 2
 		writes     = 60                     // one each 10 ms, until the daemon knows that the upstream leaves
--- a/lab/sitepath/promptpart_test.go
+++ b/lab/sitepath/promptpart_test.go
@@ -150,6 +150,7 @@
 // A prompt part that crashes engines goes on crashing them through requests of which
 // no two are alike, or takes sound requests with the same key and first part with it.
 func TestPromptPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		const period, soundPerCrashing, duration = 40 * time.Millisecond, 12, 40 * time.Second
 		c := d.crashOnPart(site.StallInFirstEvent)
@@ -186,6 +187,7 @@
 // first after a loss of power everywhere, loses an engine to a part that is known to
 // crash engines.
 func TestQuarantinedPromptPartIsKnownEverywhere(t *testing.T) {
+	t.Parallel()
 	for name, find := range map[string]func(d *deployment) []*process{
 		"started later": func(d *deployment) []*process {
 			p := d.start(partDaemons)
@@ -226,6 +228,7 @@
 // A daemon that reaches the store but none of its peers doesn't hear of a part that
 // crashed engines for the others.
 func TestQuarantinedPromptPartIsKnownWithoutPeers(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		c := d.crashOnPart(site.StallInFirstEvent)
 		alone := d.processes[0]
@@ -265,6 +268,7 @@
 // The streams of a part that crashes engines end with their connection before the first
 // event and are taken for complete, which would show that the part is sound.
 func TestCrashBeforeFirstEventIsNoAnswer(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		c := d.crashOnPart(site.EndBeforeFirstEvent)
 		a := c.ask(d.processes[0], sharedPart, crashingPart)
@@ -275,6 +279,7 @@
 
 // A rare part that was being run at two crashes with another cause stays refused.
 func TestSoundPromptPartIsWithdrawnFromQuarantine(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		c := &partCrashes{d: d, down: map[*site.Upstream]bool{}}
 		end := c.stallAll(true)
@@ -297,6 +302,7 @@
 // Engines that crash within the same second for another reason put the prompt parts
 // of the requests that they were running into quarantine.
 func TestPromptPartsOfMassCrashAreServed(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		const crashInterval = 100 * time.Millisecond
 		c := &partCrashes{d: d, down: map[*site.Upstream]bool{}}
@@ -322,6 +328,7 @@
 // Guards against clearing a prompt part because of a body without a length or chunks that
 // a crash cut off.
 func TestCrashInBodyIsNoAnswer(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		c := d.crashOnPart(site.EndInBody)
 		c.untilQuarantined(d.processes)
--- a/lab/sitepath/promptpartcaller_test.go
+++ b/lab/sitepath/promptpartcaller_test.go
@@ -15,6 +15,7 @@
 // Guards against one more crashed engine for a caller that left while its request waited
 // to be repeated after a crash.
 func TestRequestIsNotRepeatedOnceItsCallerLeft(t *testing.T) {
+	t.Parallel()
 	const (
 		// rounds is several, since the fault occurs in about half of them.
 		rounds = 8
--- a/lab/sitepath/promptpartcomment_test.go
+++ b/lab/sitepath/promptpartcomment_test.go
@@ -14,6 +14,7 @@
 // Guards against taking a comment or an empty line, which engines may send before they
 // compute the prompt, for the begin of an answer that clears the part that crashes them.
 func TestCommentBeforeCrashClearsNoPart(t *testing.T) {
+	t.Parallel()
 	const (
 		requests        = 40
 		requestInterval = 500 * time.Millisecond
--- a/lab/sitepath/promptpartqueue_test.go
+++ b/lab/sitepath/promptpartqueue_test.go
@@ -17,6 +17,7 @@
 // Guards against sending requests that waited in a daemon for a place at an engine while
 // a part of their prompts was quarantined.
 func TestRequestsWaitingInDaemonAreNotSentOnceQuarantined(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, 2, 2, func(d *deployment) {
 		const fillTime = 500 * time.Millisecond
 		const quarantineTable, fillers, pause = "verbenabend-quarantine", 16, 10 * time.Millisecond
--- a/lab/sitepath/promptpartreach_test.go
+++ b/lab/sitepath/promptpartreach_test.go
@@ -29,6 +29,7 @@
 // Guards against daemons that reach the store but none of their peers, and each lose
 // engines of their own to a part that crashes engines.
 func TestPromptPartIsQuarantinedWithoutGossip(t *testing.T) {
+	t.Parallel()
 	const daemonCount, engineCount = 15, 20
 	runOnDeploymentOf(t, daemonCount, engineCount, func(d *deployment) {
 		c := d.crashOnPart(site.StallInFirstEvent)
@@ -45,6 +46,7 @@
 // Guards against a part that crashes engines for two organisations, of which one is
 // isolated, and costs as many engines as for each of them alone.
 func TestPromptPartOfTwoOrganisationsIsQuarantinedOnce(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		c := d.crashOnPart(site.StallInFirstEvent)
 		keys := []string{callerKey, otherCallerKey}
@@ -67,6 +69,7 @@
 // Guards against daemons that lose engines of their own to a part that crashes engines
 // because a partition cuts some of them off from the others, or from one another.
 func TestPromptPartIsQuarantinedAcrossPartition(t *testing.T) {
+	t.Parallel()
 	const daemonCount, engineCount = 15, 20
 	for name, group := range map[string]func(daemon int) int{
 		"two thirds alone": func(daemon int) int { return min(daemon, 2*daemonCount/3) },
--- a/lab/sitepath/promptpartrelease_test.go
+++ b/lab/sitepath/promptpartrelease_test.go
@@ -28,6 +28,7 @@
 // mistake once more some minutes later, is not released by the first answer but has to
 // pass a trial at every daemon.
 func TestSoundPromptPartIsReleasedEverywhereAgain(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		// apart is long enough for the part not to count as recently begun.
 		const apart = 2 * time.Minute
@@ -54,6 +55,7 @@
 
 // A trial that no engine accepts is spent, and the sound part stays refused for longer.
 func TestTrialThatDoesNotRunIsNotSpent(t *testing.T) {
+	t.Parallel()
 	runOnDeploymentOf(t, partDaemons, partEngines, func(d *deployment) {
 		c := &partCrashes{d: d, down: map[*site.Upstream]bool{}}
 		end := c.stallAll(true)
--- a/lab/sitepath/quarantine_test.go
+++ b/lab/sitepath/quarantine_test.go
@@ -53,6 +53,7 @@
 // also after all of them were restarted. It crashes two engines in total, and
 // other requests are served.
 func TestRequestThatCrashesEnginesIsRefused(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.crashOnCrashingPath()
 		refused := func(p *process) bool {
@@ -87,6 +88,7 @@
 // requests. The requests are not the cause, so they are not quarantined and are
 // served once the upstreams are back.
 func TestSimultaneousCrashQuarantinesNothing(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		done := make(chan answer)
 		var recovered atomic.Bool
--- a/lab/sitepath/quarantinealone_test.go
+++ b/lab/sitepath/quarantinealone_test.go
@@ -13,6 +13,7 @@
 
 // A daemon that reaches neither another one nor the store keeps to its own bound.
 func TestRequestIsQuarantinedByDaemonAlone(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.cutPeers(never)
 		for i := range daemons {
--- a/lab/sitepath/quarantinereach_test.go
+++ b/lab/sitepath/quarantinereach_test.go
@@ -10,6 +10,7 @@
 // Guards against requests that crash two engines for each daemon while daemons reach the store and
 // not each other.
 func TestRequestIsQuarantinedWithoutGossip(t *testing.T) {
+	t.Parallel()
 	const size = 7
 	runOnDeploymentOf(t, size, engines, func(d *deployment) {
 		d.cutPeers(never)
--- a/lab/sitepath/quota_test.go
+++ b/lab/sitepath/quota_test.go
@@ -141,6 +141,7 @@
 // Guards against daemons that each serve the quota, or as much as callers send: the quota holds
 // for all daemons and services together and is used.
 func TestQuotaBindsAllDaemons(t *testing.T) {
+	t.Parallel()
 	counts := []int{1, 3, 7}
 	if testing.Short() { // as under the race detector
 		counts = []int{3}
@@ -179,6 +180,7 @@
 // Guards against a quota that is lost, or used twice, while its owner is partitioned from the
 // other daemons and goes on to serve.
 func TestQuotaHoldsWithoutItsOwner(t *testing.T) {
+	t.Parallel()
 	runOnQuotaDeployment(t, 7, func(d *deployment) {
 		d.setQuota(quotaRate)
 		time.Sleep(3 * time.Second)
@@ -220,6 +222,7 @@
 // Guards against a quota without meaning that keeps the rest of the desired state from coming
 // into force.
 func TestMalformedQuota(t *testing.T) {
+	t.Parallel()
 	runOnQuotaDeployment(t, 3, func(d *deployment) {
 		for _, value := range []any{"many", -5, true, []int{1}, nil, 1e300} {
 			d.setQuota(value)
--- a/lab/sitepath/ratelimit_test.go
+++ b/lab/sitepath/ratelimit_test.go
@@ -176,6 +176,7 @@
 // An engine that states a rate limit got from all daemons together as many requests as
 // without it: each daemon knew nothing of limits.
 func TestRateLimitBindsAllDaemons(t *testing.T) {
+	t.Parallel()
 	counts := []int{1, 3, 7, 12}
 	if testing.Short() { // as under the race detector
 		counts = []int{7}
@@ -220,6 +221,7 @@
 // The same where all engines state limits: what they do not take is refused at once and does
 // not run.
 func TestRateLimitsOfAllEnginesRefuseAtOnce(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		const perSecond = 5
 		var limited []*limitedUpstream
@@ -256,6 +258,7 @@
 // Daemons that an engine did not tell of its limit learn of it from those that it told, before
 // they send anything.
 func TestRateLimitIsToldToPeers(t *testing.T) {
+	t.Parallel()
 	const count, perSecond = 7, 1
 	runOnDeploymentOf(t, count, engines, func(d *deployment) {
 		limited := watchRateLimit(d.ledgers[0], nil)
@@ -275,6 +278,7 @@
 
 // Each attempt counts, whatever it is: retries, hedges and resumed streams.
 func TestRateLimitCoversAllAttempts(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []struct {
 		host, path string
 		failure    site.Behaviour
@@ -311,6 +315,7 @@
 
 // Daemons that are cut off from each other keep to their parts of a rate.
 func TestRateLimitHoldsWithoutGossip(t *testing.T) {
+	t.Parallel()
 	const perSecond = 5
 	runOnDeploymentOf(t, 7, engines, func(d *deployment) {
 		limited := watchRateLimit(d.ledgers[0], nil)
@@ -330,6 +335,7 @@
 
 // A limit ends with the process that stated it.
 func TestRateLimitEndsWithTheProcess(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		limited := watchRateLimit(d.ledgers[0], nil)
 		limited.state(1)
@@ -349,6 +355,7 @@
 // Values without meaning are counted and limit nothing; of several, the lowest holds; one of 0
 // leaves the few requests that show when it ends.
 func TestOddRateLimits(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		values []string
 		// least and most are the requests that may arrive in 10 s.
--- a/lab/sitepath/refusals_test.go
+++ b/lab/sitepath/refusals_test.go
@@ -29,6 +29,7 @@
 // Guards against orders that run twice: an upstream ran the request and answered with a status
 // that callers take for "not run"; they got that status and sent the order again.
 func TestUnprovenRefusalPromisesNothing(t *testing.T) {
+	t.Parallel()
 	for _, status := range unprovenRefusals {
 		for _, f := range framings {
 			for size, body := range refusalBodies() {
@@ -54,6 +55,7 @@
 
 // The statement of one upstream that it did not run a request covers no other upstream's answer.
 func TestUnprovenRefusalAfterProvenOnePromisesNothing(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		proven := site.Step{NotRun: true, Writes: []string{byLength.response(http.StatusServiceUnavailable, site.Identity+notRunPromise, refusalBody)}}
 		unproven := site.Step{Writes: []string{byLength.response(http.StatusServiceUnavailable, site.Identity, refusalBody)}}
@@ -66,6 +68,7 @@
 
 // An unproven refusal is logged with its status and upstream and counted as the upstream's failure.
 func TestUnprovenRefusalIsLoggedAndCounted(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		p := d.processes[0]
 		step := site.Step{Writes: []string{byLength.response(http.StatusServiceUnavailable, site.Identity, refusalBody)}}
@@ -83,6 +86,7 @@
 // Requests that may be repeated lose nothing by a promise that is not true: their callers get the
 // upstream's response unchanged.
 func TestUnprovenRefusalOfRepeatableRequestIsRelayed(t *testing.T) {
+	t.Parallel()
 	for _, status := range unprovenRefusals {
 		for _, f := range framings {
 			for size, body := range refusalBodies() {
--- a/lab/sitepath/restore_test.go
+++ b/lab/sitepath/restore_test.go
@@ -43,6 +43,7 @@
 // start meanwhile, that send requests to engines which left, or that ignore the operators' new
 // state because its revision or version is not greater.
 func TestRestoredStoreBringsNothingBack(t *testing.T) {
+	t.Parallel()
 	runOnRestorableDeployment(t, func(d *deployment) {
 		older := d.store.Snapshot()
 		d.revokeOtherKey()
@@ -79,6 +80,7 @@
 // seen with another meaning, and two holders that send orders, when the store is restored twice
 // while engines load new weights and one daemon is cut off.
 func TestRestoreDuringWeightSwitch(t *testing.T) {
+	t.Parallel()
 	runOnRestorableDeployment(t, func(d *deployment) {
 		d.setGoalVersion(2)
 		older := d.store.Snapshot()
--- a/lab/sitepath/site_test.go
+++ b/lab/sitepath/site_test.go
@@ -1,5 +1,6 @@
 // Package sitepath tests complete daemons, with the adapter for the users'
-// platform, against stand-ins of its store and upstreams in virtual time.
+// platform, against stand-ins of its store and upstreams in virtual time. Tests run beside each
+// other, unless they measure or limit the memory of the process.
 package sitepath
 
 import (
@@ -7,8 +8,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -362,6 +365,9 @@
 	for _, p := range d.processes {
 		assert.NilError(d.t, <-p.done)
 	}
+	if d.memoryMB > 0 { // the daemons set the limit of the process, which other tests share
+		debug.SetMemoryLimit(math.MaxInt64)
+	}
 	time.Sleep(lastLoadTime)
 	close(d.stopHeartbeats)
 	d.mu.Lock() // upstreams that crashed may have been restarted meanwhile
--- a/lab/sitepath/software_test.go
+++ b/lab/sitepath/software_test.go
@@ -61,6 +61,7 @@
 // Guards against an answer whose first events are of one software version and whose others are
 // of another, because the engine crashed and only that one was free.
 func TestStreamGoesOnOnlyAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
 	for name, versions := range map[string][]string{"another engine of the version": {"v1", "v1", "v2"}, "no other engine of the version": {"v1", "v2", "v3"}} {
 		t.Run(name, func(t *testing.T) {
 			runOnDeploymentWith(t, func(d *deployment) { d.setSoftware(versions...) }, func(d *deployment) {
@@ -193,6 +194,7 @@
 // Guards against streams that are taken up at another daemon, which lets another software version
 // continue them, or refuses them although their version serves.
 func TestResumedStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
 	for name, versions := range map[string][]string{"one": {"v1", "v1"}, "two": {"v1", "v1", "v2", "v2"}, "three": {"v1", "v1", "v2", "v2", "v3", "v3"}} {
 		t.Run(name, func(t *testing.T) {
 			runDeployment(t, len(versions), func(d *deployment) {
@@ -211,6 +213,7 @@
 // Guards against streams that were begun at a daemon which is lost, and go on at another version or
 // are refused although their version serves.
 func TestResumedStreamAfterLossOfItsDaemon(t *testing.T) {
+	t.Parallel()
 	runDeployment(t, 4, func(d *deployment) {
 		d.daemonCount = daemons
 		d.setSoftware("v1", "v1", "v2", "v2")
@@ -232,6 +235,7 @@
 // both versions serve, when the old one's engines have left, while the store is away or was restored
 // from an older copy, and when the first events were relayed right before.
 func TestResumedStreamAfterLossOfAllDaemons(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		// written is the time from the streams' beginning to the loss; after it, the store
 		// and the engines are changed.
@@ -278,6 +282,7 @@
 // Guards against a daemon that has just started, sees one software version and lets it continue
 // streams of a version whose last engines left while all daemons were away.
 func TestResumedStreamOfVersionThatLeft(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(2 * time.Second)
 		streams := d.beginStreams(resumedStreams, d.processes) // of the only version
@@ -295,6 +300,7 @@
 // Guards against a resumed stream that is refused in an outage of the store, although its service
 // has had one software version only.
 func TestResumedStreamOfOnlyVersionDuringStoreOutage(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(2 * time.Second)
 		for _, p := range d.processes {
@@ -310,6 +316,7 @@
 // another stream, and gets events of any version; and against one that learns of another
 // organisation's stream.
 func TestResumedStreamOfUnknownOrigin(t *testing.T) {
+	t.Parallel()
 	for name, modify := range map[string]func(r *http.Request){
 		"no ID":                func(r *http.Request) { r.Header.Del("Resumes") },
 		"unknown ID":           func(r *http.Request) { r.Header.Set("Resumes", "nobody") },
@@ -333,6 +340,7 @@
 // Guards against a daemon that the store leaves without answers, or refuses, and that lets the only
 // version it knows continue streams which others began at a newer one.
 func TestResumedStreamAtDaemonWithoutStore(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]site.Fault{"silent": {Unresponsive: true}, "busy": {Status: http.StatusServiceUnavailable}} {
 		t.Run(name, func(t *testing.T) {
 			runDeployment(t, 4, func(d *deployment) {
--- a/lab/sitepath/state_test.go
+++ b/lab/sitepath/state_test.go
@@ -37,6 +37,7 @@
 }
 
 func TestRevokedKeyIsRefusedEverywhere(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.revokeOtherKey()
 		time.Sleep(stateBound)
@@ -51,6 +52,7 @@
 // from its peers, also if it starts during the fault, and does not revert to
 // older state.
 func TestStateSpreadsByPeersWhenStoreFails(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]site.Fault{"busy": {Status: http.StatusServiceUnavailable}, "many": {Status: http.StatusTooManyRequests}, "silent": {Unresponsive: true}} {
 		t.Run(name, func(t *testing.T) {
 			runOnDeployment(t, func(d *deployment) {
@@ -82,6 +84,7 @@
 }
 
 func TestCompactedHistoryTriggersFullRead(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		for _, p := range d.processes {
 			d.store.SetFault(p.name, site.Fault{Status: http.StatusServiceUnavailable})
@@ -106,6 +109,7 @@
 }
 
 func TestLeavingEngineGetsNoWork(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.engines[1].Drain(d.store)
 		time.Sleep(drainBound)
@@ -118,6 +122,7 @@
 }
 
 func TestUnreadableRowsAreIgnored(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.store.PutBytes("servers", "garbage", []byte("\xff not JSON"))
 		d.store.Put("servers", "odd", map[string]any{"service": "bench", "addr": 7, "state": "ready", "slots": "many"})
@@ -131,6 +136,7 @@
 // or ports out of range, end no daemon and keep none from following the list: an upstream
 // that leaves afterwards gets no work.
 func TestOddRowsDoNotStopFollowing(t *testing.T) {
+	t.Parallel()
 	row := func(fields string) []byte { return []byte(`{"service":"bench","state":"ready",` + fields + `}`) }
 	runOnDeployment(t, func(d *deployment) {
 		for key, value := range map[string][]byte{
@@ -163,6 +169,7 @@
 // directory about as soon as cached directory answers expire at callers, and
 // returns when it responds again.
 func TestUnresponsiveDaemonLeavesDirectory(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(2 * time.Second) // until all peers are connected
 		unresponsive, others := d.processes[2], d.processes[:2]
@@ -183,6 +190,7 @@
 // Guards against a daemon that was cut off for long and redials its peers only after 30 s or
 // more, while directories leave it out.
 func TestDaemonReturnsSoonAfterLongCut(t *testing.T) {
+	t.Parallel()
 	const returnBound = 8 * time.Second
 	runOnDeployment(t, func(d *deployment) {
 		time.Sleep(2 * time.Second) // until all peers are connected
@@ -204,6 +212,7 @@
 // replacements, at other addresses and without a peer that has state, serve by
 // that change within the platform's limit.
 func TestRecoveryAfterAllLosePower(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		unpowered := slices.Clone(d.processes)
 		d.revokeOtherKey()
@@ -225,6 +234,7 @@
 // Engines switch to new weights, at most two at a time, by one order each from
 // the same lease holder, and no request reaches an engine that is loading.
 func TestWeightsAreSwitched(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setGoalVersion(2)
 		d.eventually("all engines have version 2", switchBound, func() bool {
@@ -249,6 +259,7 @@
 
 // Continuous streams do not delay the weight switch and complete.
 func TestWeightsAreSwitchedUnderStreams(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		const streams, events, every = 16, 20, 300 * time.Millisecond
 		for _, e := range d.engines {
@@ -277,6 +288,7 @@
 // Under continuous long prompts with a prefill of 0.4 s each, engines finish their
 // prefills before they are ordered to switch weights, and all switch in time.
 func TestPrefillsFinishBeforeWeightSwitch(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		for _, e := range d.engines {
 			e.StreamEvents, e.EventInterval = 2, 400*time.Millisecond
@@ -314,6 +326,7 @@
 // An engine that is finishing its prefills for a switch when a newer version is
 // set switches to the newer version directly.
 func TestPreparingEngineSwitchesToNewestVersion(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		for _, e := range d.engines {
 			e.StreamEvents, e.EventInterval = 1, 1200*time.Millisecond
@@ -351,6 +364,7 @@
 // When the lease holder can no longer reach the store, another daemon takes over
 // the rollout in time.
 func TestAnotherDaemonTakesOverRollout(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		d.setGoalVersion(2)
 		var holder string
@@ -378,6 +392,7 @@
 // A daemon that is being stopped leaves the directory at once, serves every
 // request of callers whose directory answers have not expired, and cuts off none.
 func TestShutdownCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	const directoryMaxAge = 3 * time.Second // three times the max age of directory answers
 	runOnDeployment(t, func(d *deployment) {
 		stopping := d.processes[1]
@@ -421,6 +436,7 @@
 // calm, and cut at its end: from the time on at which no caller should know the daemon any
 // more it passes none on that it may not see to its end.
 func TestRequestsLateInGraceAreNotCut(t *testing.T) {
+	t.Parallel()
 	const (
 		callersKnow = 3 * time.Second // three times the max age of directory answers
 		transit     = 50 * time.Millisecond
--- a/lab/sitepath/version_test.go
+++ b/lab/sitepath/version_test.go
@@ -150,6 +150,7 @@
 // Under steady traffic a fleet switches to a version in time, and no run begins on
 // old weights beyond the time limit.
 func TestBusyFleetSwitchesInTime(t *testing.T) {
+	t.Parallel()
 	runOnBusyDeployment(t, func(d *deployment, l *traffic) {
 		g := d.nameVersions()
 		g.name(2)
@@ -166,6 +167,7 @@
 // When a version is named while engines are still behind an earlier one, no run
 // begins on weights beyond the time limit of the earlier one.
 func TestBusyFleetFollowsFrequentVersions(t *testing.T) {
+	t.Parallel()
 	const (
 		versions      = 3
 		versionPeriod = 6 * time.Second
@@ -203,6 +205,7 @@
 
 // Old weights are not used beyond their time limit while an engine has new ones.
 func TestOldWeightsExpire(t *testing.T) {
+	t.Parallel()
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		g.nameAtFirstEngine(2)
 		l := d.startTraffic(requestPeriod, d.processes...)
@@ -216,6 +219,7 @@
 // Expired weights are not used again when yet another version is named, which no
 // engine has at first.
 func TestExpiredWeightsStayExpiredAfterNextVersion(t *testing.T) {
+	t.Parallel()
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		g.nameAtFirstEngine(2)
 		l := d.startTraffic(requestPeriod, d.processes...)
@@ -230,6 +234,7 @@
 // A daemon that learns of a version only from its peers stops using old weights in
 // time.
 func TestOldWeightsExpireWithoutStore(t *testing.T) {
+	t.Parallel()
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		withoutStore := d.processes[2]
 		d.store.SetFault(withoutStore.name, site.Fault{Unresponsive: true})
@@ -245,6 +250,7 @@
 // A daemon that starts after a version was named counts the age of old weights
 // from then, not from its own start.
 func TestOldWeightsExpireAtStartedDaemon(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{3 * time.Second, 12 * time.Second, 40 * time.Second} {
 		t.Run(fmt.Sprintf("after-%s", delay), func(t *testing.T) {
 			runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
@@ -264,6 +270,7 @@
 // A daemon that starts after two versions were named counts the age of the first
 // weights from the first of them, which the store no longer lists.
 func TestOldWeightsExpireAtDaemonStartedAfterTwoVersions(t *testing.T) {
+	t.Parallel()
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		g.nameAtFirstEngine(2)
 		time.Sleep(versionTimeLimit + time.Second)
@@ -279,6 +286,7 @@
 // Requests that were sent to full engines right before the weights expired do not
 // begin there after the time limit.
 func TestQueuedRequestsDoNotBeginOnExpiredWeights(t *testing.T) {
+	t.Parallel()
 	const (
 		routeTimeoutMS = 14000
 		// streamEvents and eventInterval keep slots longer than daemons stop using
@@ -307,6 +315,7 @@
 // An engine that has old weights although daemons believe that it has new ones
 // runs no request.
 func TestWrongBeliefOfVersionRunsNothing(t *testing.T) {
+	t.Parallel()
 	runOnDeployment(t, func(d *deployment) {
 		g := d.nameVersions()
 		g.name(2)
@@ -323,6 +332,7 @@
 // Expired weights are not used beyond the limit even where no other engine is
 // available: here the only one with new weights leaves.
 func TestExpiredWeightsAreNoLastResort(t *testing.T) {
+	t.Parallel()
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		g.nameAtFirstEngine(2)
 		l := d.startTraffic(requestPeriod, d.processes...)
@@ -337,6 +347,7 @@
 // Requests that are sent to full engines before the limit, when no engine has the new
 // version, do not begin there after it.
 func TestQueuedRequestsWithoutAlternativeDoNotBeginLate(t *testing.T) {
+	t.Parallel()
 	const (
 		routeTimeoutMS = 14000
 		streamEvents   = 20
@@ -363,6 +374,7 @@
 // Requests that wait at full engines when a version is named do not begin there after
 // the time limit.
 func TestRequestsQueuedBeforeVersionDoNotBeginLate(t *testing.T) {
+	t.Parallel()
 	const (
 		routeTimeoutMS = 14000
 		streamEvents   = 20
@@ -389,6 +401,7 @@
 // cancelled there. It is repeated where the route allows it; otherwise it may have run,
 // and the caller is not told that it has not.
 func TestUnansweredRequestEndsAtLimitOfWeights(t *testing.T) {
+	t.Parallel()
 	const routeTimeoutMS = 14000
 	for path, wantStatus := range map[string]int{"/chat/1": http.StatusOK, "/once/1": http.StatusBadGateway} {
 		t.Run(strings.Trim(path, "/1"), func(t *testing.T) {
@@ -437,6 +450,7 @@
 // Daemons that all lose power at once and start anew count the age of old weights from
 // when the newer version was named.
 func TestOldWeightsExpireAfterAllLosePower(t *testing.T) {
+	t.Parallel()
 	const busyPeriod = 10 * time.Millisecond // more than the engine with new weights serves
 	runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
 		g.nameAtFirstEngine(2)
--- a/lab/sitepath/versionage_test.go
+++ b/lab/sitepath/versionage_test.go
@@ -49,6 +49,7 @@
 // Ages outlive all daemons: old weights serve until their limit, and not longer, after
 // a loss of power at any time since the version was named.
 func TestAgesOutliveAllDaemons(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 5 * time.Second} {
 		t.Run(fmt.Sprintf("after-%s", delay), func(t *testing.T) {
 			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
@@ -71,6 +72,7 @@
 // A version that was named while no daemon lived, or right before all were lost, has a
 // bounded age: engines with old weights serve, but not beyond the limit.
 func TestAgeOfUnrecordedVersionIsBounded(t *testing.T) {
+	t.Parallel()
 	for _, named := range []string{"before", "after"} {
 		t.Run(named, func(t *testing.T) {
 			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
@@ -97,6 +99,7 @@
 // Two versions named before all daemons were lost: the age of the first weights counts
 // from the first of them, which the store no longer lists.
 func TestAgeOfFirstVersionOutlivesAllDaemons(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		g.name(2)
 		time.Sleep(versionTimeLimit / 2)
@@ -114,6 +117,7 @@
 // A started daemon uses no old weights before it has heard of their age, also when the
 // store refuses it and only peers know.
 func TestStartedDaemonWaitsForAges(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []site.Fault{{}, {Status: 503}, {Unresponsive: true}} {
 		t.Run(fmt.Sprintf("%+v", fault), func(t *testing.T) {
 			runOnSplitDeployment(t, func(d *deployment, g *versionGoals) {
@@ -133,6 +137,7 @@
 // A started daemon that no peer can tell the ages reads them from the store before it
 // uses old weights.
 func TestStartedDaemonReadsAgesFromStore(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		g.name(2)
 		time.Sleep(versionTimeLimit + time.Second)
@@ -151,6 +156,7 @@
 // Daemons that were suspended, so that their steady clocks stood still, count that time
 // in the ages of weights.
 func TestSuspendedDaemonsCountTheTime(t *testing.T) {
+	t.Parallel()
 	const suspended = 6 * time.Second
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		g.name(2)
@@ -170,6 +176,7 @@
 // An engine is told the time that is left when it gets a request. When the time to
 // connect to it was not counted, requests began in its queue after the limit.
 func TestTimeToConnectIsNotHandedOn(t *testing.T) {
+	t.Parallel()
 	const (
 		deadline    = 3 * time.Second
 		connectTime = 280 * time.Millisecond
@@ -194,6 +201,7 @@
 // Old weights are not used beyond their limit while the store does not answer for a
 // moment, which does not stop a rollout.
 func TestOldWeightsExpireWhileStoreIsBrieflyAway(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []site.Fault{{Status: 503}, {Unresponsive: true}} {
 		t.Run(fmt.Sprintf("%+v", fault), func(t *testing.T) {
 			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
@@ -218,6 +226,7 @@
 // A version is recorded by one daemon, or by the next if the store refuses the first,
 // and not by each; the record is renewed by one.
 func TestOneDaemonRecordsVersions(t *testing.T) {
+	t.Parallel()
 	for _, count := range []int{3, 12} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			runWithoutRollout(t, count, func(d *deployment, g *versionGoals) {
@@ -255,6 +264,7 @@
 // Guards against ages of weights that are lost because the store's clock began anew while
 // no daemon lived.
 func TestAgesOutliveRestartOfStoreClock(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		time.Sleep(time.Minute)
 		g.name(2)
@@ -272,6 +282,7 @@
 // After the store's clock began anew while no daemon lived, the record is on the new
 // clock: versions named then have an age again, also after another loss of all daemons.
 func TestVersionsNamedAfterRestartOfStoreClockHaveAges(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		d.setGoalVersion(1) // which all engines have
 		time.Sleep(time.Minute)
@@ -298,6 +309,7 @@
 // Guards against ages that are too great at living daemons because the store's clock began
 // anew, and against ages that get lost with them.
 func TestLivingDaemonsKeepAgesWhenStoreClockRestarts(t *testing.T) {
+	t.Parallel()
 	for _, after := range []string{"living", "one starts", "all lose power"} {
 		t.Run(after, func(t *testing.T) {
 			runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
@@ -330,6 +342,7 @@
 // Guards against versions that count as too old because the store's clock went back right
 // before they were named, also at daemons that hear of them before they read that clock.
 func TestVersionNamedAfterStoreClockRestartsHasAge(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		time.Sleep(time.Minute)
 		d.store.SkipTime(-time.Minute)
@@ -346,6 +359,7 @@
 // Guards against an age that is too great for good at a daemon that hears of a version,
 // dated on the store's new clock, before it has read that clock.
 func TestFactOnUnreadStoreClockIsNotOld(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		inner := d.store.HandlerFor(fmt.Sprintf("daemon-%d", daemons))
 		var heldBack atomic.Bool // the store's answers are
@@ -384,6 +398,7 @@
 // Guards against a record that is not renewed for as long as the store's clock went back,
 // because a peer had told of a renewal on the clock before.
 func TestRenewalOnEarlierStoreClockIsForgotten(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		time.Sleep(time.Minute)
 		d.store.SkipTime(-time.Minute)
@@ -403,6 +418,7 @@
 // Guards against a version that was named while no daemon lived and that counts as younger
 // than it is, by the start of a clock that began anew afterwards.
 func TestUnrecordedVersionOutlivesRestartOfStoreClock(t *testing.T) {
+	t.Parallel()
 	runWithoutRollout(t, daemons, func(d *deployment, g *versionGoals) {
 		started := time.Now().Add(-3 * time.Second) // the store's clock
 		time.Sleep(time.Minute)
@@ -421,6 +437,7 @@
 // Guards against daemons that the store turns away dating a version by when a peer's copy
 // showed it: the peer may itself have read it long after it was named.
 func TestVersionFromCopyOfPeerIsNotNew(t *testing.T) {
+	t.Parallel()
 	const (
 		silence  = 25 * time.Second // of the store before the version is named: until all reads have failed
 		unseenIn = 6 * time.Second  // until a daemon can read it
--- a/lab/sitepath/waitingisolation_test.go
+++ b/lab/sitepath/waitingisolation_test.go
@@ -158,6 +158,7 @@
 // Guards against requests that wait in an engine's queue when an organisation becomes isolated, and
 // begin later with prompt parts from across the wall.
 func TestQueuedRequestsFollowANewIsolation(t *testing.T) {
+	t.Parallel()
 	for name, key := range map[string]string{"requests of others": thirdCallerKey, "its own requests": callerKey} {
 		t.Run(name, func(t *testing.T) {
 			runOnQueues(t, "/chat/1", key, ampleRetries, func(q *queues) {
@@ -189,6 +190,7 @@
 // Requests that are taken back use the retry budget, which bounds their arrivals: callers of those
 // beyond it are told at once that they may have run.
 func TestQueuedRequestsKeepToTheRetryBudgetAtANewIsolation(t *testing.T) {
+	t.Parallel()
 	runOnQueues(t, "/chat/1", thirdCallerKey, scarceRetries, func(q *queues) {
 		published := time.Now()
 		q.setOrganisations(map[string]bool{"trust": true})
@@ -214,6 +216,7 @@
 // Streams that cannot be resumed may have begun: they are not sent again, and their callers are
 // told so.
 func TestQueuedStreamsThatMayNotBeRepeatedEndAtANewIsolation(t *testing.T) {
+	t.Parallel()
 	runOnQueues(t, "/once/1", thirdCallerKey, ampleRetries, func(q *queues) {
 		published := time.Now()
 		q.setOrganisations(map[string]bool{"trust": true})
@@ -236,6 +239,7 @@
 
 // A desired state that isolates nobody new takes nothing back.
 func TestQueuedRequestsStayWhenNobodyIsNewlyIsolated(t *testing.T) {
+	t.Parallel()
 	for name, change := range map[string]func(q *queues){
 		"other time-outs": func(q *queues) {
 			q.desiredState["routes"].([]map[string]any)[0]["timeoutMs"] = 19_000
--- a/lab/sitepath/weightscrash_test.go
+++ b/lab/sitepath/weightscrash_test.go
@@ -15,6 +15,7 @@
 // Guards against refusing a request as one that crashes engines because connections broke
 // after a change of weights: no engine has ended.
 func TestConnectionsThatBreakAfterSwitchAreNoCrashes(t *testing.T) {
+	t.Parallel()
 	const (
 		breaksAfter   = 700 // writes, one each 10 ms
 		breakInterval = 60  // writes
--- a/lab/sitepath/wholeanswers_test.go
+++ b/lab/sitepath/wholeanswers_test.go
@@ -47,6 +47,7 @@
 // Guards against a sound request that is refused for an hour, because upstreams crashed twice while
 // it was under way and its whole answers are no successes.
 func TestWholeAnswerClearsSuspicion(t *testing.T) {
+	t.Parallel()
 	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusBadRequest, http.StatusConflict, http.StatusSeeOther} {
 		for _, c := range []caller{safeCaller, unsafeCaller} {
 			t.Run(fmt.Sprintf("%d/%s", status, c.name), func(t *testing.T) {
@@ -65,6 +66,7 @@
 // What does not show that the request ran to its end at an upstream that lives clears nothing: a
 // failing upstream may not have begun it.
 func TestFailedAnswerClearsNoSuspicion(t *testing.T) {
+	t.Parallel()
 	for name, step := range map[string]site.Step{
 		"500":                  {Writes: []string{byLength.response(http.StatusInternalServerError, site.Identity, "")}},
 		"503, not run":         {NotRun: true, Writes: []string{byLength.response(http.StatusServiceUnavailable, site.Identity+notRunPromise, refusalBody)}},
