--- a/lab/sitepath/quarantine_test.go
+++ b/lab/sitepath/quarantine_test.go
@@ -1,6 +1,7 @@
 package sitepath
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -119,3 +120,35 @@
 		}
 	})
 }
+
+// Guards against requests that crash two engines for each daemon while daemons reach the store and
+// not each other.
+func TestRequestIsQuarantinedWithoutGossip(t *testing.T) {
+	t.Parallel()
+	const size = 7
+	runOnDeploymentOf(t, size, engines, func(d *deployment) {
+		d.cutPeers(never)
+		time.Sleep(meetBound)
+		d.crashOnCrashingPath()
+		d.sendCrashingRequest(2 * size)
+		assert.Equal(t, d.crashingRuns(), maxCrashedEngines)
+	})
+}
+
+// A daemon that reaches neither another one nor the store keeps to its own bound.
+func TestRequestIsQuarantinedByDaemonAlone(t *testing.T) {
+	t.Parallel()
+	runOnDeployment(t, func(d *deployment) {
+		d.cutPeers(never)
+		for i := range daemons {
+			d.store.SetFault(fmt.Sprintf("daemon-%d", i), site.Fault{Status: http.StatusServiceUnavailable})
+		}
+		time.Sleep(meetBound)
+		d.crashOnCrashingPath()
+		for range 6 {
+			d.ask(d.processes[0], http.MethodPost, modelHost, crashingPath, nil)
+			time.Sleep(crashRequestInterval)
+		}
+		assert.Equal(t, d.crashingRuns(), maxCrashedEngines)
+	})
+}
