--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -15,6 +18,9 @@
 	failed = 2
 )
 
+// timeLimit ends a case that hangs.
+const timeLimit = 110 * time.Second
+
 var cases = map[string]func(w *world) error{}
 
 func main() { os.Exit(play()) }
@@ -30,6 +36,16 @@
 		return failed
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(timeLimit):
+		}
+		w.close()
+		os.Exit(failed)
+	}()
 	if err := cases[os.Args[1]](w); err != nil {
 		w.note("failed", err.Error())
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin-3/removal.go
+++ b/review/standin-3/removal.go
@@ -1,30 +1,40 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 )
 
-func init() { cases["removal"] = silentRemoval }
+func init() { cases["removal"] = removalAfterCut }
 
 const (
-	contact = 3 * time.Second // contactMs
-	drain   = 2 * time.Second // drainMs
+	drain = 2 * time.Second // drainMs
+	// cutLength is how long the one daemon is partitioned from the store.
+	cutLength = 2 * time.Second
 )
 
-// silentRemoval makes all open connections to the store silent, while new ones work. Once all
-// daemons are in touch again, three of twelve instances of a service leave one after the other
-// without a report: their entries are removed, and they serve on.
-func silentRemoval(w *world) error {
-	const daemons, instances, callers = 7, 12, 4
+// removalAfterCut partitions one of ten daemons from the store, the one that reads it for the
+// others. Around the end of the cut, four of sixteen instances of a service leave one after the other
+// without a report: their entries are removed, and they serve on. Callers use the other daemons.
+func removalAfterCut(w *world) error {
+	const daemons, instances, callers = 10, 16, 4
 	if err := w.deploy(daemons, 3, instances); err != nil {
 		return err
 	}
-	time.Sleep(8 * time.Second)
-	end := time.Now().Add(contact + 8*time.Second)
+	time.Sleep(6 * time.Second)
+	reader, share := w.storeLink.busiest(3 * time.Second)
+	w.note("reader", fmt.Sprintf("%s sends %.0f in 100 of the bytes that the store gets", reader, 100*share))
+	if reader == "" || share < 0.5 {
+		return errors.New("no daemon is seen to read the store for the others")
+	}
+	end := time.Now().Add(cutLength + 7*time.Second)
 	var all sync.WaitGroup
 	for _, d := range w.daemons {
+		if d.name == reader {
+			continue // it is out of touch
+		}
 		for n := range callers {
 			all.Go(func() {
 				c := newCaller(w)
@@ -36,16 +46,18 @@
 		}
 	}
 	if w.trouble {
-		n := w.storeLink.silence()
-		w.note("trouble", fmt.Sprintf("the %d open connections to the store are silent from now on, %s", n, w.clock()))
+		n := w.storeLink.cutOff(reader)
+		w.note("trouble", fmt.Sprintf("%s is cut off from the store: %d connections are reset, new ones too", reader, n))
 	}
+	time.Sleep(cutLength)
+	w.storeLink.restore()
+	w.note("restored", reader+" reaches the store again")
 	removed := map[string]time.Time{}
-	time.Sleep(contact + 600*time.Millisecond)
-	for i := range 3 {
+	for i := range 4 {
 		e := w.engines[3+i]
 		removed[e.id] = e.leave()
-		w.note("acked", "the entry of "+e.id+" is removed; it serves on, "+w.clock())
-		time.Sleep(400 * time.Millisecond)
+		w.note("acked", "the entry of "+e.id+" is removed; it serves on")
+		time.Sleep(250 * time.Millisecond)
 	}
 	all.Wait()
 	w.judgeRemovals(removed)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -46,6 +47,7 @@
 type daemon struct {
 	name, ip string
 	cmd      *exec.Cmd
+	pid      atomic.Int64
 	done     chan struct{}
 	settings string
 }
@@ -71,7 +73,7 @@
 		return nil, err
 	}
 	w.store.serve(l)
-	w.storeLink, err = newProxy(w.addr(250, "store"), l.Addr().String())
+	w.storeLink, err = newProxy(w.addr(250, "store"), l.Addr().String(), w.daemonOfPort)
 	return w, err
 }
 
@@ -92,9 +94,6 @@
 
 func (w *world) at() string { return fmt.Sprintf("%8.3f", time.Since(w.began).Seconds()) }
 
-// clock returns the time of day, as in the logs of the daemons.
-func (w *world) clock() string { return time.Now().UTC().Format("15:04:05.000") }
-
 // note writes a line into the record.
 func (w *world) note(kind, text string) {
 	w.mu.Lock()
@@ -157,6 +156,8 @@
 	if err := os.WriteFile(d.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		panic(err)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.daemons = append(w.daemons, d)
 	return d
 }
@@ -171,18 +172,16 @@
 	d.cmd = exec.Command("target/verbenabendd", "gateway", "--metrics-port", strconv.Itoa(w.ports["metrics"]))
 	d.cmd.Env = append(os.Environ(), "VERBENABEND_SETTINGS="+d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = log, log
-	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
+	d.pid.Store(int64(d.cmd.Process.Pid))
 	d.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) { _ = c.Wait(); close(done) }(d.cmd, d.done)
 	w.note("daemon", fmt.Sprintf("%s starts, process %d", d.name, d.cmd.Process.Pid))
 	return nil
 }
 
-func (d *daemon) signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
-
 func (d *daemon) running() bool {
 	select {
 	case <-d.done:
@@ -221,9 +220,8 @@
 // close ends all that was started, and the record.
 func (w *world) close() {
 	for _, d := range w.daemons {
-		if d.cmd != nil && d.running() {
-			d.signal(syscall.SIGCONT)
-			d.signal(syscall.SIGKILL)
+		if d.done != nil && d.running() {
+			_ = d.cmd.Process.Signal(syscall.SIGKILL)
 			<-d.done
 		}
 	}
