Count all answers of the store, late ones too, before a gap is called an outage

Cause: the absence of known answers was taken for the presence of an outage. Only answers to reads of the upstreams counted; a read failed when this software's own deadline had passed, and was given up by that; one failure in a gap made it an outage. Evidence: event 515 after "no answer for 2.1 s", while the same store answered reads of other tables; the only calls that failed were those of the daemon whose link was cut, and calls that were given up. Ruled out: the machine as such (without the cut the rule holds).

Calls stay open up to 5 s beside the next one, and every answer to any call of any daemon counts, by the store's time. A gap is an outage if two daemons had calls fail in it and no call that was sent in its first 2.1 s was answered; or if rows vanished without a trace: the whole table lacks them, and the history up to it, read after it, tells of no removal. The history is read first and what it removes is removed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,10 +207,13 @@
 	d.log.Observe(d.metrics.CountEvent)
 	d.allowances = newAllowances(d)
 	d.eras = platform.ErasOf(p.Table)
-	d.platform.Table = timedTable{p.Table, d.metrics, d.storeClock}
+	timed := func(t platform.Table) platform.Table {
+		return timedTable{t, d.metrics, d.storeClock, d.noteStoreAnswer}
+	}
+	d.platform.Table = timed(p.Table)
 	d.platform.Feed = clockedFeed{p.Feed, d.storeClock}
-	d.platform.Shared = timedTable{p.Shared, d.metrics, d.storeClock}
-	d.platform.Operators = timedTable{p.Operators, d.metrics, d.storeClock}
+	d.platform.Shared = timed(p.Shared)
+	d.platform.Operators = timed(p.Operators)
 	d.services = forward.NewServices(forward.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack}, func(dc string) time.Duration { return d.delay(s.DataCentre, dc) })
 	d.services.SetTriageMode(s.Triage)
 	d.liveness = forward.NewLiveness(network.DialProbe, d.livenessChanged, d.log)
@@ -286,6 +289,13 @@
 	}
 }
 
+// noteStoreAnswer notes that the store answered a call other than those for the copies.
+func (d *Daemon) noteStoreAnswer(sentAt time.Duration, readAt platform.StoreTime) {
+	if d.copies != nil { // while the daemon is provisioned
+		d.copies.ObserveAnswer(sentAt, readAt)
+	}
+}
+
 // recordStoreRead records whether a read of the operators' table failed.
 func (d *Daemon) recordStoreRead(err error) {
 	if err == nil {
--- a/internal/gateway/instrument.go
+++ b/internal/gateway/instrument.go
@@ -116,6 +116,28 @@
 	platform.Table
 	metrics *telemetry.Metrics
 	clock   *storeclock.Clock
+	// answered is told of each answer, with when its call was sent, as Clock.Local, and when the
+	// store read it.
+	answered func(sentAt time.Duration, readAt platform.StoreTime)
+}
+
+// maxUndatedAnswerTime is the longest time that a call may take for its answer to tell when the store
+// was in order although it bears no time.
+const maxUndatedAnswerTime = 100 * time.Millisecond
+
+// noteAnswer passes on that the store answered; readAt is 0 if it did not say when.
+func (t timedTable) noteAnswer(sentAt time.Duration, readAt platform.StoreTime, err error) {
+	if err != nil && !errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
+		return
+	}
+	if now, ok := t.clock.Now(); readAt == 0 {
+		took := t.clock.Local() - sentAt
+		if !ok || took > maxUndatedAnswerTime {
+			return
+		}
+		readAt = now.Add(-took)
+	}
+	t.answered(sentAt, readAt)
 }
 
 // Get implements platform.Table.
@@ -123,22 +145,25 @@
 	start, sentAt := time.Now(), t.clock.Local()
 	row, err := t.Table.Get(ctx, key)
 	row.ReadAt = t.clock.Observe(row.ReadAt, sentAt)
+	t.noteAnswer(sentAt, row.ReadAt, err)
 	t.record("read", start, err)
 	return row, err
 }
 
 // List implements platform.Table.
 func (t timedTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	start := time.Now()
+	start, sentAt := time.Now(), t.clock.Local()
 	rows, err := t.Table.List(ctx, prefix, after, limit)
+	t.noteAnswer(sentAt, 0, err)
 	t.record("list", start, err)
 	return rows, err
 }
 
 // Commit implements platform.Table.
 func (t timedTable) Commit(ctx context.Context, txn platform.Txn) error {
-	start := time.Now()
+	start, sentAt := time.Now(), t.clock.Local()
 	err := t.Table.Commit(ctx, txn)
+	t.noteAnswer(sentAt, 0, err)
 	t.record("commit", start, err)
 	return err
 }
@@ -149,8 +174,9 @@
 	if !ok {
 		return platform.Position{}, t.Commit(ctx, txn)
 	}
-	start := time.Now()
+	start, sentAt := time.Now(), t.clock.Local()
 	written, err := table.CommitVersion(ctx, txn)
+	t.noteAnswer(sentAt, 0, err)
 	t.record("commit", start, err)
 	return written, err
 }
@@ -168,7 +194,7 @@
 func (f clockedFeed) ReadTable(ctx context.Context, table string) (platform.Changes, error) {
 	sentAt := f.clock.Local()
 	changes, err := f.Feed.ReadTable(ctx, table)
-	changes.ReadAt = f.clock.Observe(changes.ReadAt, sentAt)
+	f.date(&changes, sentAt, 0)
 	return changes, err
 }
 
@@ -176,10 +202,23 @@
 func (f clockedFeed) ReadChanges(ctx context.Context, table string, after platform.Position, wait time.Duration) (platform.Changes, error) {
 	sentAt := f.clock.Local()
 	changes, err := f.Feed.ReadChanges(ctx, table, after, wait)
-	changes.ReadAt = f.clock.Observe(changes.ReadAt, sentAt)
+	f.date(&changes, sentAt, wait)
 	return changes, err
 }
 
+// maxReadingDelay is how long after it was due a response may come for its time to be a reading of the
+// store's clock.
+const maxReadingDelay = 1500 * time.Millisecond
+
+// date converts ReadAt of a response to a call that was sent at a time of Clock.Local and may have waited.
+func (f clockedFeed) date(c *platform.Changes, sentAt, wait time.Duration) {
+	if f.clock.Local()-sentAt > wait+maxReadingDelay {
+		c.ReadAt = f.clock.ObserveLate(c.ReadAt, sentAt)
+		return
+	}
+	c.ReadAt = f.clock.Observe(c.ReadAt, sentAt)
+}
+
 // record does not count a missing row or a conflict as an error.
 func (t timedTable) record(call string, start time.Time, err error) {
 	if errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -103,9 +104,10 @@
 	resyncAt time.Time
 	changed  chan struct{}
 	// ranked are the policy's sources at rankedAt.
-	ranked      []Node
-	rankedAt    time.Time
-	othersKnown bool
+	ranked   []Node
+	rankedAt time.Time
+	// others is how many others were known then.
+	others atomic.Int64
 	// reading is whether this daemon reads the store; turn is closed while it does.
 	reading bool
 	turn    chan struct{}
@@ -151,7 +153,8 @@
 		if !f.sourced && !f.reading {
 			policy = f.settings.StartPolicy
 		}
-		f.ranked, f.rankedAt, f.othersKnown = policy.Sources(f.settings.Self, others), now, len(others) > 0
+		f.ranked, f.rankedAt = policy.Sources(f.settings.Self, others), now
+		f.others.Store(int64(len(others)))
 	}
 	var list []Node
 	for _, n := range f.ranked {
@@ -171,7 +174,7 @@
 	age := now.Sub(f.startedAt)
 	switch {
 	case len(sources) == 0 && !f.sourced:
-		return f.othersKnown || age >= f.settings.StartHold
+		return f.others.Load() > 0 || age >= f.settings.StartHold
 	case len(sources) == 0:
 		return true
 	case !f.sourced:
@@ -474,6 +477,24 @@
 	return lowest
 }
 
+// ObserveAnswer notes that the store answered a call of this daemon that was sent at a time of
+// Clock.Local, and read at a time of Clock.
+func (f *Follower) ObserveAnswer(sentAt time.Duration, readAt platform.StoreTime) {
+	for _, m := range f.mirrors {
+		m.observeOwn(func(c *contact) { c.answered(m.storeTimeOf(sentAt), readAt) })
+	}
+}
+
+// observeStore changes what the copies know of the store.
+func (f *Follower) observeStore(change func(c *contact)) {
+	for _, m := range f.mirrors {
+		m.observeOwn(change)
+	}
+}
+
+// knownOthers returns how many other daemons are known, as of the last check.
+func (f *Follower) knownOthers() int { return int(f.others.Load()) }
+
 func (f *Follower) mayResync(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -27,6 +27,8 @@
 	// reappear that expired during it. The platform documents about two
 	// seconds.
 	reappearanceWindow = 2250 * time.Millisecond
+	// catchUpInterval is the interval between the reads that tell what happened in a gap.
+	catchUpInterval = 20 * time.Millisecond
 	// reappearancePollInterval is the interval between reads during the
 	// reappearanceWindow.
 	reappearancePollInterval = 500 * time.Millisecond
@@ -126,6 +128,11 @@
 	// reappear. A row with a version above reappearVersion was written after the store's return.
 	missing         map[string]bool
 	reappearVersion uint64
+	// comparedUntil is the end of the latest gap after which the copy was compared with the whole
+	// table, unaccounted what it then lacked; nil if nothing. askedUntil is that of the latest
+	// gap of which peers were asked.
+	comparedUntil, askedUntil platform.StoreTime
+	unaccounted               *unaccountedRows
 	// missingLogged is set if it was logged that there are missing rows, missingRemoved counts
 	// those that were removed since.
 	missingLogged  bool
@@ -135,9 +142,11 @@
 	restoredAt platform.StoreTime
 	createdAt  time.Time
 	changed    chan struct{}
-	// cancelWait cancels the current long poll at the store; nil if there is
+	// interrupt ends the wait for the current long poll at the store; nil if there is
 	// none.
-	cancelWait context.CancelFunc
+	interrupt context.CancelFunc
+	// open are the calls that are not answered, the oldest first.
+	open []*openRead
 	// recheck requests a read of the store although another daemon is followed.
 	recheck chan struct{}
 	// storeOK is set after a read of the store until one fails or another daemon is
@@ -150,6 +159,8 @@
 	confirmed   bool
 	// lastReadAt is the store's time of the last read, this daemon's or its source's.
 	lastReadAt platform.StoreTime
+	// copyAt is when the store read what the copy shows, for this daemon, its source or a peer.
+	copyAt platform.StoreTime
 	// completeAt is the store's time of the last read whose changes were passed to OnChange.
 	completeAt platform.StoreTime
 	// revision counts the changes, revisions holds that of each row's last one.
@@ -162,11 +173,18 @@
 	// sights holds when the rows' versions were first seen, as far as that is known.
 	sights map[string]sight
 
+	// historyLost is set until the whole table is read after the store has discarded its history.
+	historyLost bool
+
 	// applying serializes changes of the copy, with the calls of OnChange.
 	applying sync.Mutex
 	// follower is nil if the copy follows no other daemon.
 	follower *Follower
 
+	calls sync.WaitGroup
+	// answeredLate tells Run of an answer that it does not wait for.
+	answeredLate chan struct{}
+
 	// The fields below are used by Run only. storeFailing is set while this daemon's reads of
 	// the store fail, wholeNext if the next one has to be of the whole table.
 	storeFailing, wholeNext bool
@@ -189,7 +207,7 @@
 		s.OnStoreRead = func(error) {}
 	}
 	return &Mirror{
-		settings: s, store: store, peers: peers, log: log, contact: contact{minOutage: minOutage(s.RenewalInterval)}, createdAt: time.Now(), changed: make(chan struct{}), recheck: make(chan struct{}, 1),
+		settings: s, store: store, peers: peers, log: log, contact: contact{minOutage: minOutage(s.RenewalInterval)}, createdAt: time.Now(), changed: make(chan struct{}), recheck: make(chan struct{}, 1), answeredLate: make(chan struct{}, 1),
 		rows: map[string]platform.Change{}, revisions: map[string]uint64{}, missing: map[string]bool{}, tombstones: map[string]tombstone{}, sights: map[string]sight{}, withheld: map[string]uint64{},
 	}
 }
@@ -207,8 +225,8 @@
 func (m *Mirror) Recheck() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.cancelWait != nil {
-		m.cancelWait()
+	if m.interrupt != nil {
+		m.interrupt()
 		return
 	}
 	select {
@@ -250,6 +268,7 @@
 
 // Run follows the table until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
+	defer m.calls.Wait()
 	for try := 0; ; {
 		if m.follower != nil {
 			if err := m.follower.waitTurn(ctx, m); err != nil {
@@ -264,20 +283,19 @@
 		}
 		if err == nil {
 			try = 0
-			if err := backoff.Sleep(ctx, m.minInterval()); err != nil {
+			if err := backoff.Sleep(ctx, m.readInterval()); err != nil {
 				return err
 			}
 			continue
 		}
 		m.recordFailure(err)
-		peerErr := m.followPeers(ctx)
-		if peerErr == nil {
-			try = 0
-		}
-		if err := retryBackoff.Wait(ctx, min(try, 4)); err != nil {
+		answered, err := m.awaitOthers(ctx, min(try, 4))
+		if err != nil {
 			return err
 		}
-		try++
+		if try++; answered {
+			try = 0
+		}
 	}
 }
 
@@ -292,20 +310,6 @@
 	return m.completeAt, m.storeOK && m.completeAt != 0
 }
 
-func (m *Mirror) minInterval() time.Duration {
-	interval := m.settings.MinInterval
-	if m.wholeNext {
-		interval = max(interval, reappearancePollInterval)
-	}
-	if m.follower != nil && m.follower.isSole() {
-		interval = max(interval, m.settings.SoleMinInterval)
-	}
-	if m.isAgeLimited() {
-		interval = min(interval, share(m.settings.MaxAge, pollShare))
-	}
-	return interval
-}
-
 func (m *Mirror) recordRead(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -313,131 +317,10 @@
 }
 
 func (m *Mirror) recordFailure(err error) {
-	if errors.IsAny(err, platform.ErrHistoryLost, platform.ErrRestored, platform.ErrOldEra) {
+	if isStoresError(err) {
 		return
 	}
 	m.setFailing(err)
-	m.noteFailure()
-}
-
-// noteFailure notes that a read of the store failed or was not answered.
-func (m *Mirror) noteFailure() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.contact.failed(m.storeNow())
-}
-
-// followStore reads the table or its changes from the store once.
-func (m *Mirror) followStore(ctx context.Context) error {
-	m.mu.Lock()
-	at, reading := m.at, m.storeOK
-	whole := !m.synced || m.mayHaveMissedOutage(m.storeNow())
-	m.mu.Unlock()
-	// After an outage read the whole table: rows that expired meanwhile may be
-	// missing in the history.
-	if whole || m.storeFailing || m.wholeNext {
-		return m.readWholeTable(ctx)
-	}
-	wait, timeout := m.settings.MaxWait, callTimeout
-	switch {
-	case m.follower != nil && !reading:
-		wait = 0 // followers wait for the proof that this daemon reads the store
-	case m.isAgeLimited():
-		wait, timeout = m.pollWait(), share(m.settings.MaxAge, pollPatience)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
-	defer cancel()
-	m.setCancelWait(cancel)
-	start, sentAt := time.Now(), m.local()
-	changes, err := m.store.ReadChanges(callCtx, m.settings.Table, at, wait)
-	took := time.Since(start)
-	m.setCancelWait(nil)
-	// A poll that was canceled by Recheck or got no answer: the connection may be dead.
-	unanswered := err != nil && callCtx.Err() != nil && ctx.Err() == nil
-	if unanswered {
-		if errors.Is(callCtx.Err(), context.DeadlineExceeded) {
-			m.noteFailure()
-		}
-		return m.readUnanswered(ctx)
-	}
-	if errors.Is(err, platform.ErrHistoryLost) {
-		return m.readWholeTable(ctx)
-	}
-	if errors.IsAny(err, platform.ErrRestored, platform.ErrOldEra) {
-		return m.readRestored(ctx, at.Era)
-	}
-	if err != nil {
-		return err
-	}
-	m.apply(changes, took)
-	m.confirmRead(changes.ReadAt, sentAt)
-	return nil
-}
-
-// readUnanswered reads the whole table after a poll without an answer. Newer copies of peers
-// are awaited meanwhile, because the store may leave this daemon alone without answers.
-func (m *Mirror) readUnanswered(ctx context.Context) error {
-	peersCtx, cancel := context.WithCancel(ctx)
-	var peers sync.WaitGroup
-	peers.Go(func() {
-		// The wait outlasts the read: a copy that is not newer costs no transfer. If the
-		// store fails too, Run logs it and asks peers again.
-		_ = m.readPeers(peersCtx, 2*callTimeout)
-	})
-	err := m.readWholeTable(ctx)
-	cancel()
-	peers.Wait()
-	return err
-}
-
-func (m *Mirror) setCancelWait(cancel context.CancelFunc) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.cancelWait = cancel
-}
-
-const (
-	// Daemons that all learn at once that the store was restored read its tables after a random
-	// part of a spread that grows with their number: 330 daemons read four tables within
-	// maxRestoredSpread, 3,300 a second of the 6,000 that the store serves.
-	restoredSpreadPerDaemon = 2 * time.Millisecond
-	maxRestoredSpread       = 400 * time.Millisecond
-)
-
-// readRestored reads the whole table of a store that is in a newer era than the copy, unless
-// a followed daemon's copy comes first.
-func (m *Mirror) readRestored(ctx context.Context, era uint64) error {
-	if m.follower != nil {
-		spread := min(time.Duration(len(m.follower.settings.Others()))*restoredSpreadPerDaemon, maxRestoredSpread)
-		if err := backoff.Sleep(ctx, rand.N(spread+1)); err != nil {
-			return err
-		}
-	}
-	if m.copyPosition(false).Era > era {
-		return nil
-	}
-	return m.readWholeTable(ctx)
-}
-
-func (m *Mirror) readWholeTable(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	start, sentAt := time.Now(), m.local()
-	changes, err := m.store.ReadTable(callCtx, m.settings.Table)
-	if err != nil {
-		return err
-	}
-	took := time.Since(start)
-	m.setFailing(nil)
-	if m.opensGap(changes.ReadAt) {
-		m.askPeersAboutOutage(ctx, changes.ReadAt)
-	}
-	m.apply(changes, took)
-	m.confirmRead(changes.ReadAt, sentAt)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.wholeNext = m.inReappearanceWindow()
-	return nil
 }
 
 // followPeers waits for newer copies of peers.
@@ -479,7 +362,7 @@
 	if at == 0 {
 		return previous, true
 	}
-	m.lastReadAt = at
+	m.lastReadAt = max(previous, at)
 	if previous != 0 && at.Sub(previous)-took <= maxReadGap {
 		return 0, false
 	}
@@ -501,25 +384,39 @@
 	m.mu.Lock()
 	if isPeers {
 		m.noteContacts(c.Contacts)
-	} else {
-		m.noteAnswer(c.ReadAt)
 	}
 	if m.synced && c.At().Before(m.at) {
 		m.mu.Unlock()
 		return
 	}
+	if isPeers {
+		for _, other := range c.Contacts {
+			m.copyAt = max(m.copyAt, m.fromStore(other).ReadAt)
+		}
+	} else {
+		m.copyAt = max(m.copyAt, m.readTime(c.ReadAt))
+	}
 	first := !m.synced
-	changed, marked := first, false
+	changed, marked, at := first, false, c.At()
 	m.revision++
 	rows := c.Rows
+	compare := c.Whole && !isPeers && (m.mustCompare() || m.unaccounted != nil) && !m.historyLost
+	m.historyLost = m.historyLost && !c.Whole
 	switch {
 	case m.synced && c.Era > m.at.Era:
 		gap = true // lost writes and their repetitions may lie in between
 		changed, rows = m.replaceRestored(rows, c.At(), c.ReadAt, c.Contacts...), nil
+	case compare:
+		m.compareWhole(rows, c.Version, c.ReadAt)
+		at = m.at
 	case c.Whole:
-		marked = m.markMissing(rows, isPeers)
+		marked = m.markMissing(rows, c.Version, isPeers)
 	}
 	for _, row := range rows {
+		if old, known := m.rows[row.Key]; row.Deleted && known && m.mayReappear(old) {
+			marked = m.markRow(row.Key) || marked // it may have expired while the store returned
+			continue
+		}
 		if isPeers && m.wasRemoved(row) || !m.applyRow(row) {
 			continue
 		}
@@ -528,9 +425,12 @@
 			m.sights[row.Key] = sight{at: m.settings.Clock.ToStore(c.ReadAt), noted: m.settings.Clock.Local()}
 		}
 	}
-	m.at, m.synced = c.At(), true
+	m.at, m.synced = at, true
+	if !c.Whole && !isPeers {
+		marked = m.settleUnaccounted(c.Version, c.ReadAt) || marked
+	}
 	changed = m.removeGone() || changed
-	m.publish(changed, marked, Read{Version: c.Version, Era: c.Era, First: first, At: c.ReadAt, AfterGap: gap, After: after})
+	m.publish(changed, marked, Read{Version: at.Version, Era: at.Era, First: first, At: c.ReadAt, AfterGap: gap, After: after})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.completeAt = max(m.completeAt, c.ReadAt)
@@ -587,7 +487,7 @@
 	case restored:
 		changed = m.replaceRestored(t.presentRows(), at, 0, t.Contacts...)
 	case t.Whole && t.Version >= m.at.Version:
-		marked = m.markMissing(t.presentRows(), true)
+		marked = m.markMissing(t.presentRows(), t.Version, true)
 	}
 	for _, row := range t.Rows {
 		old, known := m.rows[row.Key]
@@ -595,7 +495,7 @@
 			marked = known && old.Version <= row.Version && m.markRow(row.Key) || marked
 			continue
 		}
-		if !restored && (row.Deleted && known && old.Version > row.Version || m.wasRemoved(row.change()) || !m.applyRow(row.change())) {
+		if !restored && (m.wasRemoved(row.change()) || !m.applyRow(row.change())) {
 			continue
 		}
 		changed = changed || !restored
@@ -607,6 +507,7 @@
 	}
 	if t.ReadAt != 0 {
 		m.lastReadAt = max(m.lastReadAt, clock.FromStore(t.ReadAt))
+		m.copyAt = max(m.copyAt, m.lastReadAt)
 	}
 	m.at, m.synced = at, true
 	changed = m.removeGone() || changed
@@ -627,10 +528,11 @@
 		delete(m.withheld, row.Key)
 	}
 	if row.Deleted {
-		if known {
-			m.remove(row.Key, max(row.Version, old.Version))
+		if !known || row.Version < old.Version {
+			return false
 		}
-		return known
+		m.remove(row.Key, row.Version)
+		return true
 	}
 	if known && old.Version >= row.Version {
 		return false
@@ -668,6 +570,7 @@
 	m.rows, m.revisions, m.withheld = make(map[string]platform.Change, len(restored)), map[string]uint64{}, map[string]uint64{}
 	clear(m.tombstones)
 	clear(m.missing)
+	m.unaccounted = nil
 	m.droppedRevision, m.droppedVersion = m.revision, 0
 	m.at.Era = at.Era
 	if m.rowsExpire() {
--- a/internal/mirror/missing.go
+++ b/internal/mirror/missing.go
@@ -37,10 +37,41 @@
 	return platform.StoreTime(1).Add(time.Since(m.createdAt))
 }
 
-// noteAnswer notes that the store answered a read. m.mu must be held.
-func (m *Mirror) noteAnswer(readAt platform.StoreTime) {
-	if m.rowsExpire() {
-		m.observeContact(func() { m.contact.answered(m.readTime(readAt)) })
+// storeTimeOf returns a time of Clock.Local as a time of the store.
+func (m *Mirror) storeTimeOf(local time.Duration) platform.StoreTime {
+	return m.storeNow().Add(local - m.local())
+}
+
+// observeAnswer notes that the store answered a call about any table.
+func (m *Mirror) observeAnswer(sentAt, readAt platform.StoreTime) {
+	m.observeStore(func(c *contact) { c.answered(sentAt, readAt) })
+}
+
+// observeFailure notes that a call of the store failed, about any table.
+func (m *Mirror) observeFailure(at platform.StoreTime) {
+	m.observeStore(func(c *contact) { c.failed(at) })
+}
+
+// observeStore changes what the copies whose rows expire know of the store.
+func (m *Mirror) observeStore(change func(c *contact)) {
+	if m.follower != nil {
+		m.follower.observeStore(change)
+		return
+	}
+	m.observeOwn(change)
+}
+
+// observeOwn changes what this copy knows of the store, and drops rows that it shows to be removed.
+func (m *Mirror) observeOwn(change func(c *contact)) {
+	if !m.rowsExpire() {
+		return
+	}
+	m.mu.Lock()
+	m.observeContact(func() { change(&m.contact) })
+	drop := m.mayDropMissing()
+	m.mu.Unlock()
+	if drop {
+		m.dropMissing()
 	}
 }
 
@@ -72,17 +103,24 @@
 
 // observeContact changes m.contact. m.mu must be held.
 func (m *Mirror) observeContact(change func()) {
+	if m.follower != nil {
+		m.contact.self, m.contact.witnesses = m.follower.settings.Self.Name, min(maxWitnesses, 1+m.follower.knownOthers())
+	}
 	before := m.contact.returnedAt()
 	change()
-	if m.contact.returnedAt() > before {
+	returned := m.contact.returnedAt()
+	if returned > before {
 		m.reappearVersion = m.at.Version
 	}
+	if returned != before {
+		m.revision++ // news for followers
+	}
 }
 
 // statedContact returns what other daemons are told. m.mu must be held.
 func (m *Mirror) statedContact() platform.Contact {
 	c := m.contact.state()
-	c.RestoredAt, c.Era = m.restoredAt, m.at.Era
+	c.ReadAt, c.RestoredAt, c.Era = m.copyAt, m.restoredAt, m.at.Era
 	if m.settings.Clock != nil {
 		c = c.Map(m.settings.Clock.ToStore)
 	}
@@ -103,54 +141,139 @@
 	return m.rowsExpire() && m.contact.last != 0 && now.Sub(m.contact.last) >= m.contact.minOutage
 }
 
-// opensGap reports whether an answer of the store comes after a gap that counts.
-func (m *Mirror) opensGap(readAt platform.StoreTime) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.mayHaveMissedOutage(m.readTime(readAt))
+// mustCompare reports whether there is a gap in which rows may have expired without a trace in the
+// history: the copy has to be compared with the whole table. m.mu must be held.
+func (m *Mirror) mustCompare() bool {
+	g, ok := m.contact.lastGap()
+	return m.synced && m.rowsExpire() && ok && g.until > m.comparedUntil
 }
 
-// inReappearanceWindow reports whether rows that were missing at the last answer of the store may
-// reappear. m.mu must be held.
+// inReappearanceWindow reports whether rows that the copy's last read did not show may reappear. m.mu must be held.
 func (m *Mirror) inReappearanceWindow() bool {
 	returned := max(m.contact.returnedAt(), m.restoredAt)
-	return returned != 0 && m.contact.last.Sub(returned) < reappearanceWindow
+	return returned != 0 && m.copyAt.Sub(returned) < reappearanceWindow
 }
 
-// askPeersAboutOutage asks peers when the store answered them before an answer at readAt: this
-// daemon may have lost its link alone, or stood still while the store was down. Without a response it
-// takes the gap for an outage: live upstreams that are dropped cost callers more than requests to some
-// that are gone, for the reappearanceWindow.
-func (m *Mirror) askPeersAboutOutage(ctx context.Context, readAt platform.StoreTime) {
+// askPeersAboutOutage asks peers when the store answered them, since this daemon may have lost its link
+// alone, or stood still while the store was down.
+func (m *Mirror) askPeersAboutOutage(ctx context.Context) {
+	m.mu.Lock()
+	g, ok := m.contact.lastGap()
+	ask := ok && m.mustCompare() && g.until > m.askedUntil
+	m.askedUntil = max(m.askedUntil, g.until)
+	m.mu.Unlock()
+	if !ask {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, reappearancePollInterval)
 	defer cancel()
-	if err := m.readPeers(ctx, 0); err != nil {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.contact.failed(m.readTime(readAt))
+	_ = m.readPeers(ctx, 0) // without a response, this daemon goes by what it knows; event 515 tells it
+}
+
+// compareWhole notes the rows that the whole table of a version lacks. The history up to that version
+// tells whether they were removed; until it is read they stay. m.mu must be held.
+func (m *Mirror) compareWhole(table []platform.Change, version uint64, readAt platform.StoreTime) {
+	if g, ok := m.contact.lastGap(); ok {
+		m.comparedUntil = g.until
+	}
+	present := m.notePresent(table)
+	m.unaccounted = nil
+	for key, row := range m.rows {
+		if !present[key] && !m.missing[key] && row.Version <= version {
+			if m.unaccounted == nil {
+				m.unaccounted = &unaccountedRows{version: version, readAt: readAt}
+			}
+			m.unaccounted.keys = append(m.unaccounted.keys, key)
+		}
 	}
 }
 
-// markMissing marks the rows that are absent from a whole table as missing, and reports whether
-// there were any. Only the store itself shows that a missing row is back under its old version.
-// m.mu must be held.
-func (m *Mirror) markMissing(table []platform.Change, isPeers bool) (marked bool) {
-	present := make(map[string]bool, len(table))
-	for _, row := range table {
-		present[row.Key] = true
-		if !isPeers {
-			delete(m.missing, row.Key)
+// unaccountedRows are rows that the whole table of a version, read at a time of the store, lacked after
+// a gap.
+type unaccountedRows struct {
+	keys    []string
+	version uint64
+	readAt  platform.StoreTime
+}
+
+// settleUnaccounted notes that the history was read up to a version at a time of the store, and reports
+// whether it marked rows as missing: those that it did not tell of vanished without a trace, as they do
+// while the store is down. m.mu must be held.
+func (m *Mirror) settleUnaccounted(version uint64, readAt platform.StoreTime) (marked bool) {
+	if m.unaccounted == nil || version < m.unaccounted.version && readAt <= m.unaccounted.readAt {
+		return false
+	}
+	for _, key := range m.unaccounted.keys {
+		if row, known := m.rows[key]; known && row.Version <= m.unaccounted.version {
+			marked = m.markRow(key) || marked
 		}
 	}
+	if marked {
+		m.observeContact(m.contact.rowsVanished)
+	}
+	m.unaccounted = nil
+	return marked
+}
+
+// isComplete reports whether the copy shows all changes up to the last answer of the store.
+func (m *Mirror) isComplete() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unaccounted == nil
+}
+
+// mayReappear reports whether a row that the store does not have may be written again by a live
+// writer. m.mu must be held.
+func (m *Mirror) mayReappear(row platform.Change) bool {
+	return m.inReappearanceWindow() && row.Version <= m.reappearVersion
+}
+
+// mayDropMissing reports whether there are missing rows that do not reappear. m.mu must be held.
+func (m *Mirror) mayDropMissing() bool {
+	for key := range m.missing {
+		if !m.mayReappear(m.rows[key]) {
+			return true
+		}
+	}
+	return false
+}
+
+// markMissing marks the rows that are absent from the whole table of a version as missing, and reports
+// whether there were any. Newer rows were written since. Only the store itself shows that a missing row
+// is back under its old version. m.mu must be held.
+func (m *Mirror) markMissing(table []platform.Change, version uint64, isPeers bool) (marked bool) {
+	var present map[string]bool
+	if isPeers {
+		present = keysOf(table)
+	} else {
+		present = m.notePresent(table)
+	}
 	maps.DeleteFunc(m.withheld, func(key string, _ uint64) bool { return !present[key] })
-	for key := range m.rows {
-		if !present[key] {
+	for key, row := range m.rows {
+		if !present[key] && row.Version <= version {
 			marked = m.markRow(key) || marked
 		}
 	}
 	return marked
 }
 
+// notePresent notes that the store has the rows of a whole table, and returns their keys. m.mu must be
+// held.
+func (m *Mirror) notePresent(table []platform.Change) map[string]bool {
+	for _, row := range table {
+		delete(m.missing, row.Key)
+	}
+	return keysOf(table)
+}
+
+func keysOf(table []platform.Change) map[string]bool {
+	keys := make(map[string]bool, len(table))
+	for _, row := range table {
+		keys[row.Key] = true
+	}
+	return keys
+}
+
 // markRow marks a row as missing, and reports whether it was not before. m.mu must be held.
 func (m *Mirror) markRow(key string) bool {
 	if m.missing[key] {
@@ -166,9 +289,9 @@
 	if len(m.missing) == 0 {
 		return false
 	}
-	inWindow, changed := m.inReappearanceWindow(), false
+	changed := false
 	for key := range m.missing {
-		if !inWindow || m.rows[key].Version > m.reappearVersion {
+		if !m.mayReappear(m.rows[key]) {
 			m.remove(key, m.at.Version)
 			m.missingRemoved++
 			changed = true
@@ -196,10 +319,9 @@
 	if returned < m.restoredAt {
 		return fmt.Sprintf("; the store was restored %s ago", m.storeNow().Sub(m.restoredAt))
 	}
-	for _, g := range m.contact.gaps {
-		if g.until == returned {
-			return fmt.Sprintf("; the store gave no answer for %s and returned %s ago", g.length(), m.storeNow().Sub(returned))
-		}
+	if g, ok := m.contact.lastOutage(); ok {
+		return fmt.Sprintf("; the store gave no answer for %s and returned %s ago; calls sent %s later were answered, failed at %v, rows without a trace: %t",
+			g.length(), m.storeNow().Sub(returned), g.asked.Sub(g.from), g.failedBy, g.untraced)
 	}
 	return ""
 }
--- a/internal/mirror/removals_test.go
+++ b/internal/mirror/removals_test.go
@@ -34,6 +34,11 @@
 // runGrowingUpstreamFleets is runUpstreamFleets with further daemons, the last ones, that are not
 // started.
 func runGrowingUpstreamFleets(t *testing.T, sizes []int, spares int, test func(t *testing.T, f *copyFleet)) {
+	runSettledFleets(t, sizes, spares, func(*copyFleet) {}, test)
+}
+
+// runSettledFleets is runGrowingUpstreamFleets with fleets that are prepared before they start.
+func runSettledFleets(t *testing.T, sizes []int, spares int, prepare func(f *copyFleet), test func(t *testing.T, f *copyFleet)) {
 	for _, size := range sizes {
 		t.Run(fmt.Sprint(size, " daemons"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -42,6 +47,7 @@
 					d.down.Store(true)
 				}
 				f.renewalInterval, f.maxAge = reportInterval, removalLimit
+				prepare(f)
 				for i := range upstreamRows {
 					f.store.write(upstreamKey(i), false)
 				}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -39,7 +39,8 @@
 	Contacts []Contact
 }
 
-// Contact is what a daemon knows of when the store answered reads of a table, its own or others'.
+// Contact is what a daemon knows of when the store answered calls, its own or others', to tell why rows
+// of a table are missing.
 // Times are on the store's clock.
 type Contact struct {
 	// Since and Last are the first and the last known answer; 0 if there is none.
@@ -48,6 +49,10 @@
 	// Gaps are the times between them without a known answer that are long enough for rows to
 	// expire, the latest last.
 	Gaps []Gap `msgpack:",omitempty"`
+	// Failures are failed calls after Last, the latest of each daemon; not of all daemons.
+	Failures []Failure `msgpack:",omitempty"`
+	// ReadAt is when the store read what the daemon's copy shows; 0 if unknown.
+	ReadAt StoreTime `msgpack:",omitempty"`
 	// RestoredAt is the first known answer in Era, to which the store was restored from an older
 	// copy; 0 if it was not, or nobody noticed.
 	RestoredAt StoreTime `msgpack:",omitempty"`
@@ -57,16 +62,30 @@
 // Gap is the time between two answers.
 type Gap struct {
 	From, Until StoreTime
-	// Failed is set if a read is known to have failed in the gap.
-	Failed bool `msgpack:",omitempty"`
+	// Asked is when the first call was sent that the store is known to have answered at Until or
+	// later; 0 if unknown.
+	Asked StoreTime `msgpack:",omitempty"`
+	// FailedBy names daemons that had a call fail in the gap; not all of them.
+	FailedBy []string `msgpack:",omitempty"`
+	// Untraced is set if rows vanished in the gap without a trace in the store's history.
+	Untraced bool `msgpack:",omitempty"`
+}
+
+// Failure is a call of a daemon to the store that failed.
+type Failure struct {
+	By string
+	At StoreTime
 }
 
 // Map returns c with its times converted.
 func (c Contact) Map(convert func(StoreTime) StoreTime) Contact {
-	c.Gaps = slices.Clone(c.Gaps)
-	times := []*StoreTime{&c.Since, &c.Last, &c.RestoredAt}
+	c.Gaps, c.Failures = slices.Clone(c.Gaps), slices.Clone(c.Failures)
+	times := []*StoreTime{&c.Since, &c.Last, &c.ReadAt, &c.RestoredAt}
 	for i := range c.Gaps {
-		times = append(times, &c.Gaps[i].From, &c.Gaps[i].Until)
+		times = append(times, &c.Gaps[i].From, &c.Gaps[i].Until, &c.Gaps[i].Asked)
+	}
+	for i := range c.Failures {
+		times = append(times, &c.Failures[i].At)
 	}
 	for _, t := range times {
 		if *t != 0 {
--- a/internal/storeclock/storeclock.go
+++ b/internal/storeclock/storeclock.go
@@ -85,6 +85,21 @@
 	return read
 }
 
+// ObserveLate is Observe for a response that came long after it was due. It dates the response, but is
+// no reading: how much of the delay was before the store read its clock is unknown. It returns 0 if the
+// store's clock went back meanwhile.
+func (c *Clock) ObserveLate(t platform.StoreTime, sentAt time.Duration) platform.StoreTime {
+	now, ok := c.Now()
+	if t == 0 || !ok {
+		return c.Observe(t, sentAt)
+	}
+	read := min(c.FromStore(t), now)
+	if read < now.Add(sentAt-c.Local()-MaxError) {
+		return 0
+	}
+	return read
+}
+
 func (c *Clock) observe(t platform.StoreTime, sentAt time.Duration) (read platform.StoreTime, setBackBy time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/storeclock/storeclock_test.go
+++ b/internal/storeclock/storeclock_test.go
@@ -58,6 +58,25 @@
 	})
 }
 
+// Guards against an estimate that is ahead for good because a late response was the first to show that the
+// store's clock went back.
+func TestLateResponsesAreNoReadings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var setBack time.Duration
+		c := New(noBootClock, func(by time.Duration) { setBack = by })
+		c.Observe(100_000, c.Local())
+		time.Sleep(10 * time.Second)
+		sentAt := c.Local()
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c.ObserveLate(111_000, sentAt), platform.StoreTime(111_000))
+		assert.Equal(t, c.ObserveLate(51_000, sentAt), platform.StoreTime(0), "read 1 s after it was sent, on the new clock")
+		assert.Equal(t, now(t, c), platform.StoreTime(114_000))
+		c.Observe(54_000, c.Local())
+		assert.Equal(t, setBack, time.Minute)
+		assert.Equal(t, now(t, c), platform.StoreTime(114_000))
+	})
+}
+
 // A machine whose clock runs fast does not run ahead of the store for ever.
 func TestFastClockIsCorrected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
