Tell followers of rows that were written and removed between two reads

Cause: a source that read whole tables at versions 62 and 68 never knew a row that was written at 65 and removed at 67, so its frame told nothing of it. A follower that had the row from elsewhere, at version 66, took the frame as complete up to 68. The same holds for a history that tells only the removal of a row. Evidence: the frames of one run; the copies' counts differ and are brought in line 5 s later at most, which is too late.

A removal of an unknown row is remembered for followers, and after a whole table that skips versions they are sent all rows.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -417,6 +417,11 @@
 		at = m.at
 	case c.Whole:
 		marked = m.markMissing(rows, c.Version, isPeers)
+		if m.synced && m.at.Before(c.At()) {
+			// Followers may know rows that were written and removed between the two versions.
+			m.droppedRevision, m.droppedVersion = m.revision, c.Version
+			marked = true
+		}
 	}
 	for _, row := range rows {
 		if old, known := m.rows[row.Key]; row.Deleted && known && m.mayReappear(old) {
@@ -534,11 +539,10 @@
 		delete(m.withheld, row.Key)
 	}
 	if row.Deleted {
-		if !known || row.Version < old.Version {
-			return false
+		if row.Version >= old.Version {
+			m.remove(row.Key, row.Version) // followers may know a row that is unknown here
 		}
-		m.remove(row.Key, row.Version)
-		return true
+		return known && row.Version >= old.Version
 	}
 	if known && old.Version >= row.Version {
 		return false
@@ -563,7 +567,7 @@
 		}
 		clear(m.tombstones)
 	}
-	m.tombstones[key] = tombstone{version, m.revision}
+	m.tombstones[key] = tombstone{max(version, m.tombstones[key].version), m.revision}
 }
 
 // replaceRestored replaces the copy by all rows of a store that was restored from an older copy.
