Take most rows that vanish at once after a gap for expired ones

All writers fail to renew their rows in an outage, while planned work takes a quarter of a service at most: where the first history after a gap removes over half of the copy's rows, the gap was an outage. TestRowsThatExpireAfterAShortSilentOutageAreKept failed (120 rows dropped by ten daemons) and holds.

--- a/internal/mirror/contact.go
+++ b/internal/mirror/contact.go
@@ -42,9 +42,9 @@
 	asked platform.StoreTime
 	// failedBy are daemons that had a call fail in the gap, maxWitnesses at most.
 	failedBy []string
-	// untraced is set if rows vanished in the gap without a trace in the history, which shows that
-	// they expired while the store was down.
-	untraced bool
+	// vanished is set if rows vanished as they do when the store was down: without a trace in the
+	// history, or most of them at once.
+	vanished bool
 }
 
 func (g gap) length() time.Duration { return g.until.Sub(g.from) }
@@ -65,7 +65,7 @@
 // isOutage reports whether the store is known to have been down in the gap. Calls without an answer
 // alone do not show it: they may be slow.
 func (c *contact) isOutage(g gap) bool {
-	return g.untraced || len(g.failedBy) >= max(1, c.witnesses) && g.asked.Sub(g.from) >= c.minOutage
+	return g.vanished || len(g.failedBy) >= max(1, c.witnesses) && g.asked.Sub(g.from) >= c.minOutage
 }
 
 // failed notes that a call of this daemon failed, or was sent and is not answered although a later
@@ -161,7 +161,7 @@
 			for _, by := range g.FailedBy {
 				mine.addFailure(by)
 			}
-			mine.untraced = mine.untraced || g.Untraced
+			mine.vanished = mine.vanished || g.Vanished
 		}
 	}
 	for _, f := range other.Failures {
@@ -173,7 +173,7 @@
 func (c *contact) state() platform.Contact {
 	out := platform.Contact{Since: c.since, Last: c.last, Failures: slices.Clone(c.failures)}
 	for _, g := range c.gaps {
-		out.Gaps = append(out.Gaps, platform.Gap{From: g.from, Until: g.until, Asked: g.asked, FailedBy: slices.Clone(g.failedBy), Untraced: g.untraced})
+		out.Gaps = append(out.Gaps, platform.Gap{From: g.from, Until: g.until, Asked: g.asked, FailedBy: slices.Clone(g.failedBy), Vanished: g.vanished})
 	}
 	return out
 }
@@ -186,10 +186,10 @@
 	return c.gaps[len(c.gaps)-1], true
 }
 
-// rowsVanished notes that rows vanished without a trace in the history of the latest gap.
+// rowsVanished notes that rows vanished in the latest gap as they do when the store was down.
 func (c *contact) rowsVanished() {
 	if len(c.gaps) > 0 {
-		c.gaps[len(c.gaps)-1].untraced = true
+		c.gaps[len(c.gaps)-1].vanished = true
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -406,6 +406,9 @@
 	changed, marked, at := first, false, c.At()
 	m.revision++
 	rows := c.Rows
+	if !c.Whole && !isPeers && m.mustCompare() {
+		m.noteMassExpiry(rows)
+	}
 	compare := c.Whole && !isPeers && (m.mustCompare() || m.unaccounted != nil) && !m.historyLost
 	m.historyLost = m.historyLost && !c.Whole
 	switch {
--- a/internal/mirror/missing.go
+++ b/internal/mirror/missing.go
@@ -215,6 +215,25 @@
 	return marked
 }
 
+// massExpiryShare is the share of a copy's rows whose removal at once, after a gap, shows that the store was
+// down: all writers fail to renew their rows then. Planned work takes fewer.
+const massExpiryShare = 0.5
+
+// noteMassExpiry notes that a history after a gap removes most of the rows. m.mu must be held.
+func (m *Mirror) noteMassExpiry(history []platform.Change) {
+	removed := map[string]bool{}
+	for _, row := range history {
+		if old, known := m.rows[row.Key]; known && row.Deleted && row.Version > old.Version {
+			removed[row.Key] = true
+		} else if !row.Deleted {
+			delete(removed, row.Key)
+		}
+	}
+	if float64(len(removed)) > massExpiryShare*float64(len(m.rows)) {
+		m.observeContact(m.contact.rowsVanished)
+	}
+}
+
 // isComplete reports whether the copy shows all changes up to the last answer of the store.
 func (m *Mirror) isComplete() bool {
 	m.mu.Lock()
@@ -320,8 +339,8 @@
 		return fmt.Sprintf("; the store was restored %s ago", m.storeNow().Sub(m.restoredAt))
 	}
 	if g, ok := m.contact.lastOutage(); ok {
-		return fmt.Sprintf("; the store gave no answer for %s and returned %s ago; calls sent %s later were answered, failed at %v, rows without a trace: %t",
-			g.length(), m.storeNow().Sub(returned), g.asked.Sub(g.from), g.failedBy, g.untraced)
+		return fmt.Sprintf("; the store gave no answer for %s and returned %s ago; calls sent %s later were answered, failed at %v, rows vanished as in one: %t",
+			g.length(), m.storeNow().Sub(returned), g.asked.Sub(g.from), g.failedBy, g.vanished)
 	}
 	return ""
 }
--- a/internal/mirror/slowanswers_test.go
+++ b/internal/mirror/slowanswers_test.go
@@ -189,6 +189,40 @@
 	}
 }
 
+// Guards against live upstreams that are dropped because their rows expired, with a trace in the history,
+// just after an outage in which calls were lost and nobody had given one up.
+func TestRowsThatExpireAfterAShortSilentOutageAreKept(t *testing.T) {
+	runUpstreamFleets(t, []int{minFleet}, func(t *testing.T, f *copyFleet) {
+		for _, lost := range []bool{true, false} {
+			for _, d := range f.daemons {
+				d.lost.Store(lost)
+			}
+			if lost {
+				time.Sleep(3 * time.Second)
+			}
+		}
+		for i := range upstreamRows {
+			f.store.write(upstreamKey(i), true)
+			time.AfterFunc(reappearanceLimit/2, func() { f.store.write(upstreamKey(i), false) })
+		}
+		for range 60 {
+			time.Sleep(50 * time.Millisecond)
+			dropped := 0
+			for i := range upstreamRows {
+				for _, d := range f.daemons {
+					if !d.has(upstreamKey(i)) {
+						dropped++
+					}
+				}
+			}
+			if dropped > 0 {
+				t.Errorf("%d rows of live upstreams were dropped by %d daemons", dropped, len(f.daemons))
+				return
+			}
+		}
+	})
+}
+
 // Guards against a reader that calls the store without a pause after one of its calls failed.
 func TestReaderPollsAgainAfterAFailure(t *testing.T) {
 	runUpstreamFleets(t, []int{minFleet - 3, minFleet}, func(t *testing.T, f *copyFleet) {
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -67,8 +67,9 @@
 	Asked StoreTime `msgpack:",omitempty"`
 	// FailedBy names daemons that had a call fail in the gap; not all of them.
 	FailedBy []string `msgpack:",omitempty"`
-	// Untraced is set if rows vanished in the gap without a trace in the store's history.
-	Untraced bool `msgpack:",omitempty"`
+	// Vanished is set if rows vanished in the gap as they do when the store was down: without a
+	// trace in its history, or most of them at once.
+	Vanished bool `msgpack:",omitempty"`
 }
 
 // Failure is a call of a daemon to the store that failed.
